--- /dev/null
+++ b/packages/base/include/skylarkwind/log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string_view>
+
+namespace skylarkwind {
+
+enum class log_level
+{
+  Debug,
+  Info,
+  Warning,
+  Error
+};
+
+enum class log_format
+{
+  Plain,
+  JsonLines
+};
+
+struct log_settings
+{
+  log_level mLevel = log_level::Info;
+  log_format mFormat = log_format::Plain;
+};
+
+/// Starts the log on standard error. Call once at start.
+void StartLog(const log_settings& aSettings);
+
+/// Writes one short sentence under the fixed prefix of the part that speaks, for example
+/// Log(log_level::Info, "lease", "acquired ga-a with fencing number 4").
+void Log(log_level aLevel, std::string_view aPrefix, std::string_view aText);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/base/src/log.cpp
@@ -0,0 +1,113 @@
+#include "skylarkwind/log.h"
+
+#include <array>
+#include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/log/attributes/mutable_constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/manipulators/add_value.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/make_shared.hpp>
+
+#include <cstdio>
+#include <iostream>
+#include <string>
+
+namespace skylarkwind {
+
+namespace {
+
+namespace blog = boost::log;
+
+std::string_view
+LevelName(log_level aLevel)
+{
+  switch (aLevel) {
+    case log_level::Debug:
+      return "debug";
+    case log_level::Info:
+      return "info";
+    case log_level::Warning:
+      return "warning";
+    case log_level::Error:
+      return "error";
+  }
+  return "unknown";
+}
+
+std::string
+EscapeJson(std::string_view aText)
+{
+  std::string out;
+  for (const char character : aText) {
+    const auto code = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+      out.push_back('\\');
+      out.push_back(character);
+    } else if (code < 0x20) {
+      std::array<char, 8> buffer{};
+      std::snprintf(buffer.data(), buffer.size(), "\\u%04x", code);
+      out += buffer.data();
+    } else {
+      out.push_back(character);
+    }
+  }
+  return out;
+}
+
+void
+FormatRecord(log_format aFormat, const blog::record_view& aRecord, blog::formatting_ostream& aOut)
+{
+  const auto level = blog::extract<log_level>("Level", aRecord);
+  const auto prefix = blog::extract<std::string>("Prefix", aRecord);
+  const auto stamp = blog::extract<boost::posix_time::ptime>("TimeStamp", aRecord);
+  const auto time = stamp ? boost::posix_time::to_iso_extended_string(stamp.get()) + "Z" : "";
+  const auto text = aRecord[blog::expressions::smessage];
+  const std::string message = text ? text.get() : "";
+  const auto name = level ? LevelName(level.get()) : "info";
+  const std::string part = prefix ? prefix.get() : "";
+  if (aFormat == log_format::JsonLines) {
+    aOut << R"({"time":")" << time << R"(","level":")" << name << R"(","part":")"
+         << EscapeJson(part) << R"(","text":")" << EscapeJson(message) << "\"}";
+  } else {
+    aOut << time << ' ' << name << ' ' << part << ": " << message;
+  }
+}
+
+} // namespace
+
+void
+StartLog(const log_settings& aSettings)
+{
+  using sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
+  auto backend = boost::make_shared<blog::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
+  backend->auto_flush(true);
+  auto frontend = boost::make_shared<sink>(backend);
+  const auto format = aSettings.mFormat;
+  frontend->set_formatter(
+    [format](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
+      FormatRecord(format, aRecord, aOut);
+    });
+  const auto least = aSettings.mLevel;
+  frontend->set_filter([least](const blog::attribute_value_set& aValues) {
+    const auto level = blog::extract<log_level>("Level", aValues);
+    return level && level.get() >= least;
+  });
+  blog::core::get()->add_sink(frontend);
+  blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
+}
+
+void
+Log(log_level aLevel, std::string_view aPrefix, std::string_view aText)
+{
+  static thread_local blog::sources::logger sLogger;
+  BOOST_LOG(sLogger) << blog::add_value("Level", aLevel)
+                     << blog::add_value("Prefix", std::string{ aPrefix }) << aText;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/include/skylarkwind/fleet.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "skylarkwind/effects.h"
+#include "skylarkwind/engine_view.h"
+#include "skylarkwind/events.h"
+#include "skylarkwind/membership.h"
+#include "skylarkwind/table.h"
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Order recorded for one engine in `fleet/<data centre>`, and what became of it.
+struct recorded_order
+{
+  std::string mEngine;
+  std::string mOrder;
+  std::uint64_t mFencing = 0;
+  std::uint64_t mIncarnation = 0;
+  engine_role mRole = engine_role::Both;
+  std::string mModel;
+  std::string mVersion;
+  enum class stage
+  {
+    Intended, ///< engines get no new work; the order may be sent once they are drained
+    Settled   ///< the engine was observed in the target role, or the order is withdrawn
+  } mStage = stage::Intended;
+  bool operator==(const recorded_order&) const = default;
+};
+
+/// The platform object `fleet/<data centre>`:
+/// {"revision":N,"orders":[...],"audit":[...],"leaving":[...]}.
+struct fleet_object
+{
+  std::uint64_t mRevision = 0;
+  std::vector<recorded_order> mOrders;
+  std::vector<std::string> mAudit;   ///< newest last, at most kFleetAuditLimit
+  std::vector<std::string> mLeaving; ///< backend servers that the VM list shows as leaving
+
+  static absl::StatusOr<fleet_object> Parse(std::string_view aJson);
+  std::string ToJson() const;
+};
+
+inline constexpr std::size_t kFleetAuditLimit = 200;
+
+struct fleet_settings
+{
+  process_id mSelf;
+  std::string mDataCentre;
+  std::chrono::milliseconds mObservePeriod{ 1'000 }; ///< for 8 daemons; grows with their number
+  std::chrono::milliseconds mAbsentAfter{ 3'000 };   ///< without any answer
+  std::uint64_t mRandomSeed = 1;
+};
+
+/// The backend servers as this daemon sees them, and the life of each (docs/design.md, 4.7).
+/// Plain backend servers report nothing; their state follows from the calls made to them.
+class fleet
+{
+public:
+  static absl::StatusOr<std::unique_ptr<fleet>> Create(fleet_settings aSettings,
+                                                       const membership& aMembers);
+  virtual ~fleet() = default;
+
+  /// All engines of the table, sorted by name.
+  virtual std::span<const engine_view> Engines() const = 0;
+  /// All backend servers of plain services, sorted by name.
+  virtual std::span<const engine_view> Backends() const = 0;
+  /// Why a backend server is in its state, in one sentence, for operators.
+  virtual std::string Explain(std::string_view aName) const = 0;
+
+  virtual void OnAttemptStarted(std::string_view aName, instant aNow) = 0;
+  /// `aHealthy` is false when the attempt failed by the backend server's fault.
+  virtual void OnAttemptEnded(std::string_view aName, bool aHealthy, instant aNow) = 0;
+  /// A report that came with an answer.
+  virtual void OnReport(const engine_report& aReport, instant aNow, effect_list& aOut) = 0;
+
+  virtual void OnTable(const table& aTable, instant aNow, effect_list& aOut) = 0;
+  virtual void OnFleetObject(std::string_view aDataCentre,
+                             const fleet_object& aObject,
+                             instant aNow,
+                             effect_list& aOut) = 0;
+  virtual void OnVmList(const vm_list& aList, instant aNow, effect_list& aOut) = 0;
+  virtual void OnObserved(const engine_observed& aObserved, instant aNow, effect_list& aOut) = 0;
+  virtual void OnTick(instant aNow, effect_list& aOut) = 0;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/include/skylarkwind/limit_shares.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "skylarkwind/effects.h"
+#include "skylarkwind/events.h"
+#include "skylarkwind/membership.h"
+#include "skylarkwind/table.h"
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace skylarkwind {
+
+struct limit_shares_settings
+{
+  process_id mSelf;
+  std::uint32_t mShards = 16;
+  std::chrono::seconds mShareTerm{ 900 };
+  std::chrono::milliseconds mWritePeriod{ 1'000 };
+  std::chrono::milliseconds mReleaseAfter{ 2'000 };
+  std::chrono::milliseconds mVmGoneAfter{ 30'000 };
+  std::uint64_t mRandomSeed = 1;
+};
+
+/// One of each limit that a request holds while it runs.
+struct limit_ticket
+{
+  std::uint64_t mNumber = 0;
+};
+
+/// No amount is left within this daemon's share.
+struct limit_denied
+{
+  std::string mLimit; ///< for example "account/alpha"
+  std::chrono::milliseconds mRetryAfter{ 0 };
+  /// The limit is used up over all daemons, as far as this one knows. Otherwise more of it has
+  /// been asked for and waiting a moment helps.
+  bool mExhausted = false;
+};
+
+using limit_decision = std::variant<limit_ticket, limit_denied>;
+
+/// The shares of the concurrency and rate limits that this daemon may use. The sum of all shares
+/// of a limit never exceeds the limit, because every change of a share is a conditional update of
+/// the object `shares/<shard>`.
+class limit_shares
+{
+public:
+  static absl::StatusOr<std::unique_ptr<limit_shares>> Create(limit_shares_settings aSettings,
+                                                              const membership& aMembers);
+  virtual ~limit_shares() = default;
+
+  /// Takes one of each limit, or none. Limits without a row or with value 0 always grant.
+  /// `aEndsBy` is the latest end of the request; it lies within the term of the shares or the
+  /// request is denied.
+  virtual limit_decision TryAcquire(std::span<const std::string> aLimits,
+                                    instant aEndsBy,
+                                    instant aNow) = 0;
+  virtual void Release(limit_ticket aTicket, instant aNow) = 0;
+
+  virtual void OnTable(const table& aTable, instant aNow) = 0;
+  virtual void OnVmList(const vm_list& aList, instant aNow) = 0;
+  virtual void OnTick(instant aNow, effect_list& aOut) = 0;
+  /// Replies with part::LimitShares.
+  virtual void OnPlatformReply(const platform_replied& aReply, instant aNow, effect_list& aOut) = 0;
+  /// Gives all unused shares back.
+  virtual void OnShutdown(instant aNow, effect_list& aOut) = 0;
+
+  struct share_view
+  {
+    std::string mLimit;
+    std::uint64_t mLimitAmount = 0;
+    std::uint64_t mShare = 0;
+    std::uint64_t mInUse = 0;
+  };
+  virtual std::vector<share_view> View() const = 0;
+};
+
+/// Names of limits: "account/<name>", "service/<name>", "role/<service>/<role>".
+std::string AccountLimit(std::string_view aAccount);
+std::string ServiceLimit(std::string_view aService);
+std::string RoleLimit(std::string_view aService, engine_role aRole);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/include/skylarkwind/table.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include "skylarkwind/types.h"
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Limits of a row. 0 means that there is no limit.
+struct row_limits
+{
+  std::uint64_t mMaxConcurrent = 0; ///< requests in flight over all daemons
+  double mMaxRequestsPerSecond = 0; ///< over all daemons
+  bool operator==(const row_limits&) const = default;
+};
+
+enum class service_kind
+{
+  Model,
+  Plain
+};
+
+/// A service. A model service is reached by its models' names, a plain service by path prefix.
+struct service_row
+{
+  std::string mName;
+  service_kind mKind = service_kind::Model;
+  std::string mPathPrefix;                         ///< plain services only, for example "/orders"
+  bool mNonIdempotent = false;                     ///< calls may not be repeated; a key is required
+  std::chrono::milliseconds mTimeLimit{ 120'000 }; ///< longest time limit of a request
+  double mRoleChangePrice = 1;    ///< goodput seconds that one role change must earn
+  std::uint32_t mMaxChanging = 1; ///< engines out of service at once, per data centre
+  std::chrono::milliseconds mMinimumStay{ 60'000 };
+  std::uint32_t mQueueLimit = 256; ///< waiting requests per daemon
+  row_limits mLimits;
+  bool operator==(const service_row&) const = default;
+};
+
+struct model_row
+{
+  std::string mName;
+  std::string mService;
+  std::string mVersion; ///< the version that engines shall serve
+  bool operator==(const model_row&) const = default;
+};
+
+/// Weight and limits of a service's role.
+struct role_row
+{
+  std::string mService;
+  engine_role mRole = engine_role::Both;
+  double mWeight = 1;
+  row_limits mLimits;
+  std::uint32_t mMinimumEngines = 0;
+  bool operator==(const role_row&) const = default;
+};
+
+struct account_row
+{
+  std::string mName;
+  std::string mApiKeySha256;
+  int mPriority = 0; ///< higher goes first
+  row_limits mLimits;
+  bool operator==(const account_row&) const = default;
+};
+
+enum class engine_intent
+{
+  Serve,
+  Drain ///< no new work; open work ends
+};
+
+struct engine_row
+{
+  std::string mName;
+  std::string mAddress; ///< ip:port
+  std::string mDataCentre;
+  std::string mService;
+  std::string mModel;
+  engine_role mRole = engine_role::Both; ///< role at the start; the planner may change it
+  bool mPinned = false;                  ///< the planner leaves the role alone
+  double mWeight = 1;
+  bool mChecksFencing = false;
+  engine_intent mIntent = engine_intent::Serve;
+  bool operator==(const engine_row&) const = default;
+};
+
+/// A backend server of a plain service.
+struct backend_row
+{
+  std::string mName;
+  std::string mAddress; ///< ip:port
+  std::string mDataCentre;
+  std::string mService;
+  double mWeight = 1;
+  bool mHonoursKeys = false; ///< runs an idempotency key at most once by itself
+  engine_intent mIntent = engine_intent::Serve;
+  bool operator==(const backend_row&) const = default;
+};
+
+/// One mistake in a table, with the row it is in.
+struct table_problem
+{
+  std::string mRow; ///< for example "engines[3] e4"
+  std::string mText;
+  bool operator==(const table_problem&) const = default;
+};
+
+/// The operators' table. Immutable once made; an edit makes a new one with a higher serial.
+class table
+{
+public:
+  /// An empty table with serial 0, in force before any other is known.
+  table() = default;
+
+  /// Reads the JSON form and checks everything. The status lists every problem, one a line.
+  static absl::StatusOr<table> Parse(std::string_view aJson);
+
+  /// Every mistake of the rows as they stand.
+  std::vector<table_problem> Problems() const;
+
+  std::string ToJson() const;
+
+  std::uint64_t Serial() const { return mSerial; }
+  std::span<const service_row> Services() const { return mServices; }
+  std::span<const model_row> Models() const { return mModels; }
+  std::span<const role_row> Roles() const { return mRoles; }
+  std::span<const account_row> Accounts() const { return mAccounts; }
+  std::span<const engine_row> Engines() const { return mEngines; }
+  std::span<const backend_row> Backends() const { return mBackends; }
+
+  const service_row* FindService(std::string_view aName) const;
+  const model_row* FindModel(std::string_view aName) const;
+  const role_row* FindRole(std::string_view aService, engine_role aRole) const;
+  const account_row* FindAccountByKey(std::string_view aApiKeySha256) const;
+  const engine_row* FindEngine(std::string_view aName) const;
+  /// The plain service with the longest path prefix that matches.
+  const service_row* FindServiceByPath(std::string_view aPath) const;
+
+  /// The same rows under another serial.
+  table WithSerial(std::uint64_t aSerial) const;
+
+private:
+  friend struct table_json;
+  std::uint64_t mSerial = 0;
+  std::vector<service_row> mServices;
+  std::vector<model_row> mModels;
+  std::vector<role_row> mRoles;
+  std::vector<account_row> mAccounts;
+  std::vector<engine_row> mEngines;
+  std::vector<backend_row> mBackends;
+};
+
+/// Difference of one row between two tables.
+struct row_change
+{
+  enum class kind
+  {
+    Added,
+    Removed,
+    Changed
+  } mKind = kind::Changed;
+  std::string mRow;    ///< for example "engines e4"
+  std::string mBefore; ///< JSON, empty when added
+  std::string mAfter;  ///< JSON, empty when removed
+};
+
+std::vector<row_change> DiffTables(const table& aBefore, const table& aAfter);
+
+/// One accepted edit, kept in the table object's history.
+struct table_edit
+{
+  std::uint64_t mSerial = 0;
+  std::string mWho;
+  std::string mWhy;
+  std::string mWhen;              ///< UTC, ISO 8601
+  std::vector<std::string> mRows; ///< the rows that changed
+};
+
+/// The platform object `table/current`: {"table":..., "history":[...]}.
+struct table_object
+{
+  table mTable;
+  std::vector<table_edit> mHistory; ///< newest last, at most kTableHistoryLimit
+
+  static absl::StatusOr<table_object> Parse(std::string_view aJson);
+  std::string ToJson() const;
+};
+
+inline constexpr std::size_t kTableHistoryLimit = 200;
+
+std::string_view RoleText(engine_role aRole);
+std::optional<engine_role> ParseRole(std::string_view aText);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/include/skylarkwind/types.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "skylarkwind/clock.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace skylarkwind {
+
+/// Number that names one thing of kind `tag` within a process.
+template<class tag>
+struct handle
+{
+  std::uint64_t mValue = 0;
+  auto operator<=>(const handle&) const = default;
+};
+
+using request_id = handle<struct request_tag>;
+using attempt_id = handle<struct attempt_tag>;
+using peer_call_id = handle<struct peer_call_tag>;
+
+/// The aggregate that made a call and gets its reply.
+enum class part
+{
+  Configuration,
+  VmList,
+  Membership,
+  LimitShares,
+  OrderClaims,
+  Lease,
+  EngineOrders
+};
+
+/// Names a call to the platform; replies are routed by `mPart`.
+struct call_id
+{
+  part mPart = part::Configuration;
+  std::uint64_t mNumber = 0;
+  auto operator<=>(const call_id&) const = default;
+};
+
+/// A daemon process: the VM's name and the process's start time in ms, which never changes
+/// during its life.
+struct process_id
+{
+  std::string mVm;
+  std::uint64_t mStartId = 0;
+  auto operator<=>(const process_id&) const = default;
+};
+
+/// Address and place of a daemon.
+struct daemon_location
+{
+  std::string mAddress; ///< ip:port of its Cap'n Proto RPC listener
+  std::string mDataCentre;
+  std::string mRegion;
+  bool operator==(const daemon_location&) const = default;
+};
+
+enum class engine_role
+{
+  Prefill,
+  Decode,
+  Both
+};
+
+} // namespace skylarkwind
+
+template<class tag>
+struct std::hash<skylarkwind::handle<tag>>
+{
+  std::size_t operator()(const skylarkwind::handle<tag>& aHandle) const noexcept
+  {
+    return std::hash<std::uint64_t>{}(aHandle.mValue);
+  }
+};
