Add the front: HTTP requests of callers and streamed answers

Callers need an HTTP server whose decisions run on the loop thread. Pistache's listener with a derived transport reads and writes; the loop thread gets parsed requests through a queue.

--- /dev/null
+++ b/packages/front/src/connection.cpp
@@ -0,0 +1,223 @@
+#include "connection_p.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Pistache copies what is left of a buffer after each partial write and reports a buffer only when
+/// it is sent whole, so buffers stay small.
+constexpr std::size_t kPieceBytes = std::size_t{ 64 } << 10U;
+constexpr std::size_t kWindowBytes = std::size_t{ 256 } << 10U;
+
+/// Space of a drained output string that is worth keeping.
+constexpr std::size_t kKeptBytes = std::size_t{ 4 } << 10U;
+
+/// A caller that still sends a refused body must be able to read the refusal: closing with unread
+/// input would reset the connection and may destroy the answer.
+constexpr std::chrono::seconds kLingerLimit{ 2 };
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 16 } << 20U;
+
+} // namespace
+
+connection::connection(connection_id aId,
+                       std::shared_ptr<Pistache::Tcp::Peer> aPeer,
+                       front_shared& aShared,
+                       steady_instant aNow)
+  : mId(aId)
+  , mPeer(std::move(aPeer))
+  , mShared(aShared)
+  , mReader({ aShared.mSettings.mMaxHeaderBytes, aShared.mSettings.mMaxBodyBytes })
+  , mRequestStart(aNow)
+  , mLastActivity(aNow)
+  , mLastProgress(aNow)
+{
+}
+
+void
+connection::Receive(std::string_view aBytes, steady_instant aNow)
+{
+  if (mClosed) {
+    return;
+  }
+  mLastActivity = aNow;
+  if (mDiscardInput) {
+    mDiscarded += aBytes.size();
+    if (mDiscarded > kMaxDiscardedBytes) {
+      Close(&mShared.mCounters.mClosedExcess, true);
+    }
+    return;
+  }
+  if (mRequest == 0 && !mReader.MidRequest()) {
+    mRequestStart = aNow;
+  }
+  mReader.Feed(aBytes);
+  ReadRequest(aNow);
+  const auto& settings = mShared.mSettings;
+  if (mReader.Buffered() > settings.mMaxHeaderBytes + settings.mMaxBodyBytes) {
+    Close(&mShared.mCounters.mClosedExcess, true);
+  }
+}
+
+void
+connection::ReadRequest(steady_instant aNow)
+{
+  if (mRequest != 0 || mDiscardInput || mClosed) {
+    return;
+  }
+  request_read read{ mId, 0, {} };
+  switch (mReader.Advance()) {
+    case request_reader::progress::NeedMore:
+      if (mReader.TakeContinue()) {
+        mOut += "HTTP/1.1 100 Continue\r\n\r\n";
+        mLastProgress = aNow;
+      }
+      return;
+    case request_reader::progress::Ready:
+      read.mOutcome = mReader.Take();
+      break;
+    case request_reader::progress::Failed:
+      read.mOutcome = mReader.Failure();
+      mDiscardInput = true;
+      break;
+  }
+  mRequest = NextRequestNumber();
+  mLastQueued = false;
+  read.mRequest = mRequest;
+  mShared.mToLoop.Push(std::move(read));
+}
+
+void
+connection::Write(write_order&& aOrder, steady_instant aNow)
+{
+  if (mClosed || mRequest == 0 || aOrder.mRequest != mRequest || mLastQueued) {
+    return;
+  }
+  const auto pending = Pending();
+  if (pending > mShared.mSettings.mMaxPendingBytes) {
+    Close(&mShared.mCounters.mClosedPending, true);
+    return;
+  }
+  if (pending == 0) {
+    mLastProgress = aNow;
+  }
+  mOut += aOrder.mBytes;
+  mLastQueued = aOrder.mLast;
+  mCloseAfter = mCloseAfter || aOrder.mClose;
+}
+
+void
+connection::Pump(Pistache::Tcp::Transport& aTransport)
+{
+  while (!mClosed && !mBroken) {
+    const bool waiting = mOut.size() > mOutStart;
+    if (waiting && mInFlight < kWindowBytes) {
+      SendPiece();
+      // Nothing stays in Pistache's queue, which knows only the descriptor, beyond this call.
+      aTransport.flush();
+    } else if (!waiting && mInFlight == 0 && mRequest != 0 && mLastQueued) {
+      EndAnswer();
+    } else {
+      break;
+    }
+  }
+  if (mBroken) {
+    Close(nullptr, true);
+  }
+}
+
+void
+connection::SendPiece()
+{
+  const auto size = std::min(kPieceBytes, mOut.size() - mOutStart);
+  const Pistache::RawBuffer piece{ mOut.substr(mOutStart, size), size };
+  mOutStart += size;
+  mInFlight += size;
+  if (mOutStart == mOut.size()) {
+    mOutStart = 0;
+    mOut.clear();
+    if (mOut.capacity() > kKeptBytes) {
+      mOut.shrink_to_fit();
+    }
+  }
+  const std::weak_ptr<connection> self = weak_from_this();
+  mPeer->send(piece, MSG_NOSIGNAL)
+    .then(
+      [self, size](ssize_t) {
+        if (const auto held = self.lock()) {
+          held->Sent(size);
+        }
+      },
+      [self](const std::exception_ptr&) {
+        if (const auto held = self.lock()) {
+          held->mBroken = true;
+        }
+      });
+}
+
+void
+connection::Sent(std::size_t aBytes)
+{
+  mInFlight -= std::min(aBytes, mInFlight);
+  mLastProgress = std::chrono::steady_clock::now();
+}
+
+void
+connection::EndAnswer()
+{
+  mShared.mToLoop.Push(answer_sent{ std::exchange(mRequest, 0) });
+  mLastActivity = std::chrono::steady_clock::now();
+  if (mCloseAfter) {
+    mDiscardInput = true;
+    mLingerSince = mLastActivity;
+    shutdown(Fd(), SHUT_WR);
+    return;
+  }
+  mRequestStart = mLastActivity;
+  ReadRequest(mLastActivity);
+}
+
+void
+connection::CheckLimits(steady_instant aNow, bool aCloseIdle)
+{
+  if (mClosed) {
+    return;
+  }
+  const auto& settings = mShared.mSettings;
+  auto& counted = mShared.mCounters;
+  if (Pending() > 0 && aNow - mLastProgress > settings.mStalledWriteLimit) {
+    Close(&counted.mClosedStalled, true);
+  } else if (mLingerSince) {
+    if (aNow - *mLingerSince > kLingerLimit) {
+      Close(nullptr);
+    }
+  } else if (mRequest == 0 && mReader.MidRequest()) {
+    if (aNow - mRequestStart > settings.mHeaderTimeLimit) {
+      Close(&counted.mClosedSlow);
+    }
+  } else if (mRequest == 0 && (aCloseIdle || aNow - mLastActivity > settings.mIdleTimeLimit)) {
+    Close(&counted.mClosedIdle);
+  }
+}
+
+void
+connection::Close(counter* aReason, bool aDiscard)
+{
+  if (std::exchange(mClosed, true)) {
+    return;
+  }
+  if (aReason != nullptr) {
+    aReason->Add();
+  }
+  if (aDiscard) {
+    const linger none{ 1, 0 };
+    setsockopt(Fd(), SOL_SOCKET, SO_LINGER, &none, sizeof none);
+  }
+  shutdown(Fd(), SHUT_RDWR);
+}
+
+} // namespace skylarkwind
