--- a/packages/core/include/skylarkwind/fleet.h
+++ b/packages/core/include/skylarkwind/fleet.h
@@ -68,7 +68,8 @@
                                                        const membership& aMembers);
   virtual ~fleet() = default;
 
-  /// All engines of the table, sorted by name.
+  /// All engines of the table, sorted by name. An engine that was withdrawn stays, draining, until
+  /// the last request of this daemon has ended there.
   virtual std::span<const engine_view> Engines() const = 0;
   /// All backend servers of plain services, sorted by name.
   virtual std::span<const engine_view> Backends() const = 0;
--- /dev/null
+++ b/packages/core/src/fleet_object.cpp
@@ -0,0 +1,136 @@
+#include "skylarkwind/fleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace skylarkwind {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<engine_role, std::string_view>, 3> kRoleNames{ {
+  { engine_role::Prefill, "prefill" },
+  { engine_role::Decode, "decode" },
+  { engine_role::Both, "both" },
+} };
+
+std::string
+RoleName(engine_role aRole)
+{
+  const auto* found = std::find_if(kRoleNames.begin(), kRoleNames.end(), [&](const auto& aEntry) {
+    return aEntry.first == aRole;
+  });
+  return std::string(found->second);
+}
+
+/// Throws json::other_error for an unknown name, as the library does for wrong types.
+engine_role
+RoleOf(const json& aValue)
+{
+  const auto name = aValue.get<std::string>();
+  const auto* found = std::find_if(kRoleNames.begin(), kRoleNames.end(), [&](const auto& aEntry) {
+    return aEntry.second == name;
+  });
+  if (found == kRoleNames.end()) {
+    throw json::other_error::create(501, "unknown role " + name, &aValue);
+  }
+  return found->first;
+}
+
+recorded_order::stage
+StageOf(const json& aValue)
+{
+  const auto name = aValue.get<std::string>();
+  if (name == "intended") {
+    return recorded_order::stage::Intended;
+  }
+  if (name == "settled") {
+    return recorded_order::stage::Settled;
+  }
+  throw json::other_error::create(501, "unknown stage " + name, &aValue);
+}
+
+json
+OrderJson(const recorded_order& aOrder)
+{
+  return json{ { "engine", aOrder.mEngine },
+               { "order", aOrder.mOrder },
+               { "fencing", aOrder.mFencing },
+               { "incarnation", aOrder.mIncarnation },
+               { "role", RoleName(aOrder.mRole) },
+               { "model", aOrder.mModel },
+               { "version", aOrder.mVersion },
+               { "stage",
+                 aOrder.mStage == recorded_order::stage::Intended ? "intended" : "settled" } };
+}
+
+recorded_order
+ParseOrder(const json& aJson)
+{
+  recorded_order order;
+  order.mEngine = aJson.at("engine").get<std::string>();
+  order.mOrder = aJson.at("order").get<std::string>();
+  order.mFencing = aJson.at("fencing").get<std::uint64_t>();
+  order.mIncarnation = aJson.at("incarnation").get<std::uint64_t>();
+  order.mRole = RoleOf(aJson.at("role"));
+  order.mModel = aJson.at("model").get<std::string>();
+  order.mVersion = aJson.at("version").get<std::string>();
+  order.mStage = StageOf(aJson.at("stage"));
+  return order;
+}
+
+std::vector<std::string>
+Strings(const json& aObject, const char* aMember)
+{
+  const auto found = aObject.find(aMember);
+  return found == aObject.end() ? std::vector<std::string>{}
+                                : found->get<std::vector<std::string>>();
+}
+
+} // namespace
+
+absl::StatusOr<fleet_object>
+fleet_object::Parse(std::string_view aJson)
+{
+  // The library reports wrong shapes by exceptions; they end here.
+  try {
+    const json value = json::parse(aJson);
+    fleet_object object;
+    object.mRevision = value.at("revision").get<std::uint64_t>();
+    if (const auto orders = value.find("orders"); orders != value.end()) {
+      for (const json& order : *orders) {
+        object.mOrders.push_back(ParseOrder(order));
+      }
+    }
+    object.mAudit = Strings(value, "audit");
+    object.mLeaving = Strings(value, "leaving");
+    return object;
+  } catch (const json::exception& error) {
+    return absl::InvalidArgumentError(std::string("fleet object: ") + error.what());
+  }
+}
+
+std::string
+fleet_object::ToJson() const
+{
+  json orders = json::array();
+  for (const recorded_order& order : mOrders) {
+    orders.push_back(OrderJson(order));
+  }
+  const std::size_t surplus =
+    mAudit.size() > kFleetAuditLimit ? mAudit.size() - kFleetAuditLimit : 0;
+  const json audit =
+    std::vector<std::string>(mAudit.begin() + static_cast<std::ptrdiff_t>(surplus), mAudit.end());
+  return json{
+    { "revision", mRevision },
+    { "orders", std::move(orders) },
+    { "audit", audit },
+    { "leaving", mLeaving }
+  }.dump();
+}
+
+} // namespace skylarkwind
