--- /dev/null
+++ b/packages/core/src/node.cpp
@@ -0,0 +1,328 @@
+#include "skylarkwind/node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwind {
+
+namespace {
+
+constexpr std::string_view kTableDocument = "table";
+constexpr std::string_view kFleetPrefix = "fleet/";
+constexpr std::chrono::milliseconds kVmListPeriod{ 1'000 };
+/// A fleet of this many daemons can afford that each reads the VM list; above it only the
+/// watchers read it often and the others learn of leaving servers from the fleet object.
+constexpr std::size_t kVmListReaders = 16;
+constexpr std::uint32_t kVmListSlowFactor = 30;
+/// Bounds the exchange between the parts after one event; each round passes on new work only.
+constexpr int kMaxSettleRounds = 8;
+
+std::string
+FleetDocument(std::string_view aDataCentre)
+{
+  return std::string{ kFleetPrefix } + std::string{ aDataCentre };
+}
+
+std::vector<distributed_document>
+DocumentsOf(const node_settings& aSettings)
+{
+  std::vector<distributed_document> documents{ { std::string{ kTableDocument },
+                                                 { "table", "current" } } };
+  for (const auto& dataCentre : aSettings.mDataCentres) {
+    documents.push_back({ FleetDocument(dataCentre), { "fleet", dataCentre } });
+  }
+  return documents;
+}
+
+/// Copies the node's identity into the settings of the parts.
+void
+SpreadIdentity(node_settings& aSettings)
+{
+  aSettings.mMembership.mSelf = aSettings.mSelf;
+  aSettings.mMembership.mLocation = aSettings.mLocation;
+  aSettings.mLimitShares.mSelf = aSettings.mSelf;
+  aSettings.mOrderClaims.mSelf = aSettings.mSelf;
+  aSettings.mFleet.mSelf = aSettings.mSelf;
+  aSettings.mFleet.mDataCentre = aSettings.mLocation.mDataCentre;
+  aSettings.mControl.mSelf = aSettings.mSelf;
+  aSettings.mControl.mDataCentre = aSettings.mLocation.mDataCentre;
+  aSettings.mServing.mSelf = aSettings.mSelf;
+  aSettings.mServing.mDataCentre = aSettings.mLocation.mDataCentre;
+  aSettings.mDistribution.mDocuments = DocumentsOf(aSettings);
+  std::uint64_t seed = aSettings.mRandomSeed;
+  for (auto* part : { &aSettings.mMembership.mRandomSeed,
+                      &aSettings.mDistribution.mRandomSeed,
+                      &aSettings.mLimitShares.mRandomSeed,
+                      &aSettings.mOrderClaims.mRandomSeed,
+                      &aSettings.mFleet.mRandomSeed,
+                      &aSettings.mControl.mRandomSeed,
+                      &aSettings.mServing.mRandomSeed }) {
+    *part = ++seed;
+  }
+}
+
+template<class... handlers>
+struct overloaded : handlers...
+{
+  using handlers::operator()...;
+};
+template<class... handlers>
+overloaded(handlers...) -> overloaded<handlers...>;
+
+/// Makes one part; keeps the first error.
+template<class part_type>
+void
+Take(std::unique_ptr<part_type>& aInto,
+     absl::StatusOr<std::unique_ptr<part_type>> aMade,
+     absl::Status& aStatus)
+{
+  if (aMade.ok()) {
+    aInto = *std::move(aMade);
+  } else {
+    aStatus.Update(aMade.status());
+  }
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<node>>
+node::Create(node_settings aSettings, counters& aCounters)
+{
+  SpreadIdentity(aSettings);
+  std::unique_ptr<node> made{ new node };
+  auto& self = *made;
+  self.mSettings = std::move(aSettings);
+  const auto& settings = self.mSettings;
+  absl::Status status;
+  Take(self.mMembers, membership::Create(settings.mMembership), status);
+  if (!status.ok()) {
+    return status;
+  }
+  Take(self.mDocuments, distribution::Create(settings.mDistribution, *self.mMembers), status);
+  Take(self.mLimits, limit_shares::Create(settings.mLimitShares, *self.mMembers), status);
+  Take(self.mClaims, order_claims::Create(settings.mOrderClaims, *self.mMembers), status);
+  Take(self.mFleet, fleet::Create(settings.mFleet, *self.mMembers), status);
+  if (!status.ok()) {
+    return status;
+  }
+  Take(self.mControl, control::Create(settings.mControl, *self.mMembers, *self.mFleet), status);
+  Take(self.mServing,
+       serving::Create(settings.mServing, *self.mFleet, *self.mLimits, *self.mClaims, aCounters),
+       status);
+  if (!status.ok()) {
+    return status;
+  }
+  return made;
+}
+
+effect_list
+node::Handle(const event& aEvent, instant aNow, wall_instant aWallNow)
+{
+  effect_list out;
+  Dispatch(aEvent, aNow, aWallNow, out);
+  Settle(aNow, out);
+  return out;
+}
+
+bool
+node::Ready() const
+{
+  return mTable.Serial() > 0 && !mShuttingDown;
+}
+
+void
+node::Dispatch(const event& aEvent, instant aNow, wall_instant aWallNow, effect_list& aOut)
+{
+  std::visit(
+    overloaded{
+      [&](const caller_arrived& aArrived) { mServing->OnCaller(aArrived, aNow, aOut); },
+      [&](const caller_gone& aGone) { mServing->OnCallerGone(aGone.mRequest, aNow, aOut); },
+      [&](const attempt_progress& aProgress) { mServing->OnAttempt(aProgress, aNow, aOut); },
+      [&](const engine_observed& aObserved) {
+        mFleet->OnObserved(aObserved, aNow, aOut);
+        mControl->OnObserved(aObserved, aNow, aOut);
+      },
+      [&](const engine_order_answered& aAnswer) { mControl->OnOrderAnswered(aAnswer, aNow, aOut); },
+      [&](const cache_events_read& aRead) { mServing->OnCacheEvents(aRead, aNow); },
+      [&](const platform_replied& aReply) { OnPlatform(aReply, aNow, aOut); },
+      [&](const peer_asked& aAsked) { OnAsked(aAsked, aNow, aOut); },
+      [&](const peer_answered& aAnswered) { OnAnswered(aAnswered, aNow, aOut); },
+      [&](const tick&) { OnTick(aNow, aWallNow, aOut); },
+      [&](const shutdown_requested&) { OnShutdown(aNow, aOut); } },
+    aEvent);
+}
+
+void
+node::OnPlatform(const platform_replied& aReply, instant aNow, effect_list& aOut)
+{
+  switch (aReply.mCall.mPart) {
+    case part::Configuration:
+      mDocuments->OnPlatformReply(aReply, aNow, aOut);
+      return;
+    case part::LimitShares:
+      mLimits->OnPlatformReply(aReply, aNow, aOut);
+      return;
+    case part::OrderClaims:
+      mClaims->OnPlatformReply(aReply, aNow, aOut);
+      return;
+    case part::Lease:
+    case part::EngineOrders:
+      mControl->OnPlatformReply(aReply, aNow, aOut);
+      return;
+    case part::VmList:
+      mVmListPending = false;
+      if (const auto* list = std::get_if<vm_list>(&aReply.mResult)) {
+        OnVmList(*list, aNow, aOut);
+      }
+      return;
+    case part::Membership:
+      return;
+  }
+}
+
+void
+node::OnVmList(const vm_list& aList, instant aNow, effect_list& aOut)
+{
+  mMembers->OnVmList(aList, aNow);
+  mLimits->OnVmList(aList, aNow);
+  mFleet->OnVmList(aList, aNow, aOut);
+  mControl->OnVmList(aList, aNow);
+}
+
+void
+node::OnAsked(const peer_asked& aAsked, instant aNow, effect_list& aOut)
+{
+  const bool handled = mMembers->OnPeerAsked(aAsked, aNow, aOut) ||
+                       mDocuments->OnPeerAsked(aAsked, aNow, aOut) ||
+                       mClaims->OnPeerAsked(aAsked, aNow, aOut);
+  if (!handled) {
+    aOut.emplace_back(log_line{ log_level::Warning, "node", "a peer's message has no receiver" });
+  }
+}
+
+void
+node::OnAnswered(const peer_answered& aAnswered, instant aNow, effect_list& aOut)
+{
+  // Each part recognises its own calls; the order of the questions does not matter.
+  if (!mMembers->OnPeerAnswered(aAnswered, aNow, aOut) &&
+      !mDocuments->OnPeerAnswered(aAnswered, aNow, aOut)) {
+    mClaims->OnPeerAnswered(aAnswered, aNow, aOut);
+  }
+}
+
+void
+node::OnTick(instant aNow, wall_instant aWallNow, effect_list& aOut)
+{
+  const auto versions = mDocuments->Versions();
+  mMembers->SetDocuments(versions);
+  mMembers->OnTick(aNow, aOut);
+  mDocuments->OnTick(aNow, aOut);
+  mLimits->OnTick(aNow, aOut);
+  mClaims->OnTick(aNow, aWallNow, aOut);
+  mFleet->OnTick(aNow, aOut);
+  for (const auto& queued : mServing->Queued()) {
+    mControl->OnQueuedWork(queued.mService, queued.mPromptTokens, queued.mOutputTokens);
+  }
+  mControl->OnTick(aNow, aWallNow, aOut);
+  mServing->OnTick(aNow, aOut);
+  PollVmList(aNow, aOut);
+}
+
+void
+node::OnShutdown(instant aNow, effect_list& aOut)
+{
+  if (mShuttingDown) {
+    return;
+  }
+  mShuttingDown = true;
+  aOut.emplace_back(log_line{ log_level::Info, "node", "shutting down, open requests go on" });
+  mServing->OnShutdown(aNow, aOut);
+  mControl->OnShutdown(aNow, aOut);
+}
+
+void
+node::Settle(instant aNow, effect_list& aOut)
+{
+  for (int round = 0; round < kMaxSettleRounds && SettleOnce(aNow, aOut); ++round) {
+  }
+  if (mShuttingDown && !mShutdownReported && mServing->Idle() && mClaims->Idle()) {
+    mShutdownReported = true;
+    mLimits->OnShutdown(aNow, aOut);
+    mMembers->OnShutdown(aNow, aOut);
+    aOut.emplace_back(shutdown_complete{});
+  }
+}
+
+bool
+node::SettleOnce(instant aNow, effect_list& aOut)
+{
+  bool any = false;
+  for (const auto& seen : mMembers->TakeSeenDocuments()) {
+    mDocuments->OnSeenDocument(seen, aNow, aOut);
+    any = true;
+  }
+  while (const auto written = mControl->TakeWritten()) {
+    mDocuments->OnWritten(FleetDocument(mSettings.mLocation.mDataCentre),
+                          written->mRevision,
+                          written->ToJson(),
+                          aNow,
+                          aOut);
+    any = true;
+  }
+  for (const auto& name : mDocuments->TakeChanged()) {
+    OnDocument(name, aNow, aOut);
+    any = true;
+  }
+  for (const auto& decision : mClaims->TakeDecisions()) {
+    mServing->OnClaim(decision, aNow, aOut);
+    any = true;
+  }
+  return any;
+}
+
+void
+node::OnDocument(std::string_view aName, instant aNow, effect_list& aOut)
+{
+  const auto* document = mDocuments->Current(aName);
+  if (document == nullptr) {
+    return;
+  }
+  if (aName == kTableDocument) {
+    auto object = table_object::Parse(document->mValue);
+    if (!object.ok()) {
+      aOut.emplace_back(log_line{ log_level::Error, "node", "the table in force is unreadable" });
+      return;
+    }
+    mTable = std::move(object->mTable);
+    mLimits->OnTable(mTable, aNow);
+    mFleet->OnTable(mTable, aNow, aOut);
+    mControl->OnTable(mTable, aNow);
+    mServing->OnTable(mTable, aNow);
+    return;
+  }
+  const auto object = fleet_object::Parse(document->mValue);
+  if (!object.ok()) {
+    aOut.emplace_back(log_line{ log_level::Error, "node", "a fleet object is unreadable" });
+    return;
+  }
+  const auto dataCentre = aName.substr(kFleetPrefix.size());
+  mFleet->OnFleetObject(dataCentre, *object, aNow, aOut);
+  if (dataCentre == mSettings.mLocation.mDataCentre) {
+    mControl->OnFleetObject(*object, aNow);
+  }
+}
+
+void
+node::PollVmList(instant aNow, effect_list& aOut)
+{
+  if (mVmListPending || aNow < mNextVmList) {
+    return;
+  }
+  const bool often = mDocuments->IsWatcher() || mControl->HoldsLease(aNow) ||
+                     mMembers->Live().size() <= kVmListReaders;
+  mNextVmList = aNow + (often ? kVmListPeriod : kVmListPeriod * kVmListSlowFactor);
+  mVmListPending = true;
+  aOut.emplace_back(call_platform{ { part::VmList, ++mVmListCalls }, read_vm_list{} });
+}
+
+} // namespace skylarkwind
