Add the operators' table: JSON form, checks, lookups, diff and history

Cause: the other parts of the core need the table's rows and lookups. Change: table.h is implemented. The history of the table object is trimmed to 200 edits and to 400,000 bytes, because an edit may name all 600 engines and the platform refuses objects above 1 MB.

--- a/packages/core/include/skylarkwind/table.h
+++ b/packages/core/include/skylarkwind/table.h
@@ -149,6 +149,18 @@
 
 private:
   friend struct table_json;
+
+  /// Positions of rows in the order of their keys, for binary search.
+  struct sorted_index
+  {
+    std::vector<std::uint32_t> mServices;
+    std::vector<std::uint32_t> mModels;
+    std::vector<std::uint32_t> mAccounts; ///< by hash of the key
+    std::vector<std::uint32_t> mEngines;
+  };
+
+  void BuildIndex();
+
   std::uint64_t mSerial = 0;
   std::vector<service_row> mServices;
   std::vector<model_row> mModels;
@@ -156,6 +168,7 @@
   std::vector<account_row> mAccounts;
   std::vector<engine_row> mEngines;
   std::vector<backend_row> mBackends;
+  sorted_index mIndex;
 };
 
 /// Difference of one row between two tables.
@@ -191,10 +204,14 @@
   std::vector<table_edit> mHistory; ///< newest last, at most kTableHistoryLimit
 
   static absl::StatusOr<table_object> Parse(std::string_view aJson);
+  /// Leaves out the oldest edits beyond the limits below.
   std::string ToJson() const;
 };
 
 inline constexpr std::size_t kTableHistoryLimit = 200;
+/// Bytes of JSON that the history may take. The platform refuses values above 1 MB; a table of the
+/// target size (600 engines, 450 accounts) takes less than half of that.
+inline constexpr std::size_t kTableHistoryBytes = 400'000;
 
 std::string_view RoleText(engine_role aRole);
 std::optional<engine_role> ParseRole(std::string_view aText);
