Add limit shares and order claims to the core

Cause: limits across daemons and at-most-once requests need decisions that hold in every partition. Change: limit_shares keeps escrow shares in shares/<shard>; order_claims keeps claims in claims/<shard>. Both change their objects by conditional update only and settle unanswered writes by reading.

--- /dev/null
+++ b/packages/core/src/holder_watch_p.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "share_object_p.h"
+#include "skylarkwind/clock.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace skylarkwind {
+
+/// When this daemon first saw the renewal counters of the others. The owner measures its term from
+/// before it sent the renewal, so its own term always ends first.
+class holder_watch
+{
+public:
+  explicit holder_watch(std::chrono::nanoseconds aTerm)
+    : mTerm{ aTerm }
+  {
+  }
+
+  void Observe(const share_object& aObject, instant aNow)
+  {
+    std::erase_if(mSeen, [&](const auto& aSeen) {
+      return aObject.mHolders.find(aSeen.first) == aObject.mHolders.end();
+    });
+    for (const auto& [vm, holder] : aObject.mHolders) {
+      auto& seen = mSeen[vm];
+      if (seen.mStartId != holder.mStartId || seen.mRenewal != holder.mRenewal) {
+        seen = { holder.mStartId, holder.mRenewal, aNow };
+      }
+    }
+  }
+
+  bool Expired(std::string_view aVm, instant aNow) const
+  {
+    const auto seen = mSeen.find(aVm);
+    return seen != mSeen.end() && aNow - seen->second.mFirstSeen > mTerm + kDriftMargin;
+  }
+
+private:
+  /// Two machines' clocks drift apart by less than this in one term (15 min at 200 ppm is 0.2 s).
+  static constexpr std::chrono::seconds kDriftMargin{ 2 };
+
+  struct seen_renewal
+  {
+    std::uint64_t mStartId = 0;
+    std::uint64_t mRenewal = 0;
+    instant mFirstSeen;
+  };
+  std::chrono::nanoseconds mTerm;
+  std::map<std::string, seen_renewal, std::less<>> mSeen;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/limit_list_p.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "skylarkwind/table.h"
+
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// One row of the table that may carry limits, under the limit's name.
+struct limit_row
+{
+  std::string mName;
+  row_limits mLimits;
+};
+
+/// The limits of all accounts, services and roles of a table. Rows without a limit are left out.
+std::vector<limit_row> LimitsOf(const table& aTable);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/order_claims.cpp
@@ -0,0 +1,315 @@
+#include "order_claims_impl_p.h"
+
+#include "skylarkwind/hash.h"
+
+#include <absl/status/status.h>
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Numbers of calls to peers start here, apart from those of other aggregates.
+constexpr std::uint64_t kFirstPeerCall = (static_cast<std::uint64_t>(part::OrderClaims) + 1) << 56;
+
+std::size_t
+Bytes(const header_list& aHeaders)
+{
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : aHeaders) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<order_claims>>
+order_claims::Create(order_claims_settings aSettings, const membership& aMembers)
+{
+  if (aSettings.mShards == 0) {
+    return absl::InvalidArgumentError("order claims: the number of shards is 0");
+  }
+  if (aSettings.mSelf.mVm.empty()) {
+    return absl::InvalidArgumentError("order claims: the VM has no name");
+  }
+  if (aSettings.mDecisionLimit.count() <= 0 || aSettings.mRetention.count() <= 0) {
+    return absl::InvalidArgumentError("order claims: a time limit is not positive");
+  }
+  return std::make_unique<order_claims_impl>(std::move(aSettings), aMembers);
+}
+
+order_claims_impl::order_claims_impl(order_claims_settings aSettings, const membership& aMembers)
+  : mMembers{ aMembers }
+  , mLastPeerCall{ kFirstPeerCall }
+{
+  mContext.mRandom.seed(aSettings.mRandomSeed);
+  mContext.mSettings = std::move(aSettings);
+}
+
+void
+order_claims_impl::Claim(request_id aRequest,
+                         std::string_view aKey,
+                         std::string_view aFingerprint,
+                         instant aDeadline,
+                         instant aNow,
+                         effect_list& aOut)
+{
+  if (aDeadline <= aNow) {
+    Decide(aRequest, claim_unavailable{ "the deadline has passed" });
+    return;
+  }
+  open_operation open;
+  open.mRequest = aRequest;
+  open.mDeadline = aDeadline;
+  open.mStartedAt = aNow;
+  open.mShard = ShardOf(aKey);
+  open.mOperation.mKey = aKey;
+  auto& entry = open.mOperation.mEntry;
+  entry.mProcess = mContext.mSettings.mSelf;
+  entry.mAttempt = entry.mProcess.mVm + "/" + std::to_string(entry.mProcess.mStartId) + "/" +
+                   std::to_string(++mLastAttempt);
+  entry.mFingerprint = aFingerprint;
+  if (mTicked) {
+    Start(std::move(open), true, aNow, aOut);
+  } else {
+    mBeforeFirstTick.push_back(std::move(open)); // The wall time is not known yet.
+  }
+}
+
+void
+order_claims_impl::Record(request_id aRequest,
+                          const attempt_answered& aOutcome,
+                          instant aNow,
+                          effect_list& aOut)
+{
+  const std::size_t limit = mContext.mSettings.mRecordedBodyLimit;
+  claim_entry outcome;
+  outcome.mState = claim_state::Done;
+  outcome.mStatus = aOutcome.mStatus;
+  if (Bytes(aOutcome.mHeaders) <= limit) {
+    outcome.mHeaders = aOutcome.mHeaders;
+  }
+  outcome.mBodyRecorded = aOutcome.mBody.size() <= limit;
+  outcome.mBody = outcome.mBodyRecorded ? aOutcome.mBody : "";
+  Finish(aRequest, std::move(outcome), aNow, aOut);
+}
+
+void
+order_claims_impl::RecordUnknown(request_id aRequest, instant aNow, effect_list& aOut)
+{
+  claim_entry outcome;
+  outcome.mState = claim_state::Unknown;
+  Finish(aRequest, std::move(outcome), aNow, aOut);
+}
+
+void
+order_claims_impl::Withdraw(request_id aRequest, instant aNow, effect_list& aOut)
+{
+  claim_entry outcome;
+  outcome.mState = claim_state::Withdrawn;
+  Finish(aRequest, std::move(outcome), aNow, aOut);
+}
+
+/// Ends a granted claim. A withdrawal goes straight to the object, because the claim may have been
+/// stored by the owner or by this daemon, and the object knows.
+void
+order_claims_impl::Finish(request_id aRequest,
+                          claim_entry aOutcome,
+                          instant aNow,
+                          effect_list& aOut)
+{
+  const auto granted = mGranted.extract(aRequest);
+  if (granted.empty()) {
+    return;
+  }
+  open_operation open = granted.mapped();
+  const auto& claim = open.mOperation.mEntry;
+  aOutcome.mProcess = claim.mProcess;
+  aOutcome.mAttempt = claim.mAttempt;
+  aOutcome.mFingerprint = claim.mFingerprint;
+  aOutcome.mDeadline = claim.mDeadline;
+  aOutcome.mChanged = WallAt(aNow);
+  const bool askOwner = aOutcome.mState != claim_state::Withdrawn;
+  open.mPurpose = purpose::Outcome;
+  open.mOperation.mEntry = std::move(aOutcome);
+  Start(std::move(open), askOwner, aNow, aOut);
+}
+
+std::vector<claim_decision>
+order_claims_impl::TakeDecisions()
+{
+  return std::exchange(mDecisions, {});
+}
+
+bool
+order_claims_impl::Idle() const
+{
+  return std::none_of(mOpen.begin(), mOpen.end(), [](const auto& aOpen) {
+    return aOpen.second.mPurpose == purpose::Outcome;
+  });
+}
+
+void
+order_claims_impl::OnTick(instant aNow, wall_instant aWallNow, effect_list& aOut)
+{
+  mTicked = true;
+  mTickedAt = aNow;
+  mWallAtTick = aWallNow;
+  for (auto& open : std::exchange(mBeforeFirstTick, {})) {
+    Start(std::move(open), true, aNow, aOut);
+  }
+  CheckTimes(aNow, aOut);
+  for (auto& [number, shard] : mShards) {
+    shard.OnTick(aNow, aWallNow, aOut);
+  }
+  CollectSettled(aNow, aOut);
+  std::erase_if(mShards, [&](const auto& aShard) { return aShard.second.Disposable(aNow); });
+}
+
+void
+order_claims_impl::OnPlatformReply(const platform_replied& aReply, instant aNow, effect_list& aOut)
+{
+  for (auto& [number, shard] : mShards) {
+    if (shard.PendingCall() == aReply.mCall.mNumber) {
+      shard.OnReply(aReply.mResult, aNow, WallAt(aNow), aOut);
+      CollectSettled(aNow, aOut);
+      return;
+    }
+  }
+}
+
+bool
+order_claims_impl::OnPeerAsked(const peer_asked& aAsked, instant aNow, effect_list& aOut)
+{
+  const auto* message = std::get_if<claim_message>(&aAsked.mMessage);
+  if (message == nullptr) {
+    return false;
+  }
+  auto entry = claim_entry::Parse(message->mEntry);
+  if (!entry.ok() || message->mShard != ShardOf(message->mKey)) {
+    aOut.push_back(answer_peer{ aAsked.mCall, claim_reply{} });
+    return true;
+  }
+  open_operation open;
+  open.mPurpose = purpose::Peer;
+  open.mShard = message->mShard;
+  open.mOperation = { 0, message->mKey, std::move(*entry) };
+  open.mPeerCall = aAsked.mCall;
+  // The asker waits no longer than its own limit.
+  open.mPeerLimit = aNow + mContext.mSettings.mPeerTimeLimit * 4 / 5;
+  Start(std::move(open), false, aNow, aOut);
+  return true;
+}
+
+bool
+order_claims_impl::OnPeerAnswered(const peer_answered& aAnswered, instant aNow, effect_list& aOut)
+{
+  const auto asked = mAsked.extract(aAnswered.mCall.mValue);
+  if (asked.empty()) {
+    return false;
+  }
+  const auto open = mOpen.find(asked.mapped());
+  if (open == mOpen.end() || !open->second.mWithOwner) {
+    return true;
+  }
+  const auto* reply = aAnswered.mReply ? std::get_if<claim_reply>(&*aAnswered.mReply) : nullptr;
+  if (reply == nullptr || !reply->mSettled) {
+    UseOwnPath(open->second, aNow);
+    return true;
+  }
+  std::optional<claim_entry> stored;
+  if (!reply->mEntry.empty()) {
+    auto entry = claim_entry::Parse(reply->mEntry);
+    if (!entry.ok()) {
+      UseOwnPath(open->second, aNow);
+      return true;
+    }
+    stored = std::move(*entry);
+  }
+  open->second.mOwnerDoubt = false;
+  OnSettled(open->first, stored, aNow, aOut);
+  return true;
+}
+
+std::uint32_t
+order_claims_impl::ShardOf(std::string_view aKey) const
+{
+  return static_cast<std::uint32_t>(Hash64(aKey) % mContext.mSettings.mShards);
+}
+
+claim_shard&
+order_claims_impl::Shard(std::uint32_t aNumber)
+{
+  return mShards.try_emplace(aNumber, mContext, aNumber).first->second;
+}
+
+wall_instant
+order_claims_impl::WallAt(instant aTime) const
+{
+  return mWallAtTick + std::chrono::duration_cast<std::chrono::milliseconds>(aTime - mTickedAt);
+}
+
+std::string
+order_claims_impl::OwnerAddress(std::uint32_t aShard) const
+{
+  const std::string key = "claims/" + std::to_string(aShard);
+  const member_update* owner = nullptr;
+  std::uint64_t best = 0;
+  for (const auto& member : mMembers.Live()) {
+    const std::uint64_t score = RendezvousScore(key, member.mProcess.mVm);
+    if (owner == nullptr || score > best) {
+      owner = &member;
+      best = score;
+    }
+  }
+  const bool self = owner == nullptr || owner->mProcess == mContext.mSettings.mSelf;
+  return self ? std::string{} : owner->mLocation.mAddress;
+}
+
+void
+order_claims_impl::Start(open_operation aOpen, bool aAskOwner, instant aNow, effect_list& aOut)
+{
+  const std::uint64_t number = ++mLastNumber;
+  aOpen.mOperation.mNumber = number;
+  auto& entry = aOpen.mOperation.mEntry;
+  if (aOpen.mPurpose == purpose::Claim) {
+    entry.mChanged = WallAt(aNow);
+    entry.mDeadline = WallAt(aOpen.mDeadline);
+  }
+  auto& open = mOpen.emplace(number, std::move(aOpen)).first->second;
+  std::string address = aAskOwner ? OwnerAddress(open.mShard) : std::string{};
+  if (address.empty()) {
+    UseOwnPath(open, aNow);
+  } else {
+    AskOwner(open, std::move(address), aNow, aOut);
+  }
+}
+
+void
+order_claims_impl::AskOwner(open_operation& aOpen,
+                            std::string aAddress,
+                            instant aNow,
+                            effect_list& aOut)
+{
+  aOpen.mWithOwner = true;
+  aOpen.mOwnerDoubt = true;
+  aOpen.mPeerCall = peer_call_id{ ++mLastPeerCall };
+  aOpen.mPeerLimit = aNow + 2 * mContext.mSettings.mPeerTimeLimit;
+  mAsked[aOpen.mPeerCall.mValue] = aOpen.mOperation.mNumber;
+  const auto& operation = aOpen.mOperation;
+  aOut.push_back(
+    send_to_peer{ aOpen.mPeerCall,
+                  std::move(aAddress),
+                  claim_message{ aOpen.mShard, operation.mKey, operation.mEntry.ToJson() },
+                  mContext.mSettings.mPeerTimeLimit });
+}
+
+void
+order_claims_impl::UseOwnPath(open_operation& aOpen, instant aNow)
+{
+  aOpen.mWithOwner = false;
+  Shard(aOpen.mShard).Add(aOpen.mOperation, aNow);
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/order_claims_settle.cpp
@@ -0,0 +1,230 @@
+#include "order_claims_impl_p.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// While the platform refuses every call, a claim without effect gives up after this part of the
+/// decision limit.
+constexpr int kPatienceDivisor = 5;
+
+claim_recorded
+Recorded(const claim_entry& aEntry)
+{
+  return { aEntry.mStatus, aEntry.mHeaders, aEntry.mBody, aEntry.mBodyRecorded };
+}
+
+} // namespace
+
+void
+order_claims_impl::CollectSettled(instant aNow, effect_list& aOut)
+{
+  std::vector<settled_operation> settled;
+  for (auto& [number, shard] : mShards) {
+    auto part = shard.TakeSettled();
+    std::move(part.begin(), part.end(), std::back_inserter(settled));
+  }
+  for (const auto& operation : settled) {
+    OnSettled(operation.mNumber, operation.mStored, aNow, aOut);
+  }
+}
+
+void
+order_claims_impl::OnSettled(std::uint64_t aNumber,
+                             const std::optional<claim_entry>& aStored,
+                             instant aNow,
+                             effect_list& aOut)
+{
+  auto node = mOpen.extract(aNumber);
+  if (node.empty()) {
+    return;
+  }
+  open_operation open = std::move(node.mapped());
+  switch (open.mPurpose) {
+    case purpose::Claim:
+      OnClaimSettled(std::move(open), aStored, aNow, aOut);
+      break;
+    case purpose::Outcome:
+      if (aStored && aStored->mAttempt != open.mOperation.mEntry.mAttempt &&
+          open.mOperation.mEntry.mState != claim_state::Withdrawn) {
+        aOut.push_back(log_line{ log_level::Error,
+                                 "claims",
+                                 "the outcome of attempt " + open.mOperation.mEntry.mAttempt +
+                                   " met the claim of attempt " + aStored->mAttempt });
+      }
+      break;
+    case purpose::Repair:
+      break;
+    case purpose::Peer:
+      AnswerPeer(open, true, aStored, aOut);
+      break;
+  }
+}
+
+void
+order_claims_impl::OnClaimSettled(open_operation aOpen,
+                                  const std::optional<claim_entry>& aStored,
+                                  instant aNow,
+                                  effect_list& aOut)
+{
+  if (!aStored) {
+    Abandon(aOpen, claim_unavailable{ "the shard of claims is full" }, aNow, aOut);
+  } else if (aStored->mAttempt == aOpen.mOperation.mEntry.mAttempt) {
+    OnOwnStored(std::move(aOpen), *aStored, aNow, aOut);
+  } else {
+    OnOtherStored(std::move(aOpen), *aStored, aNow, aOut);
+  }
+}
+
+/// The claim of this request is stored. It is granted unless somebody may already have been told
+/// that its outcome is unknown, or its deadline has passed.
+void
+order_claims_impl::OnOwnStored(open_operation aOpen,
+                               const claim_entry& aStored,
+                               instant aNow,
+                               effect_list& aOut)
+{
+  if (aStored.mState == claim_state::Claimed && aNow < aOpen.mDeadline) {
+    const request_id request = aOpen.mRequest;
+    mGranted.insert_or_assign(request, std::move(aOpen));
+    Decide(request, claim_granted{});
+    return;
+  }
+  if (aStored.mState == claim_state::Claimed) {
+    Repair(aOpen, aStored, claim_state::Withdrawn, aNow, aOut);
+  }
+  Abandon(aOpen, claim_unavailable{ "the deadline has passed" }, aNow, aOut);
+}
+
+void
+order_claims_impl::OnOtherStored(open_operation aOpen,
+                                 const claim_entry& aStored,
+                                 instant aNow,
+                                 effect_list& aOut)
+{
+  const request_id request = aOpen.mRequest;
+  if (aStored.mFingerprint != aOpen.mOperation.mEntry.mFingerprint) {
+    Decide(request, claim_mismatch{});
+  } else if (aStored.mState == claim_state::Done) {
+    Decide(request, Recorded(aStored));
+  } else if (aStored.mState != claim_state::Claimed) {
+    Decide(request, claim_unknown{});
+  } else if (aStored.mProcess == mContext.mSettings.mSelf && !IsOpenHere(aStored.mAttempt)) {
+    // An earlier attempt of this process that was given up and stored later. It was never sent.
+    Repair(aOpen, aStored, claim_state::Withdrawn, aNow, aOut);
+    Start(std::move(aOpen), false, aNow, aOut);
+  } else if (mMembers.MayBeAlive(aStored.mProcess) && WallAt(aNow) < aStored.mDeadline) {
+    Decide(request, claim_in_progress{});
+  } else {
+    Repair(aOpen, aStored, claim_state::Unknown, aNow, aOut);
+    Decide(request, claim_unknown{});
+  }
+}
+
+/// Moves a stored claim to a state that others can act on.
+void
+order_claims_impl::Repair(const open_operation& aOpen,
+                          claim_entry aEntry,
+                          claim_state aState,
+                          instant aNow,
+                          effect_list& aOut)
+{
+  open_operation repair;
+  repair.mPurpose = purpose::Repair;
+  repair.mShard = aOpen.mShard;
+  aEntry.mState = aState;
+  aEntry.mChanged = WallAt(aNow);
+  repair.mOperation = { 0, aOpen.mOperation.mKey, std::move(aEntry) };
+  Start(std::move(repair), false, aNow, aOut);
+}
+
+/// True while a request of this process waits for this attempt, runs under it or records its end.
+bool
+order_claims_impl::IsOpenHere(const std::string& aAttempt) const
+{
+  const auto holds = [&](const auto& aOpen) {
+    return aOpen.second.mPurpose != purpose::Peer && aOpen.second.mPurpose != purpose::Repair &&
+           aOpen.second.mOperation.mEntry.mAttempt == aAttempt;
+  };
+  return std::any_of(mGranted.begin(), mGranted.end(), holds) ||
+         std::any_of(mOpen.begin(), mOpen.end(), holds);
+}
+
+void
+order_claims_impl::CheckTimes(instant aNow, effect_list& aOut)
+{
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, open] : mOpen) {
+    numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) {
+    auto& open = mOpen.at(number);
+    if (open.mPurpose == purpose::Peer && aNow >= open.mPeerLimit) {
+      AnswerPeer(open, false, std::nullopt, aOut);
+      Shard(open.mShard).Remove(number);
+      mOpen.erase(number);
+      continue;
+    }
+    if (open.mWithOwner && aNow >= open.mPeerLimit) {
+      mAsked.erase(open.mPeerCall.mValue);
+      UseOwnPath(open, aNow);
+    }
+    if (open.mPurpose == purpose::Claim) {
+      CheckClaim(number, aNow, aOut);
+    }
+  }
+}
+
+void
+order_claims_impl::CheckClaim(std::uint64_t aNumber, instant aNow, effect_list& aOut)
+{
+  const auto& open = mOpen.at(aNumber);
+  auto& shard = Shard(open.mShard);
+  const auto waited = aNow - open.mStartedAt;
+  const auto limit = mContext.mSettings.mDecisionLimit;
+  const bool doubt = open.mOwnerDoubt || shard.InDoubt(aNumber);
+  const bool hopeless = !doubt && shard.Failing() && waited >= limit / kPatienceDivisor;
+  if (waited < limit && !hopeless) {
+    return;
+  }
+  shard.Remove(aNumber);
+  open_operation given = std::move(mOpen.extract(aNumber).mapped());
+  given.mOwnerDoubt = doubt;
+  Abandon(given, claim_unavailable{ "the platform does not answer" }, aNow, aOut);
+}
+
+/// Ends a claim that this process will never send. When a write of it may still take effect, the
+/// caller must not take the answer for final, and the claim is withdrawn if it appears.
+void
+order_claims_impl::Abandon(const open_operation& aOpen,
+                           claim_unavailable aVerdict,
+                           instant aNow,
+                           effect_list& aOut)
+{
+  if (!aOpen.mOwnerDoubt) {
+    Decide(aOpen.mRequest, std::move(aVerdict));
+    return;
+  }
+  Repair(aOpen, aOpen.mOperation.mEntry, claim_state::Withdrawn, aNow, aOut);
+  Decide(aOpen.mRequest, claim_unknown{});
+}
+
+void
+order_claims_impl::Decide(request_id aRequest, claim_verdict aVerdict)
+{
+  mDecisions.push_back({ aRequest, std::move(aVerdict) });
+}
+
+void
+order_claims_impl::AnswerPeer(const open_operation& aOpen,
+                              bool aSettled,
+                              const std::optional<claim_entry>& aStored,
+                              effect_list& aOut) const
+{
+  aOut.push_back(
+    answer_peer{ aOpen.mPeerCall, claim_reply{ aSettled, aStored ? aStored->ToJson() : "" } });
+}
+
+} // namespace skylarkwind
