--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -241,7 +241,9 @@
     }
     const auto object = fleet_object::Parse(current->mValue);
     if (object.ok()) {
-      records.insert(records.end(), object->mAudit.begin(), object->mAudit.end());
+      for (const auto& record : object->mAudit) {
+        records.push_back(record);
+      }
     }
   }
   return JsonAnswer(records);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -66,7 +66,7 @@
   absl::Status Start()
   {
     const auto sink = [this](event aEvent) { Post(std::move(aEvent)); };
-    auto http = http_client::Create(mContext);
+    auto http = http_client::Create(mContext.unixEventPort, mTimer, http_client_settings{});
     if (!http.ok()) {
       return http.status();
     }
