--- a/packages/core/include/skylarkwind/control.h
+++ b/packages/core/include/skylarkwind/control.h
@@ -4,6 +4,7 @@
 #include "skylarkwind/events.h"
 #include "skylarkwind/fleet.h"
 #include "skylarkwind/membership.h"
+#include "skylarkwind/plan_source.h"
 #include "skylarkwind/table.h"
 
 #include <absl/status/statusor.h>
@@ -26,6 +27,16 @@
   std::chrono::milliseconds mOrderExpiry{ 3'000 };
   std::chrono::milliseconds mDrainLimit{ 120'000 };
   std::chrono::milliseconds mPlanEvery{ 1'000 };
+  /// Between two model loads of the data centre; the weight store is rate-limited.
+  std::chrono::milliseconds mLoadSpacing{ 10'000 };
+  /// After this time since the intent no daemon sends the engine new work (invariant I7).
+  std::chrono::milliseconds mNoticeTime{ 3'000 };
+  std::chrono::milliseconds mObserveEvery{ 1'000 };
+  /// An order whose engine cannot be reached for this long is settled without it.
+  std::chrono::milliseconds mUnreachableLimit{ 30'000 };
+  /// Before the next order to an engine whose last one failed or was withdrawn.
+  std::chrono::milliseconds mRetryAfter{ 10'000 };
+  std::chrono::milliseconds mCallLimit{ 2'000 };
   std::uint64_t mRandomSeed = 1;
 };
 
@@ -34,9 +45,12 @@
 class control
 {
 public:
-  static absl::StatusOr<std::unique_ptr<control>> Create(control_settings aSettings,
-                                                         const membership& aMembers,
-                                                         const fleet& aFleet);
+  /// Without `aPlans`, roles change only by the table.
+  static absl::StatusOr<std::unique_ptr<control>> Create(
+    control_settings aSettings,
+    const membership& aMembers,
+    const fleet& aFleet,
+    std::unique_ptr<plan_source> aPlans = nullptr);
   virtual ~control() = default;
 
   virtual bool HoldsLease(instant aNow) const = 0;
