Add membership and the distribution of documents

Cause: daemons must agree on who is alive and on the newest table without a coordination service. Change: membership probes with a constant cost per daemon, suspects before it declares death and compares checksums of the live list on each probe. Distribution lets two daemons per data centre watch the platform, pushes along a tree and pulls what a probe shows.

--- a/packages/core/include/skylarkwind/peer_messages.h
+++ b/packages/core/include/skylarkwind/peer_messages.h
@@ -35,7 +35,8 @@
   bool operator==(const document_version&) const = default;
 };
 
-/// Direct probe. Carries membership updates and document versions.
+/// Direct probe. Carries membership updates and document versions. The document name "members" is
+/// membership's own: its version is a checksum of the sender's list of live processes.
 struct probe_message
 {
   member_update mSender;
--- /dev/null
+++ b/packages/core/src/distribution_p.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "skylarkwind/distribution.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Bit of the peer call ids that distribution issues.
+inline constexpr std::uint64_t kDistributionCallTag = std::uint64_t{ 1 } << 61;
+
+/// What one daemon knows of one document and does for it.
+struct document_state
+{
+  distributed_document mDocument;
+  /// The data centre that a fleet object belongs to; empty for the table.
+  std::string mDataCentre;
+  std::optional<distribution::document> mCurrent;
+
+  // Calls to the platform.
+  std::uint64_t mObjectVersion = 0; ///< the platform's own count, as last read
+  std::uint64_t mOpenCall = 0;      ///< number of the call in flight, 0 when none
+  instant mCallExpiresAt;
+  instant mNextCallAt;
+  bool mReadNext = true;       ///< read instead of watch, after the start and after failures
+  std::uint32_t mFailures = 0; ///< in a row
+  std::uint32_t mUnchanged = 0;
+  bool mBehind = false;
+  std::uint64_t mRefusedObject = 0; ///< object version that was refused and logged
+
+  // The next pull from a peer.
+  std::uint64_t mWanted = 0; ///< version seen at a peer, 0 when none is wanted
+  std::string mPullFrom;
+  instant mPullAt;
+  bool mPullOpen = false;
+  instant mPullExpiresAt;
+
+  // The next push by this daemon as a watcher.
+  std::optional<instant> mPushAt;
+};
+
+class distribution_core final : public distribution
+{
+public:
+  distribution_core(distribution_settings aSettings, const membership& aMembers);
+
+  const document* Current(std::string_view aName) const override;
+  std::vector<document_version> Versions() const override;
+  std::vector<std::string> TakeChanged() override;
+  bool PlatformIsBehind(std::string_view aName) const override;
+  bool IsWatcher() const override { return mRank.has_value(); }
+  bool PlatformAway() const override { return mPlatformAway; }
+  void OnTick(instant aNow, effect_list& aOut) override;
+  void OnPlatformReply(const platform_replied& aReply, instant aNow, effect_list& aOut) override;
+  void OnSeenDocument(const membership::seen_document& aSeen,
+                      instant aNow,
+                      effect_list& aOut) override;
+  bool OnPeerAsked(const peer_asked& aAsked, instant aNow, effect_list& aOut) override;
+  bool OnPeerAnswered(const peer_answered& aAnswered, instant aNow, effect_list& aOut) override;
+  void OnWritten(std::string_view aName,
+                 std::uint64_t aVersion,
+                 std::string_view aValue,
+                 instant aNow,
+                 effect_list& aOut) override;
+
+private:
+  struct pull_call
+  {
+    std::string mName;
+  };
+  struct push_call
+  {
+    std::string mName;
+    std::vector<daemon_location> mBelow; ///< served by the next one when there is no answer
+  };
+  using peer_call = std::variant<pull_call, push_call>;
+
+  enum class acceptance
+  {
+    Newer,
+    NotNewer,
+    Refused
+  };
+
+  const document_state* Find(std::string_view aName) const;
+  document_state* Find(std::string_view aName);
+  static std::uint64_t VersionOf(const document_state& aState);
+  bool IsOwn(const document_state& aState) const;
+
+  /// The only place that replaces a document.
+  acceptance Offer(document_state& aState,
+                   std::string_view aValue,
+                   std::string_view aSource,
+                   instant aNow,
+                   effect_list& aOut);
+
+  // distribution_platform.cpp
+  void UpdateRank(instant aNow);
+  void CallPlatform(document_state& aState, instant aNow, effect_list& aOut);
+  bool ReadsSlowly(const document_state& aState) const;
+  void OnFound(document_state& aState, const object_found& aFound, instant aNow, effect_list& aOut);
+  void OnMissing(document_state& aState, instant aNow, effect_list& aOut);
+  void OnFailure(document_state& aState, instant aNow);
+  void NoteBehind(document_state& aState, bool aBehind, effect_list& aOut);
+
+  // distribution_peers.cpp
+  void PushToAll(const document_state& aState, effect_list& aOut);
+  void PushTo(const document_state& aState,
+              std::vector<daemon_location> aTargets,
+              effect_list& aOut);
+  void PushBranch(const document_state& aState,
+                  std::vector<daemon_location> aBranch,
+                  effect_list& aOut);
+  void SchedulePush(document_state& aState, instant aNow);
+  void Pull(document_state& aState, instant aNow, effect_list& aOut);
+  document_reply OnPushed(const push_document& aPush, instant aNow, effect_list& aOut);
+  document_reply ReplyWith(const document_state* aState, std::uint64_t aAfterVersion) const;
+  void Send(peer_call aCall, const std::string& aAddress, peer_message aMessage, effect_list& aOut);
+  std::chrono::nanoseconds Jitter(std::chrono::nanoseconds aUpTo);
+
+  distribution_settings mSettings;
+  const membership& mMembers;
+  std::mt19937_64 mRandom;
+  std::vector<document_state> mStates;
+  std::vector<std::string> mChanged;
+  std::map<std::uint64_t, peer_call> mPeerCalls;
+  std::uint64_t mPlatformCalls = 0;
+  std::uint64_t mPeerCallCount = 0;
+  std::optional<std::uint32_t> mRank; ///< among the watchers of this data centre
+  instant mNextRankAt;
+  bool mPlatformAway = false;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/distribution_peers.cpp
@@ -0,0 +1,222 @@
+#include "distribution_p.h"
+
+#include "document_version_p.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+
+namespace skylarkwind {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A push usually arrives within this time after a probe has shown the new version, and saves the
+/// pull.
+constexpr milliseconds kPullDelay{ 200 };
+constexpr milliseconds kPullJitter{ 300 };
+
+/// The second watcher pushes this much later than the first, and not at all when the first one's
+/// push has reached it.
+constexpr milliseconds kPushStep{ 300 };
+
+} // namespace
+
+std::chrono::nanoseconds
+distribution_core::Jitter(std::chrono::nanoseconds aUpTo)
+{
+  return std::chrono::nanoseconds{ std::uniform_int_distribution<std::int64_t>{ 0, aUpTo.count() }(
+    mRandom) };
+}
+
+void
+distribution_core::Send(peer_call aCall,
+                        const std::string& aAddress,
+                        peer_message aMessage,
+                        effect_list& aOut)
+{
+  const peer_call_id id{ kDistributionCallTag | ++mPeerCallCount };
+  mPeerCalls.emplace(id.mValue, std::move(aCall));
+  aOut.push_back(send_to_peer{ id, aAddress, std::move(aMessage), mSettings.mPeerTimeLimit });
+}
+
+void
+distribution_core::SchedulePush(document_state& aState, instant aNow)
+{
+  if (!mRank) {
+    return;
+  }
+  // A fleet object is pushed by the daemon that wrote it; its watchers only stand in for it.
+  const auto steps = *mRank + (aState.mDataCentre.empty() ? 0 : 1);
+  aState.mPushAt = aNow + steps * kPushStep;
+}
+
+void
+distribution_core::PushToAll(const document_state& aState, effect_list& aOut)
+{
+  // The table is watched in each data centre; a fleet object is read by all daemons of its region.
+  const auto& own = mMembers.Location();
+  std::map<std::string, std::vector<daemon_location>> targets;
+  for (const auto& member : mMembers.Live()) {
+    const auto& location = member.mLocation;
+    const bool wanted = location.mDataCentre == own.mDataCentre ||
+                        (!aState.mDataCentre.empty() && location.mRegion == own.mRegion);
+    if (wanted && member.mProcess != mMembers.Self()) {
+      targets[location.mDataCentre].push_back(location);
+    }
+  }
+  for (auto& [dataCentre, locations] : targets) {
+    std::shuffle(locations.begin(), locations.end(), mRandom);
+    if (dataCentre == own.mDataCentre) {
+      PushTo(aState, std::move(locations), aOut);
+    } else {
+      PushBranch(aState, std::move(locations), aOut);
+    }
+  }
+}
+
+void
+distribution_core::PushTo(const document_state& aState,
+                          std::vector<daemon_location> aTargets,
+                          effect_list& aOut)
+{
+  const auto branches = std::min<std::size_t>(mSettings.mFanOut, aTargets.size());
+  for (std::size_t i = 0; i < branches; ++i) {
+    const auto first = static_cast<std::ptrdiff_t>(aTargets.size() * i / branches);
+    const auto last = static_cast<std::ptrdiff_t>(aTargets.size() * (i + 1) / branches);
+    PushBranch(aState, { aTargets.begin() + first, aTargets.begin() + last }, aOut);
+  }
+}
+
+void
+distribution_core::PushBranch(const document_state& aState,
+                              std::vector<daemon_location> aBranch,
+                              effect_list& aOut)
+{
+  if (aBranch.empty() || !aState.mCurrent) {
+    return;
+  }
+  const auto address = aBranch.front().mAddress;
+  aBranch.erase(aBranch.begin());
+  Send(push_call{ aState.mDocument.mName, aBranch },
+       address,
+       push_document{ aState.mDocument.mName,
+                      aState.mCurrent->mVersion,
+                      aState.mCurrent->mValue,
+                      std::move(aBranch) },
+       aOut);
+}
+
+document_reply
+distribution_core::ReplyWith(const document_state* aState, std::uint64_t aAfterVersion) const
+{
+  if (aState == nullptr || VersionOf(*aState) <= aAfterVersion) {
+    return { aState == nullptr ? std::string{} : aState->mDocument.mName, 0, {} };
+  }
+  return { aState->mDocument.mName, aState->mCurrent->mVersion, aState->mCurrent->mValue };
+}
+
+document_reply
+distribution_core::OnPushed(const push_document& aPush, instant aNow, effect_list& aOut)
+{
+  auto* state = Find(aPush.mName);
+  if (state == nullptr) {
+    return ReplyWith(nullptr, 0);
+  }
+  if (aPush.mVersion > VersionOf(*state) &&
+      Offer(*state, aPush.mValue, "a push", aNow, aOut) == acceptance::Refused) {
+    return ReplyWith(state, aPush.mVersion);
+  }
+  if (aPush.mVersion >= VersionOf(*state)) {
+    state->mPushAt.reset(); // another daemon pushes this version already
+  }
+  // Whoever is below gets the newest version, also when the pushed one is older.
+  PushTo(*state, aPush.mForwardTo, aOut);
+  return ReplyWith(state, aPush.mVersion);
+}
+
+bool
+distribution_core::OnPeerAsked(const peer_asked& aAsked, instant aNow, effect_list& aOut)
+{
+  if (const auto* push = std::get_if<push_document>(&aAsked.mMessage)) {
+    auto reply = OnPushed(*push, aNow, aOut);
+    aOut.push_back(answer_peer{ aAsked.mCall, std::move(reply) });
+    return true;
+  }
+  if (const auto* pull = std::get_if<pull_document>(&aAsked.mMessage)) {
+    aOut.push_back(answer_peer{ aAsked.mCall, ReplyWith(Find(pull->mName), pull->mAfterVersion) });
+    return true;
+  }
+  return false;
+}
+
+void
+distribution_core::OnSeenDocument(const membership::seen_document& aSeen,
+                                  instant aNow,
+                                  effect_list& aOut)
+{
+  auto* state = Find(aSeen.mDocument.mName);
+  if (state == nullptr || aSeen.mDocument.mVersion <= VersionOf(*state)) {
+    return;
+  }
+  if (state->mWanted == 0) {
+    state->mPullAt =
+      state->mCurrent ? aNow + kPullDelay + Jitter(kPullJitter) : std::max(aNow, state->mPullAt);
+  }
+  if (aSeen.mDocument.mVersion >= state->mWanted) {
+    state->mWanted = aSeen.mDocument.mVersion;
+    state->mPullFrom = aSeen.mAddress;
+  }
+  if (!state->mPullOpen && aNow >= state->mPullAt) {
+    Pull(*state, aNow, aOut);
+  }
+}
+
+void
+distribution_core::Pull(document_state& aState, instant aNow, effect_list& aOut)
+{
+  // One attempt for each version seen; the next probe names another peer.
+  aState.mWanted = 0;
+  aState.mPullOpen = true;
+  aState.mPullAt = aNow + kPullDelay;
+  aState.mPullExpiresAt = aNow + 2 * mSettings.mPeerTimeLimit;
+  Send(pull_call{ aState.mDocument.mName },
+       aState.mPullFrom,
+       pull_document{ aState.mDocument.mName, VersionOf(aState) },
+       aOut);
+}
+
+bool
+distribution_core::OnPeerAnswered(const peer_answered& aAnswered, instant aNow, effect_list& aOut)
+{
+  if ((aAnswered.mCall.mValue & kDistributionCallTag) == 0) {
+    return false;
+  }
+  auto found = mPeerCalls.extract(aAnswered.mCall.mValue);
+  if (found.empty()) {
+    return true;
+  }
+  auto& call = found.mapped();
+  const auto& name = std::visit(
+    [](const auto& aCall) -> const auto& { return aCall.mName; }, call);
+  auto* state = Find(name);
+  if (std::holds_alternative<pull_call>(call)) {
+    state->mPullOpen = false;
+  }
+  if (!aAnswered.mReply) {
+    if (auto* push = std::get_if<push_call>(&call)) {
+      // Each failure shortens the branch by one, so this ends.
+      PushBranch(*state, std::move(push->mBelow), aOut);
+    }
+    return true;
+  }
+  const auto* reply = std::get_if<document_reply>(&*aAnswered.mReply);
+  if (reply != nullptr && reply->mVersion > VersionOf(*state) &&
+      Offer(*state, reply->mValue, "a peer", aNow, aOut) == acceptance::Newer) {
+    SchedulePush(*state, aNow);
+  }
+  return true;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/membership_p.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "member_list_p.h"
+#include "skylarkwind/membership.h"
+#include "update_queue_p.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Bit of the peer call ids that membership issues.
+inline constexpr std::uint64_t kMembershipCallTag = std::uint64_t{ 1 } << 62;
+
+/// Name under which probes carry the checksum of the sender's live list.
+inline constexpr std::string_view kMembersChecksum = "members";
+
+inline constexpr std::size_t kUpdatesPerMessage = 8;
+
+/// SWIM with a constant cost: one probe each period, one probe of a lost address each five periods,
+/// and exchanges of the member list with one partner at a time while the lists differ.
+class membership_core final : public membership
+{
+public:
+  explicit membership_core(membership_settings aSettings);
+
+  const process_id& Self() const override { return mSettings.mSelf; }
+  const daemon_location& Location() const override { return mSettings.mLocation; }
+  std::span<const member_update> Live() const override { return mList.Live(); }
+  bool MayBeAlive(const process_id& aProcess) const override;
+  void SetDocuments(std::span<const document_version> aDocuments) override;
+  void OnTick(instant aNow, effect_list& aOut) override;
+  bool OnPeerAsked(const peer_asked& aAsked, instant aNow, effect_list& aOut) override;
+  bool OnPeerAnswered(const peer_answered& aAnswered, instant aNow, effect_list& aOut) override;
+  void OnVmList(const vm_list& aList, instant aNow) override;
+  void OnShutdown(instant aNow, effect_list& aOut) override;
+  std::vector<seen_document> TakeSeenDocuments() override;
+
+private:
+  enum class purpose
+  {
+    Probe,    ///< regular: no answer leads to indirect probes
+    Contact,  ///< a lost address, a suspect or a farewell: no answer means nothing
+    Exchange, ///< the next part of the member list
+    Relay,    ///< on behalf of another member
+    Indirect  ///< asks another member to probe
+  };
+  struct pending_call
+  {
+    purpose mPurpose = purpose::Probe;
+    member_update mTarget;
+    peer_call_id mAsked;      ///< the call to answer, for Relay
+    std::uint64_t mGroup = 0; ///< for Indirect
+    instant mExpiresAt;
+    /// This process was paused while the call was open, so that a missing answer proves nothing.
+    bool mInconclusive = false;
+  };
+  struct indirect_group
+  {
+    member_update mTarget;
+    std::size_t mOpen = 0;
+  };
+  struct exchange_cursor
+  {
+    std::string mPeer; ///< VM
+    std::string mNext; ///< VM that the next message begins with
+  };
+  /// The member whose list differs from this one's.
+  struct exchange_partner
+  {
+    member_update mMember;
+    std::uint32_t mLeft = 0;
+    instant mNextAt;
+  };
+
+  // membership.cpp: what is known and told
+  const member_update& Own() const;
+  void NoteTime(instant aNow);
+  void SetOwn(member_state aState, std::uint64_t aRefutation, instant aNow);
+  void Apply(const member_update& aUpdate, instant aNow, effect_list& aOut);
+  void ApplyToSelf(const member_update& aUpdate, instant aNow, effect_list& aOut);
+  void OnChanged(const member_update& aUpdate, bool aWasLive, instant aNow, effect_list& aOut);
+  void Suspect(const member_update& aTarget, instant aNow, effect_list& aOut);
+  void DeclareDead(instant aNow, effect_list& aOut);
+  std::vector<member_update> UpdatesFor(std::string_view aVm, bool aWholeList);
+  void AddPartOfList(std::string_view aVm, std::vector<member_update>& aOut);
+  std::vector<document_version> Documents() const;
+  /// Takes in a message; true when the sender's live list equals this one's.
+  template<class message>
+  bool Receive(const message& aMessage, instant aNow, effect_list& aOut);
+  void SeeDocument(const document_version& aDocument, const std::string& aAddress);
+
+  // membership_probes.cpp: who is called when
+  void SendProbe(purpose aPurpose, const member_update& aTarget, instant aNow, effect_list& aOut);
+  peer_call_id Call(pending_call aCall,
+                    const std::string& aAddress,
+                    peer_message aMessage,
+                    std::chrono::milliseconds aTimeLimit,
+                    instant aNow,
+                    effect_list& aOut);
+  void ProbeNext(instant aNow, effect_list& aOut);
+  void ProbeOwnSuspect(instant aNow, effect_list& aOut);
+  void ProbeLost(instant aNow, effect_list& aOut);
+  void ContinueExchange(instant aNow, effect_list& aOut);
+  void ProbeIndirectly(const member_update& aTarget, instant aNow, effect_list& aOut);
+  void OnProbeReply(const pending_call& aCall,
+                    const probe_reply& aReply,
+                    instant aNow,
+                    effect_list& aOut);
+  void OnNoAnswer(const pending_call& aCall, instant aNow, effect_list& aOut);
+  void OnIndirectReply(const pending_call& aCall, bool aReached, instant aNow, effect_list& aOut);
+  void ExpireCalls(instant aNow, effect_list& aOut);
+  std::vector<member_update> RandomMembers(std::size_t aCount, std::string_view aExceptVm);
+  std::size_t Random(std::size_t aBelow);
+
+  membership_settings mSettings;
+  std::mt19937_64 mRandom;
+  member_list mList;
+  update_queue mQueue;
+  std::vector<document_version> mDocuments;
+  std::map<std::string, seen_document> mSeen;
+  std::set<std::string> mVmSeeds;
+  std::map<std::uint64_t, pending_call> mPending;
+  std::map<std::uint64_t, indirect_group> mGroups;
+  std::uint64_t mCalls = 0;
+  std::vector<std::string> mOrder; ///< VMs still to be probed in this round, last one first
+  std::vector<std::string> mOwnSuspects;
+  std::vector<exchange_cursor> mCursors;
+  exchange_partner mPartner;
+  instant mNextProbe;
+  instant mNextLost;
+  instant mNextForget;
+  std::optional<instant> mLastEvent;
+  bool mSuperseded = false;
+};
+
+} // namespace skylarkwind
