--- a/packages/core/src/distribution.cpp
+++ b/packages/core/src/distribution.cpp
@@ -144,13 +144,16 @@
 void
 distribution_core::OnTick(instant aNow, effect_list& aOut)
 {
+  if (!mStartedAt) {
+    mStartedAt = aNow;
+  }
   UpdateRank(aNow);
   for (auto& state : mStates) {
     if (state.mOpenCall != 0 && aNow >= state.mCallExpiresAt) {
       state.mOpenCall = 0;
       OnFailure(state, aNow);
     }
-    if (state.mOpenCall == 0 && aNow >= state.mNextCallAt && mRank &&
+    if (state.mOpenCall == 0 && aNow >= state.mNextCallAt && MayAskPlatform(aNow) &&
         (IsOwn(state) || ReadsSlowly(state))) {
       CallPlatform(state, aNow, aOut);
     }
--- a/packages/core/src/distribution_p.h
+++ b/packages/core/src/distribution_p.h
@@ -103,6 +103,7 @@
   // distribution_platform.cpp
   void UpdateRank(instant aNow);
   void CallPlatform(document_state& aState, instant aNow, effect_list& aOut);
+  bool MayAskPlatform(instant aNow) const;
   bool ReadsSlowly(const document_state& aState) const;
   void OnFound(document_state& aState, const object_found& aFound, instant aNow, effect_list& aOut);
   void OnMissing(document_state& aState, instant aNow, effect_list& aOut);
@@ -134,6 +135,7 @@
   std::uint64_t mPeerCallCount = 0;
   std::optional<std::uint32_t> mRank; ///< among the watchers of this data centre
   instant mNextRankAt;
+  std::optional<instant> mStartedAt;
   bool mPlatformAway = false;
 };
 
--- a/packages/core/src/distribution_peers.cpp
+++ b/packages/core/src/distribution_peers.cpp
@@ -99,13 +99,10 @@
   }
   const auto address = aBranch.front().mAddress;
   aBranch.erase(aBranch.begin());
-  Send(push_call{ aState.mDocument.mName, aBranch },
-       address,
-       push_document{ aState.mDocument.mName,
-                      aState.mCurrent->mVersion,
-                      aState.mCurrent->mValue,
-                      std::move(aBranch) },
-       aOut);
+  push_document push{
+    aState.mDocument.mName, aState.mCurrent->mVersion, aState.mCurrent->mValue, aBranch
+  };
+  Send(push_call{ aState.mDocument.mName, std::move(aBranch) }, address, std::move(push), aOut);
 }
 
 document_reply
--- a/packages/core/src/distribution_platform.cpp
+++ b/packages/core/src/distribution_platform.cpp
@@ -27,6 +27,9 @@
 /// An object that does not exist cannot be watched; it is asked for again.
 constexpr milliseconds kMissingPeriod{ 2'000 };
 
+/// A daemon that has heard of no other one for this long takes itself for the first one.
+constexpr milliseconds kAloneAfter{ 2'000 };
+
 /// After this many watches without a change the object is read once, because a platform restored
 /// to older data without an outage never wakes a watch that waits for a higher object version.
 constexpr std::uint32_t kUnchangedBeforeRead = 4;
@@ -61,6 +64,14 @@
   }
 }
 
+bool
+distribution_core::MayAskPlatform(instant aNow) const
+{
+  // A platform that was restored must not put an older table in force at a daemon that starts, so
+  // the daemon first hears from a peer what is in force.
+  return mRank && (mMembers.Live().size() > 1 || aNow >= *mStartedAt + kAloneAfter);
+}
+
 bool
 distribution_core::ReadsSlowly(const document_state& aState) const
 {
@@ -118,14 +129,18 @@
     return;
   }
   const auto before = VersionOf(aState);
+  const auto found = DocumentVersion(aState.mDocument.mName, aFound.mValue);
+  if (before == 0 && found.ok() && *found < aState.mWanted) {
+    NoteBehind(aState, true, aOut);
+    return; // a peer has a newer one, which is pulled
+  }
   const auto offered = Offer(aState, aFound.mValue, "the platform", aNow, aOut);
   aState.mRefusedObject = offered == acceptance::Refused ? aFound.mVersion : 0;
   if (offered == acceptance::Newer) {
     NoteBehind(aState, false, aOut);
     SchedulePush(aState, aNow);
   } else if (offered == acceptance::NotNewer) {
-    const auto version = DocumentVersion(aState.mDocument.mName, aFound.mValue);
-    NoteBehind(aState, version.ok() && *version < before, aOut);
+    NoteBehind(aState, found.ok() && *found < before, aOut);
   }
 }
 
