--- a/packages/core/src/fleet_object.cpp
+++ b/packages/core/src/fleet_object.cpp
@@ -2,8 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <array>
 #include <utility>
 
 namespace skylarkwind {
@@ -12,33 +10,16 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::pair<engine_role, std::string_view>, 3> kRoleNames{ {
-  { engine_role::Prefill, "prefill" },
-  { engine_role::Decode, "decode" },
-  { engine_role::Both, "both" },
-} };
-
-std::string
-RoleName(engine_role aRole)
-{
-  const auto* found = std::find_if(kRoleNames.begin(), kRoleNames.end(), [&](const auto& aEntry) {
-    return aEntry.first == aRole;
-  });
-  return std::string(found->second);
-}
-
 /// Throws json::other_error for an unknown name, as the library does for wrong types.
 engine_role
 RoleOf(const json& aValue)
 {
   const auto name = aValue.get<std::string>();
-  const auto* found = std::find_if(kRoleNames.begin(), kRoleNames.end(), [&](const auto& aEntry) {
-    return aEntry.second == name;
-  });
-  if (found == kRoleNames.end()) {
+  const auto role = ParseRole(name);
+  if (!role) {
     throw json::other_error::create(501, "unknown role " + name, &aValue);
   }
-  return found->first;
+  return *role;
 }
 
 recorded_order::stage
@@ -61,7 +42,7 @@
                { "order", aOrder.mOrder },
                { "fencing", aOrder.mFencing },
                { "incarnation", aOrder.mIncarnation },
-               { "role", RoleName(aOrder.mRole) },
+               { "role", std::string(RoleText(aOrder.mRole)) },
                { "model", aOrder.mModel },
                { "version", aOrder.mVersion },
                { "stage",
