--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -5,6 +5,7 @@
 #include <pistache/peer.h>
 #include <pistache/transport.h>
 
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
@@ -12,7 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 #include <vector>
@@ -258,6 +259,9 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  if (std::getenv("SKYLARKWIND_EXIT_WITH_PARENT") != nullptr) {
+    prctl(PR_SET_PDEATHSIG, SIGTERM);
+  }
 
   Pistache::Tcp::Listener listener;
   auto handler = std::make_shared<host_handler>(aApp);
--- a/standins/platform_double.cpp
+++ b/standins/platform_double.cpp
@@ -35,7 +35,7 @@
   }
   if (mLastMs != 0) {
     mTokens =
-      std::min(mPerSecond, mTokens + mPerSecond * static_cast<double>(aNowMs - mLastMs) / 1000.0);
+      std::min(mBurst, mTokens + mPerSecond * static_cast<double>(aNowMs - mLastMs) / 1000.0);
   }
   mLastMs = aNowMs;
   if (mTokens < 1) {
--- a/standins/platform_double.h
+++ b/standins/platform_double.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -13,19 +14,21 @@
 
 namespace skylarkwind {
 
-/// Calls allowed per second, with a burst of one second.
+/// Calls allowed per second, with a burst of one second or one call.
 class rate_limit
 {
 public:
   explicit rate_limit(double aPerSecond)
     : mPerSecond(aPerSecond)
-    , mTokens(aPerSecond)
+    , mBurst(std::max(1.0, aPerSecond))
+    , mTokens(mBurst)
   {
   }
   bool Take(std::int64_t aNowMs);
 
 private:
   double mPerSecond;
+  double mBurst;
   double mTokens;
   std::int64_t mLastMs = 0;
 };
