--- a/packages/core/include/skylarkwind/role_planner.h
+++ b/packages/core/include/skylarkwind/role_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "skylarkwind/engine_view.h"
+#include "skylarkwind/plan_source.h"
 #include "skylarkwind/role_allocation.h"
 #include "skylarkwind/table.h"
 #include "skylarkwind/token_rates.h"
@@ -36,28 +37,23 @@
   std::chrono::milliseconds mEmptyRoleWait{ 2'000 };
 };
 
-struct planned_change
-{
-  std::string mEngine;
-  engine_role mRole = engine_role::Both;
-  std::string mReason; ///< one sentence for the audit trail
-};
+using planned_change = wanted_role;
 
 /// Decides how many engines of each service and model do prefill and how many decode. Asked by
 /// the lease holder of a data centre; changes only engines of that data centre, at most one a
 /// call. Engines of role `both` take either work and are never changed, so that a short swing is
 /// met by them first.
-class role_planner
+class role_planner final : public plan_source
 {
 public:
   static absl::StatusOr<role_planner> Create(role_planner_settings aSettings);
 
-  void OnReport(const engine_report& aReport, instant aNow);
+  void OnReport(const engine_report& aReport, instant aNow) override;
   /// Work that waits in queues before the engines. Replaces the earlier figures of the service.
   void OnQueued(std::string_view aService,
                 std::uint64_t aPromptTokens,
                 std::uint64_t aOutputTokens,
-                instant aNow);
+                instant aNow) override;
 
   /// To be asked about once a second with all engines that this daemon knows, those of other data
   /// centres included. The caller records the change as an order or drops it; until the engine
@@ -65,7 +61,7 @@
   std::optional<planned_change> Plan(std::span<const engine_view> aEngines,
                                      const table& aTable,
                                      std::string_view aDataCentre,
-                                     instant aNow);
+                                     instant aNow) override;
 
 private:
   explicit role_planner(role_planner_settings aSettings)
--- a/packages/core/src/node.cpp
+++ b/packages/core/src/node.cpp
@@ -1,5 +1,7 @@
 #include "skylarkwind/node.h"
 
+#include "skylarkwind/role_planner.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -105,7 +107,16 @@
   if (!status.ok()) {
     return status;
   }
-  Take(self.mControl, control::Create(settings.mControl, *self.mMembers, *self.mFleet), status);
+  auto planner = role_planner::Create({});
+  if (!planner.ok()) {
+    return planner.status();
+  }
+  Take(self.mControl,
+       control::Create(settings.mControl,
+                       *self.mMembers,
+                       *self.mFleet,
+                       std::make_unique<role_planner>(*std::move(planner))),
+       status);
   Take(self.mServing,
        serving::Create(settings.mServing, *self.mFleet, *self.mLimits, *self.mClaims, aCounters),
        status);
