--- /dev/null
+++ b/packages/core/src/router_index.cpp
@@ -0,0 +1,291 @@
+#include "skylarkwind/router.h"
+
+#include "skylarkwind/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Output tokens that a running stream still needs, when only the number of streams is reported.
+constexpr double kOutputLeft = 128;
+
+std::string
+PoolKey(std::string_view aService, std::string_view aModel, engine_role aRole)
+{
+  std::string key{ aService };
+  key += '\n';
+  key += aModel;
+  key += '\n';
+  key += static_cast<char>('0' + static_cast<int>(aRole));
+  return key;
+}
+
+double
+ReportedWork(const engine_report& aReport, double aOutputPrice)
+{
+  return static_cast<double>(aReport.mQueuedPromptTokens) +
+         static_cast<double>(aReport.mDecodeStreams) * kOutputLeft * aOutputPrice;
+}
+
+/// Price of an output token in prompt tokens. Reports of idle engines can be far off, so the
+/// ratio is kept within what accelerators show.
+double
+OutputPrice(double aPrefillRate, double aDecodeRate)
+{
+  return aPrefillRate > 0 && aDecodeRate > 0 ? std::clamp(aPrefillRate / aDecodeRate, 1.0, 64.0)
+                                             : 1.0;
+}
+
+} // namespace
+
+router::router(std::string aDataCentre)
+  : mDataCentre(std::move(aDataCentre))
+{
+}
+
+void
+router::SetTable(weight_of aRoleWeight, std::set<std::string, std::less<>> aKeyed)
+{
+  mRoleWeight = std::move(aRoleWeight);
+  mKeyed = std::move(aKeyed);
+}
+
+void
+router::Refresh(std::span<const engine_view> aViews, instant aNow)
+{
+  mRefreshedAt = aNow;
+  bool moved = false;
+  const auto sameName = [this](const engine_view& aView, std::uint32_t aSlot) {
+    return aView.mName == mSlots[aSlot].mName;
+  };
+  if (!std::ranges::equal(aViews, mSlotOfView, sameName)) {
+    Rebuild(aViews);
+    moved = true;
+  }
+  for (std::size_t i = 0; i < aViews.size(); ++i) {
+    ReadPlace(mSlots[mSlotOfView[i]], aViews[i], moved);
+  }
+  if (moved) {
+    Regroup();
+  }
+  for (std::size_t i = 0; i < aViews.size(); ++i) {
+    ReadLoad(mSlots[mSlotOfView[i]], aViews[i]);
+  }
+  for (auto& pool : mPools) {
+    ReadRates(pool, aViews);
+  }
+}
+
+void
+router::Rebuild(std::span<const engine_view> aViews)
+{
+  for (auto& slot : mSlots) {
+    slot.mPresent = false;
+  }
+  mSlotOfView.clear();
+  for (std::size_t i = 0; i < aViews.size(); ++i) {
+    const auto index = SlotOf(aViews[i].mName);
+    mSlots[index].mPresent = true;
+    mSlots[index].mView = i;
+    mSlotOfView.push_back(index);
+  }
+  // A slot that left the table is used again once its last attempt has ended.
+  for (std::uint32_t i = 0; i < mSlots.size(); ++i) {
+    auto& slot = mSlots[i];
+    if (!slot.mPresent && slot.mAttempts == 0 && !slot.mName.empty()) {
+      mByName.erase(slot.mName);
+      slot = engine_slot{};
+      mFreeSlots.push_back(i);
+    }
+  }
+}
+
+std::uint32_t
+router::SlotOf(std::string_view aName)
+{
+  const auto found = mByName.find(aName);
+  if (found != mByName.end()) {
+    return found->second;
+  }
+  auto index = static_cast<std::uint32_t>(mSlots.size());
+  if (mFreeSlots.empty()) {
+    mSlots.emplace_back();
+  } else {
+    index = mFreeSlots.back();
+    mFreeSlots.pop_back();
+  }
+  mSlots[index].mName = aName;
+  mSlots[index].mHash = Hash64(aName);
+  mByName.emplace(aName, index);
+  return index;
+}
+
+void
+router::ReadPlace(engine_slot& aSlot, const engine_view& aView, bool& aMoved)
+{
+  if (aView.mStatus == engine_status::Absent && aSlot.mStatus != engine_status::Absent) {
+    mAbsent.push_back(aSlot.mName);
+  }
+  aSlot.mStatus = aView.mStatus;
+  aSlot.mAdmits = aView.Admits();
+  aSlot.mLocal = aView.mDataCentre == mDataCentre;
+  aSlot.mKeyed = !mKeyed.empty() && mKeyed.contains(aView.mName);
+  const auto* known = aSlot.mPool < mPools.size() ? &mPools[aSlot.mPool] : nullptr;
+  if (known == nullptr || known->mRole != aView.mRole || known->mModel != aView.mModel ||
+      known->mService != aView.mService) {
+    aSlot.mPool = PoolOf(aView);
+    aMoved = true;
+  }
+}
+
+void
+router::ReadLoad(engine_slot& aSlot, const engine_view& aView)
+{
+  const auto& pool = mPools[aSlot.mPool];
+  const double roleWeight = mRoleWeight ? mRoleWeight(aView.mService, aView.mRole) : 1.0;
+  double ramp = 1;
+  if (aView.mStatus == engine_status::Warming || aView.mStatus == engine_status::Ramping) {
+    const auto limit = static_cast<double>(aView.mInFlightLimit);
+    ramp = limit > 0 ? std::min(1.0, limit / std::max(limit, pool.mMeanInFlight)) : 1.0;
+  }
+  aSlot.mWeight = aView.mWeight * roleWeight * ramp;
+  if (aView.mReportSampledAt != aSlot.mSampledAt) {
+    aSlot.mSampledAt = aView.mReportSampledAt;
+    const double price = OutputPrice(pool.mPrefillRate, pool.mDecodeRate);
+    aSlot.mOthers =
+      std::max(0.0, ReportedWork(aView.mReport, price) - aSlot.mOwn.At(aSlot.mSampledAt));
+  }
+}
+
+void
+router::Regroup()
+{
+  for (auto& pool : mPools) {
+    pool.mSlots.clear();
+    pool.mHashes.clear();
+    pool.mOwn = 0;
+  }
+  for (const auto index : mSlotOfView) {
+    const auto& slot = mSlots[index];
+    auto& pool = mPools[slot.mPool];
+    pool.mSlots.push_back(index);
+    pool.mHashes.push_back(slot.mHash);
+  }
+}
+
+void
+router::ReadRates(pool& aPool, std::span<const engine_view> aViews)
+{
+  double prefill = 0;
+  double decode = 0;
+  double reporting = 0;
+  double inFlight = 0;
+  double serving = 0;
+  aPool.mOwn = aPool.mOthers = aPool.mWeight = 0;
+  for (const auto index : aPool.mSlots) {
+    const auto& slot = mSlots[index];
+    const auto& view = aViews[slot.mView];
+    if (slot.mAdmits && slot.mWeight > 0) {
+      aPool.mOwn += slot.mOwn.Now();
+      aPool.mOthers += slot.mOthers;
+      aPool.mWeight += slot.mWeight;
+    }
+    if (view.mReport.mPrefillTokensPerSecond > 0 && view.mReport.mDecodeTokensPerSecond > 0) {
+      prefill += view.mReport.mPrefillTokensPerSecond;
+      decode += view.mReport.mDecodeTokensPerSecond;
+      reporting += 1;
+    }
+    if (view.mStatus == engine_status::Serving) {
+      inFlight += static_cast<double>(view.mInFlight);
+      serving += 1;
+    }
+  }
+  aPool.mPrefillRate = reporting > 0 ? prefill / reporting : 0;
+  aPool.mDecodeRate = reporting > 0 ? decode / reporting : 0;
+  aPool.mMeanInFlight = serving > 0 ? inFlight / serving : 0;
+}
+
+std::uint32_t
+router::PoolOf(const engine_view& aView)
+{
+  const auto key = PoolKey(aView.mService, aView.mModel, aView.mRole);
+  const auto found = mPoolByKey.find(key);
+  if (found != mPoolByKey.end()) {
+    return found->second;
+  }
+  const auto index = static_cast<std::uint32_t>(mPools.size());
+  mPools.push_back({ aView.mService, aView.mModel, aView.mRole });
+  mPoolByKey.emplace(key, index);
+  return index;
+}
+
+const router::pool*
+router::FindPool(std::string_view aService, std::string_view aModel, engine_role aRole) const
+{
+  const auto found = mPoolByKey.find(PoolKey(aService, aModel, aRole));
+  return found == mPoolByKey.end() ? nullptr : &mPools[found->second];
+}
+
+double
+router::PrefillRate(std::string_view aService, std::string_view aModel, engine_role aRole) const
+{
+  const auto* pool = FindPool(aService, aModel, aRole);
+  return pool == nullptr ? 0 : pool->mPrefillRate;
+}
+
+placed_work
+router::Place(const engine_view& aEngine,
+              std::uint64_t aPromptTokens,
+              std::uint64_t aOutputTokens,
+              instant aNow)
+{
+  placed_work work;
+  work.mSlot = SlotOf(aEngine.mName);
+  const auto* pool = FindPool(aEngine.mService, aEngine.mModel, aEngine.mRole);
+  work.mEachToken = pool == nullptr ? 1.0 : OutputPrice(pool->mPrefillRate, pool->mDecodeRate);
+  work.mPrompt = static_cast<double>(aPromptTokens);
+  work.mOutput = static_cast<double>(aOutputTokens) * work.mEachToken;
+  ++mSlots[work.mSlot].mAttempts;
+  AddWork(work.mSlot, work.mPrompt + work.mOutput, aNow);
+  return work;
+}
+
+void
+router::Progress(placed_work& aWork, instant aNow)
+{
+  // The last token's share stays until the attempt ends, so that a stream that outlives its
+  // estimate still counts.
+  const double done = aWork.mPrompt + (aWork.mOutput > aWork.mEachToken ? aWork.mEachToken : 0.0);
+  aWork.mOutput -= done - aWork.mPrompt;
+  aWork.mPrompt = 0;
+  AddWork(aWork.mSlot, -done, aNow);
+}
+
+void
+router::Finish(const placed_work& aWork, instant aNow)
+{
+  --mSlots[aWork.mSlot].mAttempts;
+  AddWork(aWork.mSlot, -(aWork.mPrompt + aWork.mOutput), aNow);
+}
+
+void
+router::AddWork(std::uint32_t aSlot, double aDelta, instant aNow)
+{
+  auto& slot = mSlots[aSlot];
+  slot.mOwn.Add(aDelta, aNow);
+  if (slot.mPresent && slot.mAdmits) {
+    auto& pool = mPools[slot.mPool];
+    pool.mOwn = std::max(0.0, pool.mOwn + aDelta);
+  }
+}
+
+std::vector<std::string>
+router::TakeAbsent()
+{
+  return std::exchange(mAbsent, {});
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/service_index_p.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "skylarkwind/counters.h"
+#include "skylarkwind/table.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkwind {
+
+/// How a request ended, as counters label it.
+enum class request_outcome
+{
+  Completed,
+  Refused,  ///< not run
+  Rejected, ///< the backend server says that the request is wrong
+  Failed,   ///< the outcome is not known
+  Cancelled ///< the caller left
+};
+inline constexpr std::size_t kRequestOutcomes = 5;
+inline constexpr std::size_t kRoles = 3;
+
+/// A service with what its requests need, shared by the requests that arrived under this table.
+struct service_entry
+{
+  service_row mRow;
+  std::string mLimit;                          ///< name of the service's limit
+  std::array<std::string, kRoles> mRoleLimits; ///< by role
+  std::array<double, kRoles> mRoleWeights{};   ///< by role
+  /// Requests ended, by role (the last one stands for "none") and outcome.
+  std::array<std::array<counter*, kRequestOutcomes>, kRoles + 1> mEnded{};
+};
+
+/// Look-up of accounts, models and services of one table.
+class service_index
+{
+public:
+  service_index() = default;
+  service_index(const table& aTable, counters& aCounters);
+
+  std::uint64_t Serial() const { return mSerial; }
+  const account_row* Account(std::string_view aApiKeySha256) const;
+  std::shared_ptr<const service_entry> ServiceOfModel(std::string_view aModel) const;
+  /// The plain service with the longest path prefix that matches; empty when none does.
+  std::shared_ptr<const service_entry> ServiceOfPath(std::string_view aPath) const;
+  double RoleWeight(std::string_view aService, engine_role aRole) const;
+  /// Names of the backend servers that honour idempotency keys.
+  std::set<std::string, std::less<>> KeyedBackends() const { return mKeyed; }
+
+private:
+  std::shared_ptr<const service_entry> Service(std::string_view aName) const;
+
+  std::uint64_t mSerial = 0;
+  std::unordered_map<std::string, account_row> mAccounts;
+  std::unordered_map<std::string, std::string> mServiceOfModel;
+  std::unordered_map<std::string, std::shared_ptr<const service_entry>> mServices;
+  std::vector<std::shared_ptr<const service_entry>> mPlain; ///< longest prefix first
+  std::set<std::string, std::less<>> mKeyed;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/serving.cpp
@@ -0,0 +1,158 @@
+#include "serving_p.h"
+
+#include <absl/status/status.h>
+
+namespace skylarkwind {
+
+absl::StatusOr<std::unique_ptr<serving>>
+serving::Create(serving_settings aSettings,
+                fleet& aFleet,
+                limit_shares& aLimits,
+                order_claims& aClaims,
+                counters& aCounters)
+{
+  if (aSettings.mResumeKey.empty()) {
+    return absl::InvalidArgumentError("the key of resume tokens is empty");
+  }
+  if (aSettings.mMaxAttempts == 0) {
+    return absl::InvalidArgumentError("the number of attempts is 0");
+  }
+  if (aSettings.mRetryRatio < 0 || aSettings.mRetryRatio > 1) {
+    return absl::InvalidArgumentError("the retry ratio is not between 0 and 1");
+  }
+  return std::make_unique<request_serving>(
+    std::move(aSettings), aFleet, aLimits, aClaims, aCounters);
+}
+
+request_serving::request_serving(serving_settings aSettings,
+                                 fleet& aFleet,
+                                 limit_shares& aLimits,
+                                 order_claims& aClaims,
+                                 counters& aCounters)
+  : mSettings(std::move(aSettings))
+  , mFleet(aFleet)
+  , mLimits(aLimits)
+  , mClaims(aClaims)
+  , mCounters(aCounters)
+  , mEngines(mSettings.mDataCentre)
+  , mBackends(mSettings.mDataCentre)
+  , mBudget(mSettings.mRetryRatio, mSettings.mRandomSeed)
+  , mRandom(mSettings.mRandomSeed + 1)
+{
+}
+
+void
+request_serving::OnTable(const table& aTable, instant aNow)
+{
+  mIndex = service_index{ aTable, mCounters };
+  const auto weight = [this](std::string_view aService, engine_role aRole) {
+    return mIndex.RoleWeight(aService, aRole);
+  };
+  mEngines.SetTable(weight, {});
+  mBackends.SetTable({}, mIndex.KeyedBackends());
+  mEngines.Refresh(mFleet.Engines(), aNow);
+  mBackends.Refresh(mFleet.Backends(), aNow);
+}
+
+void
+request_serving::OnCallerGone(request_id aRequest, instant aNow, effect_list& aOut)
+{
+  auto* request = FindRequest(aRequest);
+  if (request == nullptr || request->mCallerDone) {
+    return;
+  }
+  if (request->mStage == request_stage::Claiming ||
+      (request->mOrder && request->mStage == request_stage::Running)) {
+    // The claim's decision or the outcome of what was sent is still to come.
+    request->mCallerDone = true;
+    return;
+  }
+  if (request->mAttempt) {
+    CancelAttempt(*request, true, aNow, aOut);
+  }
+  const auto service = request->mService;
+  WithdrawClaim(*request, aNow, aOut);
+  End(*request, request_outcome::Cancelled, aNow);
+  Dispatch(service->mRow.mName, aNow, aOut);
+}
+
+void
+request_serving::OnAttempt(const attempt_progress& aProgress, instant aNow, effect_list& aOut)
+{
+  const auto found = mAttempts.find(aProgress.mAttempt);
+  if (found == mAttempts.end()) {
+    return;
+  }
+  auto& request = *FindRequest(found->second);
+  const auto service = request.mService;
+  if (const auto* tokens = std::get_if<attempt_tokens>(&aProgress.mOutcome)) {
+    OnTokens(request, *tokens, aNow, aOut);
+    return;
+  }
+  if (const auto* generated = std::get_if<attempt_generated>(&aProgress.mOutcome)) {
+    OnGenerated(request, *generated, aNow, aOut);
+  } else if (const auto* answered = std::get_if<attempt_answered>(&aProgress.mOutcome)) {
+    OnAnswered(request, *answered, aNow, aOut);
+  } else if (const auto* failed = std::get_if<attempt_failed>(&aProgress.mOutcome)) {
+    OnFailed(request, *failed, aNow, aOut);
+  }
+  Dispatch(service->mRow.mName, aNow, aOut);
+}
+
+void
+request_serving::OnCacheEvents(const cache_events_read& aRead, instant)
+{
+  if (const auto* engine = mEngines.Find(aRead.mEngine, mFleet.Engines())) {
+    mBelief.OnEvents(*engine, aRead);
+  }
+}
+
+void
+request_serving::OnTick(instant aNow, effect_list& aOut)
+{
+  mEngines.Refresh(mFleet.Engines(), aNow);
+  mBackends.Refresh(mFleet.Backends(), aNow);
+  ResumeFromAbsent(aNow, aOut);
+  RunDeadlines(aNow, aOut);
+  RunRetries(aNow, aOut);
+  DispatchAll(aNow, aOut);
+  ReadCaches(aNow, aOut);
+}
+
+void
+request_serving::OnShutdown(instant, effect_list&)
+{
+  mShuttingDown = true;
+}
+
+std::vector<serving::queued_work>
+request_serving::Queued() const
+{
+  std::vector<queued_work> all;
+  for (const auto& [service, queue] : mAdmission.Queues()) {
+    const auto totals = queue.Totals();
+    all.push_back({ service, queue.Size(), totals.mPromptTokens, totals.mOutputTokens });
+  }
+  return all;
+}
+
+open_request*
+request_serving::FindRequest(request_id aRequest)
+{
+  const auto found = mOpen.find(aRequest);
+  return found == mOpen.end() ? nullptr : &found->second;
+}
+
+service_measures&
+request_serving::Measures(const open_request& aRequest)
+{
+  return mMeasures[aRequest.mService->mRow.mName];
+}
+
+router&
+request_serving::RouterOf(const open_request& aRequest)
+{
+  return aRequest.Plain() != nullptr ? mBackends : mEngines;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/serving_arrival.cpp
@@ -0,0 +1,261 @@
+#include "serving_p.h"
+
+#include "skylarkwind/hash.h"
+#include "skylarkwind/resume_token.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// When callers may come back after a refusal without a better estimate.
+constexpr std::chrono::milliseconds kRetryAfter{ 1'000 };
+
+refusal
+BadRequest(std::string aCode, std::string aMessage)
+{
+  return { 400, "invalid_request_error", std::move(aCode), std::move(aMessage), std::nullopt };
+}
+
+refusal
+Overloaded(std::string aCode, std::string aMessage, std::chrono::milliseconds aRetryAfter)
+{
+  return { 503, "overloaded_error", std::move(aCode), std::move(aMessage), aRetryAfter };
+}
+
+/// Why a request cannot be accepted at all; empty when it can.
+std::optional<refusal>
+RefusalOf(const open_request& aRequest)
+{
+  if (aRequest.mOrder && aRequest.mBody.mIdempotencyKey.empty()) {
+    return BadRequest("idempotency_key_required",
+                      "this service does not repeat requests; send an Idempotency-Key");
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+void
+request_serving::OnCaller(const caller_arrived& aArrived, instant aNow, effect_list& aOut)
+{
+  const auto id = aArrived.mRequest;
+  if (FindRequest(id) != nullptr) {
+    return;
+  }
+  if (mShuttingDown) {
+    RefuseArrival(
+      id, Overloaded("shutting_down", "this daemon is shutting down", kRetryAfter), aOut);
+    return;
+  }
+  if (mIndex.Serial() == 0) {
+    RefuseArrival(id, Overloaded("no_table", "no table is in force yet", kRetryAfter), aOut);
+    return;
+  }
+  const auto* account = mIndex.Account(aArrived.mBody.mApiKeySha256);
+  if (account == nullptr) {
+    RefuseArrival(
+      id, { 401, "authentication_error", "invalid_api_key", "the API key is unknown" }, aOut);
+    return;
+  }
+  open_request request;
+  request.mId = id;
+  request.mService = FindService(aArrived.mBody);
+  if (request.mService == nullptr) {
+    RefuseArrival(
+      id, { 404, "invalid_request_error", "not_found", "no service has this model or path" }, aOut);
+    return;
+  }
+  request.mBody = aArrived.mBody;
+  request.mAccount = account->mName;
+  request.mAccountLimit = AccountLimit(account->mName);
+  request.mPriority = account->mPriority;
+  const auto& row = request.mService->mRow;
+  const auto limit = row.mTimeLimit.count() > 0 ? row.mTimeLimit : mSettings.mDefaultTimeLimit;
+  request.mDeadline = admission::Deadline(limit, request.mBody.mTimeLimit, aNow);
+  request.mOrder =
+    request.Plain() != nullptr && (row.mNonIdempotent || !request.mBody.mIdempotencyKey.empty());
+  if (auto refused = RefusalOf(request)) {
+    RefuseArrival(id, *std::move(refused), aOut);
+    return;
+  }
+  if (request.Completion() != nullptr && !ReadGeneration(request, aOut)) {
+    return;
+  }
+  auto& open = Open(std::move(request));
+  if (open.mOrder) {
+    ClaimOrder(open, aNow, aOut);
+  } else {
+    Admit(open, aNow, aOut);
+  }
+}
+
+void
+request_serving::RefuseArrival(request_id aRequest, refusal aRefusal, effect_list& aOut)
+{
+  mCounters
+    .Get("skylarkwind_requests_turned_away_total",
+         "Requests refused before they were accepted.",
+         "code=\"" + aRefusal.mCode + "\"")
+    .Add();
+  aOut.emplace_back(caller_error{ aRequest,
+                                  aRefusal.mStatus,
+                                  std::move(aRefusal.mType),
+                                  std::move(aRefusal.mCode),
+                                  std::move(aRefusal.mMessage),
+                                  run_state::NotRun,
+                                  aRefusal.mRetryAfter });
+}
+
+std::shared_ptr<const service_entry>
+request_serving::FindService(const caller_request& aBody) const
+{
+  if (const auto* completion = std::get_if<completion_request>(&aBody.mOperation)) {
+    return mIndex.ServiceOfModel(completion->mModel);
+  }
+  return mIndex.ServiceOfPath(std::get<plain_request>(aBody.mOperation).mPath);
+}
+
+bool
+request_serving::ReadGeneration(open_request& aRequest, effect_list& aOut)
+{
+  const auto& completion = *aRequest.Completion();
+  aRequest.mPieces = PrefixPieces(completion.mPrompt);
+  mPrefixesSeen = mPrefixesSeen || !aRequest.mPieces.empty();
+  // Engines cache whole pieces only, so shorter prompts have nothing to return to.
+  aRequest.mAffinity = aRequest.mPieces.empty() ? mRandom() : aRequest.mPieces.front();
+  aRequest.mSeed = mRandom();
+  aRequest.mFingerprint =
+    Hash64(completion.mPrompt, Hash64(completion.mModel, Hash64(aRequest.mAccount)));
+  if (aRequest.mBody.mResumeToken.empty()) {
+    aRequest.mStream = mSettings.mSelf.mVm + "-" + std::to_string(mSettings.mSelf.mStartId) + "-r" +
+                       std::to_string(++mLastStream);
+    return true;
+  }
+  auto point =
+    ReadResumeToken(aRequest.mBody.mResumeToken, mSettings.mResumeKey, aRequest.mFingerprint);
+  if (!point) {
+    RefuseArrival(aRequest.mId,
+                  BadRequest("bad_resume_token", "Last-Event-ID is not a token of this request"),
+                  aOut);
+    return false;
+  }
+  if (!VersionExists(completion.mModel, point->mVersion)) {
+    RefuseArrival(aRequest.mId,
+                  BadRequest("resume_version_gone", "no engine has the stream's model version"),
+                  aOut);
+    return false;
+  }
+  aRequest.mFlow = request_flow{ point->mOffset };
+  aRequest.mStream = std::move(point->mStream);
+  aRequest.mSeed = point->mSeed;
+  aRequest.mFirstChoice = std::move(point->mEngine);
+  aRequest.mVersion = std::move(point->mVersion);
+  return true;
+}
+
+/// False only when engines of the model are known and all have another version.
+bool
+request_serving::VersionExists(std::string_view aModel, std::string_view aVersion) const
+{
+  bool known = false;
+  for (const auto& engine : mFleet.Engines()) {
+    if (engine.mModel == aModel) {
+      if (engine.mVersion == aVersion || engine.mVersion.empty()) {
+        return true;
+      }
+      known = true;
+    }
+  }
+  return !known;
+}
+
+open_request&
+request_serving::Open(open_request aRequest)
+{
+  const auto id = aRequest.mId;
+  mDeadlines.emplace(aRequest.mDeadline, id.mValue);
+  return mOpen.emplace(id, std::move(aRequest)).first->second;
+}
+
+void
+request_serving::Admit(open_request& aRequest, instant aNow, effect_list& aOut)
+{
+  aRequest.mStage = request_stage::Queued;
+  // Requests that wait already go first.
+  if (mAdmission.Queue(aRequest.mService->mRow.mName).Empty()) {
+    const auto result = TryStart(aRequest, aNow, aOut);
+    if (result == start_result::Started || result == start_result::Refused) {
+      return;
+    }
+  }
+  Enqueue(aRequest, aNow, aOut);
+}
+
+void
+request_serving::Enqueue(open_request& aRequest, instant aNow, effect_list& aOut)
+{
+  const auto& row = aRequest.mService->mRow;
+  waiting_request waiting{ aRequest.mId, aRequest.mPriority, aRequest.mDeadline };
+  if (const auto* completion = aRequest.Completion()) {
+    waiting.mPromptTokens = completion->mPromptTokens;
+    waiting.mOutputTokens = OutputEstimate(aRequest);
+  }
+  const auto result = mAdmission.Queue(row.mName).Push(waiting, row.mQueueLimit, aNow);
+  const auto comeBack = std::max(kRetryAfter, result.mExpectedWait);
+  if (result.mVerdict == service_queue::verdict::Full) {
+    Refuse(aRequest, Overloaded("queue_full", "the queue is full", comeBack), aNow, aOut);
+  } else if (result.mVerdict == service_queue::verdict::WaitTooLong) {
+    Refuse(aRequest,
+           Overloaded("wait_too_long", "the wait would exceed the time limit", comeBack),
+           aNow,
+           aOut);
+  }
+  auto* displaced = result.mDisplaced ? FindRequest(*result.mDisplaced) : nullptr;
+  if (displaced != nullptr) {
+    Refuse(*displaced,
+           Overloaded("displaced", "requests of higher priority fill the queue", comeBack),
+           aNow,
+           aOut);
+  }
+}
+
+void
+request_serving::DispatchAll(instant aNow, effect_list& aOut)
+{
+  for (const auto& [service, queue] : mAdmission.Queues()) {
+    Dispatch(service, aNow, aOut);
+  }
+}
+
+void
+request_serving::Dispatch(const std::string& aService, instant aNow, effect_list& aOut)
+{
+  auto& queue = mAdmission.Queue(aService);
+  if (queue.Empty()) {
+    return;
+  }
+  // Models and versions that no engine admits now; the requests behind are not held up by them.
+  std::set<std::string> blocked;
+  for (const auto id : queue.InOrder()) {
+    auto* found = FindRequest(id);
+    if (found == nullptr) {
+      continue;
+    }
+    auto& request = *found;
+    const auto* completion = request.Completion();
+    const auto kind = completion != nullptr
+                        ? completion->mModel + "\n" + request.mVersion
+                        : std::string{ request.mClaim == claim_hold::LeftToBackend ? "keyed" : "" };
+    if (request.mNextShareTry > aNow || blocked.contains(kind)) {
+      continue;
+    }
+    const auto result = TryStart(request, aNow, aOut);
+    if (result == start_result::NoEngine) {
+      blocked.insert(kind);
+    }
+  }
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/serving_attempts.cpp
@@ -0,0 +1,251 @@
+#include "serving_p.h"
+
+#include "skylarkwind/resume_token.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Share of a new sample in the measured means of a service.
+constexpr double kSampleShare = 0.05;
+constexpr double kTransferShare = 0.2;
+/// When an attempt that is due found no engine or no retry budget, it is tried again after this.
+constexpr std::chrono::milliseconds kTryAgain{ 20 };
+constexpr std::chrono::milliseconds kRetryAfter{ 1'000 };
+
+} // namespace
+
+void
+request_serving::OnTokens(open_request& aRequest,
+                          const attempt_tokens& aTokens,
+                          instant aNow,
+                          effect_list& aOut)
+{
+  if (aRequest.Completion() == nullptr || aRequest.mAttempt->mPrefillOnly) {
+    return;
+  }
+  switch (aRequest.mFlow.OnTokens(aTokens)) {
+    case request_flow::token_step::Next:
+      DeliverToken(aRequest, aTokens, aNow, aOut);
+      break;
+    case request_flow::token_step::Delivered:
+      break;
+    case request_flow::token_step::Gap:
+      aOut.emplace_back(cancel_attempt{ aRequest.mAttempt->mId });
+      OnFailed(
+        aRequest, { attempt_failed::cause::Interrupted, 0, "tokens are missing" }, aNow, aOut);
+      break;
+  }
+}
+
+void
+request_serving::DeliverToken(open_request& aRequest,
+                              const attempt_tokens& aTokens,
+                              instant aNow,
+                              effect_list& aOut)
+{
+  auto& attempt = *aRequest.mAttempt;
+  if (!attempt.mProgressed && attempt.mFetchesCache) {
+    const double seconds = std::chrono::duration<double>(aNow - attempt.mStartedAt).count();
+    const auto tokens = std::max<std::uint64_t>(1, aRequest.Completion()->mPromptTokens);
+    auto& perToken = Measures(aRequest).mTransferSecondsPerToken;
+    perToken += kTransferShare * (seconds / static_cast<double>(tokens) - perToken);
+  }
+  attempt.mProgressed = true;
+  mEngines.Progress(attempt.mWork, aNow);
+  if (aRequest.mVersion != attempt.mVersion) {
+    aRequest.mMixed = !aRequest.mVersion.empty();
+    aRequest.mVersion = attempt.mVersion;
+  }
+  aRequest.mFirstChoice = attempt.mBackend;
+  caller_tokens tokens{ aRequest.mId, aTokens.mText, aTokens.mOffset };
+  if (aRequest.Completion()->mStreaming && !aRequest.mMixed) {
+    tokens.mResumeToken = MakeResumeToken(
+      { aRequest.mStream, attempt.mBackend, attempt.mVersion, aRequest.mSeed, aTokens.mOffset },
+      mSettings.mResumeKey,
+      aRequest.mFingerprint);
+  }
+  aOut.emplace_back(std::move(tokens));
+}
+
+void
+request_serving::OnGenerated(open_request& aRequest,
+                             const attempt_generated& aGenerated,
+                             instant aNow,
+                             effect_list& aOut)
+{
+  if (aGenerated.mReport) {
+    mFleet.OnReport(*aGenerated.mReport, aNow, aOut);
+  }
+  const bool prefill = aRequest.mAttempt->mPrefillOnly;
+  if (aRequest.Completion() == nullptr || (prefill && !aGenerated.mKv) ||
+      (!prefill && !aRequest.mFlow.IsWhole(aGenerated.mUsage))) {
+    OnFailed(
+      aRequest, { attempt_failed::cause::Interrupted, 0, "the answer is not whole" }, aNow, aOut);
+    return;
+  }
+  const auto prefillVersion = aRequest.mAttempt->mVersion;
+  CloseAttempt(aRequest, true, aNow);
+  aRequest.mFlow.OnAttemptDone();
+  if (prefill) {
+    aRequest.mKv = aGenerated.mKv;
+    aRequest.mKvVersion = prefillVersion;
+    aRequest.mRetryPaid = true;
+    const auto result = TryStart(aRequest, aNow, aOut);
+    if (result == start_result::NoEngine || result == start_result::NoShare) {
+      AwaitAttempt(aRequest, aNow + kTryAgain);
+    }
+    return;
+  }
+  auto usage = aGenerated.mUsage;
+  usage.mCompletionTokens = std::max(usage.mCompletionTokens, aRequest.mFlow.Delivered());
+  auto& mean = Measures(aRequest).mOutputTokens;
+  mean += kSampleShare * (static_cast<double>(usage.mCompletionTokens) - mean);
+  aOut.emplace_back(caller_completed{ aRequest.mId, aGenerated.mFinishReason, usage });
+  End(aRequest, request_outcome::Completed, aNow);
+}
+
+void
+request_serving::OnAnswered(open_request& aRequest,
+                            const attempt_answered& aAnswered,
+                            instant aNow,
+                            effect_list& aOut)
+{
+  if (aRequest.Plain() == nullptr) {
+    OnFailed(aRequest,
+             { attempt_failed::cause::Interrupted, 0, "the answer is not a generation" },
+             aNow,
+             aOut);
+    return;
+  }
+  CloseAttempt(aRequest, true, aNow);
+  RecordOutcome(aRequest, aAnswered, aNow, aOut);
+  if (!aRequest.mCallerDone) {
+    aOut.emplace_back(
+      caller_answered{ aRequest.mId, aAnswered.mStatus, aAnswered.mHeaders, aAnswered.mBody });
+  }
+  End(aRequest, request_outcome::Completed, aNow);
+}
+
+void
+request_serving::OnFailed(open_request& aRequest,
+                          const attempt_failed& aFailed,
+                          instant aNow,
+                          effect_list& aOut)
+{
+  using cause = attempt_failed::cause;
+  const auto attempt = *aRequest.mAttempt;
+  CloseAttempt(aRequest, aFailed.mCause == cause::Rejected, aNow);
+  aRequest.mFlow.OnAttemptFailed(aFailed.mCause);
+  aOut.emplace_back(
+    log_line{ log_level::Info,
+              "serving",
+              "an attempt at " + attempt.mBackend + " failed: " + aFailed.mReason });
+  if (aRequest.mOrder) {
+    OnOrderFailed(aRequest, attempt.mBackend, aFailed, aNow, aOut);
+    return;
+  }
+  if (aFailed.mCause == cause::Rejected) {
+    Refuse(aRequest,
+           { aFailed.mStatus >= 400 ? aFailed.mStatus : 400,
+             "invalid_request_error",
+             "rejected",
+             aFailed.mReason },
+           aNow,
+           aOut);
+    return;
+  }
+  // The cache may be gone, or be the cause: the next attempt computes the prompt itself.
+  aRequest.mKv.reset();
+  aRequest.mAvoid.push_back(attempt.mBackend);
+  if (aRequest.mFlow.FailedInARow() >= mSettings.mMaxAttempts) {
+    const bool ran = aRequest.mFlow.Sent();
+    Refuse(aRequest,
+           { ran ? 502 : 503,
+             ran ? "server_error" : "overloaded_error",
+             "attempts_failed",
+             "all attempts failed; the last at " + attempt.mBackend + ": " + aFailed.mReason,
+             kRetryAfter },
+           aNow,
+           aOut);
+    return;
+  }
+  AwaitAttempt(aRequest, aNow + mBudget.Backoff(aRequest.mFlow.FailedInARow()));
+}
+
+void
+request_serving::CloseAttempt(open_request& aRequest, bool aHealthy, instant aNow)
+{
+  const auto& attempt = *aRequest.mAttempt;
+  RouterOf(aRequest).Finish(attempt.mWork, aNow);
+  mFleet.OnAttemptEnded(attempt.mBackend, aHealthy, aNow);
+  mAttempts.erase(attempt.mId);
+  aRequest.mAttempt.reset();
+}
+
+void
+request_serving::CancelAttempt(open_request& aRequest,
+                               bool aHealthy,
+                               instant aNow,
+                               effect_list& aOut)
+{
+  aOut.emplace_back(cancel_attempt{ aRequest.mAttempt->mId });
+  CloseAttempt(aRequest, aHealthy, aNow);
+  aRequest.mFlow.OnAttemptDone();
+}
+
+void
+request_serving::AwaitAttempt(open_request& aRequest, instant aWhen)
+{
+  aRequest.mStage = request_stage::Waiting;
+  aRequest.mNextAttempt = aWhen;
+  mRetries.emplace(aWhen, aRequest.mId.mValue);
+}
+
+void
+request_serving::RunRetries(instant aNow, effect_list& aOut)
+{
+  std::vector<request_id> due;
+  for (const auto& [when, id] : mRetries) {
+    if (when > aNow) {
+      break;
+    }
+    due.push_back({ id });
+  }
+  for (const auto id : due) {
+    auto& request = *FindRequest(id);
+    mRetries.erase({ request.mNextAttempt, id.mValue });
+    request.mRetryPaid = request.mRetryPaid || mBudget.TryTake(aNow);
+    const bool ready = request.mRetryPaid && request.mNextShareTry <= aNow;
+    const auto result = ready ? TryStart(request, aNow, aOut) : start_result::NoEngine;
+    if (result == start_result::NoEngine || result == start_result::NoShare) {
+      AwaitAttempt(request, aNow + kTryAgain);
+    }
+  }
+}
+
+void
+request_serving::ResumeFromAbsent(instant aNow, effect_list& aOut)
+{
+  for (const auto& engine : mEngines.TakeAbsent()) {
+    std::vector<request_id> affected;
+    for (const auto& [attempt, id] : mAttempts) {
+      const auto* request = FindRequest(id);
+      if (request->Plain() == nullptr && request->mAttempt->mBackend == engine) {
+        affected.push_back(id);
+      }
+    }
+    // The order of a hash table is not the same everywhere.
+    std::ranges::sort(affected, {}, &request_id::mValue);
+    for (const auto id : affected) {
+      auto& request = *FindRequest(id);
+      aOut.emplace_back(cancel_attempt{ request.mAttempt->mId });
+      OnFailed(
+        request, { attempt_failed::cause::Interrupted, 0, "the engine is absent" }, aNow, aOut);
+    }
+  }
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/serving_p.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "open_request_p.h"
+#include "service_index_p.h"
+
+#include "skylarkwind/admission.h"
+#include "skylarkwind/cache_belief.h"
+#include "skylarkwind/retry_budget.h"
+#include "skylarkwind/router.h"
+#include "skylarkwind/serving.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Text of an error answer.
+struct refusal
+{
+  int mStatus = 503;
+  std::string mType;
+  std::string mCode;
+  std::string mMessage;
+  std::optional<std::chrono::milliseconds> mRetryAfter;
+};
+
+/// What is measured of a service's generations.
+struct service_measures
+{
+  double mOutputTokens = 256; ///< mean length of an answer
+  /// Mean time to move the KV cache of one prompt token between engines. The first value lets
+  /// the first long prompts be split, so that it is measured.
+  double mTransferSecondsPerToken = 2e-6;
+};
+
+class request_serving final : public serving
+{
+public:
+  request_serving(serving_settings aSettings,
+                  fleet& aFleet,
+                  limit_shares& aLimits,
+                  order_claims& aClaims,
+                  counters& aCounters);
+
+  void OnTable(const table& aTable, instant aNow) override;
+  void OnCaller(const caller_arrived& aArrived, instant aNow, effect_list& aOut) override;
+  void OnCallerGone(request_id aRequest, instant aNow, effect_list& aOut) override;
+  void OnAttempt(const attempt_progress& aProgress, instant aNow, effect_list& aOut) override;
+  void OnClaim(const claim_decision& aDecision, instant aNow, effect_list& aOut) override;
+  void OnCacheEvents(const cache_events_read& aRead, instant aNow) override;
+  void OnTick(instant aNow, effect_list& aOut) override;
+  void OnShutdown(instant aNow, effect_list& aOut) override;
+  bool Idle() const override { return mOpen.empty(); }
+  std::vector<queued_work> Queued() const override;
+
+private:
+  enum class start_result
+  {
+    Started,
+    NoEngine,
+    NoShare, ///< more of a limit's share has been asked for
+    Refused
+  };
+
+  /// An engine for the next attempt.
+  struct placement
+  {
+    const engine_view* mEngine = nullptr;
+    bool mPrefillOnly = false;
+    std::optional<engine_role> mNextRole; ///< of the engine that continues after the prefill
+  };
+
+  /// Times of requests; the number is that of the request.
+  using timer_set = std::set<std::pair<instant, std::uint64_t>>;
+
+  // Arrival and admission (serving_arrival.cpp).
+  void RefuseArrival(request_id aRequest, refusal aRefusal, effect_list& aOut);
+  std::shared_ptr<const service_entry> FindService(const caller_request& aBody) const;
+  bool ReadGeneration(open_request& aRequest, effect_list& aOut);
+  bool VersionExists(std::string_view aModel, std::string_view aVersion) const;
+  open_request& Open(open_request aRequest);
+  void Admit(open_request& aRequest, instant aNow, effect_list& aOut);
+  void Enqueue(open_request& aRequest, instant aNow, effect_list& aOut);
+  void DispatchAll(instant aNow, effect_list& aOut);
+  void Dispatch(const std::string& aService, instant aNow, effect_list& aOut);
+
+  // Placement (serving_placement.cpp).
+  placement Place(open_request& aRequest, instant aNow);
+  placement PlacePlain(open_request& aRequest, instant aNow);
+  placement PlaceWhole(open_request& aRequest, route_query aQuery, instant aNow);
+  std::optional<placement> PlaceSplit(open_request& aRequest, route_query aQuery, instant aNow);
+  std::vector<believed_holder> Holders(const open_request& aRequest);
+  double InPlaceSeconds(const open_request& aRequest, const route_query& aQuery) const;
+  std::uint64_t OutputEstimate(const open_request& aRequest) const;
+  start_result TryStart(open_request& aRequest, instant aNow, effect_list& aOut);
+  start_result AcquireShares(open_request& aRequest,
+                             const placement& aPlacement,
+                             instant aNow,
+                             effect_list& aOut);
+  void StartAttempt(open_request& aRequest,
+                    const placement& aPlacement,
+                    instant aNow,
+                    effect_list& aOut);
+  backend_call MakeCall(const open_request& aRequest,
+                        const engine_view& aEngine,
+                        bool aPrefillOnly) const;
+
+  // Attempts (serving_attempts.cpp).
+  void OnTokens(open_request& aRequest,
+                const attempt_tokens& aTokens,
+                instant aNow,
+                effect_list& aOut);
+  void OnGenerated(open_request& aRequest,
+                   const attempt_generated& aGenerated,
+                   instant aNow,
+                   effect_list& aOut);
+  void OnAnswered(open_request& aRequest,
+                  const attempt_answered& aAnswered,
+                  instant aNow,
+                  effect_list& aOut);
+  void OnFailed(open_request& aRequest,
+                const attempt_failed& aFailed,
+                instant aNow,
+                effect_list& aOut);
+  void DeliverToken(open_request& aRequest,
+                    const attempt_tokens& aTokens,
+                    instant aNow,
+                    effect_list& aOut);
+  void CloseAttempt(open_request& aRequest, bool aHealthy, instant aNow);
+  void CancelAttempt(open_request& aRequest, bool aHealthy, instant aNow, effect_list& aOut);
+  void AwaitAttempt(open_request& aRequest, instant aWhen);
+  void RunRetries(instant aNow, effect_list& aOut);
+  void ResumeFromAbsent(instant aNow, effect_list& aOut);
+
+  // Non-idempotent requests (serving_orders.cpp).
+  void ClaimOrder(open_request& aRequest, instant aNow, effect_list& aOut);
+  void OnOrderFailed(open_request& aRequest,
+                     const std::string& aBackend,
+                     const attempt_failed& aFailed,
+                     instant aNow,
+                     effect_list& aOut);
+  void OnGranted(open_request& aRequest, instant aNow, effect_list& aOut);
+  void OnUnavailable(open_request& aRequest,
+                     const claim_unavailable& aUnavailable,
+                     instant aNow,
+                     effect_list& aOut);
+  void RecordOutcome(open_request& aRequest,
+                     const attempt_answered& aOutcome,
+                     instant aNow,
+                     effect_list& aOut);
+  void RecordUnknown(open_request& aRequest, instant aNow, effect_list& aOut);
+  void WithdrawClaim(open_request& aRequest, instant aNow, effect_list& aOut);
+
+  // Ends (serving_ends.cpp).
+  void Refuse(open_request& aRequest, refusal aRefusal, instant aNow, effect_list& aOut);
+  void SendError(open_request& aRequest, refusal aRefusal, run_state aRun, effect_list& aOut);
+  void End(open_request& aRequest, request_outcome aOutcome, instant aNow);
+  void OnDeadline(open_request& aRequest, instant aNow, effect_list& aOut);
+  void RunDeadlines(instant aNow, effect_list& aOut);
+  void ReadCaches(instant aNow, effect_list& aOut);
+
+  open_request* FindRequest(request_id aRequest);
+  service_measures& Measures(const open_request& aRequest);
+  router& RouterOf(const open_request& aRequest);
+
+  serving_settings mSettings;
+  fleet& mFleet;
+  limit_shares& mLimits;
+  order_claims& mClaims;
+  counters& mCounters;
+  service_index mIndex;
+  admission mAdmission;
+  router mEngines;
+  router mBackends;
+  cache_belief mBelief;
+  retry_budget mBudget;
+  std::mt19937_64 mRandom;
+
+  std::unordered_map<request_id, open_request> mOpen;
+  std::unordered_map<attempt_id, request_id> mAttempts;
+  timer_set mDeadlines;
+  timer_set mRetries;
+  std::map<std::string, std::uint32_t> mClaiming; ///< requests that await a claim, by service
+  std::map<std::string, service_measures> mMeasures;
+  std::uint64_t mLastAttempt = 0;
+  std::uint64_t mLastStream = 0;
+  bool mShuttingDown = false;
+  bool mPrefixesSeen = false;
+  std::size_t mNextCacheRead = 0;
+  instant mCacheReadAt{};
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/tests/serving_world.h
@@ -0,0 +1,374 @@
+#pragma once
+
+#include "skylarkwind/serving.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Breaks a test from within a fake.
+inline void
+Require(bool aHolds, const std::string& aText)
+{
+  if (!aHolds) {
+    throw std::logic_error(aText);
+  }
+}
+
+/// Backend servers whose states a test sets directly.
+class fake_fleet final : public fleet
+{
+public:
+  std::vector<engine_view> mEngines;
+  std::vector<engine_view> mBackends;
+  std::map<std::string, int, std::less<>> mOpen; ///< attempts started and not ended
+  std::vector<bool> mHealth;                     ///< of the attempts that ended
+  std::vector<engine_report> mReports;
+
+  engine_view& At(std::string_view aName)
+  {
+    for (auto* views : { &mEngines, &mBackends }) {
+      for (auto& view : *views) {
+        if (view.mName == aName) {
+          return view;
+        }
+      }
+    }
+    throw std::logic_error("no such engine");
+  }
+
+  std::span<const engine_view> Engines() const override { return mEngines; }
+  std::span<const engine_view> Backends() const override { return mBackends; }
+  std::string Explain(std::string_view) const override { return {}; }
+  void OnAttemptStarted(std::string_view aName, instant) override
+  {
+    Require(At(aName).Admits(), "an attempt goes to an engine that does not admit");
+    ++mOpen[std::string{ aName }];
+    ++At(aName).mInFlight;
+  }
+  void OnAttemptEnded(std::string_view aName, bool aHealthy, instant) override
+  {
+    Require(--mOpen[std::string{ aName }] >= 0, "an attempt ended that never started");
+    --At(aName).mInFlight;
+    mHealth.push_back(aHealthy);
+  }
+  void OnReport(const engine_report& aReport, instant, effect_list&) override
+  {
+    mReports.push_back(aReport);
+  }
+  void OnTable(const table&, instant, effect_list&) override {}
+  void OnFleetObject(std::string_view, const fleet_object&, instant, effect_list&) override {}
+  void OnVmList(const vm_list&, instant, effect_list&) override {}
+  void OnObserved(const engine_observed&, instant, effect_list&) override {}
+  void OnTick(instant, effect_list&) override {}
+};
+
+/// Limits with a fixed number of tickets each; a name that is not listed always grants.
+class fake_limits final : public limit_shares
+{
+public:
+  std::map<std::string, int> mLeft;
+  bool mRaising = false; ///< denials say that more has been asked for
+  std::map<std::uint64_t, std::vector<std::string>> mHeld;
+
+  limit_decision TryAcquire(std::span<const std::string> aLimits, instant, instant) override
+  {
+    for (const auto& limit : aLimits) {
+      if (mLeft.contains(limit) && mLeft[limit] <= 0) {
+        return limit_denied{ limit, std::chrono::milliseconds{ 100 }, !mRaising };
+      }
+    }
+    for (const auto& limit : aLimits) {
+      mLeft.contains(limit) ? --mLeft[limit] : 0;
+    }
+    mHeld[++mLast] = { aLimits.begin(), aLimits.end() };
+    return limit_ticket{ mLast };
+  }
+  void Release(limit_ticket aTicket, instant) override
+  {
+    const auto found = mHeld.find(aTicket.mNumber);
+    Require(found != mHeld.end(), "a ticket is released twice");
+    for (const auto& limit : found->second) {
+      mLeft.contains(limit) ? ++mLeft[limit] : 0;
+    }
+    mHeld.erase(found);
+  }
+  void OnTable(const table&, instant) override {}
+  void OnVmList(const vm_list&, instant) override {}
+  void OnTick(instant, effect_list&) override {}
+  void OnPlatformReply(const platform_replied&, instant, effect_list&) override {}
+  void OnShutdown(instant, effect_list&) override {}
+  std::vector<share_view> View() const override { return {}; }
+
+private:
+  std::uint64_t mLast = 0;
+};
+
+/// A claim store that decides when asked to, by what was recorded before.
+class fake_claims final : public order_claims
+{
+public:
+  enum class state
+  {
+    Claimed,
+    Done,
+    Unknown
+  };
+  struct entry
+  {
+    state mState = state::Claimed;
+    std::string mFingerprint;
+    attempt_answered mOutcome;
+  };
+  struct question
+  {
+    request_id mRequest;
+    std::string mKey;
+    std::string mFingerprint;
+  };
+  bool mAvailable = true;
+  std::vector<question> mAsked;
+  std::map<std::string, entry> mEntries;
+  std::unordered_map<request_id, std::string> mGranted; ///< keys of granted, unsettled requests
+
+  claim_verdict Decide(const question& aQuestion)
+  {
+    if (!mAvailable) {
+      return claim_unavailable{ "the platform is away" };
+    }
+    const auto found = mEntries.find(aQuestion.mKey);
+    if (found == mEntries.end()) {
+      mEntries[aQuestion.mKey] = { state::Claimed, aQuestion.mFingerprint, {} };
+      mGranted[aQuestion.mRequest] = aQuestion.mKey;
+      return claim_granted{};
+    }
+    const auto& known = found->second;
+    if (known.mFingerprint != aQuestion.mFingerprint) {
+      return claim_mismatch{};
+    }
+    if (known.mState == state::Done) {
+      return claim_recorded{ known.mOutcome.mStatus, {}, known.mOutcome.mBody, true };
+    }
+    return known.mState == state::Unknown ? claim_verdict{ claim_unknown{} } : claim_in_progress{};
+  }
+
+  void Claim(request_id aRequest,
+             std::string_view aKey,
+             std::string_view aFingerprint,
+             instant,
+             instant,
+             effect_list&) override
+  {
+    mAsked.push_back({ aRequest, std::string{ aKey }, std::string{ aFingerprint } });
+  }
+  void Record(request_id aRequest, const attempt_answered& aOutcome, instant, effect_list&) override
+  {
+    auto& settled = Settle(aRequest);
+    settled.mState = state::Done;
+    settled.mOutcome = aOutcome;
+  }
+  void RecordUnknown(request_id aRequest, instant, effect_list&) override
+  {
+    Settle(aRequest).mState = state::Unknown;
+  }
+  void Withdraw(request_id aRequest, instant, effect_list&) override
+  {
+    const auto key = mGranted.at(aRequest);
+    Settle(aRequest);
+    mEntries.erase(key);
+  }
+  std::vector<claim_decision> TakeDecisions() override
+  {
+    std::vector<claim_decision> decisions;
+    for (const auto& asked : std::exchange(mAsked, {})) {
+      decisions.push_back({ asked.mRequest, Decide(asked) });
+    }
+    return decisions;
+  }
+  bool Idle() const override { return true; }
+  void OnTick(instant, wall_instant, effect_list&) override {}
+  void OnPlatformReply(const platform_replied&, instant, effect_list&) override {}
+  bool OnPeerAsked(const peer_asked&, instant, effect_list&) override { return false; }
+  bool OnPeerAnswered(const peer_answered&, instant, effect_list&) override { return false; }
+
+private:
+  entry& Settle(request_id aRequest)
+  {
+    const auto found = mGranted.find(aRequest);
+    Require(found != mGranted.end(), "a claim is settled that is not held");
+    auto& settled = mEntries.at(found->second);
+    mGranted.erase(found);
+    return settled;
+  }
+};
+
+inline constexpr std::string_view kWorldTable = R"({
+  "serial": 1,
+  "services": [
+    {"name": "draft", "kind": "model", "time_limit_ms": 10000, "queue_limit": 4},
+    {"name": "desk", "kind": "plain", "path_prefix": "/desk", "time_limit_ms": 10000},
+    {"name": "orders", "kind": "plain", "path_prefix": "/orders", "non_idempotent": true,
+     "time_limit_ms": 10000}],
+  "models": [{"name": "m", "service": "draft", "version": "1"}],
+  "accounts": [
+    {"name": "low", "api_key_sha256":
+     "1111111111111111111111111111111111111111111111111111111111111111"},
+    {"name": "high", "priority": 5, "api_key_sha256":
+     "2222222222222222222222222222222222222222222222222222222222222222"}],
+  "backends": [
+    {"name": "b1", "address": "10.0.1.1:80", "data_centre": "a", "service": "orders"},
+    {"name": "b2", "address": "10.0.1.2:80", "data_centre": "a", "service": "orders",
+     "honours_keys": true}]
+})";
+
+/// A serving part between fakes, with a clock that the test moves.
+class serving_world
+{
+public:
+  fake_fleet mFleet;
+  fake_limits mLimits;
+  fake_claims mClaims;
+  counters mCounters;
+  std::unique_ptr<serving> mServing;
+  instant mNow{ std::chrono::seconds{ 100 } };
+  effect_list mOut;
+
+  explicit serving_world(int aEngines = 2, serving_settings aSettings = {})
+  {
+    for (int i = 1; i <= aEngines; ++i) {
+      mFleet.mEngines.push_back(Engine("e" + std::to_string(i)));
+    }
+    for (const auto* name : { "b1", "b2" }) {
+      auto view = Engine(name);
+      view.mService = "orders";
+      view.mModel = view.mVersion = "";
+      mFleet.mBackends.push_back(view);
+    }
+    auto desk = mFleet.mBackends.front();
+    desk.mName = "d1";
+    desk.mService = "desk";
+    mFleet.mBackends.push_back(desk);
+    aSettings.mSelf = { "vm", 7 };
+    aSettings.mDataCentre = "a";
+    aSettings.mResumeKey = "key";
+    mServing = serving::Create(aSettings, mFleet, mLimits, mClaims, mCounters).value();
+    mServing->OnTable(table::Parse(kWorldTable).value(), mNow);
+  }
+
+  static engine_view Engine(std::string aName, engine_role aRole = engine_role::Both)
+  {
+    engine_view view;
+    view.mAddress = "10.0.0.1:80";
+    view.mName = std::move(aName);
+    view.mDataCentre = "a";
+    view.mService = "draft";
+    view.mModel = "m";
+    view.mVersion = "1";
+    view.mRole = aRole;
+    view.mStatus = engine_status::Serving;
+    view.mIncarnation = 1;
+    return view;
+  }
+
+  static caller_request Generation(std::string aPrompt = "hello", bool aHighPriority = false)
+  {
+    completion_request completion;
+    completion.mStreaming = true;
+    completion.mModel = "m";
+    completion.mPromptTokens = aPrompt.size() / 4 + 1;
+    completion.mPrompt = std::move(aPrompt);
+    completion.mMaxTokens = 16;
+    caller_request body;
+    body.mApiKeySha256 = std::string(64, aHighPriority ? '2' : '1');
+    body.mOperation = std::move(completion);
+    return body;
+  }
+  static caller_request Order(std::string aKey, std::string aBody = "x")
+  {
+    caller_request body;
+    body.mApiKeySha256 = std::string(64, '1');
+    body.mOperation = plain_request{ "POST", "/orders/1", {}, std::move(aBody) };
+    body.mIdempotencyKey = std::move(aKey);
+    return body;
+  }
+
+  request_id Send(caller_request aBody)
+  {
+    const request_id id{ ++mLastRequest };
+    mServing->OnCaller({ id, std::move(aBody) }, mNow, mOut);
+    return id;
+  }
+  /// Sends a non-idempotent request and delivers the decision on its claim.
+  request_id SendOrder(const std::string& aKey, std::string aBody = "x")
+  {
+    const auto id = Send(Order(aKey, std::move(aBody)));
+    DecideClaims();
+    return id;
+  }
+  void DecideClaims()
+  {
+    for (const auto& decision : mClaims.TakeDecisions()) {
+      mServing->OnClaim(decision, mNow, mOut);
+    }
+  }
+  void Report(attempt_id aAttempt, attempt_outcome aOutcome)
+  {
+    mServing->OnAttempt({ aAttempt, std::move(aOutcome) }, mNow, mOut);
+  }
+  void Fail(attempt_id aAttempt, attempt_failed::cause aCause, int aStatus = 0)
+  {
+    Report(aAttempt, attempt_failed{ aCause, aStatus, "test" });
+  }
+  void Token(attempt_id aAttempt, std::uint64_t aOffset)
+  {
+    Report(aAttempt, attempt_tokens{ "t" + std::to_string(aOffset), aOffset });
+  }
+  void Finish(attempt_id aAttempt) { Report(aAttempt, attempt_generated{ "stop" }); }
+  void Gone(request_id aRequest) { mServing->OnCallerGone(aRequest, mNow, mOut); }
+  void Tick(int aMilliseconds = 20)
+  {
+    mNow += std::chrono::milliseconds{ aMilliseconds };
+    mServing->OnTick(mNow, mOut);
+  }
+  /// Ticks until the request's next attempt starts, at most 3 s.
+  attempt_id NextAttempt()
+  {
+    const auto before = All<start_attempt>().size();
+    for (int i = 0; i < 150 && All<start_attempt>().size() == before; ++i) {
+      Tick();
+    }
+    return Last<start_attempt>().mAttempt;
+  }
+
+  /// All effects of this kind so far.
+  template<class kind>
+  std::vector<kind> All() const
+  {
+    std::vector<kind> found;
+    for (const auto& each : mOut) {
+      if (const auto* match = std::get_if<kind>(&each)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+  template<class kind>
+  kind Last() const
+  {
+    const auto all = All<kind>();
+    Require(!all.empty(), "no such effect");
+    return all.back();
+  }
+
+private:
+  std::uint64_t mLastRequest = 0;
+};
+
+} // namespace skylarkwind
