Let one chunk hold several tokens, and end RPC connections in order

Cause: the demonstration's streams failed with 'tokens are missing', because an engine may put several tokens into a chunk while the core took each chunk for one token; a daemon that stopped with open peer connections crashed, because the attachments of a kj promise in one call are destroyed in reverse order. Change: attempt_tokens says where a chunk begins; the RPC system, its network and its stream are attached one by one.

--- a/packages/core/include/skylarkwind/backend_calls.h
+++ b/packages/core/include/skylarkwind/backend_calls.h
@@ -77,11 +77,12 @@
   double mDecodeTokensPerSecond = 0;
 };
 
-/// Tokens of a stream, in order. `mOffset` counts the tokens delivered after this chunk.
+/// Tokens of a stream, in order. An engine may send several in one chunk.
 struct attempt_tokens
 {
   std::string mText;
-  std::uint64_t mOffset = 0;
+  std::uint64_t mFrom = 0;   ///< tokens of the answer before this chunk
+  std::uint64_t mOffset = 0; ///< tokens of the answer after this chunk
 };
 
 struct token_usage
--- a/packages/core/include/skylarkwind/request_flow.h
+++ b/packages/core/include/skylarkwind/request_flow.h
@@ -37,7 +37,7 @@
     Delivered, ///< the caller has it already
     Gap        ///< tokens before it are missing
   };
-  /// Judges a chunk, which holds one token, and counts it as delivered if it is the next one.
+  /// Judges a chunk and counts its tokens as delivered if it continues where the last one ended.
   token_step OnTokens(const attempt_tokens& aTokens);
 
   /// Whether the caller has every token that the engine says it generated.
--- a/packages/core/src/request_flow.cpp
+++ b/packages/core/src/request_flow.cpp
@@ -27,7 +27,7 @@
   if (aTokens.mOffset <= mDelivered) {
     return token_step::Delivered;
   }
-  if (aTokens.mOffset != mDelivered + 1) {
+  if (aTokens.mFrom != mDelivered) {
     return token_step::Gap;
   }
   mDelivered = aTokens.mOffset;
--- a/packages/core/tests/serving_world.h
+++ b/packages/core/tests/serving_world.h
@@ -328,7 +328,7 @@
   }
   void Token(attempt_id aAttempt, std::uint64_t aOffset)
   {
-    Report(aAttempt, attempt_tokens{ "t" + std::to_string(aOffset), aOffset });
+    Report(aAttempt, attempt_tokens{ "t" + std::to_string(aOffset), aOffset - 1, aOffset });
   }
   void Finish(attempt_id aAttempt) { Report(aAttempt, attempt_generated{ "stop" }); }
   void Gone(request_id aRequest) { mServing->OnCallerGone(aRequest, mNow, mOut); }
--- a/packages/engine/src/generation.cpp
+++ b/packages/engine/src/generation.cpp
@@ -26,7 +26,7 @@
   if (mOffset == before) {
     return std::nullopt;
   }
-  return attempt_tokens{ std::move(text), mOffset };
+  return attempt_tokens{ std::move(text), before, mOffset };
 }
 
 void
--- a/packages/links/src/links.cpp
+++ b/packages/links/src/links.cpp
@@ -347,8 +347,12 @@
     auto ended = network->onDisconnect();
     // Twice the age after which a client replaces its connection: only abandoned ones reach it.
     auto age = mTimer.afterDelay(ToKj(2 * mSettings.mConnectionAge));
-    return ended.exclusiveJoin(kj::mv(age))
-      .attach(kj::mv(system), kj::mv(network), kj::mv(aStream))
+    return ended
+      .exclusiveJoin(kj::mv(age))
+      // One by one: the RPC system has to end before its network, and that before the stream.
+      .attach(kj::mv(system))
+      .attach(kj::mv(network))
+      .attach(kj::mv(aStream))
       .attach(kj::defer([this] { --mIncoming; }));
   }
 
