Read the platform after a pause

Cause: after a pause between two watches a restored and edited object may have reached the awaited object version again (seed 6, 6310 schedules). Change: a daemon that did not run for 300 ms reads before it watches.

--- a/packages/core/src/distribution.cpp
+++ b/packages/core/src/distribution.cpp
@@ -147,6 +147,7 @@
   if (!mStartedAt) {
     mStartedAt = aNow;
   }
+  ReadAfterPause(aNow);
   UpdateRank(aNow);
   for (auto& state : mStates) {
     if (state.mOpenCall != 0 && aNow >= state.mCallExpiresAt) {
--- a/packages/core/src/distribution_p.h
+++ b/packages/core/src/distribution_p.h
@@ -105,6 +105,7 @@
   // distribution_platform.cpp
   void UpdateRank(instant aNow);
   void CallPlatform(document_state& aState, instant aNow, effect_list& aOut);
+  void ReadAfterPause(instant aNow);
   bool MayAskPlatform(instant aNow) const;
   bool ReadsSlowly(const document_state& aState) const;
   void OnFound(document_state& aState, const object_found& aFound, instant aNow, effect_list& aOut);
@@ -138,6 +139,7 @@
   std::optional<std::uint32_t> mRank; ///< among the watchers of this data centre
   instant mNextRankAt;
   std::optional<instant> mStartedAt;
+  instant mLastTick;
   bool mPlatformAway = false;
 };
 
--- a/packages/core/src/distribution_platform.cpp
+++ b/packages/core/src/distribution_platform.cpp
@@ -27,6 +27,9 @@
 /// An object that does not exist cannot be watched; it is asked for again.
 constexpr milliseconds kMissingPeriod{ 2'000 };
 
+/// Ticks arrive every 20 ms; a longer gap means that the process did not run.
+constexpr milliseconds kPause{ 300 };
+
 /// A daemon that has heard of no other one for this long takes itself for the first one.
 constexpr milliseconds kAloneAfter{ 2'000 };
 
@@ -64,6 +67,18 @@
   }
 }
 
+void
+distribution_core::ReadAfterPause(instant aNow)
+{
+  // A platform that was restored and edited meanwhile may have reached the object version that the
+  // next watch would wait for, so that only a read shows the change.
+  if (aNow - std::exchange(mLastTick, aNow) > kPause) {
+    for (auto& state : mStates) {
+      state.mReadNext = true;
+    }
+  }
+}
+
 bool
 distribution_core::MayAskPlatform(instant aNow) const
 {
