--- a/packages/core/src/distribution_p.h
+++ b/packages/core/src/distribution_p.h
@@ -32,7 +32,9 @@
   std::uint32_t mFailures = 0; ///< in a row
   std::uint32_t mUnchanged = 0;
   bool mBehind = false;
-  std::uint64_t mRefusedObject = 0; ///< object version that was refused and logged
+  /// Hash of the platform's value that was refused and logged. The object version would not do: a
+  /// restored platform uses the same version again for another value.
+  std::uint64_t mRefusedHash = 0;
 
   // The next pull from a peer.
   std::uint64_t mWanted = 0; ///< version seen at a peer, 0 when none is wanted
@@ -103,6 +105,7 @@
   // distribution_platform.cpp
   void UpdateRank(instant aNow);
   void CallPlatform(document_state& aState, instant aNow, effect_list& aOut);
+  void ReadAfterPause(instant aNow);
   bool MayAskPlatform(instant aNow) const;
   bool ReadsSlowly(const document_state& aState) const;
   void OnFound(document_state& aState, const object_found& aFound, instant aNow, effect_list& aOut);
@@ -136,6 +139,7 @@
   std::optional<std::uint32_t> mRank; ///< among the watchers of this data centre
   instant mNextRankAt;
   std::optional<instant> mStartedAt;
+  instant mLastTick;
   bool mPlatformAway = false;
 };
 
