--- a/packages/core/tests/engine_lifecycle_test.cpp
+++ b/packages/core/tests/engine_lifecycle_test.cpp
@@ -273,7 +273,7 @@
     lifecycle_driver driver;
     driver.Reach(engine_status::Warming);
     driver.Complete(1, false);
-    for (const int expected : { 1'000, 2'000, 4'000 }) {
+    for (const int expected : { 1'000, 2'000, 4'000, 8'000, 16'000, 30'000, 30'000 }) {
       const instant failed = driver.mNow;
       driver.Observe();
       while (Letter(driver) != 'W') {
--- a/packages/core/tests/lifecycle_schedule.h
+++ b/packages/core/tests/lifecycle_schedule.h
@@ -88,6 +88,7 @@
     bool mOrdered = false;                ///< what it was told
     instant mLostAt = instant::min();     ///< when it last became absent, or its order ended
     instant mObservedAt = instant::min(); ///< question of the last answer that it got
+    std::uint64_t mIncarnation = 0;       ///< in that answer
     std::uint64_t mLimitBefore = return_ramp::kFirstLimit;
   };
 
@@ -218,8 +219,9 @@
 
   static void Note(daemon& aDaemon, const question& aAsked)
   {
-    if (aAsked.mAnswer.mReport) {
-      aDaemon.mObservedAt = std::max(aDaemon.mObservedAt, aAsked.mAskedAt);
+    if (aAsked.mAnswer.mReport && aAsked.mAskedAt > aDaemon.mObservedAt) {
+      aDaemon.mObservedAt = aAsked.mAskedAt;
+      aDaemon.mIncarnation = aAsked.mAnswer.mReport->mIncarnation;
     }
   }
 
@@ -259,6 +261,9 @@
       if (open && each.mObservedAt <= each.mLostAt) {
         broken += "in service without an answer newer than the fault or the order; ";
       }
+      if (open && view.mIncarnation != each.mIncarnation) {
+        broken += "in service with another incarnation than the newest answer; ";
+      }
       if (view.Admits() && each.mDrains) {
         broken += "admits although it drains; ";
       }
