--- a/packages/front/tests/front_fixture.h
+++ b/packages/front/tests/front_fixture.h
@@ -9,10 +9,11 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <charconv>
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -65,7 +66,8 @@
     while (!aDone(mRead)) {
       pollfd waiting{ mFd, POLLIN, 0 };
       char bytes[16384];
-      const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+      const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
       if (left.count() <= 0 || poll(&waiting, 1, static_cast<int>(left.count())) <= 0) {
         mTimedOut = true;
         return false;
@@ -80,7 +82,8 @@
   }
   bool ReadUntil(std::string_view aText)
   {
-    return ReadUntil([aText](const std::string& aRead) { return aRead.find(aText) != std::string::npos; });
+    return ReadUntil(
+      [aText](const std::string& aRead) { return aRead.find(aText) != std::string::npos; });
   }
   /// Everything until the front closes the connection.
   std::string ReadToEnd()
@@ -107,7 +110,7 @@
 public:
   using arrival_handler = std::function<void(caller_front&, const caller_arrived&)>;
 
-  explicit test_front(arrival_handler aOnArrival, front_settings aSettings = {})
+  explicit test_front(const arrival_handler& aOnArrival, front_settings aSettings = {})
   {
     aSettings.mAddress = "127.0.0.1:0";
     auto made = caller_front::Create(
@@ -214,7 +217,11 @@
     if (line == std::string::npos) {
       return {};
     }
-    const auto size = std::stoul(aAnswer.substr(at, line - at), nullptr, 16);
+    std::size_t size = 0;
+    if (std::from_chars(aAnswer.data() + at, aAnswer.data() + line, size, 16).ptr !=
+        aAnswer.data() + line) {
+      return {};
+    }
     if (size == 0) {
       return aAnswer.substr(line) == "\r\n\r\n" ? body : std::string{};
     }
