Route keyed orders to one home and check serving over generated schedules

Cause: an order sent without a claim while the platform was away could run again at a backend server that does not know its key, once claims worked again. Change: in a service whose backend servers all honour keys, a key belongs to one of them; other services are refused without a claim. A property over generated schedules.

--- a/packages/core/include/skylarkwind/router.h
+++ b/packages/core/include/skylarkwind/router.h
@@ -8,10 +8,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace skylarkwind {
@@ -28,7 +28,6 @@
   std::span<const believed_holder> mHolders{}; ///< engines thought to hold part of the prompt
   std::string_view mFirstChoice{};             ///< engine of an interrupted stream
   std::span<const std::string> mAvoid{};       ///< engines that failed this request
-  bool mOnlyKeyed = false;                     ///< only backend servers that honour keys
 };
 
 /// Work of one attempt, counted at its engine until it ends.
@@ -49,8 +48,7 @@
 
   explicit router(std::string aDataCentre);
 
-  /// Weights of roles and the names of the backend servers that honour keys.
-  void SetTable(weight_of aRoleWeight, std::set<std::string, std::less<>> aKeyed);
+  void SetRoleWeights(weight_of aRoleWeight) { mRoleWeight = std::move(aRoleWeight); }
 
   /// Reads the state of all engines. Called with every tick; the state of a chosen engine is
   /// checked once more when it is chosen.
@@ -87,7 +85,6 @@
     std::size_t mView = 0; ///< position among the views
     std::uint32_t mPool = 0;
     bool mLocal = false;
-    bool mKeyed = false;
     bool mAdmits = false; ///< at the last refresh
     engine_status mStatus = engine_status::Absent;
     double mWeight = 1; ///< of engine and role, times the ramp factor
@@ -140,7 +137,6 @@
 
   std::string mDataCentre;
   weight_of mRoleWeight;
-  std::set<std::string, std::less<>> mKeyed;
   std::vector<engine_slot> mSlots;
   std::vector<std::uint32_t> mFreeSlots;
   std::vector<std::uint32_t> mSlotOfView;
--- a/packages/core/src/router.cpp
+++ b/packages/core/src/router.cpp
@@ -170,7 +170,7 @@
              const route_query& aQuery,
              std::span<const engine_view> aViews) const
 {
-  if (!aSlot.mPresent || aSlot.mWeight <= 0 || (aQuery.mOnlyKeyed && !aSlot.mKeyed)) {
+  if (!aSlot.mPresent || aSlot.mWeight <= 0) {
     return false;
   }
   const auto& view = aViews[aSlot.mView];
--- a/packages/core/src/router_index.cpp
+++ b/packages/core/src/router_index.cpp
@@ -46,13 +46,6 @@
 {
 }
 
-void
-router::SetTable(weight_of aRoleWeight, std::set<std::string, std::less<>> aKeyed)
-{
-  mRoleWeight = std::move(aRoleWeight);
-  mKeyed = std::move(aKeyed);
-}
-
 void
 router::Refresh(std::span<const engine_view> aViews, instant aNow)
 {
@@ -132,7 +125,6 @@
   aSlot.mStatus = aView.mStatus;
   aSlot.mAdmits = aView.Admits();
   aSlot.mLocal = aView.mDataCentre == mDataCentre;
-  aSlot.mKeyed = !mKeyed.empty() && mKeyed.contains(aView.mName);
   const auto* known = aSlot.mPool < mPools.size() ? &mPools[aSlot.mPool] : nullptr;
   if (known == nullptr || known->mRole != aView.mRole || known->mModel != aView.mModel ||
       known->mService != aView.mService) {
--- a/packages/core/src/service_index.cpp
+++ b/packages/core/src/service_index.cpp
@@ -1,5 +1,6 @@
 #include "service_index_p.h"
 
+#include "skylarkwind/hash.h"
 #include "skylarkwind/limit_shares.h"
 
 #include <algorithm>
@@ -34,6 +35,22 @@
   }
 }
 
+void
+FindKeyHomes(service_entry& aEntry, const table& aTable)
+{
+  for (const auto& backend : aTable.Backends()) {
+    if (backend.mService == aEntry.mRow.mName) {
+      if (!backend.mHonoursKeys) {
+        aEntry.mKeyHomes.clear();
+        return;
+      }
+      if (backend.mIntent == engine_intent::Serve) {
+        aEntry.mKeyHomes.push_back(backend.mName);
+      }
+    }
+  }
+}
+
 std::shared_ptr<const service_entry>
 MakeEntry(const service_row& aRow, const table& aTable, counters& aCounters)
 {
@@ -49,6 +66,7 @@
       entry->mRoleWeights[static_cast<std::size_t>(role.mRole)] = role.mWeight;
     }
   }
+  FindKeyHomes(*entry, aTable);
   FindCounters(*entry, aCounters);
   return entry;
 }
@@ -66,6 +84,21 @@
 
 } // namespace
 
+std::string_view
+service_entry::KeyHome(std::string_view aKey) const
+{
+  std::string_view home;
+  std::uint64_t best = 0;
+  for (const auto& name : mKeyHomes) {
+    const auto score = RendezvousScore(aKey, name);
+    if (home.empty() || score > best) {
+      home = name;
+      best = score;
+    }
+  }
+  return home;
+}
+
 service_index::service_index(const table& aTable, counters& aCounters)
   : mSerial(aTable.Serial())
 {
@@ -85,11 +118,6 @@
   std::ranges::stable_sort(mPlain, [](const auto& aLeft, const auto& aRight) {
     return aLeft->mRow.mPathPrefix.size() > aRight->mRow.mPathPrefix.size();
   });
-  for (const auto& backend : aTable.Backends()) {
-    if (backend.mHonoursKeys) {
-      mKeyed.insert(backend.mName);
-    }
-  }
 }
 
 const account_row*
--- a/packages/core/src/service_index_p.h
+++ b/packages/core/src/service_index_p.h
@@ -6,7 +6,6 @@
 #include <array>
 #include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,10 +28,16 @@
 /// A service with what its requests need, shared by the requests that arrived under this table.
 struct service_entry
 {
+  /// The backend server that the key belongs to; empty when keys belong to none.
+  std::string_view KeyHome(std::string_view aKey) const;
+
   service_row mRow;
   std::string mLimit;                          ///< name of the service's limit
   std::array<std::string, kRoles> mRoleLimits; ///< by role
   std::array<double, kRoles> mRoleWeights{};   ///< by role
+  /// The backend servers of a plain service, if every one of them honours idempotency keys. Each
+  /// key then belongs to one of them, since another one would not know that it was run.
+  std::vector<std::string> mKeyHomes;
   /// Requests ended, by role (the last one stands for "none") and outcome.
   std::array<std::array<counter*, kRequestOutcomes>, kRoles + 1> mEnded{};
 };
@@ -50,8 +55,6 @@
   /// The plain service with the longest path prefix that matches; empty when none does.
   std::shared_ptr<const service_entry> ServiceOfPath(std::string_view aPath) const;
   double RoleWeight(std::string_view aService, engine_role aRole) const;
-  /// Names of the backend servers that honour idempotency keys.
-  std::set<std::string, std::less<>> KeyedBackends() const { return mKeyed; }
 
 private:
   std::shared_ptr<const service_entry> Service(std::string_view aName) const;
@@ -61,7 +64,6 @@
   std::unordered_map<std::string, std::string> mServiceOfModel;
   std::unordered_map<std::string, std::shared_ptr<const service_entry>> mServices;
   std::vector<std::shared_ptr<const service_entry>> mPlain; ///< longest prefix first
-  std::set<std::string, std::less<>> mKeyed;
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/serving.cpp
+++ b/packages/core/src/serving.cpp
@@ -45,11 +45,9 @@
 request_serving::OnTable(const table& aTable, instant aNow)
 {
   mIndex = service_index{ aTable, mCounters };
-  const auto weight = [this](std::string_view aService, engine_role aRole) {
+  mEngines.SetRoleWeights([this](std::string_view aService, engine_role aRole) {
     return mIndex.RoleWeight(aService, aRole);
-  };
-  mEngines.SetTable(weight, {});
-  mBackends.SetTable({}, mIndex.KeyedBackends());
+  });
   mEngines.Refresh(mFleet.Engines(), aNow);
   mBackends.Refresh(mFleet.Backends(), aNow);
 }
--- a/packages/core/src/serving_arrival.cpp
+++ b/packages/core/src/serving_arrival.cpp
@@ -247,7 +247,7 @@
     const auto* completion = request.Completion();
     const auto kind = completion != nullptr
                         ? completion->mModel + "\n" + request.mVersion
-                        : std::string{ request.mClaim == claim_hold::LeftToBackend ? "keyed" : "" };
+                        : std::string{ request.mService->KeyHome(request.mBody.mIdempotencyKey) };
     if (request.mNextShareTry > aNow || blocked.contains(kind)) {
       continue;
     }
--- a/packages/core/src/serving_placement.cpp
+++ b/packages/core/src/serving_placement.cpp
@@ -72,12 +72,22 @@
 request_serving::placement
 request_serving::PlacePlain(open_request& aRequest, instant aNow)
 {
+  // A key may have been sent to its home without a claim while the platform was away, so it never
+  // goes anywhere else, with a claim or without.
+  const auto home =
+    aRequest.mOrder ? aRequest.mService->KeyHome(aRequest.mBody.mIdempotencyKey) : "";
+  if (!home.empty()) {
+    const auto* backend = mBackends.Find(home, mFleet.Backends());
+    return { backend != nullptr && backend->Admits() ? backend : nullptr };
+  }
+  if (aRequest.mClaim == claim_hold::LeftToBackend) {
+    return {};
+  }
   route_query query;
   query.mService = aRequest.mService->mRow.mName;
   query.mAffinity = mRandom();
   query.mWork = 1;
   query.mAvoid = aRequest.mAvoid;
-  query.mOnlyKeyed = aRequest.mClaim == claim_hold::LeftToBackend;
   return { mBackends.Choose(query, mFleet.Backends(), aNow) };
 }
 
--- /dev/null
+++ b/packages/core/tests/serving_schedule.h
@@ -0,0 +1,392 @@
+#pragma once
+
+#include "serving_world.h"
+
+#include <optional>
+#include <tuple>
+#include <variant>
+
+namespace skylarkwind {
+
+/// Applies generated events to a `serving_world` and checks after each what must always hold.
+class serving_schedule
+{
+public:
+  /// Kind of event and two numbers that fill in its details.
+  using step = std::tuple<int, std::uint32_t, std::uint32_t>;
+  static constexpr int kKinds = 14;
+
+  serving_schedule()
+    : mWorld(2)
+  {
+    mWorld.mFleet.mEngines.push_back(serving_world::Engine("p", engine_role::Prefill));
+    mWorld.mFleet.mEngines.push_back(serving_world::Engine("q", engine_role::Decode));
+    mWorld.mLimits.mLeft[AccountLimit("low")] = 6;
+    mWorld.mLimits.mLeft[RoleLimit("draft", engine_role::Decode)] = 2;
+  }
+
+  void Run(const std::vector<step>& aSteps)
+  {
+    for (const auto& [kind, first, second] : aSteps) {
+      Apply(kind, first, second);
+      Check();
+    }
+    Drain();
+  }
+
+private:
+  struct caller
+  {
+    caller_request mBody;
+    bool mOrder = false;
+    std::uint64_t mFrom = 0; ///< offset of the resume token it came with
+    std::uint64_t mDelivered = 0;
+    std::string mText;
+    bool mGone = false;
+    int mEnds = 0;
+  };
+  struct attempt
+  {
+    request_id mRequest;
+    std::string mBackend;
+    std::uint64_t mNext = 0; ///< offset of the last token sent
+    bool mGenerates = false;
+    bool mPrefill = false;
+    instant mStartedAt{};
+    bool mOpen = true;
+    bool mMayHaveRun = true;
+    bool mNotSent = false;
+  };
+
+  static void Must(bool aHolds, const std::string& aText) { RequireInTest(aHolds, aText); }
+
+  void Apply(int aKind, std::uint32_t aFirst, std::uint32_t aSecond)
+  {
+    using cause = attempt_failed::cause;
+    constexpr std::array kCauses = {
+      cause::NotSent, cause::NotRun, cause::Rejected, cause::Interrupted, cause::Silent
+    };
+    const auto open = OpenAttempts();
+    const auto picked = open.empty() ? attempt_id{} : open[aFirst % open.size()];
+    switch (aKind) {
+      case 0:
+        return ArriveGeneration(aFirst, aSecond);
+      case 1:
+        return ArriveOrder(aFirst, aSecond);
+      case 2:
+      case 3:
+      case 4:
+        return SendToken(picked, aSecond);
+      case 5:
+        return FinishAttempt(picked);
+      case 6:
+      case 7:
+        if (picked.mValue != 0) {
+          EndAttempt(picked, kCauses[aSecond % kCauses.size()]);
+          mWorld.Fail(picked, kCauses[aSecond % kCauses.size()], 422);
+        }
+        return;
+      case 8:
+        return LateEvent(aFirst, aSecond);
+      case 9:
+        return Leave(aFirst);
+      case 10:
+        return ChangeState(aFirst, aSecond);
+      case 11:
+        mWorld.mClaims.mAvailable = aFirst % 4 != 0;
+        return mWorld.DecideClaims();
+      case 12:
+        mWorld.mLimits.mRaising = aFirst % 2 == 0;
+        return mWorld.Tick(static_cast<int>(aSecond % 6'000));
+      default:
+        return mWorld.Tick();
+    }
+  }
+
+  void ArriveGeneration(std::uint32_t aFirst, std::uint32_t aSecond)
+  {
+    caller next;
+    next.mBody =
+      serving_world::Generation(std::string(aSecond % 3 == 0 ? 40'000 : 20, 'x'), aFirst % 4 == 0);
+    if (aFirst % 5 == 0) {
+      next.mBody.mTimeLimit = std::chrono::milliseconds{ aSecond % 3'000 };
+    }
+    if (aFirst % 3 == 0 && !mTokens.empty()) {
+      const auto& [token, offset, body] = mTokens[aSecond % mTokens.size()];
+      next.mBody = body;
+      next.mBody.mResumeToken = token;
+      next.mFrom = next.mDelivered = offset;
+    }
+    Arrive(std::move(next));
+  }
+
+  void ArriveOrder(std::uint32_t aFirst, std::uint32_t aSecond)
+  {
+    constexpr std::array<const char*, 3> kPaths = { "/orders/1", "/bookings/1", "/desk/1" };
+    caller next;
+    next.mBody = serving_world::Order("key" + std::to_string(aSecond % 4),
+                                      aFirst % 7 == 0 ? "other" : "x",
+                                      kPaths[aFirst % kPaths.size()]);
+    if (aFirst % 3 == 2 && aSecond % 2 == 0) {
+      next.mBody.mIdempotencyKey.clear();
+    }
+    next.mOrder = !next.mBody.mIdempotencyKey.empty();
+    Arrive(std::move(next));
+  }
+
+  /// Sends the request with its number in it, which the engines see.
+  void Arrive(caller aCaller)
+  {
+    const auto number = std::to_string(mCallers.size() + 1);
+    auto body = aCaller.mBody;
+    if (auto* completion = std::get_if<completion_request>(&body.mOperation)) {
+      completion->mBody = number;
+    } else {
+      std::get<plain_request>(body.mOperation).mHeaders = { { "X-Number", number } };
+    }
+    mCallers.push_back(std::move(aCaller));
+    mWorld.Send(std::move(body));
+  }
+
+  void SendToken(attempt_id aAttempt, std::uint32_t aDetail)
+  {
+    if (aAttempt.mValue == 0 || !At(aAttempt).mGenerates || At(aAttempt).mPrefill) {
+      return;
+    }
+    auto& sender = At(aAttempt);
+    if (aDetail % 8 == 0 && sender.mNext > 0) {
+      mWorld.Token(aAttempt, 1 + aDetail % sender.mNext); // a duplicate
+    } else if (aDetail % 16 == 1) {
+      mWorld.Token(aAttempt, sender.mNext + 2); // a gap
+    } else {
+      mWorld.Token(aAttempt, ++sender.mNext);
+    }
+  }
+
+  void FinishAttempt(attempt_id aAttempt)
+  {
+    if (aAttempt.mValue == 0) {
+      return;
+    }
+    auto& sender = At(aAttempt);
+    sender.mOpen = false;
+    if (!sender.mGenerates) {
+      mWorld.Report(aAttempt, attempt_answered{ 200, {}, "done" });
+    } else {
+      attempt_generated end{ "stop", { 1, sender.mNext, 0 } };
+      if (sender.mPrefill) {
+        end.mKv = kv_source{ "10.0.0.9:1", "h" };
+      }
+      mWorld.Report(aAttempt, end);
+    }
+  }
+
+  /// The backend server's view of the failure, noted before serving hears of it.
+  void EndAttempt(attempt_id aAttempt, attempt_failed::cause aCause)
+  {
+    using cause = attempt_failed::cause;
+    auto& ended = At(aAttempt);
+    ended.mOpen = false;
+    ended.mNotSent = aCause == cause::NotSent;
+    const bool silentOrLost = aCause == cause::Interrupted || aCause == cause::Silent;
+    const auto& from = mCallers[ended.mRequest.mValue - 1];
+    ended.mMayHaveRun = silentOrLost || (ended.mGenerates && from.mDelivered > from.mFrom);
+  }
+
+  void LateEvent(std::uint32_t aFirst, std::uint32_t aSecond)
+  {
+    std::vector<attempt_id> closed;
+    for (const auto& [id, each] : mAttempts) {
+      if (!each.mOpen) {
+        closed.push_back({ id });
+      }
+    }
+    if (closed.empty()) {
+      return;
+    }
+    const auto picked = closed[aFirst % closed.size()];
+    const auto before = mWorld.mOut.size();
+    if (aSecond % 3 == 0) {
+      mWorld.Token(picked, At(picked).mNext + 1);
+    } else if (aSecond % 3 == 1) {
+      mWorld.Finish(picked);
+    } else {
+      mWorld.Fail(picked, attempt_failed::cause::Interrupted);
+    }
+    Must(mWorld.mOut.size() == before, "a late event has an effect");
+  }
+
+  void Leave(std::uint32_t aWhich)
+  {
+    if (!mCallers.empty()) {
+      const auto index = aWhich % mCallers.size();
+      mCallers[index].mGone = mCallers[index].mGone || mCallers[index].mEnds == 0;
+      mWorld.Gone({ index + 1 });
+    }
+  }
+
+  void ChangeState(std::uint32_t aWhich, std::uint32_t aState)
+  {
+    constexpr std::array kStates = { engine_status::Serving,  engine_status::Serving,
+                                     engine_status::Ramping,  engine_status::Draining,
+                                     engine_status::Changing, engine_status::Absent };
+    auto& views = aWhich % 3 == 0 ? mWorld.mFleet.mBackends : mWorld.mFleet.mEngines;
+    auto& view = views[(aWhich / 3) % views.size()];
+    view.mStatus = kStates[aState % kStates.size()];
+    view.mInFlightLimit = 1 + aState % 2;
+  }
+
+  /// Takes in the effects since the last call and checks them and the fakes.
+  void Check()
+  {
+    for (; mSeen < mWorld.mOut.size(); ++mSeen) {
+      std::visit([this](const auto& aEffect) { See(aEffect); }, mWorld.mOut[mSeen]);
+    }
+    std::map<std::string, int, std::less<>> open;
+    for (const auto& [id, each] : mAttempts) {
+      open[each.mBackend] += each.mOpen ? 1 : 0;
+    }
+    for (const auto& [name, count] : mWorld.mFleet.mOpen) {
+      Must(open[name] == count, "attempts at " + name + " are not paired");
+    }
+    Must(mWorld.mLimits.mHeld.size() >= OpenAttempts().size(), "an attempt runs without a ticket");
+    if (mWorld.mServing->Idle()) {
+      Must(mWorld.mLimits.mHeld.empty(), "a ticket is kept after the end");
+      Must(mWorld.mClaims.mGranted.empty(), "a claim is kept after the end");
+    }
+  }
+
+  template<class other>
+  void See(const other&)
+  {
+  }
+
+  void See(const start_attempt& aStart)
+  {
+    const auto* generate = std::get_if<generate_call>(&aStart.mCall);
+    const auto request = FindStarter(aStart);
+    auto& from = mCallers[request.mValue - 1];
+    Must(!from.mGone && from.mEnds == 0, "an attempt starts for a request that has ended");
+    if (generate != nullptr) {
+      Must(generate->mResumeFrom == from.mDelivered, "an attempt resumes at the wrong place");
+      Must(generate->mPriorText == (from.mFrom == 0 ? from.mText : ""), "the prior text differs");
+    }
+    if (from.mOrder) {
+      CheckOrder(request, aStart);
+    }
+    mAttempts[aStart.mAttempt.mValue] = { request,
+                                          aStart.mBackend,
+                                          from.mDelivered,
+                                          generate != nullptr,
+                                          generate != nullptr && generate->mPrefillOnly,
+                                          mWorld.mNow };
+  }
+
+  /// A request that may have run is never sent again, except to a backend server that knows its
+  /// key; a request is sent again only after an attempt of which no byte was sent.
+  void CheckOrder(request_id aRequest, const start_attempt& aStart)
+  {
+    const auto& body = mCallers[aRequest.mValue - 1].mBody;
+    const auto path = std::get<plain_request>(body.mOperation).mPath;
+    for (const auto& [id, each] : mAttempts) {
+      if (each.mRequest == aRequest) {
+        Must(each.mNotSent, "a non-idempotent request is sent twice");
+      }
+      const auto& other = mCallers[each.mRequest.mValue - 1].mBody;
+      if (each.mMayHaveRun && other.mIdempotencyKey == body.mIdempotencyKey && !each.mGenerates &&
+          std::get<plain_request>(other.mOperation).mPath == path) {
+        Must(path == "/bookings/1" && each.mBackend == aStart.mBackend, "a key is run twice");
+      }
+    }
+  }
+
+  static request_id FindStarter(const start_attempt& aStart)
+  {
+    const auto* generate = std::get_if<generate_call>(&aStart.mCall);
+    return { std::stoull(generate != nullptr
+                           ? generate->mBody
+                           : std::get<plain_call>(aStart.mCall).mHeaders.front().second) };
+  }
+
+  void See(const cancel_attempt& aCancel)
+  {
+    auto& cancelled = At(aCancel.mAttempt);
+    Must(cancelled.mOpen, "an attempt is cancelled that is not open");
+    // The outcome of what was sent is awaited for the time limit and 30 s more.
+    Must(!mCallers[cancelled.mRequest.mValue - 1].mOrder ||
+           mWorld.mNow - cancelled.mStartedAt >= std::chrono::seconds{ 30 },
+         "a non-idempotent request is cancelled");
+    cancelled.mOpen = false;
+  }
+
+  void See(const caller_tokens& aTokens)
+  {
+    auto& to = mCallers[aTokens.mRequest.mValue - 1];
+    Must(!to.mGone && to.mEnds == 0, "a token follows the end");
+    Must(aTokens.mOffset == ++to.mDelivered, "a token is skipped or repeated");
+    Must(aTokens.mText == "t" + std::to_string(aTokens.mOffset), "a token has another's text");
+    to.mText += aTokens.mText;
+    mTokens.emplace_back(aTokens.mResumeToken, aTokens.mOffset, to.mBody);
+  }
+
+  void See(const caller_completed& aCompleted) { SeeEnd(aCompleted.mRequest); }
+  void See(const caller_answered& aAnswered) { SeeEnd(aAnswered.mRequest); }
+  void See(const caller_error& aError)
+  {
+    SeeEnd(aError.mRequest);
+    for (const auto& [id, each] : mAttempts) {
+      Must(aError.mRun != run_state::NotRun || each.mRequest != aError.mRequest ||
+             !each.mMayHaveRun,
+           "a request that may have run is refused as not run");
+    }
+  }
+  void SeeEnd(request_id aRequest)
+  {
+    auto& ended = mCallers[aRequest.mValue - 1];
+    Must(!ended.mGone && ++ended.mEnds == 1, "a request ends twice");
+  }
+
+  /// Lets everything end and checks that it does.
+  void Drain()
+  {
+    for (auto* views : { &mWorld.mFleet.mEngines, &mWorld.mFleet.mBackends }) {
+      for (auto& view : *views) {
+        view.mStatus = engine_status::Serving;
+      }
+    }
+    for (int i = 0; i < 3'000 && !mWorld.mServing->Idle(); ++i) {
+      mWorld.DecideClaims();
+      Check();
+      for (const auto id : OpenAttempts()) {
+        FinishAttempt(id);
+        Check();
+      }
+      mWorld.Tick();
+      Check();
+    }
+    Must(mWorld.mServing->Idle(), "a request never ends");
+    for (const auto& each : mCallers) {
+      Must(each.mEnds == (each.mGone ? 0 : 1), "a request has no end");
+    }
+  }
+
+  std::vector<attempt_id> OpenAttempts() const
+  {
+    std::vector<attempt_id> open;
+    for (const auto& [id, each] : mAttempts) {
+      if (each.mOpen) {
+        open.push_back({ id });
+      }
+    }
+    return open;
+  }
+  attempt& At(attempt_id aAttempt) { return mAttempts.at(aAttempt.mValue); }
+
+  serving_world mWorld;
+  std::vector<caller> mCallers; ///< request n is at n - 1
+  std::map<std::uint64_t, attempt> mAttempts;
+  std::vector<std::tuple<std::string, std::uint64_t, caller_request>> mTokens;
+  std::size_t mSeen = 0;
+};
+
+} // namespace skylarkwind
--- a/packages/core/tests/serving_world.h
+++ b/packages/core/tests/serving_world.h
@@ -15,7 +15,7 @@
 
 /// Breaks a test from within a fake.
 inline void
-Require(bool aHolds, const std::string& aText)
+RequireInTest(bool aHolds, const std::string& aText)
 {
   if (!aHolds) {
     throw std::logic_error(aText);
@@ -23,7 +23,7 @@
 }
 
 /// Backend servers whose states a test sets directly.
-class fake_fleet final : public fleet
+class fake_backends final : public fleet
 {
 public:
   std::vector<engine_view> mEngines;
@@ -49,13 +49,13 @@
   std::string Explain(std::string_view) const override { return {}; }
   void OnAttemptStarted(std::string_view aName, instant) override
   {
-    Require(At(aName).Admits(), "an attempt goes to an engine that does not admit");
+    RequireInTest(At(aName).Admits(), "an attempt goes to an engine that does not admit");
     ++mOpen[std::string{ aName }];
     ++At(aName).mInFlight;
   }
   void OnAttemptEnded(std::string_view aName, bool aHealthy, instant) override
   {
-    Require(--mOpen[std::string{ aName }] >= 0, "an attempt ended that never started");
+    RequireInTest(--mOpen[std::string{ aName }] >= 0, "an attempt ended that never started");
     --At(aName).mInFlight;
     mHealth.push_back(aHealthy);
   }
@@ -71,7 +71,7 @@
 };
 
 /// Limits with a fixed number of tickets each; a name that is not listed always grants.
-class fake_limits final : public limit_shares
+class fake_shares final : public limit_shares
 {
 public:
   std::map<std::string, int> mLeft;
@@ -94,7 +94,7 @@
   void Release(limit_ticket aTicket, instant) override
   {
     const auto found = mHeld.find(aTicket.mNumber);
-    Require(found != mHeld.end(), "a ticket is released twice");
+    RequireInTest(found != mHeld.end(), "a ticket is released twice");
     for (const auto& limit : found->second) {
       mLeft.contains(limit) ? ++mLeft[limit] : 0;
     }
@@ -112,7 +112,7 @@
 };
 
 /// A claim store that decides when asked to, by what was recorded before.
-class fake_claims final : public order_claims
+class fake_claim_store final : public order_claims
 {
 public:
   enum class state
@@ -202,7 +202,7 @@
   entry& Settle(request_id aRequest)
   {
     const auto found = mGranted.find(aRequest);
-    Require(found != mGranted.end(), "a claim is settled that is not held");
+    RequireInTest(found != mGranted.end(), "a claim is settled that is not held");
     auto& settled = mEntries.at(found->second);
     mGranted.erase(found);
     return settled;
@@ -215,6 +215,8 @@
     {"name": "draft", "kind": "model", "time_limit_ms": 10000, "queue_limit": 4},
     {"name": "desk", "kind": "plain", "path_prefix": "/desk", "time_limit_ms": 10000},
     {"name": "orders", "kind": "plain", "path_prefix": "/orders", "non_idempotent": true,
+     "time_limit_ms": 10000},
+    {"name": "bookings", "kind": "plain", "path_prefix": "/bookings", "non_idempotent": true,
      "time_limit_ms": 10000}],
   "models": [{"name": "m", "service": "draft", "version": "1"}],
   "accounts": [
@@ -224,7 +226,11 @@
      "2222222222222222222222222222222222222222222222222222222222222222"}],
   "backends": [
     {"name": "b1", "address": "10.0.1.1:80", "data_centre": "a", "service": "orders"},
-    {"name": "b2", "address": "10.0.1.2:80", "data_centre": "a", "service": "orders",
+    {"name": "b2", "address": "10.0.1.2:80", "data_centre": "a", "service": "orders"},
+    {"name": "d1", "address": "10.0.1.3:80", "data_centre": "a", "service": "desk"},
+    {"name": "k1", "address": "10.0.1.4:80", "data_centre": "a", "service": "bookings",
+     "honours_keys": true},
+    {"name": "k2", "address": "10.0.1.5:80", "data_centre": "a", "service": "bookings",
      "honours_keys": true}]
 })";
 
@@ -232,9 +238,9 @@
 class serving_world
 {
 public:
-  fake_fleet mFleet;
-  fake_limits mLimits;
-  fake_claims mClaims;
+  fake_backends mFleet;
+  fake_shares mLimits;
+  fake_claim_store mClaims;
   counters mCounters;
   std::unique_ptr<serving> mServing;
   instant mNow{ std::chrono::seconds{ 100 } };
@@ -245,21 +251,18 @@
     for (int i = 1; i <= aEngines; ++i) {
       mFleet.mEngines.push_back(Engine("e" + std::to_string(i)));
     }
-    for (const auto* name : { "b1", "b2" }) {
-      auto view = Engine(name);
-      view.mService = "orders";
+    const auto rows = table::Parse(kWorldTable).value();
+    for (const auto& row : rows.Backends()) {
+      auto view = Engine(row.mName);
+      view.mService = row.mService;
       view.mModel = view.mVersion = "";
       mFleet.mBackends.push_back(view);
     }
-    auto desk = mFleet.mBackends.front();
-    desk.mName = "d1";
-    desk.mService = "desk";
-    mFleet.mBackends.push_back(desk);
     aSettings.mSelf = { "vm", 7 };
     aSettings.mDataCentre = "a";
     aSettings.mResumeKey = "key";
     mServing = serving::Create(aSettings, mFleet, mLimits, mClaims, mCounters).value();
-    mServing->OnTable(table::Parse(kWorldTable).value(), mNow);
+    mServing->OnTable(rows, mNow);
   }
 
   static engine_view Engine(std::string aName, engine_role aRole = engine_role::Both)
@@ -290,11 +293,13 @@
     body.mOperation = std::move(completion);
     return body;
   }
-  static caller_request Order(std::string aKey, std::string aBody = "x")
+  static caller_request Order(std::string aKey,
+                              std::string aBody = "x",
+                              std::string aPath = "/orders/1")
   {
     caller_request body;
     body.mApiKeySha256 = std::string(64, '1');
-    body.mOperation = plain_request{ "POST", "/orders/1", {}, std::move(aBody) };
+    body.mOperation = plain_request{ "POST", std::move(aPath), {}, std::move(aBody) };
     body.mIdempotencyKey = std::move(aKey);
     return body;
   }
@@ -363,7 +368,7 @@
   kind Last() const
   {
     const auto all = All<kind>();
-    Require(!all.empty(), "no such effect");
+    RequireInTest(!all.empty(), "no such effect");
     return all.back();
   }
 
