Check the authority over engines with generated schedules

It found that a lease object restored to name this process let it acquire at once beside the real holder, and that revisions of the fleet object could repeat after a restore; both are fixed.

--- a/packages/core/include/skylarkwind/lease.h
+++ b/packages/core/include/skylarkwind/lease.h
@@ -105,6 +105,7 @@
 
   bool mKnown = false; ///< the stored version below is the newest one as far as is known
   std::uint64_t mVersion = 0;
+  std::uint64_t mOwnVersion = 0; ///< the newest version that proved the own authority
   lease_record mStored;
   instant mFirstSeen; ///< when the current renewal counter was first seen
   std::optional<instant> mLastRead;
--- a/packages/core/src/control.cpp
+++ b/packages/core/src/control.cpp
@@ -274,7 +274,7 @@
   mStage = stage::Loading;
   // When the previous holder loaded a model is unknown.
   mNextLoad = aNow + mSettings.mLoadSpacing;
-  mRecord.Begin(aNow);
+  mRecord.Begin(mActingFencing, aNow);
 }
 
 void
--- a/packages/core/src/fleet_record.cpp
+++ b/packages/core/src/fleet_record.cpp
@@ -18,9 +18,10 @@
 }
 
 void
-fleet_record::Begin(instant aNow)
+fleet_record::Begin(std::uint64_t aFencing, instant aNow)
 {
   End();
+  mRevisionFloor = aFencing * kRevisionsPerAcquisition;
   mActive = true;
   mNextAt = aNow;
 }
@@ -50,7 +51,7 @@
   if (mDistributed) {
     base = std::max(base, mDistributed->mRevision);
   }
-  return base + 1;
+  return std::max(base, mRevisionFloor) + 1;
 }
 
 void
--- a/packages/core/src/fleet_record_p.h
+++ b/packages/core/src/fleet_record_p.h
@@ -11,6 +11,8 @@
 
 namespace skylarkwind {
 
+inline constexpr std::uint64_t kRevisionsPerAcquisition = 1'000'000;
+
 /// The holder's side of the platform object `fleet/<data centre>`. Its version is known by a read
 /// first; every write is a conditional update, one at a time, and a doubtful one is settled by a
 /// read.
@@ -27,8 +29,10 @@
 
   fleet_record(std::string aDataCentre, std::chrono::milliseconds aCallLimit);
 
-  /// Forgets everything and reads the object.
-  void Begin(instant aNow);
+  /// Forgets everything and reads the object. Revisions of an acquisition start above its fencing
+  /// number times `kRevisionsPerAcquisition`: after a restore of the platform, the newest copy may
+  /// be with a daemon out of reach, and its revisions must not be given out again.
+  void Begin(std::uint64_t aFencing, instant aNow);
   void End();
 
   /// Whether the object was read and nothing has displaced it since.
@@ -70,6 +74,7 @@
   bool mDirty = false;
   bool mDoubt = false; ///< `mWriting` may or may not be stored
   std::uint64_t mVersion = 0;
+  std::uint64_t mRevisionFloor = 0;
   fleet_object mStored;
   fleet_object mDraft;
   std::optional<fleet_object> mWriting;
--- a/packages/core/src/lease.cpp
+++ b/packages/core/src/lease.cpp
@@ -15,7 +15,7 @@
 
 /// A fencing number above this is taken for a fault of the engine that reports it: following it
 /// could make the count overflow.
-constexpr std::uint64_t kHighestFencing = std::uint64_t{ 1 } << 62U;
+constexpr std::uint64_t kHighestFencing = std::uint64_t{ 1 } << 40U;
 /// A release counts as seen in order only between two reads this close together. After a longer
 /// gap it may come from a platform that was restored to older data.
 constexpr milliseconds kReleaseSightGap{ 3'000 };
@@ -317,6 +317,7 @@
   if (over) {
     return;
   }
+  mOwnVersion = mVersion;
   mHeldFrom = mHeld && mFencing == aRecord.mFencing ? std::max(mHeldFrom, aSentAt) : aSentAt;
   mHeld = true;
   mFencing = aRecord.mFencing;
@@ -359,8 +360,9 @@
 instant
 lease::TakeoverAt() const
 {
-  // The object names this process, which no longer acts: no other daemon can hold the lease.
-  if (NamesSelf()) {
+  // The version is one that this process made, so no other daemon acquired the lease since. A
+  // record that only names this process proves nothing: a restore may have put it back.
+  if (NamesSelf() && mVersion == mOwnVersion) {
     return mFirstSeen;
   }
   const auto rank = std::min(Rank(), kMaxRankSteps);
--- /dev/null
+++ b/packages/core/tests/control_fakes.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "skylarkwind/control.h"
+#include "skylarkwind/lease.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Membership that the test sets.
+class fake_members final : public membership
+{
+public:
+  process_id mSelf;
+  daemon_location mLocation;
+  std::vector<member_update> mLive;
+
+  const process_id& Self() const override { return mSelf; }
+  const daemon_location& Location() const override { return mLocation; }
+  std::span<const member_update> Live() const override { return mLive; }
+  bool MayBeAlive(const process_id&) const override { return true; }
+  void SetDocuments(std::span<const document_version>) override {}
+  void OnTick(instant, effect_list&) override {}
+  bool OnPeerAsked(const peer_asked&, instant, effect_list&) override { return false; }
+  bool OnPeerAnswered(const peer_answered&, instant, effect_list&) override { return false; }
+  void OnVmList(const vm_list&, instant) override {}
+  void OnShutdown(instant, effect_list&) override {}
+  std::vector<seen_document> TakeSeenDocuments() override { return {}; }
+};
+
+/// Fleet whose views the test sets.
+class fake_fleet final : public fleet
+{
+public:
+  std::vector<engine_view> mViews;
+
+  std::span<const engine_view> Engines() const override { return mViews; }
+  std::span<const engine_view> Backends() const override { return {}; }
+  std::string Explain(std::string_view) const override { return {}; }
+  void OnAttemptStarted(std::string_view, instant) override {}
+  void OnAttemptEnded(std::string_view, bool, instant) override {}
+  void OnReport(const engine_report&, instant, effect_list&) override {}
+  void OnTable(const table&, instant, effect_list&) override {}
+  void OnFleetObject(std::string_view, const fleet_object&, instant, effect_list&) override {}
+  void OnVmList(const vm_list&, instant, effect_list&) override {}
+  void OnObserved(const engine_observed&, instant, effect_list&) override {}
+  void OnTick(instant, effect_list&) override {}
+};
+
+/// Planner that asks for the change that the test sets.
+class fake_plans final : public plan_source
+{
+public:
+  explicit fake_plans(std::optional<wanted_role>& aNext)
+    : mNext(aNext)
+  {
+  }
+  void OnReport(const engine_report&, instant) override {}
+  void OnQueued(std::string_view, std::uint64_t, std::uint64_t, instant) override {}
+  std::optional<wanted_role> Plan(std::span<const engine_view>,
+                                  const table&,
+                                  std::string_view,
+                                  instant) override
+  {
+    return mNext;
+  }
+
+private:
+  std::optional<wanted_role>& mNext;
+};
+
+/// The platform's objects with all their versions. Watches the lease's fencing numbers.
+class fake_platform
+{
+public:
+  struct stored
+  {
+    std::uint64_t mVersion = 0;
+    std::string mValue;
+  };
+  struct acquisition
+  {
+    process_id mHolder;
+    std::uint64_t mFencing = 0;
+    instant mAt;
+  };
+  std::map<object_key, std::vector<stored>> mObjects;
+  std::vector<acquisition> mAcquisitions;
+
+  /// `aBack` is the number of versions by which a read is stale.
+  platform_result Execute(const platform_operation& aOperation, std::size_t aBack, instant aNow)
+  {
+    if (const auto* read = std::get_if<read_object>(&aOperation)) {
+      const auto& versions = mObjects[read->mKey];
+      if (versions.size() <= aBack) {
+        return versions.empty() ? platform_result{ object_missing{} }
+                                : platform_result{ object_found{ versions.front().mVersion,
+                                                                 versions.front().mValue } };
+      }
+      const auto& at = versions[versions.size() - 1 - aBack];
+      return object_found{ at.mVersion, at.mValue };
+    }
+    const auto& write = std::get<write_object>(aOperation);
+    auto& versions = mObjects[write.mKey];
+    const auto version = versions.empty() ? 0 : versions.back().mVersion;
+    if (version != write.mExpectedVersion) {
+      return write_conflict{ version };
+    }
+    versions.push_back({ version + 1, write.mValue });
+    if (write.mKey.mKind == "lease") {
+      NoteLease(*lease_record::Parse(write.mValue), aNow);
+    }
+    return write_accepted{ version + 1 };
+  }
+
+  /// Puts back the content of up to `aBack` versions ago, as a restore from a backup does.
+  void Restore(std::size_t aBack)
+  {
+    for (auto& [key, versions] : mObjects) {
+      if (!versions.empty()) {
+        const auto old = versions[versions.size() - 1 - std::min(aBack, versions.size() - 1)];
+        versions.push_back({ versions.back().mVersion + 1, old.mValue });
+      }
+    }
+  }
+
+  const fleet_object& Fleet(const std::string& aDataCentre)
+  {
+    const auto& versions = mObjects[{ "fleet", aDataCentre }];
+    if (mParsed != versions.size()) {
+      mParsed = versions.size();
+      mFleet = *fleet_object::Parse(versions.back().mValue);
+    }
+    return mFleet;
+  }
+
+private:
+  std::size_t mParsed = 0; ///< number of versions when `mFleet` was read
+  fleet_object mFleet;
+
+  void NoteLease(const lease_record& aRecord, instant aNow)
+  {
+    const bool known = !mAcquisitions.empty() && mAcquisitions.back().mFencing == aRecord.mFencing;
+    if (!aRecord.mHolder.mVm.empty() && !known) {
+      mAcquisitions.push_back({ aRecord.mHolder, aRecord.mFencing, aNow });
+    }
+  }
+};
+
+/// An engine that follows the wire rules of docs/design.md 5.2 as far as it is told to. It does
+/// not refuse an order while it changes, so that a second order at once is a fault of the sender.
+struct fake_engine
+{
+  std::string mName;
+  bool mChecksFencing = true; ///< and the incarnation
+  bool mHonoursExpiry = true;
+  std::uint64_t mIncarnation = 1;
+  std::uint64_t mFencing = 0;
+  engine_role mRole = engine_role::Both;
+  std::string mVersion = "v1";
+  std::string mOrder;
+  instant mChangingUntil;
+  instant mDownUntil;
+  bool mWorking = true;     ///< requests are running
+  bool mLateChange = false; ///< the change in progress came from a late order
+  engine_role mNextRole = engine_role::Both;
+  std::string mNextVersion;
+
+  void Advance(instant aNow)
+  {
+    if (!mNextVersion.empty() && aNow >= mChangingUntil) {
+      mRole = mNextRole;
+      mVersion = std::exchange(mNextVersion, {});
+      mLateChange = false;
+    }
+  }
+  void Crash(instant aNow, std::chrono::milliseconds aDown)
+  {
+    ++mIncarnation;
+    mRole = engine_role::Both;
+    mNextVersion.clear();
+    mOrder.clear();
+    mLateChange = false;
+    mDownUntil = aNow + aDown;
+  }
+  bool Changing() const { return !mNextVersion.empty(); }
+  engine_order_result Take(const engine_order& aOrder, bool aExpired, instant aNow)
+  {
+    if (mChecksFencing && aOrder.mFencing < mFencing) {
+      return engine_order_result::StaleFencing;
+    }
+    if (mChecksFencing && aOrder.mIncarnation != mIncarnation) {
+      return engine_order_result::WrongIncarnation;
+    }
+    if (mHonoursExpiry && aExpired) {
+      return engine_order_result::Busy;
+    }
+    mFencing = std::max(mFencing, aOrder.mFencing);
+    mOrder = aOrder.mOrder;
+    mNextRole = aOrder.mRole;
+    mNextVersion = aOrder.mVersion;
+    mChangingUntil = aNow + std::chrono::seconds{ 4 };
+    return engine_order_result::Accepted;
+  }
+  engine_report Report() const
+  {
+    engine_report report;
+    report.mName = mName;
+    report.mIncarnation = mIncarnation;
+    report.mService = "s";
+    report.mRole = mRole;
+    report.mModel = "m";
+    report.mVersion = mVersion;
+    report.mActivity =
+      Changing() ? engine_report::activity::Changing : engine_report::activity::Ready;
+    report.mChecksFencing = mChecksFencing;
+    report.mFencing = mChecksFencing ? mFencing : 0;
+    report.mOrder = mOrder;
+    report.mRunning = mWorking ? 1 : 0;
+    return report;
+  }
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/tests/control_world.h
@@ -0,0 +1,597 @@
+#pragma once
+
+#include "control_fakes.h"
+#include "table_standin.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <deque>
+#include <functional>
+#include <sstream>
+#include <utility>
+
+namespace skylarkwind {
+
+enum class fault_kind
+{
+  PauseCore,
+  KillCore,
+  CutFromPlatform,
+  CutFromEngines,
+  Outage,
+  SlowPlatform,
+  LostReplies,
+  StaleReads,
+  Restore,
+  EngineCrash,
+  LateOrders,
+  LostOrderReplies,
+  LostOrders,
+  DrainStuck,
+  TableEdit,
+  EngineLeaves
+};
+inline constexpr int kFaultKinds = 16;
+
+/// One fault of a schedule. `mTarget` counts cores or engines, modulo their number; from
+/// `kBusiest` on it means the holder and the engine with an unsettled intent, if there is one.
+inline constexpr std::size_t kBusiest = 6;
+struct fault
+{
+  fault_kind mKind = fault_kind::PauseCore;
+  std::chrono::milliseconds mAt{ 0 };
+  std::chrono::milliseconds mLasts{ 0 };
+  std::size_t mTarget = 0;
+};
+
+struct world_settings
+{
+  std::size_t mCores = 3;
+  std::size_t mEngines = 3;
+  bool mChecksFencing = true;
+  bool mHonoursExpiry = true;
+  std::uint64_t mSeed = 1;
+  bool mWishes = true; ///< the planner asks for changes all the time
+};
+
+/// A few cores, the platform and engines of data centre "d" on one clock. Every rule that must
+/// hold at all times is checked at every step; breaches are collected in `mBreaches`.
+class control_world
+{
+public:
+  using ms = std::chrono::milliseconds;
+  static constexpr ms kStep{ 100 };
+
+  struct core
+  {
+    process_id mSelf;
+    fake_members mMembers;
+    fake_fleet mFleet;
+    std::optional<wanted_role> mWanted;
+    std::unique_ptr<control> mControl;
+    fleet_object mNewest;
+    std::deque<std::function<void(core&)>> mBacklog; ///< events that came during a pause
+    instant mPausedUntil;
+    instant mDeadUntil;
+    std::uint64_t mLastFencing = 0;
+  };
+
+  world_settings mSettings;
+  instant mNow{ std::chrono::seconds{ 1000 } };
+  fake_platform mPlatform;
+  std::vector<std::unique_ptr<core>> mCores;
+  std::vector<fake_engine> mEngines;
+  std::vector<std::string> mBreaches;
+  std::map<std::string, std::size_t> mSent; ///< orders by id
+  std::map<part, std::size_t> mPlatformCalls;
+  std::size_t mAccepted = 0;
+  std::size_t mNamedCases = 0; ///< late orders that an engine took after the lease had moved on
+  bool mQuiet = false;         ///< the planner asks for nothing more
+  std::string mVersion = "v1";
+  std::string mIntent = "serve";
+  std::map<fault_kind, std::map<std::size_t, instant>> mActive;
+
+  explicit control_world(world_settings aSettings)
+    : mSettings(aSettings)
+    , mRandom(aSettings.mSeed)
+  {
+    for (std::size_t i = 0; i < mSettings.mEngines; ++i) {
+      mEngines.emplace_back();
+      mEngines.back().mName = "e" + std::to_string(i);
+      mEngines.back().mChecksFencing = mSettings.mChecksFencing;
+      mEngines.back().mHonoursExpiry = mSettings.mHonoursExpiry;
+    }
+    for (std::size_t i = 0; i < mSettings.mCores; ++i) {
+      mCores.push_back(std::make_unique<core>());
+      Start(*mCores.back(), i, 1);
+    }
+  }
+
+  void Run(ms aTime)
+  {
+    for (const auto end = mNow + aTime; mNow < end;) {
+      Step();
+    }
+  }
+  bool RunUntil(const std::function<bool()>& aCondition, ms aLimit)
+  {
+    for (const auto end = mNow + aLimit; mNow < end && !aCondition();) {
+      Step();
+    }
+    return aCondition();
+  }
+
+  void Begin(const fault& aFault)
+  {
+    auto core = aFault.mTarget % mCores.size();
+    auto target = aFault.mTarget % mEngines.size();
+    for (std::size_t i = 0; i < mCores.size() && aFault.mTarget >= kBusiest; ++i) {
+      core = mCores[i].get() == Holder() ? i : core;
+    }
+    for (std::size_t i = 0; i < mEngines.size() && aFault.mTarget >= kBusiest; ++i) {
+      target = Intent(mEngines[i].mName) != nullptr ? i : target;
+    }
+    auto& engine = mEngines[target];
+    const auto until = mNow + aFault.mLasts;
+    switch (aFault.mKind) {
+      case fault_kind::PauseCore:
+        mCores[core]->mPausedUntil = until;
+        return;
+      case fault_kind::KillCore:
+        mCores[core]->mDeadUntil = until;
+        mCores[core]->mControl.reset();
+        return;
+      case fault_kind::EngineCrash:
+        engine.Crash(mNow, 2 * aFault.mLasts);
+        return;
+      case fault_kind::Restore:
+        mRestored = true;
+        mPlatform.Restore(1 + aFault.mTarget);
+        return;
+      case fault_kind::TableEdit:
+        mVersion = "v" + std::to_string(++mEdits + 1);
+        SpreadTable();
+        return;
+      case fault_kind::EngineLeaves:
+        mIntent = mIntent == "serve" ? "drain" : "serve";
+        SpreadTable();
+        return;
+      default:
+        mActive[aFault.mKind][core] = until;
+    }
+  }
+
+  core* Holder()
+  {
+    for (auto& each : mCores) {
+      if (each->mControl && each->mControl->HoldsLease(mNow)) {
+        return each.get();
+      }
+    }
+    return nullptr;
+  }
+  std::size_t Unsettled()
+  {
+    const auto& orders = mPlatform.Fleet("d").mOrders;
+    return static_cast<std::size_t>(
+      std::count_if(orders.begin(), orders.end(), [](const recorded_order& aOrder) {
+        return aOrder.mStage == recorded_order::stage::Intended;
+      }));
+  }
+  /// The unsettled order of an engine in the newest copy that the daemons have; a restored
+  /// platform may know an older one.
+  const recorded_order* Intent(std::string_view aEngine) const
+  {
+    for (const auto& order : mNewest.mOrders) {
+      if (order.mEngine == aEngine && order.mStage == recorded_order::stage::Intended) {
+        return &order;
+      }
+    }
+    return nullptr;
+  }
+  bool Audited(std::string_view aText)
+  {
+    const auto& audit = mPlatform.Fleet("d").mAudit;
+    return std::any_of(audit.begin(), audit.end(), [&](const std::string& aLine) {
+      return aLine.find(aText) != std::string::npos;
+    });
+  }
+  table Table() const
+  {
+    nlohmann::json json{ { "serial", mEdits + 1 },
+                         { "services", { { { "name", "s" } } } },
+                         { "models",
+                           { { { "name", "m" }, { "service", "s" }, { "version", mVersion } } } } };
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      nlohmann::json row{ { "name", mEngines[i].mName },
+                          { "address", "127.0.0.1:" + std::to_string(9000 + i) },
+                          { "data_centre", "d" },
+                          { "service", "s" },
+                          { "model", "m" },
+                          { "role", "both" },
+                          { "checks_fencing", mEngines[i].mChecksFencing } };
+      if (i == 0) {
+        row["intent"] = mIntent;
+      }
+      json["engines"].push_back(row);
+    }
+    return *table::Parse(json.dump());
+  }
+  void SpreadTable()
+  {
+    const auto newest = Table();
+    for (auto& each : mCores) {
+      ToCore(
+        *each, ms{ 300 }, [this, newest](core& aCore) { aCore.mControl->OnTable(newest, mNow); });
+    }
+  }
+  std::string Breaches() const
+  {
+    std::ostringstream text;
+    for (const auto& breach : mBreaches) {
+      text << breach << "\n";
+    }
+    return text.str();
+  }
+
+  void Step()
+  {
+    mNow += kStep;
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      const auto action = std::move(mQueue.begin()->second);
+      mQueue.erase(mQueue.begin());
+      action();
+    }
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      StepEngine(mEngines[i]);
+    }
+    for (std::size_t i = 0; i < mCores.size(); ++i) {
+      StepCore(i);
+    }
+    CheckHolders();
+  }
+
+private:
+  ms Upto(std::int64_t aMost) { return ms{ static_cast<std::int64_t>(mRandom() % aMost) }; }
+  bool Chance(unsigned aOneIn) { return mRandom() % aOneIn == 0; }
+  bool Active(fault_kind aKind, std::size_t aTarget)
+  {
+    return mActive[aKind].contains(aTarget) && mNow < mActive[aKind][aTarget];
+  }
+  bool Anywhere(fault_kind aKind)
+  {
+    return std::any_of(mActive[aKind].begin(), mActive[aKind].end(), [this](const auto& aEntry) {
+      return mNow < aEntry.second;
+    });
+  }
+  void At(ms aDelay, std::function<void()> aAction)
+  {
+    mQueue.emplace(mNow + aDelay, std::move(aAction));
+  }
+  void Breach(const std::string& aText)
+  {
+    mBreaches.push_back(std::to_string((mNow.time_since_epoch() / ms{ 1 }) - 1'000'000) +
+                        " ms: " + aText);
+  }
+
+  void Start(core& aCore, std::size_t aIndex, std::uint64_t aStartId)
+  {
+    aCore.mSelf = { "c" + std::to_string(aIndex), aStartId };
+    aCore.mMembers.mLive.clear();
+    for (std::size_t i = 0; i < mSettings.mCores; ++i) {
+      member_update member;
+      member.mProcess = { "c" + std::to_string(i), i == aIndex ? aStartId : 1 };
+      member.mLocation.mDataCentre = "d";
+      aCore.mMembers.mLive.push_back(member);
+    }
+    aCore.mFleet.mViews.resize(mEngines.size());
+    control_settings settings;
+    settings.mSelf = aCore.mSelf;
+    settings.mDataCentre = "d";
+    settings.mDrainLimit = ms{ 20'000 };
+    aCore.mLastFencing = 0;
+    aCore.mNewest = {};
+    aCore.mBacklog.clear();
+    aCore.mControl = *control::Create(
+      settings, aCore.mMembers, aCore.mFleet, std::make_unique<fake_plans>(aCore.mWanted));
+    aCore.mControl->OnTable(Table(), mNow);
+  }
+
+  /// Delivers an event after `aDelay`; a paused process gets it when it wakes.
+  void ToCore(core& aCore, ms aDelay, std::function<void(core&)> aEvent)
+  {
+    At(aDelay, [this, &aCore, self = aCore.mSelf, event = std::move(aEvent)] {
+      if (!aCore.mControl || aCore.mSelf != self) {
+        return;
+      }
+      if (mNow < aCore.mPausedUntil) {
+        aCore.mBacklog.push_back(event);
+      } else {
+        event(aCore);
+      }
+    });
+  }
+
+  void StepCore(std::size_t aIndex)
+  {
+    auto& core = *mCores[aIndex];
+    if (!core.mControl && mNow >= core.mDeadUntil) {
+      Start(core, aIndex, static_cast<std::uint64_t>(mNow.time_since_epoch() / ms{ 1 }));
+    }
+    if (!core.mControl || mNow < core.mPausedUntil) {
+      return;
+    }
+    // After a pause the driver may handle events before the first tick, or after it.
+    const bool tickFirst = Chance(2);
+    if (tickFirst) {
+      Tick(core, aIndex);
+    }
+    for (; !core.mBacklog.empty(); core.mBacklog.pop_front()) {
+      core.mBacklog.front()(core);
+    }
+    if (!tickFirst) {
+      Tick(core, aIndex);
+    }
+  }
+
+  void Tick(core& aCore, std::size_t aIndex)
+  {
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      auto& view = aCore.mFleet.mViews[i];
+      view.mName = mEngines[i].mName;
+      view.mDataCentre = "d";
+      view.mService = "s";
+      const auto& orders = aCore.mNewest.mOrders;
+      const bool ordered =
+        std::any_of(orders.begin(), orders.end(), [&](const recorded_order& aOrder) {
+          return aOrder.mEngine == view.mName && aOrder.mStage == recorded_order::stage::Intended;
+        });
+      view.mStatus = ordered ? engine_status::Drained : engine_status::Serving;
+    }
+    aCore.mWanted.reset();
+    if (mSettings.mWishes && !mQuiet && Chance(4)) {
+      aCore.mWanted = wanted_role{ mEngines[mRandom() % mEngines.size()].mName,
+                                   static_cast<engine_role>(mRandom() % 3),
+                                   "test" };
+    }
+    Gossip(aCore);
+    effect_list out;
+    aCore.mControl->OnTick(mNow, wall_instant{ mNow.time_since_epoch() / ms{ 1 } * ms{ 1 } }, out);
+    Carry(aCore, aIndex, out);
+  }
+
+  void Carry(core& aCore, std::size_t aIndex, const effect_list& aOut)
+  {
+    for (const auto& effect : aOut) {
+      if (const auto* call = std::get_if<call_platform>(&effect)) {
+        CarryCall(aCore, aIndex, *call);
+      } else if (const auto* observe = std::get_if<observe_engine>(&effect)) {
+        CarryObserve(aCore, aIndex, observe->mEngine);
+      } else if (const auto* order = std::get_if<send_engine_order>(&effect)) {
+        CarryOrder(aCore, aIndex, *order);
+      }
+    }
+    while (const auto written = aCore.mControl->TakeWritten()) {
+      // A copy that no living daemon has is lost with a restore of the platform.
+      const bool known = std::any_of(mCores.begin(), mCores.end(), [&](const auto& aEach) {
+        return aEach->mControl && aEach->mNewest.mRevision >= written->mRevision;
+      });
+      if (known) {
+        Breach("revision " + std::to_string(written->mRevision) + " is not new");
+      }
+      mNewest = *written;
+      Inform(aCore, *written);
+    }
+  }
+
+  void Inform(core& aCore, const fleet_object& aObject)
+  {
+    if (aObject.mRevision > aCore.mNewest.mRevision) {
+      aCore.mNewest = aObject;
+      aCore.mControl->OnFleetObject(aObject, mNow);
+    }
+  }
+
+  /// A daemon pulls a newer fleet object from a peer whose probe shows one.
+  void Gossip(core& aCore)
+  {
+    const auto& peer = *mCores[mRandom() % mCores.size()];
+    if (peer.mControl && mNow >= peer.mPausedUntil &&
+        peer.mNewest.mRevision > aCore.mNewest.mRevision) {
+      ToCore(aCore, ms{ 100 }, [this, object = peer.mNewest](core& aTo) { Inform(aTo, object); });
+    }
+  }
+
+  void CarryCall(core& aCore, std::size_t aIndex, const call_platform& aCall)
+  {
+    ++mPlatformCalls[aCall.mCall.mPart];
+    const auto reply = [this, &aCore, aIndex, id = aCall.mCall](ms aDelay,
+                                                                platform_result aResult) {
+      ToCore(aCore, aDelay, [this, aIndex, id, aResult](core& aTo) {
+        effect_list out;
+        aTo.mControl->OnPlatformReply({ id, aResult }, mNow, out);
+        Carry(aTo, aIndex, out);
+      });
+    };
+    if (Active(fault_kind::CutFromPlatform, aIndex)) {
+      reply(ms{ 1'000 }, platform_no_answer{ "cut off" });
+      return;
+    }
+    if (Anywhere(fault_kind::Outage)) {
+      reply(ms{ 100 }, platform_refused{ "outage" });
+      return;
+    }
+    const bool slow = Anywhere(fault_kind::SlowPlatform);
+    const ms there = slow ? Upto(6'000) : Upto(60);
+    const bool lost = Anywhere(fault_kind::LostReplies) && Chance(2);
+    const ms back = slow ? Upto(2'000) : Upto(60);
+    const bool late = there + back > ms{ 1'500 };
+    if (lost || late) {
+      // The driver's time limit passes first; the write may still take effect later.
+      reply(ms{ 1'500 }, platform_no_answer{ "no reply in time" });
+    }
+    At(there, [this, reply, back, answer = !lost && !late, operation = aCall.mOperation] {
+      const auto stale = Anywhere(fault_kind::StaleReads) && Chance(2) ? mRandom() % 4 : 0;
+      const auto result = mPlatform.Execute(operation, stale, mNow);
+      if (answer) {
+        reply(back, result);
+      }
+    });
+  }
+
+  fake_engine& Engine(const std::string& aName)
+  {
+    return *std::find_if(mEngines.begin(), mEngines.end(), [&](const fake_engine& aEngine) {
+      return aEngine.mName == aName;
+    });
+  }
+
+  void CarryObserve(core& aCore, std::size_t aIndex, const std::string& aEngine)
+  {
+    At(Upto(100), [this, &aCore, aIndex, aEngine, asked = mNow] {
+      auto& engine = Engine(aEngine);
+      engine_observed observed{ aEngine, std::nullopt, asked };
+      const bool reached = mNow >= engine.mDownUntil && !Active(fault_kind::CutFromEngines, aIndex);
+      if (reached) {
+        observed.mReport = engine.Report();
+      }
+      ToCore(aCore, reached ? Upto(100) : ms{ 1'000 }, [this, aIndex, observed](core& aTo) {
+        effect_list out;
+        aTo.mControl->OnObserved(observed, mNow, out);
+        Carry(aTo, aIndex, out);
+      });
+    });
+  }
+
+  void CarryOrder(core& aCore, std::size_t aIndex, const send_engine_order& aSend)
+  {
+    const auto& order = aSend.mOrder;
+    if (++mSent[order.mOrder] > 1) {
+      Breach("order " + order.mOrder + " is sent twice");
+    }
+    const auto* intent = Intent(aSend.mEngine);
+    if (intent == nullptr || intent->mOrder != order.mOrder) {
+      Breach("order " + order.mOrder + " is sent without its recorded intent");
+    }
+    if (!aCore.mControl->HoldsLease(mNow)) {
+      Breach("order " + order.mOrder + " is sent without the lease");
+    }
+    const auto answer = [this, &aCore, aIndex, aSend](ms aDelay, engine_order_result aResult) {
+      ToCore(aCore, aDelay, [this, aIndex, aSend, aResult](core& aTo) {
+        effect_list out;
+        aTo.mControl->OnOrderAnswered({ aSend.mEngine, aSend.mOrder.mOrder, aResult }, mNow, out);
+        Carry(aTo, aIndex, out);
+      });
+    };
+    if (Anywhere(fault_kind::LostOrders) && Chance(2)) {
+      answer(ms{ 1'000 }, engine_order_result::NoAnswer);
+      return;
+    }
+    // A late order left the driver's check of mNotAfter behind and is held up after it.
+    const bool held = Anywhere(fault_kind::LateOrders) && Chance(2);
+    const ms there = held ? Upto(60'000) : Upto(200);
+    if (there > ms{ 1'000 }) {
+      answer(ms{ 1'000 }, engine_order_result::NoAnswer);
+    }
+    At(there, [this, answer, aSend, there, aIndex, sentAt = mNow] {
+      auto& engine = Engine(aSend.mEngine);
+      if (mNow < engine.mDownUntil || Active(fault_kind::CutFromEngines, aIndex)) {
+        answer(ms{ 1'000 }, engine_order_result::NoAnswer);
+        return;
+      }
+      const auto result = Arrive(engine, aSend, sentAt);
+      const bool lost = Anywhere(fault_kind::LostOrderReplies) && Chance(2);
+      if (there <= ms{ 1'000 }) {
+        answer(lost ? ms{ 1'000 } : Upto(100), lost ? engine_order_result::NoAnswer : result);
+      }
+    });
+  }
+
+  engine_order_result Arrive(fake_engine& aEngine, const send_engine_order& aSend, instant aSentAt)
+  {
+    const auto& order = aSend.mOrder;
+    const bool expired = mNow > aSend.mNotAfter;
+    const bool changing = aEngine.Changing();
+    const auto result = aEngine.Take(order, expired, mNow);
+    if (result != engine_order_result::Accepted) {
+      return result;
+    }
+    ++mAccepted;
+    const auto& all = mPlatform.mAcquisitions;
+    const auto successor =
+      std::find_if(all.begin(), all.end(), [&](const fake_platform::acquisition& aEach) {
+        return aEach.mFencing > order.mFencing && aEach.mAt <= mNow;
+      });
+    // The case that docs/authority.md names: the order was held up past the end of its sender's
+    // authority, and the engine has no means to tell.
+    const bool named = expired && !aEngine.mHonoursExpiry;
+    if (successor != all.end()) {
+      mNamedCases += named ? 1 : 0;
+      if (!named) {
+        Breach("engine " + aEngine.mName + " took order " + order.mOrder +
+               " after the lease was taken over");
+      }
+    }
+    // Such an order meets another change or running work only after it was waited out.
+    const ms waitOut{ aEngine.mChecksFencing ? 4'000 : 13'000 };
+    const bool waitedOut = named && mNow - aSentAt > waitOut;
+    if (changing && !waitedOut && !aEngine.mLateChange) {
+      Breach("engine " + aEngine.mName + " got order " + order.mOrder + " while it changed");
+    }
+    if (aEngine.mWorking && !waitedOut) {
+      Breach("order " + order.mOrder + " interrupted the work of engine " + aEngine.mName);
+    }
+    aEngine.mLateChange = waitedOut;
+    return result;
+  }
+
+  /// Work ends some time after the intent: first the daemons must learn of it, then their
+  /// requests run out.
+  void StepEngine(fake_engine& aEngine)
+  {
+    aEngine.Advance(mNow);
+    auto& since = mIntendedSince[aEngine.mName];
+    if (Intent(aEngine.mName) == nullptr) {
+      since.reset();
+      aEngine.mWorking = true;
+      return;
+    }
+    if (!since) {
+      since = mNow + ms{ 2'500 } + Upto(3'000);
+    }
+    if (mNow < *since && Anywhere(fault_kind::DrainStuck)) {
+      *since += kStep;
+    }
+    aEngine.mWorking = mNow < *since;
+  }
+
+  void CheckHolders()
+  {
+    std::size_t holders = 0;
+    for (auto& each : mCores) {
+      if (!each->mControl || !each->mControl->HoldsLease(mNow)) {
+        continue;
+      }
+      ++holders;
+      const auto fencing = each->mControl->Fencing();
+      if (fencing < each->mLastFencing || (fencing < mHighest && !mRestored)) {
+        Breach("the fencing number fell to " + std::to_string(fencing));
+      }
+      each->mLastFencing = fencing;
+      mHighest = std::max(mHighest, fencing);
+    }
+    if (holders > 1) {
+      Breach("two cores hold the lease");
+    }
+  }
+
+  std::mt19937_64 mRandom;
+  std::multimap<instant, std::function<void()>> mQueue;
+  std::map<std::string, std::optional<instant>> mIntendedSince;
+  fleet_object mNewest; ///< the newest fleet object that a core reported as written
+  std::uint64_t mHighest = 0;
+  std::uint64_t mEdits = 0;
+  bool mRestored = false;
+};
+
+} // namespace skylarkwind
