Test limit shares over generated schedules

Cause: the rule of the limit has to hold through lost and late writes, partitions and restarts. Demand grows threefold a write from 4, so that a use of 50 is reached after three writes.

--- a/packages/core/src/order_claims_impl_p.h
+++ b/packages/core/src/order_claims_impl_p.h
@@ -111,7 +111,7 @@
   std::map<std::uint32_t, claim_shard> mShards;
   std::map<std::uint64_t, open_operation> mOpen;
   std::unordered_map<std::uint64_t, std::uint64_t> mAsked; ///< peer call -> operation
-  std::map<request_id, open_operation> mGranted;
+  std::unordered_map<request_id, open_operation> mGranted;
   std::vector<claim_decision> mDecisions;
   std::vector<open_operation> mBeforeFirstTick;
   std::uint64_t mLastNumber = 0;
--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -77,7 +77,7 @@
   if (mCall == call_kind::Write || mDoubtVersion) {
     slot.LowerFloor(0, aNow); // The write was built without this slot.
   }
-  auto& placed = mSlots.emplace(aName, std::move(tracked)).first->second;
+  auto& placed = mSlots.emplace(aName, tracked).first->second;
   UpdateSlot(aName, placed, aNow);
   return placed.mSlot;
 }
--- a/packages/core/src/share_slot.cpp
+++ b/packages/core/src/share_slot.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr std::uint64_t kFirstHeadroom = 2;
+// From nothing, a daemon reaches a use of 50 with three writes.
+constexpr std::uint64_t kFirstHeadroom = 4;
+constexpr std::uint64_t kHeadroomGrowth = 3;
 
 double
 Seconds(std::chrono::nanoseconds aDuration)
@@ -112,7 +114,7 @@
     mHeadroom = std::max(kFirstHeadroom, UnitsUsed() / 4);
     mHeadroomAt = aNow;
   } else if (aNow - mHeadroomAt >= mTiming.mWritePeriod) {
-    mHeadroom = std::min(mHeadroom * 2, mLimit);
+    mHeadroom = std::min(mHeadroom * kHeadroomGrowth, mLimit);
     mHeadroomAt = aNow;
   }
 }
--- /dev/null
+++ b/packages/core/tests/limit_cluster.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "fake_membership.h"
+#include "fake_platform.h"
+#include "limit_shares_impl_p.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Several daemons' limit shares around one platform in virtual time, with requests that hold a
+/// limit for a while.
+class limit_cluster
+{
+public:
+  struct core
+  {
+    std::string mVm;
+    std::uint64_t mStartId = 0;
+    std::unique_ptr<fake_membership> mMembers;
+    std::unique_ptr<limit_shares_impl> mShares; ///< empty while the process is down
+    bool mCutOff = false;
+    std::uint64_t mInFlight = 0;
+    std::uint64_t mGranted = 0;
+    std::uint64_t mDenied = 0;
+  };
+
+  limit_cluster(std::uint64_t aSeed, std::size_t aCores, limit_shares_settings aSettings)
+    : mTime{ aSeed }
+    , mPlatform{ mTime }
+    , mSettings{ std::move(aSettings) }
+    , mCores(aCores)
+  {
+    for (std::size_t i = 0; i < aCores; ++i) {
+      mCores[i].mVm = "vm" + std::to_string(i);
+      Start(i);
+    }
+  }
+
+  limit_cluster(const limit_cluster&) = delete;
+  limit_cluster& operator=(const limit_cluster&) = delete;
+
+  simulated_time mTime;
+  fake_platform mPlatform;
+  limit_shares_settings mSettings;
+  std::vector<core> mCores;
+  std::vector<limit_row> mRows;
+  std::uint64_t mSerial = 0;
+
+  void Start(std::size_t aCore)
+  {
+    auto& core = mCores[aCore];
+    if (core.mShares) {
+      return;
+    }
+    auto settings = mSettings;
+    settings.mSelf = { core.mVm, ++core.mStartId };
+    settings.mRandomSeed = mTime.Below(1'000'000);
+    core.mMembers = std::make_unique<fake_membership>(settings.mSelf, Live());
+    core.mShares = std::make_unique<limit_shares_impl>(settings, *core.mMembers);
+    core.mShares->SetLimits(mSerial, mRows, mTime.Now());
+  }
+
+  void Kill(std::size_t aCore)
+  {
+    auto& core = mCores[aCore];
+    core.mShares.reset();
+    core.mInFlight = 0;
+    for (auto& other : mCores) {
+      other.mMembers->mDead.emplace_back(core.mVm, core.mStartId);
+    }
+  }
+
+  /// Brings a table to the cores, each after a random time up to `aSpread`.
+  void SetLimits(std::vector<limit_row> aRows, std::chrono::milliseconds aSpread)
+  {
+    mRows = std::move(aRows);
+    ++mSerial;
+    for (std::size_t i = 0; i < mCores.size(); ++i) {
+      mTime.After(mTime.UpTo(aSpread), [this, i, rows = mRows, serial = mSerial] {
+        if (mCores[i].mShares && serial == std::max(serial, mSerial)) {
+          mCores[i].mShares->SetLimits(serial, rows, mTime.Now());
+        }
+      });
+    }
+  }
+
+  /// One request of a caller that takes all limits for `aLength`.
+  bool Request(std::size_t aCore,
+               const std::vector<std::string>& aLimits,
+               std::chrono::nanoseconds aLength)
+  {
+    auto& core = mCores[aCore];
+    if (!core.mShares) {
+      return false;
+    }
+    const instant ends = mTime.Now() + aLength;
+    const auto decision = core.mShares->TryAcquire(aLimits, ends, mTime.Now());
+    const auto* ticket = std::get_if<limit_ticket>(&decision);
+    if (ticket == nullptr) {
+      ++core.mDenied;
+      return false;
+    }
+    ++core.mGranted;
+    ++core.mInFlight;
+    mTime.After(aLength, [this, aCore, held = *ticket, startId = core.mStartId] {
+      auto& holder = mCores[aCore];
+      if (holder.mShares && holder.mStartId == startId) {
+        holder.mShares->Release(held, mTime.Now());
+        --holder.mInFlight;
+      }
+    });
+    return true;
+  }
+
+  /// Moves time on by one tick of the driver.
+  void Tick()
+  {
+    mTime.RunUntil(mTime.Now() + std::chrono::milliseconds{ 20 });
+    for (std::size_t i = 0; i < mCores.size(); ++i) {
+      if (mCores[i].mShares) {
+        effect_list effects;
+        mCores[i].mShares->OnTick(mTime.Now(), effects);
+        Carry(i, effects);
+      }
+    }
+    if (++mTicks % 50 == 0) {
+      SpreadVmList();
+    }
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    for (const instant end = mTime.Now() + aTime; mTime.Now() < end;) {
+      Tick();
+    }
+  }
+
+  void Carry(std::size_t aCore, const effect_list& aEffects)
+  {
+    for (const auto& effect : aEffects) {
+      if (const auto* call = std::get_if<call_platform>(&effect)) {
+        mPlatform.Call(*call,
+                       mCores[aCore].mCutOff,
+                       [this, aCore, startId = mCores[aCore].mStartId](const auto& aReply) {
+                         auto& core = mCores[aCore];
+                         if (core.mShares && core.mStartId == startId) {
+                           effect_list effects;
+                           core.mShares->OnPlatformReply(aReply, mTime.Now(), effects);
+                           Carry(aCore, effects);
+                         }
+                       });
+      }
+    }
+  }
+
+  std::uint64_t InFlight() const
+  {
+    std::uint64_t sum = 0;
+    for (const auto& core : mCores) {
+      sum += core.mInFlight;
+    }
+    return sum;
+  }
+
+  share_object Stored(std::uint32_t aShard) const
+  {
+    const std::string value = mPlatform.Value({ "shares", std::to_string(aShard) });
+    return value.empty() ? share_object{} : *share_object::Parse(value);
+  }
+
+private:
+  std::vector<member_update> Live() const
+  {
+    std::vector<member_update> live;
+    for (const auto& core : mCores) {
+      live.push_back({ { core.mVm, core.mStartId } });
+    }
+    return live;
+  }
+
+  /// The VM list holds the VMs with a running process; cores that are cut off do not see it.
+  void SpreadVmList()
+  {
+    vm_list list;
+    for (const auto& core : mCores) {
+      if (core.mShares) {
+        list.mVms.push_back({ core.mVm });
+      }
+    }
+    for (auto& core : mCores) {
+      if (core.mShares && !core.mCutOff && !mPlatform.mFaults.mOutage) {
+        core.mShares->OnVmList(list, mTime.Now());
+      }
+    }
+  }
+
+  std::uint64_t mTicks = 0;
+};
+
+} // namespace skylarkwind
