--- a/packages/core/tests/limit_schedules_test.cpp
+++ b/packages/core/tests/limit_schedules_test.cpp
@@ -103,8 +103,7 @@
 private:
   void SetLimit(std::uint64_t aLimit, milliseconds aSpread)
   {
-    mCluster.SetLimits({ { "account/a", { aLimit, 0 } }, { "account/r", { 0, kRate } } },
-                       aSpread);
+    mCluster.SetLimits({ { "account/a", { aLimit, 0 } }, { "account/r", { 0, kRate } } }, aSpread);
   }
 
   void Load(milliseconds aTime)
