--- a/packages/core/src/holder_watch_p.h
+++ b/packages/core/src/holder_watch_p.h
@@ -34,9 +34,15 @@
   }
 
   bool Expired(std::string_view aVm, instant aNow) const
+  {
+    return UnchangedFor(aVm, aNow) > mTerm + kDriftMargin;
+  }
+
+  /// Time since the present start id and renewal counter of a VM's entry were first seen.
+  std::chrono::nanoseconds UnchangedFor(std::string_view aVm, instant aNow) const
   {
     const auto seen = mSeen.find(aVm);
-    return seen != mSeen.end() && aNow - seen->second.mFirstSeen > mTerm + kDriftMargin;
+    return seen == mSeen.end() ? std::chrono::nanoseconds{ 0 } : aNow - seen->second.mFirstSeen;
   }
 
 private:
--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -179,8 +179,14 @@
 bool
 share_shard::Removable(std::string_view aVm, instant aNow) const
 {
-  return aVm != mContext.mSettings.mSelf.mVm &&
-         (mContext.mVms.Gone(aVm) || mWatch.Expired(aVm, aNow));
+  if (aVm == mContext.mSettings.mSelf.mVm) {
+    return false;
+  }
+  // A VM that returns writes its entry before it is back in the list, so the entry must also have
+  // been unchanged for the time that the lists were without the VM.
+  const bool gone =
+    mContext.mVms.Gone(aVm) && mWatch.UnchangedFor(aVm, aNow) >= mContext.mSettings.mVmGoneAfter;
+  return gone || mWatch.Expired(aVm, aNow);
 }
 
 const share_holder*
