--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -15,6 +15,10 @@
 /// Daemons that can read a shard every write period before the platform's reads run short.
 constexpr std::size_t kDaemonsPerReadPeriod = 32;
 constexpr std::size_t kLongestReadPeriods = 10;
+/// Daemons that can write all shards every write period before the platform's several hundred
+/// writes a second run short (50 daemons with 16 busy shards write 800/s at most).
+constexpr std::size_t kDaemonsPerWritePeriod = 50;
+constexpr std::size_t kLongestWritePeriods = 7;
 
 share_slot::timing
 SlotTiming(const limit_shares_settings& aSettings)
@@ -288,6 +292,14 @@
   }
 }
 
+std::chrono::nanoseconds
+share_shard::WritePeriod() const
+{
+  const std::size_t live = mContext.mMembers->Live().size();
+  return mContext.mSettings.mWritePeriod *
+         std::clamp<std::size_t>(live / kDaemonsPerWritePeriod, 1, kLongestWritePeriods);
+}
+
 std::chrono::nanoseconds
 share_shard::ReadPeriod() const
 {
--- a/packages/core/src/share_shard_calls.cpp
+++ b/packages/core/src/share_shard_calls.cpp
@@ -171,7 +171,7 @@
     mRenewSoon = false;
     mTermEnd = std::max(mTermEnd, mSent.mSentAt + mContext.mSettings.mShareTerm);
     Learn(std::move(mSent.mObject), accepted->mVersion, aNow);
-    mNextWrite = aNow + mContext.mSettings.mWritePeriod;
+    mNextWrite = aNow + WritePeriod();
     ScheduleRead(aNow);
     ScheduleRenewal(aNow);
   } else if (std::holds_alternative<write_conflict>(aResult) && wrote) {
--- a/packages/core/src/share_shard_p.h
+++ b/packages/core/src/share_shard_p.h
@@ -139,6 +139,7 @@
   void DropIdleSlots(instant aNow);
   void ScheduleRead(instant aNow);
   void ScheduleRenewal(instant aNow);
+  std::chrono::nanoseconds WritePeriod() const;
   std::chrono::nanoseconds ReadPeriod() const;
 
   share_context& mContext;
--- a/packages/core/src/share_slot.cpp
+++ b/packages/core/src/share_slot.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// From nothing, a daemon reaches a use of 50 with three writes.
-constexpr std::uint64_t kFirstHeadroom = 4;
-constexpr std::uint64_t kHeadroomGrowth = 3;
+/// Asked for by a daemon that uses nothing yet.
+constexpr std::uint64_t kFirstHeadroom = 8;
 
 double
 Seconds(std::chrono::nanoseconds aDuration)
@@ -110,12 +109,17 @@
 {
   Roll(aNow);
   mDeniedAt = aNow;
+  const std::uint64_t used = UnitsUsed();
   if (mHeadroom == 0) {
-    mHeadroom = std::max(kFirstHeadroom, UnitsUsed() / 4);
+    mHeadroom = used == 0 ? kFirstHeadroom : std::max<std::uint64_t>(1, used / 4);
     mHeadroomAt = aNow;
-  } else if (aNow - mHeadroomAt >= mTiming.mWritePeriod) {
-    mHeadroom = std::min(mHeadroom * kHeadroomGrowth, mLimit);
+    mAsked = used + mHeadroom;
+  } else if (aNow - mHeadroomAt >= mTiming.mWritePeriod && mAmount >= mAsked) {
+    // Only a fulfilled wish that was not enough grows, because wishes keep others from using
+    // what is free.
+    mHeadroom = std::min(mHeadroom * 2, mLimit);
     mHeadroomAt = aNow;
+    mAsked = std::min(mLimit, used + mHeadroom);
   }
 }
 
--- a/packages/core/src/share_slot_p.h
+++ b/packages/core/src/share_slot_p.h
@@ -91,6 +91,7 @@
   std::uint64_t mPreviousPeak = 0;
   std::uint64_t mHeadroom = 0; ///< asked for above the use; 0 when nothing was denied lately
   instant mHeadroomAt;
+  std::uint64_t mAsked = 0; ///< target when the headroom was set
   instant mDeniedAt;
 };
 
--- a/packages/core/tests/limit_cluster.h
+++ b/packages/core/tests/limit_cluster.h
@@ -2,7 +2,7 @@
 
 #include "fake_membership.h"
 #include "fake_platform.h"
-#include "limit_shares_impl_p.h"
+#include "../src/limit_shares_impl_p.h"
 
 #include <memory>
 #include <string>
