--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -15,6 +15,10 @@
 /// Daemons that can read a shard every write period before the platform's reads run short.
 constexpr std::size_t kDaemonsPerReadPeriod = 32;
 constexpr std::size_t kLongestReadPeriods = 10;
+/// Daemons that can write all shards every write period before the platform's several hundred
+/// writes a second run short (50 daemons with 16 busy shards write 800/s at most).
+constexpr std::size_t kDaemonsPerWritePeriod = 50;
+constexpr std::size_t kLongestWritePeriods = 7;
 
 share_slot::timing
 SlotTiming(const limit_shares_settings& aSettings)
@@ -77,7 +81,7 @@
   if (mCall == call_kind::Write || mDoubtVersion) {
     slot.LowerFloor(0, aNow); // The write was built without this slot.
   }
-  auto& placed = mSlots.emplace(aName, std::move(tracked)).first->second;
+  auto& placed = mSlots.emplace(aName, tracked).first->second;
   UpdateSlot(aName, placed, aNow);
   return placed.mSlot;
 }
@@ -179,8 +183,14 @@
 bool
 share_shard::Removable(std::string_view aVm, instant aNow) const
 {
-  return aVm != mContext.mSettings.mSelf.mVm &&
-         (mContext.mVms.Gone(aVm) || mWatch.Expired(aVm, aNow));
+  if (aVm == mContext.mSettings.mSelf.mVm) {
+    return false;
+  }
+  // A VM that returns writes its entry before it is back in the list, so the entry must also have
+  // been unchanged for the time that the lists were without the VM.
+  const bool gone =
+    mContext.mVms.Gone(aVm) && mWatch.UnchangedFor(aVm, aNow) >= mContext.mSettings.mVmGoneAfter;
+  return gone || mWatch.Expired(aVm, aNow);
 }
 
 const share_holder*
@@ -282,6 +292,14 @@
   }
 }
 
+std::chrono::nanoseconds
+share_shard::WritePeriod() const
+{
+  const std::size_t live = mContext.mMembers->Live().size();
+  return mContext.mSettings.mWritePeriod *
+         std::clamp<std::size_t>(live / kDaemonsPerWritePeriod, 1, kLongestWritePeriods);
+}
+
 std::chrono::nanoseconds
 share_shard::ReadPeriod() const
 {
--- a/packages/core/tests/fake_fleet.h
+++ b/packages/core/tests/document_cluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fake_platform.h"
+#include "document_platform.h"
 #include "skylarkwind/distribution.h"
 #include "skylarkwind/membership.h"
 
@@ -21,7 +21,7 @@
 /// Daemons (membership and distribution) joined by a fake network and a fake platform, in
 /// simulated time. Whatever must hold at every moment is checked after each event; the first
 /// failure is kept in `mViolation`.
-class fake_fleet
+class document_cluster
 {
 public:
   using ms = std::chrono::milliseconds;
@@ -40,7 +40,7 @@
     bool Runs() const { return mMembers != nullptr; }
   };
 
-  explicit fake_fleet(std::uint64_t aSeed)
+  explicit document_cluster(std::uint64_t aSeed)
     : mRandom(aSeed)
     , mSeed(aSeed)
   {
@@ -264,7 +264,7 @@
   }
 
   std::vector<daemon> mDaemons;
-  fake_platform mPlatform;
+  document_platform mPlatform;
   instant mNow{ std::chrono::seconds{ 1 } };
   std::string mViolation;
   std::map<std::string, std::uint64_t> mNewest; ///< highest version ever written
--- a/packages/core/tests/documents_schedule_test.cpp
+++ b/packages/core/tests/documents_schedule_test.cpp
@@ -1,4 +1,4 @@
-#include "fake_fleet.h"
+#include "document_cluster.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -80,7 +80,7 @@
 }
 
 void
-CutOff(fake_fleet& aFleet, const std::string& aDataCentre)
+CutOff(document_cluster& aFleet, const std::string& aDataCentre)
 {
   for (std::size_t i = 0; i < aFleet.mDaemons.size(); ++i) {
     for (std::size_t j = 0; j < aFleet.mDaemons.size(); ++j) {
@@ -93,7 +93,7 @@
 }
 
 void
-Apply(fake_fleet& aFleet, const step& aStep)
+Apply(document_cluster& aFleet, const step& aStep)
 {
   const auto which = aStep.mWhich % aFleet.mDaemons.size();
   const auto other = aStep.mOther % aFleet.mDaemons.size();
@@ -153,7 +153,7 @@
 }
 
 void
-Heal(fake_fleet& aFleet)
+Heal(document_cluster& aFleet)
 {
   aFleet.mCuts.clear();
   aFleet.mLossPercent = 0;
@@ -171,7 +171,7 @@
 /// Whether the newest versions come into force everywhere within the limit: those of the table and
 /// of fleet objects whose data centre has a live daemon, or those of the other fleet objects.
 bool
-ComeIntoForce(fake_fleet& aFleet, bool aWithDaemon, seconds aLimit)
+ComeIntoForce(document_cluster& aFleet, bool aWithDaemon, seconds aLimit)
 {
   std::map<std::string, std::uint64_t> newest;
   if (aWithDaemon) {
@@ -236,7 +236,7 @@
       const auto size = *Full(rc::gen::inRange<std::size_t>(2, 10));
       const auto seed = *Full(rc::gen::arbitrary<std::uint32_t>());
       const auto steps = *rc::gen::container<std::vector<step>>(AnyStep());
-      fake_fleet fleet{ seed };
+      document_cluster fleet{ seed };
       for (std::size_t i = 0; i < size; ++i) {
         fleet.Add(std::string(1, static_cast<char>('a' + i % 3)));
       }
