--- a/examples/limit_shares_bench.cpp
+++ b/examples/limit_shares_bench.cpp
@@ -49,7 +49,7 @@
   }
   virtual ~variant() = default;
   virtual simulated_time& Time() = 0;
-  virtual fake_platform* Platform() { return nullptr; }
+  virtual object_platform* Platform() { return nullptr; }
   /// Starts a request if it may start now.
   virtual bool Request(std::size_t aCore, std::chrono::nanoseconds aLength) = 0;
   virtual void Tick() = 0;
@@ -70,7 +70,7 @@
     mCluster.SetLimits({ { "account/a", { kLimit, 0 } } }, milliseconds{ 0 });
   }
   simulated_time& Time() override { return mCluster.mTime; }
-  fake_platform* Platform() override { return &mCluster.mPlatform; }
+  object_platform* Platform() override { return &mCluster.mPlatform; }
   bool Request(std::size_t aCore, std::chrono::nanoseconds aLength) override
   {
     return mCluster.Request(aCore, { "account/a" }, aLength);
@@ -135,7 +135,7 @@
   {
   }
   simulated_time& Time() override { return mTime; }
-  fake_platform* Platform() override { return &mPlatform; }
+  object_platform* Platform() override { return &mPlatform; }
   /// The request starts when the counter was raised, within its patience.
   bool Request(std::size_t aCore, std::chrono::nanoseconds aLength) override
   {
@@ -236,7 +236,7 @@
   }
 
   simulated_time mTime;
-  fake_platform mPlatform;
+  object_platform mPlatform;
   std::vector<daemon> mDaemons;
   std::uint64_t mInFlight = 0;
 };
--- a/packages/core/tests/fake_platform.h
+++ b/packages/core/tests/document_platform.h
@@ -13,7 +13,7 @@
 
 /// The platform's object API in simulated time, with outages, stale reads and restores of older
 /// data.
-class fake_platform
+class document_platform
 {
 public:
   struct stored
--- a/packages/links/tests/links_test.cpp
+++ b/packages/links/tests/links_test.cpp
@@ -51,16 +51,19 @@
   CPPUNIT_TEST(EndsWithOpenConnections);
   CPPUNIT_TEST_SUITE_END();
 
-  kj::AsyncIoContext mContext = kj::setupAsyncIo();
+public:
+  void setUp() override { mContext = std::make_unique<kj::AsyncIoContext>(kj::setupAsyncIo()); }
+  void tearDown() override { mContext.reset(); }
 
+private:
   /// Turns the loop until the end has an event of this kind; fails after five seconds.
   template<class kind>
   kind Wait(link_end& aEnd)
   {
-    auto& timer = mContext.provider->getTimer();
+    auto& timer = mContext->provider->getTimer();
     const auto limit = timer.now() + 5 * kj::SECONDS;
     while (aEnd.mEvents.empty() && timer.now() < limit) {
-      timer.afterDelay(1 * kj::MILLISECONDS).wait(mContext.waitScope);
+      timer.afterDelay(1 * kj::MILLISECONDS).wait(mContext->waitScope);
     }
     CPPUNIT_ASSERT(!aEnd.mEvents.empty());
     auto event = std::move(aEnd.mEvents.front());
@@ -92,8 +95,8 @@
   /// Guards against a field that is lost on the wire.
   void CarriesEveryMessageAndReply()
   {
-    link_end one{ mContext, kCredential };
-    link_end two{ mContext, kCredential };
+    link_end one{ *mContext, kCredential };
+    link_end two{ *mContext, kCredential };
     const std::vector<member_update> updates{ Member("entry-3", 5), Member("entry-4", 6) };
     const std::vector<document_version> documents{ { "table", 9 } };
 
@@ -132,8 +135,8 @@
   /// Guards against a stranger who pushes a table to the daemons.
   void RefusesAWrongCredential()
   {
-    link_end stranger{ mContext, "another-credential-value" };
-    link_end two{ mContext, kCredential };
+    link_end stranger{ *mContext, "another-credential-value" };
+    link_end two{ *mContext, kCredential };
     Send(stranger, two.Address(), pull_document{ "table", 0 });
     CPPUNIT_ASSERT(!Wait<peer_answered>(stranger).mReply.has_value());
     CPPUNIT_ASSERT(two.mEvents.empty());
@@ -144,16 +147,16 @@
   /// Guards against a call that is never settled because its peer is gone or silent.
   void AnswersOnceWhenNobodyListensOrAnswers()
   {
-    link_end one{ mContext, kCredential };
+    link_end one{ *mContext, kCredential };
     std::string address;
     {
-      link_end gone{ mContext, kCredential };
+      link_end gone{ *mContext, kCredential };
       address = gone.Address();
     }
     Send(one, address, pull_document{ "table", 0 });
     CPPUNIT_ASSERT(!Wait<peer_answered>(one).mReply.has_value());
 
-    link_end silent{ mContext, kCredential };
+    link_end silent{ *mContext, kCredential };
     Send(one, silent.Address(), pull_document{ "table", 0 });
     const auto asked = Wait<peer_asked>(silent);
     CPPUNIT_ASSERT(!Wait<peer_answered>(one).mReply.has_value());
@@ -166,17 +169,18 @@
   /// system of a connection was destroyed after its network.
   void EndsWithOpenConnections()
   {
-    link_end one{ mContext, kCredential };
+    link_end one{ *mContext, kCredential };
     {
-      link_end two{ mContext, kCredential };
+      link_end two{ *mContext, kCredential };
       const auto reply = Exchange(one, two, pull_document{ "table", 0 }, document_reply{});
       CPPUNIT_ASSERT(reply.has_value());
     }
     // The other end has gone; the next call fails and a new listener is not confused with it.
-    link_end three{ mContext, kCredential };
+    link_end three{ *mContext, kCredential };
     CPPUNIT_ASSERT(Exchange(one, three, pull_document{ "table", 0 }, document_reply{}).has_value());
   }
 
+  std::unique_ptr<kj::AsyncIoContext> mContext;
   peer_message mReceived;
 };
 
