--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/log.h"
 
 #include <array>
+#include <atomic>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
@@ -59,6 +60,10 @@
   return out;
 }
 
+/// Checked before a record is opened: Boost.Log's own filters run before the values of a record are
+/// added and would never see its level.
+std::atomic<log_level> sLeastLevel{ log_level::Info };
+
 void
 FormatRecord(log_format aFormat, const blog::record_view& aRecord, blog::formatting_ostream& aOut)
 {
@@ -93,11 +98,7 @@
     [format](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
       FormatRecord(format, aRecord, aOut);
     });
-  const auto least = aSettings.mLevel;
-  frontend->set_filter([least](const blog::attribute_value_set& aValues) {
-    const auto level = blog::extract<log_level>("Level", aValues);
-    return level && level.get() >= least;
-  });
+  sLeastLevel = aSettings.mLevel;
   blog::core::get()->add_sink(frontend);
   blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
 }
@@ -105,6 +106,9 @@
 void
 Log(log_level aLevel, std::string_view aPrefix, std::string_view aText)
 {
+  if (aLevel < sLeastLevel) {
+    return;
+  }
   static thread_local blog::sources::logger sLogger;
   BOOST_LOG(sLogger) << blog::add_value("Level", aLevel)
                      << blog::add_value("Prefix", std::string{ aPrefix }) << aText;
--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -1,8 +1,12 @@
 #include "skylarkwind/counters.h"
 #include "skylarkwind/hash.h"
+#include "skylarkwind/log.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <iostream>
+#include <sstream>
+
 namespace skylarkwind {
 
 class base_test : public CppUnit::TestFixture
@@ -10,6 +14,7 @@
   CPPUNIT_TEST_SUITE(base_test);
   CPPUNIT_TEST(HashesMatchPublishedVectors);
   CPPUNIT_TEST(CountersPrintPrometheusText);
+  CPPUNIT_TEST(LogWritesWhatIsAtOrAboveItsLevel);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a wrong digest, which would lock out every account.
@@ -37,6 +42,22 @@
                                       "requests_total{service=\"a\"} 2\n" },
                          registry.PrometheusText());
   }
+
+  /// Guards against a log that drops every line: a filter on the level once ran before the level
+  /// was part of the record.
+  void LogWritesWhatIsAtOrAboveItsLevel()
+  {
+    std::ostringstream captured;
+    auto* before = std::clog.rdbuf(captured.rdbuf());
+    StartLog({ log_level::Info, log_format::JsonLines });
+    Log(log_level::Debug, "part", "hidden");
+    Log(log_level::Warning, "part", "a \"quoted\" line");
+    std::clog.rdbuf(before);
+    const auto text = captured.str();
+    CPPUNIT_ASSERT(text.find("hidden") == std::string::npos);
+    CPPUNIT_ASSERT(text.find(R"("level":"warning","part":"part","text":"a \"quoted\" line"})") !=
+                   std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(base_test);
--- a/packages/daemon/include/skylarkwind/settings.h
+++ b/packages/daemon/include/skylarkwind/settings.h
@@ -33,6 +33,7 @@
   caller_settings mCallers;
   std::string mPlatformAddress;
   std::string mPlatformCredential;
+  std::string mLinkAddress; ///< ip:port where this daemon listens for other daemons
   std::string mPeerCredential;
   std::string mOperatorCredentialSha256;
   std::chrono::milliseconds mShutdownLimit{ 300'000 };
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -12,6 +12,7 @@
 
 #include <csignal>
 #include <deque>
+#include <iostream>
 #include <utility>
 
 namespace skylarkwind {
@@ -92,6 +93,8 @@
       mTasks.add(mContext.unixEventPort.onSignal(signal).then(
         [this](siginfo_t) { Post(shutdown_requested{}); }));
     }
+    const auto ip = mSettings.mCallers.mAddress.substr(0, mSettings.mCallers.mAddress.rfind(':'));
+    std::cout << "listening on " << ip << ':' << mFront->Port() << std::endl;
     Log(log_level::Info, "daemon", mSettings.mNode.mSelf.mVm + " started");
     mEnded.promise.wait(mContext.waitScope);
     Log(log_level::Info, "daemon", mSettings.mNode.mSelf.mVm + " ended");
@@ -109,7 +112,7 @@
   absl::Status StartListeners(const std::function<void(event)>& aSink)
   {
     links_settings linkSettings;
-    linkSettings.mAddress = mSettings.mNode.mLocation.mAddress;
+    linkSettings.mAddress = mSettings.mLinkAddress;
     linkSettings.mCredential = mSettings.mPeerCredential;
     auto links = peer_links::Create(std::move(linkSettings), mContext, mCounters, aSink);
     if (!links.ok()) {
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -245,6 +245,12 @@
         [](auto& aIn) -> auto& { return aIn.mNode.mMembership.mSeeds; }, IsAddress) });
   aOut.push_back(
     { { "links.address", kAddressText, "Where this daemon listens for other daemons.", true },
+      ReadAddress([](auto& aIn) -> auto& { return aIn.mLinkAddress; }) });
+  aOut.push_back(
+    { { "links.advertise",
+        kAddressText,
+        "Address at which other daemons reach this one, if it differs from links.address.",
+        false },
       ReadAddress([](auto& aIn) -> auto& { return aIn.mNode.mLocation.mAddress; }) });
   aOut.push_back({ { "links.credential",
                      kSecretText,
@@ -330,6 +336,12 @@
   aOut.push_back(Milliseconds(
     "membership.probe_period_ms", "Time between two probes of other daemons.", 20, 60'000, [
     ](auto& aIn) -> auto& { return aIn.mNode.mMembership.mProbePeriod; }));
+  aOut.push_back(Milliseconds(
+    "membership.probe_time_limit_ms",
+    "Time limit of one probe; a period must hold three.",
+    5,
+    20'000,
+    [](auto& aIn) -> auto& { return aIn.mNode.mMembership.mProbeTimeLimit; }));
   aOut.push_back(Milliseconds(
     "membership.suspicion_ms",
     "Time between the suspicion and the death of a member.",
@@ -441,6 +453,12 @@
           node.mDataCentres.end()) {
       Add(mRead["data_centres"], "data_centres", "a list that contains data_centre");
     }
+    const auto& members = node.mMembership;
+    if (members.mProbePeriod < 3 * members.mProbeTimeLimit) {
+      Add(mRead["membership.probe_period_ms"],
+          "membership.probe_period_ms",
+          "at least three times membership.probe_time_limit_ms");
+    }
     const auto& lease = node.mControl;
     if (lease.mLeaseRenewEvery >= lease.mLeaseStopAfter) {
       Add(mRead["lease.renew_every_ms"], "lease.renew_every_ms", "less than lease.stop_after_ms");
@@ -531,6 +549,9 @@
   if (!problems.empty()) {
     return problems;
   }
+  if (settings.mNode.mLocation.mAddress.empty()) {
+    settings.mNode.mLocation.mAddress = settings.mLinkAddress;
+  }
   return settings;
 }
 
