Clear the lint findings in the adapters and test doubles

Cause: clang-tidy reported forward declarations of Pistache, vectors grown in loops, string concatenations and a defaulted comparison that it takes for a null pointer. Change: fixed; the forward declaration carries a NOLINT for Pistache's own name.

--- a/packages/engine/tests/engine_client_test.cpp
+++ b/packages/engine/tests/engine_client_test.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 namespace skylarkwind {
 
@@ -229,7 +230,7 @@
     std::cout << " seed " << kSeed << ' ';
     std::mt19937 random{ kSeed };
     auto engine = Engine({ "--max_batch=64", "--decode_tokens_per_s=20000" });
-    std::map<attempt_id, ended_attempt> open;
+    std::unordered_map<attempt_id, ended_attempt> open;
     std::map<std::uint64_t, std::set<std::string>> texts;
     std::size_t whole = 0;
     std::size_t cancelled = 0;
--- a/packages/net/include/skylarkwind/http_client.h
+++ b/packages/net/include/skylarkwind/http_client.h
@@ -5,7 +5,6 @@
 #include <kj/timer.h>
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -70,7 +69,8 @@
 struct http_call
 {
   std::uint64_t mNumber = 0;
-  auto operator<=>(const http_call&) const = default;
+  bool operator==(const http_call&) const = default;
+  bool operator<(const http_call& aOther) const { return mNumber < aOther.mNumber; }
 };
 
 struct http_callbacks
--- a/packages/net/src/http_transfer.cpp
+++ b/packages/net/src/http_transfer.cpp
@@ -157,7 +157,8 @@
     }
     hasType = hasType || EqualIgnoringCase(name, "Content-Type");
     // A header without value is written with a semicolon; a colon would remove it.
-    auto line = value.empty() ? name + ";" : name + ": " + value;
+    auto line = name;
+    line.append(value.empty() ? ";" : ": ").append(value);
     mHeaderLines = curl_slist_append(mHeaderLines, line.c_str());
   }
   // Waiting for "100 Continue" would add a round trip, or a second at peers that ignore it.
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -89,7 +89,9 @@
 
   void Spawn(const std::string& aProgram, const std::vector<std::string>& aArguments, int aOutput)
   {
-    std::vector<char*> arguments{ const_cast<char*>(aProgram.c_str()) };
+    std::vector<char*> arguments;
+    arguments.reserve(aArguments.size() + 2);
+    arguments.push_back(const_cast<char*>(aProgram.c_str()));
     for (const auto& argument : aArguments) {
       arguments.push_back(const_cast<char*>(argument.c_str()));
     }
@@ -100,6 +102,7 @@
       variables.emplace_back(*variable);
     }
     std::vector<char*> environment;
+    environment.reserve(variables.size() + 1);
     for (auto& variable : variables) {
       environment.push_back(variable.data());
     }
@@ -136,7 +139,8 @@
       char part[256];
       ssize_t count = poll(&ready, 1, kLimitMs) == 1 ? read(mOutput, part, sizeof(part)) : 0;
       if (count <= 0) {
-        throw std::runtime_error(aProgram + " is not listening; it printed: " + output);
+        output.insert(0, " is not listening; it printed: ");
+        throw std::runtime_error(aProgram + output);
       }
       output.append(part, static_cast<std::size_t>(count));
       auto start = output.find(mark);
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace Pistache::Tcp {
+namespace Pistache::Tcp { // NOLINT(readability-identifier-naming)
 class Peer;
 }
 
--- a/standins/standin_service_main.cpp
+++ b/standins/standin_service_main.cpp
@@ -23,7 +23,8 @@
   void OnRequest(const standin_request& aRequest, standin_reply aReply) override
   {
     if (aRequest.mPath == "/standin/runs") {
-      aReply.Send(200, json{ { "runs", mRuns } }.dump());
+      aReply.Send(200,
+                  json{ { "runs", mRuns } }.dump(-1, ' ', false, json::error_handler_t::replace));
     } else if (aRequest.mPath == "/standin/faults" && aRequest.mMethod == "POST") {
       SetFaults(json::parse(aRequest.mBody));
       aReply.Send(200, "{}");
