End calls at the limit between bytes when it is the shorter one

Cause: a check of a call's deadline was scheduled for the first-byte limit and not moved when the first byte came, so a stream that stalled was reported up to that limit too late. Under load http_client_test::SilentPeerEndsTheCall ended with 'the call did not end' in scripts/check. Change: the check moves forward with the deadline; both tests of silence now bound the time.

--- a/packages/engine/tests/engine_client_test.cpp
+++ b/packages/engine/tests/engine_client_test.cpp
@@ -202,8 +202,10 @@
   {
     auto engine = Engine();
     mLoop->Post(engine->Url("/standin/faults"), R"({"freeze_streams":true})");
-    mProgressLimit = 300ms;
+    mProgressLimit = 300ms; // well below the limit for the first byte
+    auto before = std::chrono::steady_clock::now();
     CPPUNIT_ASSERT(Failed(*engine, Generation("s")).mCause == attempt_failed::cause::Silent);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before < 20s);
     CPPUNIT_ASSERT(Observe(*engine));
   }
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -69,6 +69,7 @@
   void Arm(kj::TimePoint aTime);
   void OnWake(kj::TimePoint aArmedFor);
   void EndOverdue(kj::TimePoint aNow);
+  void MoveCheck(http_transfer& aTransfer);
   void CollectEnded();
   void Deliver();
   void DeliverEnd(http_call aCall);
@@ -158,6 +159,7 @@
     transfer->SetEnded(CURLE_FAILED_INIT);
     deadline = Now();
   }
+  transfer->SetCheckAt(deadline);
   mChecks.emplace(deadline, call);
   mTransfers.emplace(call.mNumber, std::move(transfer));
   Arm(deadline);
@@ -278,6 +280,7 @@
     if (transfer.Ended()) {
       DeliverEnd(call);
     } else if (transfer.Deadline() > aNow) {
+      transfer.SetCheckAt(transfer.Deadline());
       mChecks.emplace(transfer.Deadline(), call);
     } else {
       // Idle connections to this peer may be silent as well; they leave the pool within mMaxIdle.
@@ -322,6 +325,19 @@
   return kj::evalLater([this]() { return Drain(); });
 }
 
+/// The limit between bytes may end before the one for the first byte would have.
+void
+curl_client::MoveCheck(http_transfer& aTransfer)
+{
+  if (aTransfer.Deadline() >= aTransfer.CheckAt()) {
+    return;
+  }
+  mChecks.erase({ aTransfer.CheckAt(), aTransfer.Call() });
+  aTransfer.SetCheckAt(aTransfer.Deadline());
+  mChecks.emplace(aTransfer.Deadline(), aTransfer.Call());
+  Arm(aTransfer.Deadline());
+}
+
 void
 curl_client::CollectEnded()
 {
@@ -347,6 +363,7 @@
     if (found == mTransfers.end()) {
       continue;
     }
+    MoveCheck(*found->second);
     auto data = found->second->TakeStreamed();
     if (!data.empty()) {
       auto onBody = found->second->Callbacks().mOnBody;
--- a/packages/net/src/http_transfer.cpp
+++ b/packages/net/src/http_transfer.cpp
@@ -68,6 +68,7 @@
   , mMaxBodyBytes(aSettings.mMaxBodyBytes)
   , mEasy(curl_easy_init())
   , mDeadline(After(mRequest.mFirstProgressLimit))
+  , mCheckAt(mDeadline)
 {
   SetOptions(aSettings);
   SetMethod();
@@ -230,6 +231,9 @@
 http_transfer::Progressed()
 {
   mDeadline = After(mRequest.mProgressLimit);
+  if (mDeadline < mCheckAt) {
+    Touch();
+  }
 }
 
 std::string
--- a/packages/net/src/http_transfer_p.h
+++ b/packages/net/src/http_transfer_p.h
@@ -32,6 +32,9 @@
 
   /// When the call ends as silent unless bytes arrive before.
   kj::TimePoint Deadline() const { return mDeadline; }
+  /// When the client looks at the deadline next.
+  kj::TimePoint CheckAt() const { return mCheckAt; }
+  void SetCheckAt(kj::TimePoint aTime) { mCheckAt = aTime; }
   /// Body that was read since the last call, empty when it is collected instead.
   std::string TakeStreamed();
   int Status() const { return mResult.mStatus; }
@@ -66,6 +69,7 @@
   CURL* mEasy;
   curl_slist* mHeaderLines = nullptr;
   kj::TimePoint mDeadline;
+  kj::TimePoint mCheckAt;
   http_result mResult;
   std::string mStreamed;
   int mWrites = 0; ///< how often libcurl was about to write the request
--- a/packages/net/tests/http_client_test.cpp
+++ b/packages/net/tests/http_client_test.cpp
@@ -117,7 +117,9 @@
     CPPUNIT_ASSERT_EQUAL(0, silent.mStatus);
     request = patient;
     request.mProgressLimit = 200ms;
+    auto before = std::chrono::steady_clock::now();
     auto stalled = mLoop->Run(request);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before < request.mFirstProgressLimit);
     CPPUNIT_ASSERT(stalled.mEnd == http_end::Silent);
     CPPUNIT_ASSERT_EQUAL(200, stalled.mStatus);
     CPPUNIT_ASSERT_EQUAL(2, server.Connections());
