--- a/packages/engine/tests/engine_client_test.cpp
+++ b/packages/engine/tests/engine_client_test.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 namespace skylarkwind {
 
@@ -201,8 +202,10 @@
   {
     auto engine = Engine();
     mLoop->Post(engine->Url("/standin/faults"), R"({"freeze_streams":true})");
-    mProgressLimit = 300ms;
+    mProgressLimit = 300ms; // well below the limit for the first byte
+    auto before = std::chrono::steady_clock::now();
     CPPUNIT_ASSERT(Failed(*engine, Generation("s")).mCause == attempt_failed::cause::Silent);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before < 20s);
     CPPUNIT_ASSERT(Observe(*engine));
   }
 
@@ -229,7 +232,7 @@
     std::cout << " seed " << kSeed << ' ';
     std::mt19937 random{ kSeed };
     auto engine = Engine({ "--max_batch=64", "--decode_tokens_per_s=20000" });
-    std::map<attempt_id, ended_attempt> open;
+    std::unordered_map<attempt_id, ended_attempt> open;
     std::map<std::uint64_t, std::set<std::string>> texts;
     std::size_t whole = 0;
     std::size_t cancelled = 0;
--- a/packages/net/src/http_transfer.cpp
+++ b/packages/net/src/http_transfer.cpp
@@ -68,6 +68,7 @@
   , mMaxBodyBytes(aSettings.mMaxBodyBytes)
   , mEasy(curl_easy_init())
   , mDeadline(After(mRequest.mFirstProgressLimit))
+  , mCheckAt(mDeadline)
 {
   SetOptions(aSettings);
   SetMethod();
@@ -157,7 +158,8 @@
     }
     hasType = hasType || EqualIgnoringCase(name, "Content-Type");
     // A header without value is written with a semicolon; a colon would remove it.
-    auto line = value.empty() ? name + ";" : name + ": " + value;
+    auto line = name;
+    line.append(value.empty() ? ";" : ": ").append(value);
     mHeaderLines = curl_slist_append(mHeaderLines, line.c_str());
   }
   // Waiting for "100 Continue" would add a round trip, or a second at peers that ignore it.
@@ -229,6 +231,9 @@
 http_transfer::Progressed()
 {
   mDeadline = After(mRequest.mProgressLimit);
+  if (mDeadline < mCheckAt) {
+    Touch();
+  }
 }
 
 std::string
