--- a/packages/core/src/distribution_platform.cpp
+++ b/packages/core/src/distribution_platform.cpp
@@ -167,7 +167,9 @@
 distribution_core::OnMissing(document_state& aState, instant aNow, effect_list& aOut)
 {
   aState.mObjectVersion = 0;
-  aState.mNextCallAt = aNow + kMissingPeriod / 2 + Jitter(kMissingPeriod);
+  if (IsOwn(aState)) {
+    aState.mNextCallAt = aNow + kMissingPeriod / 2 + Jitter(kMissingPeriod);
+  }
   if (aState.mCurrent) {
     NoteBehind(aState, true, aOut);
   }
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -97,7 +97,7 @@
 membership_core::SetOwn(member_state aState, std::uint64_t aRefutation, instant aNow)
 {
   mList.Merge({ mSettings.mSelf, mSettings.mLocation, aRefutation, aState }, aNow);
-  mQueue.Add(mSettings.mSelf.mVm);
+  mQueue.Add(mSettings.mSelf.mVm, aNow);
 }
 
 void
@@ -115,14 +115,14 @@
     known != nullptr && known->mProcess == aUpdate.mProcess && IsLive(known->mState);
   switch (mList.Merge(aUpdate, aNow)) {
     case member_list::merge_result::Changed:
-      mQueue.Add(aUpdate.mProcess.mVm);
+      mQueue.Add(aUpdate.mProcess.mVm, aNow);
       OnChanged(aUpdate, wasLive, aNow, aOut);
       break;
     case member_list::merge_result::Stale:
       // The sender believes that a process lives which is known to have ended: tell it again.
       if (IsLive(aUpdate.mState) && !mList.MayBeAlive(aUpdate.mProcess) &&
           !mQueue.Contains(aUpdate.mProcess.mVm)) {
-        mQueue.Add(aUpdate.mProcess.mVm);
+        mQueue.Add(aUpdate.mProcess.mVm, aNow);
       }
       break;
     case member_list::merge_result::Known:
@@ -140,7 +140,7 @@
     }
   } else if (aUpdate.mProcess.mStartId < own.mProcess.mStartId) {
     if (!mQueue.Contains(own.mProcess.mVm)) {
-      mQueue.Add(own.mProcess.mVm);
+      mQueue.Add(own.mProcess.mVm, aNow);
     }
   } else if (aUpdate.mState != own.mState && aUpdate.mRefutation >= own.mRefutation) {
     SetOwn(own.mState, aUpdate.mRefutation + 1, aNow);
@@ -222,7 +222,9 @@
   if (receiver != nullptr && receiver->mState != member_state::Alive) {
     updates.push_back(*receiver);
   }
-  const auto queued = mQueue.Take(kUpdatesPerMessage - updates.size(), mList.Live().size());
+  // A full queue must not keep the list out of a message that exchanges it.
+  const auto slots = aWholeList ? kUpdatesPerMessage / 2 : kUpdatesPerMessage;
+  const auto queued = mQueue.Take(slots - updates.size(), mList.Live().size());
   for (const auto& vm : queued) {
     const auto* member = mList.Find(vm);
     // The message's sender field already tells of this process.
@@ -334,6 +336,9 @@
     aOut.push_back(answer_peer{ aCall.mAsked, indirect_probe_reply{ isTarget } });
     return;
   }
+  if (aCall.mPurpose == purpose::Retry) {
+    OnGroupReply(aCall, isTarget, aNow, aOut);
+  }
   if (aCall.mPurpose == purpose::Probe && !isTarget) {
     Suspect(aCall.mTarget, aNow, aOut); // another process has taken over the address
   }
@@ -382,6 +387,7 @@
   if (aNow >= mNextProbe) {
     mNextProbe = aNow + mSettings.mProbePeriod;
     ExpireCalls(aNow, aOut);
+    mQueue.Expire(aNow - update_queue::SendLimit(mList.Live().size()) * mSettings.mProbePeriod);
     ProbeNext(aNow, aOut);
     ProbeOwnSuspect(aNow, aOut);
   }
--- a/packages/core/src/membership_p.h
+++ b/packages/core/src/membership_p.h
@@ -46,6 +46,7 @@
     Contact,  ///< a lost address, a suspect or a farewell: no answer means nothing
     Exchange, ///< the next part of the member list
     Relay,    ///< on behalf of another member
+    Retry,    ///< once more, together with the indirect probes
     Indirect  ///< asks another member to probe
   };
   struct pending_call
@@ -53,7 +54,7 @@
     purpose mPurpose = purpose::Probe;
     member_update mTarget;
     peer_call_id mAsked;      ///< the call to answer, for Relay
-    std::uint64_t mGroup = 0; ///< for Indirect
+    std::uint64_t mGroup = 0; ///< for Retry and Indirect
     instant mExpiresAt;
     /// This process was paused while the call was open, so that a missing answer proves nothing.
     bool mInconclusive = false;
@@ -111,7 +112,7 @@
                     instant aNow,
                     effect_list& aOut);
   void OnNoAnswer(const pending_call& aCall, instant aNow, effect_list& aOut);
-  void OnIndirectReply(const pending_call& aCall, bool aReached, instant aNow, effect_list& aOut);
+  void OnGroupReply(const pending_call& aCall, bool aReached, instant aNow, effect_list& aOut);
   void ExpireCalls(instant aNow, effect_list& aOut);
   std::vector<member_update> RandomMembers(std::size_t aCount, std::string_view aExceptVm);
   std::size_t Random(std::size_t aBelow);
--- a/packages/core/src/membership_probes.cpp
+++ b/packages/core/src/membership_probes.cpp
@@ -132,12 +132,17 @@
 membership_core::ProbeIndirectly(const member_update& aTarget, instant aNow, effect_list& aOut)
 {
   const auto relays = RandomMembers(kRelays, aTarget.mProcess.mVm);
-  if (relays.empty()) {
-    Suspect(aTarget, aNow, aOut);
-    return;
-  }
   const auto group = ++mCalls;
-  mGroups[group] = { aTarget, relays.size() };
+  mGroups[group] = { aTarget, relays.size() + 1 };
+  // With 10 % message loss the retry saves four in five of the suspicions of live members.
+  pending_call retry{ purpose::Retry, aTarget };
+  retry.mGroup = group;
+  Call(std::move(retry),
+       aTarget.mLocation.mAddress,
+       probe_message{ Own(), UpdatesFor(aTarget.mProcess.mVm, false), Documents() },
+       2 * mSettings.mProbeTimeLimit,
+       aNow,
+       aOut);
   for (const auto& relay : relays) {
     pending_call call{ purpose::Indirect, relay };
     call.mGroup = group;
@@ -152,10 +157,10 @@
 }
 
 void
-membership_core::OnIndirectReply(const pending_call& aCall,
-                                 bool aReached,
-                                 instant aNow,
-                                 effect_list& aOut)
+membership_core::OnGroupReply(const pending_call& aCall,
+                              bool aReached,
+                              instant aNow,
+                              effect_list& aOut)
 {
   const auto group = mGroups.find(aCall.mGroup);
   if (group == mGroups.end()) {
@@ -182,8 +187,9 @@
     case purpose::Relay:
       aOut.push_back(answer_peer{ aCall.mAsked, indirect_probe_reply{ false } });
       break;
+    case purpose::Retry:
     case purpose::Indirect:
-      OnIndirectReply(aCall, false, aNow, aOut);
+      OnGroupReply(aCall, false, aNow, aOut);
       break;
     case purpose::Contact:
     case purpose::Exchange:
@@ -208,7 +214,7 @@
   } else if (const auto* reply = std::get_if<probe_reply>(&*aAnswered.mReply)) {
     OnProbeReply(call, *reply, aNow, aOut);
   } else if (const auto* relayed = std::get_if<indirect_probe_reply>(&*aAnswered.mReply)) {
-    OnIndirectReply(call, relayed->mReached, aNow, aOut);
+    OnGroupReply(call, relayed->mReached, aNow, aOut);
   }
   return true;
 }
--- a/packages/core/src/update_queue.cpp
+++ b/packages/core/src/update_queue.cpp
@@ -6,10 +6,10 @@
 namespace skylarkwind {
 
 void
-update_queue::Add(std::string_view aVm)
+update_queue::Add(std::string_view aVm, instant aNow)
 {
   std::erase_if(mEntries, [&](const entry& aEntry) { return aEntry.mVm == aVm; });
-  mEntries.insert(mEntries.begin(), entry{ std::string{ aVm }, 0 });
+  mEntries.insert(mEntries.begin(), entry{ std::string{ aVm }, aNow, 0 });
 }
 
 bool
@@ -19,6 +19,12 @@
     mEntries.begin(), mEntries.end(), [&](const entry& aEntry) { return aEntry.mVm == aVm; });
 }
 
+void
+update_queue::Expire(instant aBefore)
+{
+  std::erase_if(mEntries, [&](const entry& aEntry) { return aEntry.mAddedAt < aBefore; });
+}
+
 std::uint32_t
 update_queue::SendLimit(std::size_t aMembers)
 {
--- a/packages/core/tests/documents_schedule_test.cpp
+++ b/packages/core/tests/documents_schedule_test.cpp
@@ -139,7 +139,7 @@
       // the same object version between two watches; see RestoreWithoutOutageIsNoticed.
       platform.SetOutage(true);
       platform.Restore(aStep.mOther % 4);
-      aFleet.Run(milliseconds{ 500 });
+      aFleet.mTime.Run(milliseconds{ 500 });
       return platform.SetOutage(false);
     case fault::Edit:
       return aFleet.Edit("table");
@@ -165,7 +165,7 @@
   }
   aFleet.GiveVmList();
   // Daemons that are on their way out are gone, and no call of before is open.
-  aFleet.Run(milliseconds{ 300 });
+  aFleet.mTime.Run(milliseconds{ 300 });
 }
 
 /// Whether the newest versions come into force everywhere within the limit: those of the table and
@@ -243,7 +243,7 @@
       fleet.StartAll();
       for (const auto& each : steps) {
         Apply(fleet, each);
-        fleet.Run(milliseconds{ each.mThenMs });
+        fleet.mTime.Run(milliseconds{ each.mThenMs });
         RC_ASSERT(fleet.mViolation == "");
       }
       Heal(fleet);
--- a/packages/core/tests/fake_fleet.h
+++ b/packages/core/tests/fake_fleet.h
@@ -1,15 +1,14 @@
 #pragma once
 
 #include "fake_platform.h"
+#include "simulated_time.h"
 #include "skylarkwind/distribution.h"
 #include "skylarkwind/membership.h"
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -45,7 +44,7 @@
     , mSeed(aSeed)
   {
     mPlatform.mSchedule = [this](std::chrono::nanoseconds aAfter, std::function<void()> aAction) {
-      At(aAfter, std::move(aAction));
+      mTime.At(aAfter, std::move(aAction));
     };
     mPlatform.mReply =
       [this](std::size_t aDaemon, std::uint64_t aStart, call_id aCall, auto aBody) {
@@ -63,7 +62,7 @@
     added.mLocation = { "10.0.0." + std::to_string(index) + ":7000",
                         std::move(aDataCentre),
                         std::move(aRegion) };
-    mDataCentres.insert(added.mLocation.mDataCentre);
+    mDataCentres[added.mLocation.mDataCentre] = added.mLocation.mRegion;
     return index;
   }
 
@@ -84,8 +83,10 @@
     documents.mRandomSeed = mSeed;
     documents.mWatchersPerDataCentre = mWatchers;
     documents.mDocuments.push_back({ "table", { "table", "current" } });
-    for (const auto& dataCentre : mFleetDocuments ? mDataCentres : std::set<std::string>{}) {
-      documents.mDocuments.push_back({ "fleet/" + dataCentre, { "fleet", dataCentre } });
+    for (const auto& [dataCentre, region] : mDataCentres) {
+      if (mFleetDocuments && region == started.mLocation.mRegion) {
+        documents.mDocuments.push_back({ "fleet/" + dataCentre, { "fleet", dataCentre } });
+      }
     }
     started.mDocuments = *distribution::Create(documents, *started.mMembers);
     Tick(aIndex, started.mProcess.mStartId, ms{ mRandom() % mTick.count() });
@@ -120,10 +121,10 @@
   {
     if (mDaemons[aIndex].Runs() && !mDaemons[aIndex].mPaused) {
       effect_list out;
-      mDaemons[aIndex].mMembers->OnShutdown(mNow, out);
+      mDaemons[aIndex].mMembers->OnShutdown(mTime.mNow, out);
       Perform(aIndex, std::move(out));
       const auto start = mDaemons[aIndex].mProcess.mStartId;
-      At(ms{ 200 }, [this, aIndex, start] {
+      mTime.At(ms{ 200 }, [this, aIndex, start] {
         if (mDaemons[aIndex].mProcess.mStartId == start) {
           Kill(aIndex);
         }
@@ -150,13 +151,14 @@
     }
     const auto version = ++mNewest[aName];
     const auto number = std::to_string(version);
-    const auto value = aName == "table" ? R"({"table":{"serial":)" + number + R"(},"history":[]})"
-                                        : R"({"revision":)" + number + R"(,"orders":[]})";
+    const auto value = aName == "table"
+                         ? R"({"table":{"serial":)" + number + mTableRows + R"(},"history":[]})"
+                         : R"({"revision":)" + number + R"(,"orders":[]})";
     mValid[{ aName, version }] = value;
     mPlatform.Write(KeyOf(aName), value);
     if (writerRuns) {
       effect_list out;
-      mDaemons[*aWriter].mDocuments->OnWritten(aName, version, value, mNow, out);
+      mDaemons[*aWriter].mDocuments->OnWritten(aName, version, value, mTime.mNow, out);
       Perform(*aWriter, std::move(out));
     }
   }
@@ -179,31 +181,19 @@
     }
     for (const auto& each : mDaemons) {
       if (each.Runs()) {
-        each.mMembers->OnVmList(list, mNow);
+        each.mMembers->OnVmList(list, mTime.mNow);
       }
     }
   }
 
-  void Run(std::chrono::nanoseconds aTime)
-  {
-    const auto end = mNow + aTime;
-    while (!mEvents.empty() && mEvents.top().mAt <= end) {
-      auto next = std::move(const_cast<timed&>(mEvents.top()));
-      mEvents.pop();
-      mNow = next.mAt;
-      next.mAction();
-    }
-    mNow = end;
-  }
-
   /// Runs until the condition holds; false when it did not within `aLimit`.
   bool RunUntil(const std::function<bool()>& aCondition, std::chrono::nanoseconds aLimit)
   {
-    for (const auto end = mNow + aLimit; !aCondition() && mViolation.empty();) {
-      if (mNow >= end) {
+    for (const auto end = mTime.mNow + aLimit; !aCondition() && mViolation.empty();) {
+      if (mTime.mNow >= end) {
         return false;
       }
-      Run(ms{ 20 });
+      mTime.Run(ms{ 20 });
     }
     return mViolation.empty();
   }
@@ -265,7 +255,7 @@
 
   std::vector<daemon> mDaemons;
   fake_platform mPlatform;
-  instant mNow{ std::chrono::seconds{ 1 } };
+  simulated_time mTime;
   std::string mViolation;
   std::map<std::string, std::uint64_t> mNewest; ///< highest version ever written
   std::uint32_t mLossPercent = 0;
@@ -277,20 +267,11 @@
   std::uint32_t mWatchers = 2;
   bool mFleetDocuments = true;
   bool mMeasure = false;
+  std::string mTableRows; ///< JSON members of each written table, after its serial
   std::function<void(std::size_t, const peer_message&)> mOnMessage = [](auto, const auto&) {};
   std::function<void(std::size_t, const peer_reply&)> mOnReply = [](auto, const auto&) {};
 
 private:
-  struct timed
-  {
-    instant mAt;
-    std::uint64_t mOrder = 0;
-    std::function<void()> mAction;
-    bool operator<(const timed& aOther) const
-    {
-      return std::tie(aOther.mAt, aOther.mOrder) < std::tie(mAt, mOrder);
-    }
-  };
   /// A message on its way; the answer goes to the call of the asking process.
   struct asked
   {
@@ -305,14 +286,9 @@
                             : object_key{ "fleet", aName.substr(aName.find('/') + 1) };
   }
 
-  void At(std::chrono::nanoseconds aAfter, std::function<void()> aAction)
-  {
-    mEvents.push({ mNow + aAfter, ++mOrder, std::move(aAction) });
-  }
-
   void Tick(std::size_t aIndex, std::uint64_t aStart, ms aAfter)
   {
-    At(aAfter, [this, aIndex, aStart] {
+    mTime.At(aAfter, [this, aIndex, aStart] {
       const auto& ticked = mDaemons[aIndex];
       if (!ticked.Runs() || ticked.mProcess.mStartId != aStart) {
         return;
@@ -346,17 +322,19 @@
     auto& members = *receiver.mMembers;
     auto& documents = *receiver.mDocuments;
     if (std::holds_alternative<tick>(aEvent)) {
-      members.OnTick(mNow, out);
-      documents.OnTick(mNow, out);
+      members.OnTick(mTime.mNow, out);
+      documents.OnTick(mTime.mNow, out);
     } else if (const auto* question = std::get_if<peer_asked>(&aEvent)) {
-      members.OnPeerAsked(*question, mNow, out) || documents.OnPeerAsked(*question, mNow, out);
+      members.OnPeerAsked(*question, mTime.mNow, out) ||
+        documents.OnPeerAsked(*question, mTime.mNow, out);
     } else if (const auto* answer = std::get_if<peer_answered>(&aEvent)) {
-      members.OnPeerAnswered(*answer, mNow, out) || documents.OnPeerAnswered(*answer, mNow, out);
+      members.OnPeerAnswered(*answer, mTime.mNow, out) ||
+        documents.OnPeerAnswered(*answer, mTime.mNow, out);
     } else if (const auto* reply = std::get_if<platform_replied>(&aEvent)) {
-      documents.OnPlatformReply(*reply, mNow, out);
+      documents.OnPlatformReply(*reply, mTime.mNow, out);
     }
     for (const auto& seen : members.TakeSeenDocuments()) {
-      documents.OnSeenDocument(seen, mNow, out);
+      documents.OnSeenDocument(seen, mTime.mNow, out);
     }
     members.SetDocuments(documents.Versions());
     if (mMeasure) {
@@ -397,7 +375,7 @@
         Violate(aIndex, "put a refused value of " + name + " in force");
       }
       last = document->mVersion;
-      checked.mInForceSince[name] = mNow;
+      checked.mInForceSince[name] = mTime.mNow;
     }
   }
 
@@ -424,7 +402,7 @@
   {
     const auto start = mDaemons[aFrom].mProcess.mStartId;
     mOnMessage(aFrom, aMessage.mMessage);
-    At(aMessage.mTimeLimit, [this, aFrom, start, call = aMessage.mCall] {
+    mTime.At(aMessage.mTimeLimit, [this, aFrom, start, call = aMessage.mCall] {
       Deliver(aFrom, start, peer_answered{ call, std::nullopt });
     });
     if (const auto* probe = std::get_if<probe_message>(&aMessage.mMessage)) {
@@ -438,7 +416,7 @@
         for (int i = 0; i < copies && !Lost(aFrom, to); ++i) {
           const auto id = ++mAskedCount;
           mAsked[id] = { aFrom, start, aMessage.mCall };
-          At(Delay(), [this, to, id, body = aMessage.mMessage]() mutable {
+          mTime.At(Delay(), [this, to, id, body = aMessage.mMessage]() mutable {
             Deliver(to, 0, peer_asked{ { id }, std::move(body) });
           });
         }
@@ -457,7 +435,7 @@
     mOnReply(aFrom, aAnswer.mReply);
     const auto to = found.mapped();
     if (!Lost(aFrom, to.mFrom)) {
-      At(Delay(), [this, to, body = std::move(aAnswer.mReply)]() mutable {
+      mTime.At(Delay(), [this, to, body = std::move(aAnswer.mReply)]() mutable {
         Deliver(to.mFrom, to.mStart, peer_answered{ to.mCall, std::move(body) });
       });
     }
@@ -465,12 +443,10 @@
 
   std::mt19937_64 mRandom;
   std::uint64_t mSeed;
-  std::priority_queue<timed> mEvents;
-  std::uint64_t mOrder = 0;
   std::uint64_t mStarts = 0;
   std::uint64_t mAskedCount = 0;
   std::map<std::uint64_t, asked> mAsked;
-  std::set<std::string> mDataCentres;
+  std::map<std::string, std::string> mDataCentres; ///< and their regions
   std::map<std::pair<std::string, std::uint64_t>, std::string> mValid;
 };
 
