--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -223,7 +223,7 @@
     updates.push_back(*receiver);
   }
   // A full queue must not keep the list out of a message that exchanges it.
-  const auto slots = aWholeList ? kUpdatesPerMessage / 2 : kUpdatesPerMessage;
+  const auto slots = aWholeList ? kUpdatesPerMessage / 4 : kUpdatesPerMessage;
   const auto queued = mQueue.Take(slots - updates.size(), mList.Live().size());
   for (const auto& vm : queued) {
     const auto* member = mList.Find(vm);
@@ -342,16 +342,20 @@
   if (aCall.mPurpose == purpose::Probe && !isTarget) {
     Suspect(aCall.mTarget, aNow, aOut); // another process has taken over the address
   }
+  const bool isPartner = aReply.mSender.mProcess == mPartner.mMember.mProcess;
   if (equal || mSuperseded || aReply.mSender.mProcess == mSettings.mSelf) {
-    mPartner.mLeft = 0;
+    mPartner.mLeft = isPartner ? 0 : mPartner.mLeft;
     return;
   }
-  if (aCall.mPurpose != purpose::Exchange) {
-    // Enough messages to go once through both lists.
+  // An exchange goes on with the same partner until the lists are equal or were gone through once:
+  // parts of many partners' lists would overlap.
+  if (mPartner.mLeft == 0 && !isPartner) {
+    mPartner.mMember = aReply.mSender;
     mPartner.mLeft = static_cast<std::uint32_t>(2 + mList.Live().size() * 2 / kUpdatesPerMessage);
+    mPartner.mNextAt = aNow + mSettings.mProbePeriod / 5;
+  } else if (isPartner) {
+    mPartner.mNextAt = std::min(mPartner.mNextAt, aNow + mSettings.mProbePeriod / 5);
   }
-  mPartner.mMember = aReply.mSender;
-  mPartner.mNextAt = aNow + mSettings.mProbePeriod / 5;
 }
 
 void
--- a/packages/core/src/membership_probes.cpp
+++ b/packages/core/src/membership_probes.cpp
@@ -191,8 +191,10 @@
     case purpose::Indirect:
       OnGroupReply(aCall, false, aNow, aOut);
       break;
-    case purpose::Contact:
     case purpose::Exchange:
+      mPartner.mLeft = 0;
+      break;
+    case purpose::Contact:
       break;
   }
 }
--- /dev/null
+++ b/packages/core/tests/membership_test.cpp
@@ -0,0 +1,169 @@
+#include "fake_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class membership_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(membership_test);
+  CPPUNIT_TEST(DeadMemberIsSuspectedFirst);
+  CPPUNIT_TEST(NewerProcessReplacesTheOlderOne);
+  CPPUNIT_TEST(PausedMemberComesBack);
+  CPPUNIT_TEST(LeavingIsToldAtOnce);
+  CPPUNIT_TEST(PartitionHeals);
+  CPPUNIT_TEST(CostDoesNotGrowWithTheFleet);
+  CPPUNIT_TEST(OneWayCutKeepsMembersAlive);
+  CPPUNIT_TEST(LostMessagesKillNobody);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::unique_ptr<fake_fleet> Started(std::size_t aCount)
+  {
+    auto fleet = std::make_unique<fake_fleet>(11);
+    for (std::size_t i = 0; i < aCount; ++i) {
+      fleet->Add(std::string(1, static_cast<char>('a' + i % 3)));
+    }
+    fleet->StartAll();
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 60 }));
+    return fleet;
+  }
+
+  static bool Knows(const fake_fleet& aFleet, std::size_t aWho, const process_id& aProcess)
+  {
+    return aFleet.mDaemons[aWho].mMembers->MayBeAlive(aProcess);
+  }
+
+  /// Guards against a member that is declared dead before it had the time to refute, and against a
+  /// dead one that is never found. The upper bound is one round of probes, 5 s and the spreading.
+  void DeadMemberIsSuspectedFirst()
+  {
+    const auto fleet = Started(6);
+    const auto killed = fleet->mDaemons[5].mProcess;
+    fleet->Kill(5);
+    fleet->mTime.Run(seconds{ 5 });
+    for (std::size_t i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(Knows(*fleet, i, killed));
+    }
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 12 }));
+    CPPUNIT_ASSERT(!Knows(*fleet, 0, killed));
+  }
+
+  /// Guards against two live processes of one VM, and against an old one that comes back to life by
+  /// late news; claims of the old process depend on this.
+  void NewerProcessReplacesTheOlderOne()
+  {
+    const auto fleet = Started(4);
+    const auto before = fleet->mDaemons[3].mProcess;
+    fleet->Start(3);
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 20 }));
+    CPPUNIT_ASSERT(!Knows(*fleet, 0, before));
+    CPPUNIT_ASSERT(Knows(*fleet, 0, fleet->mDaemons[3].mProcess));
+    CPPUNIT_ASSERT(Knows(*fleet, 0, { "never-seen", 1 }));
+    effect_list out;
+    const member_update late{ before, fleet->mDaemons[3].mLocation, 99, member_state::Alive };
+    fleet->mDaemons[0].mMembers->OnPeerAsked(
+      { { 1 }, probe_message{ late, {}, {} } }, fleet->mTime.mNow, out);
+    CPPUNIT_ASSERT(!Knows(*fleet, 0, before));
+    const auto replaced = fleet->mDaemons[3].mProcess;
+    fleet->Replace(3);
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 30 }));
+    CPPUNIT_ASSERT(!Knows(*fleet, 0, replaced));
+  }
+
+  /// Guards against a daemon that wakes, finds its timers expired and declares others dead, and
+  /// against others that keep it dead.
+  void PausedMemberComesBack()
+  {
+    const auto fleet = Started(5);
+    fleet->Pause(2);
+    fleet->mTime.Run(seconds{ 40 });
+    CPPUNIT_ASSERT(!Knows(*fleet, 0, fleet->mDaemons[2].mProcess));
+    fleet->Resume(2);
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 15 }));
+    for (std::size_t i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(Knows(*fleet, 2, fleet->mDaemons[i].mProcess));
+    }
+  }
+
+  /// Guards against a planned stop that the others only learn of by suspicion.
+  void LeavingIsToldAtOnce()
+  {
+    const auto fleet = Started(8);
+    fleet->Leave(7);
+    CPPUNIT_ASSERT(fleet->RunUntil(
+      [&] { return !fleet->mDaemons[7].Runs() && fleet->MembersAgree(); }, seconds{ 5 }));
+  }
+
+  /// Guards against halves of a fleet that stay apart after the network between them is back.
+  void PartitionHeals()
+  {
+    const auto fleet = Started(9);
+    for (std::size_t i = 0; i < 9; ++i) {
+      for (std::size_t j = 0; j < 9; ++j) {
+        if ((i % 3 == 0) != (j % 3 == 0)) {
+          fleet->mCuts.insert({ i, j });
+        }
+      }
+    }
+    fleet->mTime.Run(seconds{ 60 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, fleet->mDaemons[0].mMembers->Live().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, fleet->mDaemons[1].mMembers->Live().size());
+    fleet->mCuts.clear();
+    CPPUNIT_ASSERT(fleet->RunUntil([&] { return fleet->MembersAgree(); }, seconds{ 30 }));
+  }
+
+  /// Guards against traffic that grows with the fleet, and against updates that are sent for ever:
+  /// at rest a daemon sends one probe a second and none of its messages carries an update.
+  void CostDoesNotGrowWithTheFleet()
+  {
+    for (const std::size_t count : { 4, 64 }) {
+      const auto fleet = Started(count);
+      fleet->mTime.Run(seconds{ 60 });
+      std::size_t probes = 0;
+      std::size_t updates = 0;
+      fleet->mOnMessage = [&](auto, const peer_message& aMessage) {
+        if (const auto* probe = std::get_if<probe_message>(&aMessage)) {
+          ++probes;
+          updates += probe->mUpdates.size();
+        }
+      };
+      fleet->mTime.Run(seconds{ 10 });
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, updates);
+      CPPUNIT_ASSERT(probes <= count * 11);
+      CPPUNIT_ASSERT(probes >= count * 9);
+    }
+  }
+
+  /// Guards against a suspicion that only one direction of one link caused: indirect probes reach
+  /// the member.
+  void OneWayCutKeepsMembersAlive()
+  {
+    const auto fleet = Started(6);
+    fleet->mCuts = { { 0, 1 }, { 2, 3 }, { 3, 2 } };
+    for (int i = 0; i < 600; ++i) {
+      fleet->mTime.Run(milliseconds{ 100 });
+      for (const auto& member : fleet->mDaemons[i % 6].mMembers->Live()) {
+        CPPUNIT_ASSERT(member.mState == member_state::Alive);
+      }
+      CPPUNIT_ASSERT(fleet->MembersAgree());
+    }
+  }
+
+  /// Guards against live members that are declared dead because every tenth message is lost.
+  void LostMessagesKillNobody()
+  {
+    const auto fleet = Started(20);
+    fleet->mLossPercent = 10;
+    for (int i = 0; i < 120; ++i) {
+      fleet->mTime.Run(seconds{ 1 });
+      CPPUNIT_ASSERT(fleet->MembersAgree());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(membership_test);
+
+} // namespace skylarkwind
