Plan roles by the trend of the mix and by refused work

The long window lagged by half a minute, and refused requests are in no report, so a saturated role looked well served. Change: the mix is extrapolated by its trend to when a change takes effect; a change must pay for 4 s, or for 12 s while the mix turns to and fro; when a role is busy, the work is taken to be as large as the peak of the last 120 s.

--- a/examples/flow_daemon.h
+++ b/examples/flow_daemon.h
@@ -96,10 +96,9 @@
     if (open.empty()) {
       return aNow - aRequest.mQueuedAt > kLongestWait ? answer::Refuse : answer::Wait;
     }
-    // Refuses a growing share early, as the limits are about to be missed. The queues that the
-    // reports show are one to two seconds old, so a sharp bound would swing.
+    // Refuses a growing share as the limits are about to be missed.
     const double late =
-      std::max((ReportedWait(open) - 0.25) / 0.4, (StreamPressure(aService) - 0.8) / 0.3);
+      std::max((PromptWait(open) - 0.25) / 0.4, (StreamPressure(aService) - 0.8) / 0.3);
     if (std::uniform_real_distribution<double>(0, 1)(mRandom) < late) {
       return answer::Refuse;
     }
@@ -197,12 +196,13 @@
                std::max(0.0, static_cast<double>(view.mReport.mDecodeStreams) - then.mStreams) };
   }
 
-  /// Mean time that a prompt would wait by the reports.
-  double ReportedWait(const std::vector<int>& aOpen) const
+  /// Mean time that a prompt would wait, if the other daemons have as much open as this one. The
+  /// queues in the reports are one to two seconds old, ten times as old as a queue lasts.
+  double PromptWait(const std::vector<int>& aOpen) const
   {
     double tokens = 0;
     for (const int each : aOpen) {
-      tokens += static_cast<double>(mFleet->Engines()[Index(each)].mReport.mQueuedPromptTokens);
+      tokens += mOwn[Index(each)].mPrompt * kDaemons;
     }
     return tokens / kPrefillRate / static_cast<double>(aOpen.size());
   }
--- a/examples/policy_bench.cpp
+++ b/examples/policy_bench.cpp
@@ -11,16 +11,18 @@
 constexpr int kSeeds = 3;
 constexpr std::size_t kThreads = 4;
 
+/// The price of a role change is an operator's setting; 8 goodput seconds is the value at which
+/// the planner makes few changes and still follows the slow swing.
 std::vector<deployment>
 Deployments()
 {
-  return { { "Tallow Creek, 12 + 3 engines, price 1",
+  return { { "Tallow Creek, 12 + 3 engines, price 8",
              { { "stones", 12, false, 0.75 }, { "crew", 3, true, 0.5 } },
-             1,
+             8,
              0.001 },
-           { "Guild, 18 + 3 engines, price 4",
+           { "Guild, 18 + 3 engines, price 8",
              { { "draft", 18, false, 0.75 }, { "desk", 3, true, 0.5 } },
-             4,
+             8,
              0.003 } };
 }
 
--- a/packages/core/include/skylarkwind/role_planner.h
+++ b/packages/core/include/skylarkwind/role_planner.h
@@ -8,6 +8,7 @@
 #include <absl/status/statusor.h>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -22,12 +23,29 @@
   std::chrono::milliseconds mHorizon{ 120'000 }; ///< over which a change must earn its price
   std::chrono::milliseconds mShortWindow{ 10'000 };
   std::chrono::milliseconds mLongWindow{ 60'000 };
+  /// The mix is extrapolated by its trend over this time. Measuring lags by some 15 s, because the
+  /// output of a request follows its prompt, and a change takes effect after another 20 s.
+  std::chrono::milliseconds mTrendTime{ 20'000 };
+  std::chrono::milliseconds mLookahead{ 40'000 };
+  /// A change must pay at every moment of this time. The longer one applies while the mix swings
+  /// to and fro within the long window; it is longer than half of such a swing.
+  std::chrono::milliseconds mBriefPersistence{ 4'000 };
+  std::chrono::milliseconds mPersistence{ 12'000 };
   /// Time that an engine is out of service for a change: drain, change, return.
   std::chrono::milliseconds mChangeTime{ 20'000 };
   /// Time in which waiting work shall be worked off; waiting work counts as this much more need.
   std::chrono::milliseconds mQueueTime{ 10'000 };
   std::chrono::milliseconds mTokenLimit{ 77 }; ///< longest time between tokens
-  double mTargetUse = 0.85;
+  /// Change of the prefill part of the work that counts as a turn of the mix.
+  double mTurn = 0.1;
+  /// Largest change of the prefill part that is expected from the trend.
+  double mLargestTrend = 0.25;
+  double mTargetUse = 1;
+  /// Requests that are refused leave no trace in the reports. Between these uses of the busiest
+  /// role, the work is taken to rise from what is measured to the largest of the peak time.
+  double mBusyUse = 0.8;
+  double mFullUse = 0.9;
+  std::chrono::milliseconds mPeakTime{ 120'000 };
   /// An engine that left service blocks changes of its group for this long, because it is
   /// expected back; after that it is taken to be gone.
   std::chrono::milliseconds mReturnWait{ 120'000 };
@@ -95,6 +113,15 @@
     engine_role mRole = engine_role::Both;
     instant mAt;
   };
+  /// Work over the short window, one sample for each call.
+  struct work_sample
+  {
+    instant mAt;
+    double mMeasured = 0;    ///< engines
+    double mTotal = 0;       ///< with the work that is taken to be refused
+    double mPrefillPart = 0; ///< of the total
+    role_needs mForecast;
+  };
   /// The engines of one service and model, which may do each other's work.
   struct engine_group
   {
@@ -129,17 +156,26 @@
                    instant aNow) const;
   /// Goodput seconds that moving one engine away from role `aFrom` earns over the horizon.
   double Gain(const role_counts& aCounts, engine_role aFrom, const role_needs& aNeeds) const;
+  /// Least gain over the time of persistence; the price must be below it.
+  double LastingGain(const role_counts& aCounts,
+                     engine_role aFrom,
+                     const std::deque<work_sample>& aSamples) const;
   /// How many moves away from `aFrom` would each earn the price.
   std::uint64_t MovesThatPay(role_counts aCounts,
                              engine_role aFrom,
-                             const role_needs& aShort,
-                             const role_needs& aLong,
+                             const std::deque<work_sample>& aSamples,
                              double aPrice) const;
-  bool Pays(const role_counts& aCounts,
-            engine_role aFrom,
-            const role_needs& aShort,
-            const role_needs& aLong,
-            double aPrice) const;
+  /// Adds the present needs to the group's samples.
+  const std::deque<work_sample>& Measure(const engine_group& aGroup,
+                                         const role_counts& aCounts,
+                                         instant aNow);
+  /// Turns of the mix within the long window.
+  int Turns(const std::deque<work_sample>& aSamples) const;
+  double ForecastPart(const std::deque<work_sample>& aSamples) const;
+  /// Adds the work that is taken to be refused.
+  double AssumedTotal(const role_counts& aCounts,
+                      const role_needs& aNeeds,
+                      const std::deque<work_sample>& aSamples) const;
 
   /// The holders of all data centres see about the same engines, so each can tell which data
   /// centres should make the next `aMoves` changes without asking the others.
@@ -169,7 +205,8 @@
   std::map<std::string, engine_history, std::less<>> mEngines;
   std::map<std::string, queued, std::less<>> mQueued;
   std::vector<begun_change> mBegun;
-  std::map<std::string, instant, std::less<>> mEmptySince; ///< by service, model and role
+  std::map<std::string, std::deque<work_sample>, std::less<>> mWork; ///< by service and model
+  std::map<std::string, instant, std::less<>> mEmptySince;           ///< by service, model and role
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/role_planner.cpp
+++ b/packages/core/src/role_planner.cpp
@@ -36,17 +36,16 @@
 }
 
 std::string
-GainReason(engine_role aFrom, double aShort, double aLong, double aPrice)
+GainReason(engine_role aFrom, double aGain, double aPrice)
 {
   std::array<char, 200> text{};
   std::snprintf(text.data(),
                 text.size(),
-                "%s needs the engine more than %s: the change earns %.1f goodput seconds by the "
-                "short window and %.1f by the long one, its price is %.1f",
+                "%s needs the engine more than %s: the change earns at least %.1f goodput "
+                "seconds, its price is %.1f",
                 Name(Opposite(aFrom)),
                 Name(aFrom),
-                aShort,
-                aLong,
+                aGain,
                 aPrice);
   return text.data();
 }
@@ -200,17 +199,15 @@
 role_planner::Improve(const engine_group& aGroup, const question& aQuestion)
 {
   const role_counts counts = Counts(aGroup.mEngines, aQuestion);
-  const role_needs brief = Needs(aGroup, mSettings.mShortWindow, aQuestion.mNow);
-  const role_needs lasting = Needs(aGroup, mSettings.mLongWindow, aQuestion.mNow);
+  const std::deque<work_sample>& samples = Measure(aGroup, counts, aQuestion.mNow);
   const double price = aGroup.mService->mRoleChangePrice;
   for (const engine_role from : { engine_role::Prefill, engine_role::Decode }) {
-    const std::uint64_t moves = MovesThatPay(counts, from, brief, lasting, price);
+    const std::uint64_t moves = MovesThatPay(counts, from, samples, price);
     const engine_view* donor =
       moves > 0 ? DonorInTurn(aGroup, aQuestion, from, moves, false) : nullptr;
     if (donor != nullptr) {
-      return Begin(*donor,
-                   GainReason(from, Gain(counts, from, brief), Gain(counts, from, lasting), price),
-                   aQuestion.mNow);
+      return Begin(
+        *donor, GainReason(from, LastingGain(counts, from, samples), price), aQuestion.mNow);
     }
   }
   return std::nullopt;
--- a/packages/core/src/role_planner_needs.cpp
+++ b/packages/core/src/role_planner_needs.cpp
@@ -142,26 +142,115 @@
   return (Seconds(mSettings.mHorizon) - out) * (after - now) + out * (during - now);
 }
 
-bool
-role_planner::Pays(const role_counts& aCounts,
-                   engine_role aFrom,
-                   const role_needs& aShort,
-                   const role_needs& aLong,
-                   double aPrice) const
+double
+role_planner::AssumedTotal(const role_counts& aCounts,
+                           const role_needs& aNeeds,
+                           const std::deque<work_sample>& aSamples) const
+{
+  const double measured = aNeeds.mPrefill + aNeeds.mDecode;
+  const auto use = [](double aNeed, double aEngines) {
+    return aEngines > 0 ? aNeed / aEngines : 1;
+  };
+  const double busiest = std::max(use(aNeeds.mPrefill, aCounts.mPrefill + aCounts.mBoth),
+                                  use(aNeeds.mDecode, aCounts.mDecode + aCounts.mBoth));
+  const double part = std::clamp(
+    (busiest - mSettings.mBusyUse) / (mSettings.mFullUse - mSettings.mBusyUse), 0.0, 1.0);
+  double peak = measured;
+  for (const work_sample& each : aSamples) {
+    peak = std::max(peak, each.mMeasured);
+  }
+  return measured + part * (peak - measured);
+}
+
+const std::deque<role_planner::work_sample>&
+role_planner::Measure(const engine_group& aGroup, const role_counts& aCounts, instant aNow)
+{
+  auto& samples = mWork[aGroup.mService->mName + "/" + aGroup.mModel];
+  const role_needs needs = Needs(aGroup, mSettings.mShortWindow, aNow);
+  const double measured = needs.mPrefill + needs.mDecode;
+  const double part = measured > 0 ? needs.mPrefill / measured : 0;
+  samples.push_back({ aNow, measured, AssumedTotal(aCounts, needs, samples), part, {} });
+  while (samples.front().mAt < aNow - mSettings.mPeakTime) {
+    samples.pop_front();
+  }
+  work_sample& last = samples.back();
+  const double forecast = ForecastPart(samples);
+  last.mForecast = { last.mTotal * forecast, last.mTotal * (1 - forecast) };
+  return samples;
+}
+
+double
+role_planner::ForecastPart(const std::deque<work_sample>& aSamples) const
+{
+  const work_sample& now = aSamples.back();
+  const auto then = std::find_if(aSamples.begin(), aSamples.end(), [&](const work_sample& aEach) {
+    return aEach.mTotal > 0 && aEach.mAt >= now.mAt - mSettings.mTrendTime;
+  });
+  const double time = then == aSamples.end() ? 0 : Seconds(now.mAt - then->mAt);
+  if (time < Seconds(mSettings.mTrendTime) / 2) {
+    return now.mPrefillPart;
+  }
+  const double trend = (now.mPrefillPart - then->mPrefillPart) / time;
+  const double change = std::clamp(
+    trend * Seconds(mSettings.mLookahead), -mSettings.mLargestTrend, mSettings.mLargestTrend);
+  return std::clamp(now.mPrefillPart + change, 0.0, 1.0);
+}
+
+int
+role_planner::Turns(const std::deque<work_sample>& aSamples) const
+{
+  const instant since = aSamples.back().mAt - mSettings.mLongWindow;
+  double low = 1;
+  double high = 0;
+  int direction = 0;
+  int turns = 0;
+  for (const work_sample& each : aSamples) {
+    if (each.mAt < since || each.mTotal <= 0) {
+      continue;
+    }
+    low = std::min(low, each.mPrefillPart);
+    high = std::max(high, each.mPrefillPart);
+    const bool rose = direction <= 0 && each.mPrefillPart > low + mSettings.mTurn;
+    const bool fell = direction >= 0 && each.mPrefillPart < high - mSettings.mTurn;
+    if (rose || fell) {
+      turns += direction != 0 ? 1 : 0;
+      direction = rose ? 1 : -1;
+      low = each.mPrefillPart;
+      high = each.mPrefillPart;
+    }
+  }
+  return turns;
+}
+
+double
+role_planner::LastingGain(const role_counts& aCounts,
+                          engine_role aFrom,
+                          const std::deque<work_sample>& aSamples) const
 {
   const double left = aFrom == engine_role::Prefill ? aCounts.mPrefill : aCounts.mDecode;
-  return left >= 1 && Gain(aCounts, aFrom, aShort) > aPrice && Gain(aCounts, aFrom, aLong) > 0;
+  const auto persistence =
+    Turns(aSamples) >= 2 ? mSettings.mPersistence : mSettings.mBriefPersistence;
+  const instant since = aSamples.back().mAt - persistence;
+  if (left < 1 || aSamples.front().mAt > since) {
+    return 0;
+  }
+  double least = Gain(aCounts, aFrom, aSamples.back().mForecast);
+  for (const work_sample& each : aSamples) {
+    if (each.mAt >= since) {
+      least = std::min(least, Gain(aCounts, aFrom, each.mForecast));
+    }
+  }
+  return least;
 }
 
 std::uint64_t
 role_planner::MovesThatPay(role_counts aCounts,
                            engine_role aFrom,
-                           const role_needs& aShort,
-                           const role_needs& aLong,
+                           const std::deque<work_sample>& aSamples,
                            double aPrice) const
 {
   std::uint64_t moves = 0;
-  while (Pays(aCounts, aFrom, aShort, aLong, aPrice)) {
+  while (LastingGain(aCounts, aFrom, aSamples) > aPrice) {
     aCounts = Moved(aCounts, aFrom);
     ++moves;
   }
