Keep the lease and the fleet record right after a restore of the platform

Cause: 20,000 schedules found that a holder renewed a restored record of its earlier acquisition, which wrote a lower fencing number, and that a restored unsettled order stayed on the platform when the holder had nothing to write. Change: such a record ends the authority; the stored fleet object is read again every 10 s; the revision of a distributed copy tells its fencing number.

--- a/packages/core/src/control.cpp
+++ b/packages/core/src/control.cpp
@@ -134,9 +134,7 @@
 control_authority::OnFleetObject(const fleet_object& aObject, instant aNow)
 {
   mRecord.OnDistributed(aObject);
-  for (const auto& order : aObject.mOrders) {
-    mLease.OnSeenFencing(order.mFencing, aNow);
-  }
+  SeeFencing(aObject, aNow);
 }
 
 void
@@ -316,9 +314,7 @@
 void
 control_authority::Announce(instant aNow)
 {
-  for (const auto& order : mRecord.Stored().mOrders) {
-    mLease.OnSeenFencing(order.mFencing, aNow);
-  }
+  SeeFencing(mRecord.Stored(), aNow);
   if (!mLease.Holds(aNow)) {
     EndAcquisition();
     return;
@@ -329,6 +325,15 @@
   mStage = stage::Announcing;
 }
 
+void
+control_authority::SeeFencing(const fleet_object& aObject, instant aNow)
+{
+  mLease.OnSeenFencing(aObject.mRevision / kRevisionsPerAcquisition, aNow);
+  for (const auto& order : aObject.mOrders) {
+    mLease.OnSeenFencing(order.mFencing, aNow);
+  }
+}
+
 void
 control_authority::InheritOrders(instant aNow)
 {
--- a/packages/core/src/control_p.h
+++ b/packages/core/src/control_p.h
@@ -105,6 +105,7 @@
   void UpdateLeaving();
   void Audit(const std::string& aText);
   void LookAround(instant aNow);
+  void SeeFencing(const fleet_object& aObject, instant aNow);
   void Finish(instant aNow, effect_list& aOut);
 
   // control_orders.cpp: the steps of an order.
--- a/packages/core/src/fleet_record.cpp
+++ b/packages/core/src/fleet_record.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryPause{ 500 };
+/// The stored object is read again this often: a holder that has nothing to write would not
+/// notice that a restore of the platform put back unsettled orders.
+constexpr std::chrono::milliseconds kReviewEvery{ 10'000 };
 
 } // namespace
 
@@ -82,7 +85,13 @@
     Call(read_object{ mKey }, false, aNow, aOut);
     return;
   }
-  if (!aMayWrite || (!mDirty && !mWriting)) {
+  if (!mDirty && !mWriting) {
+    if (aNow >= mNextReview) {
+      Call(read_object{ mKey }, false, aNow, aOut);
+    }
+    return;
+  }
+  if (!aMayWrite) {
     return;
   }
   if (!mWriting) {
@@ -139,7 +148,8 @@
     return outcome::None;
   }
   mNextAt = aNow;
-  if (!mDoubt) {
+  mNextReview = aNow + kReviewEvery;
+  if (!mLoaded) {
     return Load(std::move(object), version);
   }
   mDoubt = false;
@@ -147,8 +157,8 @@
     return Confirm(version);
   }
   if (version == mVersion) {
-    // The write has not arrived. It is sent again under the same version, so that only one of
-    // the two can take effect.
+    // Nothing changed; a write in doubt has not arrived. It is sent again under the same version,
+    // so that only one of the two can take effect.
     return outcome::None;
   }
   mLoaded = false;
--- a/packages/core/src/fleet_record_p.h
+++ b/packages/core/src/fleet_record_p.h
@@ -83,6 +83,7 @@
   std::optional<open_call> mCall;
   std::uint64_t mCalls = 0;
   instant mNextAt;
+  instant mNextReview;
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/lease.cpp
+++ b/packages/core/src/lease.cpp
@@ -295,10 +295,12 @@
   mKnown = true;
   mLastRead = aNow;
   mSeenFencing = std::max(mSeenFencing, aRecord.mFencing);
+  // A record of an earlier acquisition of this process is not the lease that it holds: a restore
+  // put it back, and renewing it would write a lower fencing number.
+  if (mHeld && (!NamesSelf() || aRecord.mFencing < mFencing)) {
+    Drop(aNow);
+  }
   if (!NamesSelf()) {
-    if (mHeld) {
-      Drop(aNow);
-    }
     return;
   }
   const auto sent = std::find_if(
--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -144,7 +144,9 @@
 
   void NoteLease(const lease_record& aRecord, instant aNow)
   {
-    const bool known = !mAcquisitions.empty() && mAcquisitions.back().mFencing == aRecord.mFencing;
+    const bool known = !mAcquisitions.empty() &&
+                       mAcquisitions.back().mFencing == aRecord.mFencing &&
+                       mAcquisitions.back().mHolder == aRecord.mHolder;
     if (!aRecord.mHolder.mVm.empty() && !known) {
       mAcquisitions.push_back({ aRecord.mHolder, aRecord.mFencing, aNow });
     }
--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -518,18 +518,21 @@
     }
     ++mAccepted;
     const auto& all = mPlatform.mAcquisitions;
-    const auto successor =
-      std::find_if(all.begin(), all.end(), [&](const fake_platform::acquisition& aEach) {
-        return aEach.mFencing > order.mFencing && aEach.mAt <= mNow;
-      });
+    // After a restore of the platform a later acquisition may have a lower number, so that the
+    // order of the acquisitions counts and not their numbers.
+    const auto own = std::find_if(all.rbegin(), all.rend(), [&](const auto& aEach) {
+      return aEach.mFencing == order.mFencing && order.mOrder.starts_with(aEach.mHolder.mVm + "-");
+    });
+    const bool replaced = own != all.rbegin();
     // The case that docs/authority.md names: the order was held up past the end of its sender's
     // authority, and the engine has no means to tell.
     const bool named = expired && !aEngine.mHonoursExpiry;
-    if (successor != all.end()) {
+    if (replaced) {
       mNamedCases += named ? 1 : 0;
       if (!named) {
-        Breach("engine " + aEngine.mName + " took order " + order.mOrder +
-               " after the lease was taken over");
+        Breach("engine " + aEngine.mName + " took order " + order.mOrder + " after " +
+               all.back().mHolder.mVm + " acquired the lease with fencing number " +
+               std::to_string(all.back().mFencing));
       }
     }
     // Such an order meets another change or running work only after it was waited out.
