--- a/packages/core/include/skylarkwind/router.h
+++ b/packages/core/include/skylarkwind/router.h
@@ -28,6 +28,7 @@
   std::span<const believed_holder> mHolders{}; ///< engines thought to hold part of the prompt
   std::string_view mFirstChoice{};             ///< engine of an interrupted stream
   std::span<const std::string> mAvoid{};       ///< engines that failed this request
+  bool mBegun = false; ///< the caller waits for the rest; a backlog does not hold it up
 };
 
 /// Work of one attempt, counted at its engine until it ends.
@@ -89,8 +90,11 @@
     engine_status mStatus = engine_status::Absent;
     double mWeight = 1; ///< of engine and role, times the ramp factor
     work_history mOwn;
-    double mOthers = 0;   ///< work of other daemons
-    instant mSampledAt{}; ///< of the report that mOthers comes from
+    double mOthers = 0;       ///< work of other daemons
+    work_history mOwnPrompts; ///< prompt tokens sent and not yet computed
+    double mOthersPrompts = 0;
+    double mPrefillRate = 0; ///< as reported, 0 when it is not
+    instant mSampledAt{};    ///< of the report that mOthers comes from
     std::uint32_t mAttempts = 0;
   };
 
@@ -119,7 +123,9 @@
   void Regroup();
   std::uint32_t PoolOf(const engine_view& aView);
   const pool* FindPool(std::string_view aService, std::string_view aModel, engine_role aRole) const;
-  void AddWork(std::uint32_t aSlot, double aDelta, instant aNow);
+  /// `aPrompt` is the part of the change that is prompt tokens.
+  void AddWork(std::uint32_t aSlot, double aDelta, double aPrompt, instant aNow);
+  bool IsBacklogged(const engine_slot& aSlot) const;
   static double LoadOf(const engine_slot& aSlot);
 
   const engine_slot* ChooseIn(const route_query& aQuery, std::span<const engine_view> aViews) const;
--- a/packages/core/src/router.cpp
+++ b/packages/core/src/router.cpp
@@ -16,6 +16,9 @@
 /// others stand in for engines that are draining or away.
 constexpr std::size_t kRanked = 4;
 constexpr std::size_t kCandidates = 2;
+/// Prompt work that an engine may have waiting, by its own rate. It keeps the engine busy between
+/// two reports; more would only lengthen the wait for the first token.
+constexpr double kMostBacklogSeconds = 2;
 /// A search that found nothing reads all states again, but not more often than this.
 constexpr std::chrono::milliseconds kRereadDistance{ 5 };
 
@@ -177,7 +180,22 @@
   return view.mName == aSlot.mName && view.Admits() && view.mRole == aQuery.mRole &&
          view.mModel == aQuery.mModel && view.mService == aQuery.mService &&
          (aQuery.mVersion.empty() || view.mVersion == aQuery.mVersion) &&
-         !Contains(aQuery.mAvoid, aSlot.mName);
+         !Contains(aQuery.mAvoid, aSlot.mName) && (aQuery.mBegun || !IsBacklogged(aSlot));
+}
+
+/// Further prompts would only wait in the engine's queue, where they can no longer be refused in
+/// time or sent elsewhere.
+bool
+router::IsBacklogged(const engine_slot& aSlot) const
+{
+  if (aSlot.mPrefillRate <= 0) {
+    return false;
+  }
+  // What the report showed of others has been computed at this rate since.
+  const double since = std::chrono::duration<double>(mRefreshedAt - aSlot.mSampledAt).count();
+  const double others =
+    std::max(0.0, aSlot.mOthersPrompts - std::max(0.0, since) * aSlot.mPrefillRate);
+  return aSlot.mOwnPrompts.Now() + others > kMostBacklogSeconds * aSlot.mPrefillRate;
 }
 
 double
--- a/packages/core/src/router_index.cpp
+++ b/packages/core/src/router_index.cpp
@@ -146,6 +146,10 @@
   aSlot.mWeight = aView.mWeight * roleWeight * ramp;
   if (aView.mReportSampledAt != aSlot.mSampledAt) {
     aSlot.mSampledAt = aView.mReportSampledAt;
+    aSlot.mPrefillRate = aView.mReport.mPrefillTokensPerSecond;
+    aSlot.mOthersPrompts = std::max(0.0,
+                                    static_cast<double>(aView.mReport.mQueuedPromptTokens) -
+                                      aSlot.mOwnPrompts.At(aSlot.mSampledAt));
     const double price = OutputPrice(pool.mPrefillRate, pool.mDecodeRate);
     aSlot.mOthers =
       std::max(0.0, ReportedWork(aView.mReport, price) - aSlot.mOwn.At(aSlot.mSampledAt));
@@ -241,7 +245,7 @@
   work.mPrompt = static_cast<double>(aPromptTokens);
   work.mOutput = static_cast<double>(aOutputTokens) * work.mEachToken;
   ++mSlots[work.mSlot].mAttempts;
-  AddWork(work.mSlot, work.mPrompt + work.mOutput, aNow);
+  AddWork(work.mSlot, work.mPrompt + work.mOutput, work.mPrompt, aNow);
   return work;
 }
 
@@ -252,22 +256,25 @@
   // estimate still counts.
   const double done = aWork.mPrompt + (aWork.mOutput > aWork.mEachToken ? aWork.mEachToken : 0.0);
   aWork.mOutput -= done - aWork.mPrompt;
+  AddWork(aWork.mSlot, -done, -aWork.mPrompt, aNow);
   aWork.mPrompt = 0;
-  AddWork(aWork.mSlot, -done, aNow);
 }
 
 void
 router::Finish(const placed_work& aWork, instant aNow)
 {
   --mSlots[aWork.mSlot].mAttempts;
-  AddWork(aWork.mSlot, -(aWork.mPrompt + aWork.mOutput), aNow);
+  AddWork(aWork.mSlot, -(aWork.mPrompt + aWork.mOutput), -aWork.mPrompt, aNow);
 }
 
 void
-router::AddWork(std::uint32_t aSlot, double aDelta, instant aNow)
+router::AddWork(std::uint32_t aSlot, double aDelta, double aPrompt, instant aNow)
 {
   auto& slot = mSlots[aSlot];
   slot.mOwn.Add(aDelta, aNow);
+  if (aPrompt != 0) {
+    slot.mOwnPrompts.Add(aPrompt, aNow);
+  }
   if (slot.mPresent && slot.mAdmits) {
     auto& pool = mPools[slot.mPool];
     pool.mOwn = std::max(0.0, pool.mOwn + aDelta);
--- a/packages/core/src/serving_placement.cpp
+++ b/packages/core/src/serving_placement.cpp
@@ -46,6 +46,7 @@
   query.mHolders = holders;
   query.mFirstChoice = aRequest.mFirstChoice;
   query.mAvoid = aRequest.mAvoid;
+  query.mBegun = aRequest.mFlow.Sent();
   if (aRequest.mKv) {
     query.mRole = engine_role::Decode;
     query.mVersion = aRequest.mKvVersion;
--- a/packages/core/tests/serving_schedule.h
+++ b/packages/core/tests/serving_schedule.h
@@ -14,13 +14,17 @@
 public:
   /// Kind of event and two numbers that fill in its details.
   using step = std::tuple<int, std::uint32_t, std::uint32_t>;
-  static constexpr int kKinds = 14;
+  static constexpr int kKinds = 15;
 
   serving_schedule()
     : mWorld(2)
   {
     mWorld.mFleet.mEngines.push_back(serving_world::Engine("p", engine_role::Prefill));
     mWorld.mFleet.mEngines.push_back(serving_world::Engine("q", engine_role::Decode));
+    for (auto& view : mWorld.mFleet.mEngines) {
+      view.mReport.mPrefillTokensPerSecond = 10'000;
+      view.mReportSampledAt = mWorld.mNow;
+    }
     mWorld.mLimits.mLeft[AccountLimit("low")] = 6;
     mWorld.mLimits.mLeft[RoleLimit("draft", engine_role::Decode)] = 2;
   }
@@ -98,6 +102,9 @@
       case 12:
         mWorld.mLimits.mRaising = aFirst % 2 == 0;
         return mWorld.Tick(static_cast<int>(aSecond % 6'000));
+      case 13:
+        ArriveOrder(aFirst, aSecond);
+        return mWorld.DecideClaims();
       default:
         return mWorld.Tick();
     }
@@ -124,7 +131,7 @@
   {
     constexpr std::array<const char*, 3> kPaths = { "/orders/1", "/bookings/1", "/desk/1" };
     caller next;
-    next.mBody = serving_world::Order("key" + std::to_string(aSecond % 4),
+    next.mBody = serving_world::Order("key" + std::to_string(aSecond % 3),
                                       aFirst % 7 == 0 ? "other" : "x",
                                       kPaths[aFirst % kPaths.size()]);
     if (aFirst % 3 == 2 && aSecond % 2 == 0) {
--- a/packages/core/tests/serving_test.cpp
+++ b/packages/core/tests/serving_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(CallerGoneCancelsAtOnce);
   CPPUNIT_TEST(TokenResumesAtAnotherDaemon);
   CPPUNIT_TEST(QueueGoesByPriorityThenArrival);
+  CPPUNIT_TEST(BackloggedEnginesGetNoMorePrompts);
   CPPUNIT_TEST(DeadlineInTheQueueIsNotRun);
   CPPUNIT_TEST(LimitsRefuseOrWait);
   CPPUNIT_TEST(RetriesStayWithinTheBudget);
@@ -226,6 +227,24 @@
     AssertAtRest(world);
   }
 
+  /// Guards against prompts that pile up in engines, where they can no longer be refused in time.
+  void BackloggedEnginesGetNoMorePrompts()
+  {
+    serving_world world{ 1 };
+    auto& engine = world.mFleet.At("e1");
+    engine.mReport.mPrefillTokensPerSecond = 1'000;
+    engine.mReportSampledAt = world.mNow;
+    world.Tick();
+    for (int i = 0; i < 3; ++i) {
+      world.Send(serving_world::Generation(std::string(6'000, 'x')));
+    }
+    // The first two are 3 s of work, more than an engine may have waiting.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, world.All<start_attempt>().size());
+    world.Token(world.All<start_attempt>().front().mAttempt, 1);
+    world.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, world.All<start_attempt>().size());
+  }
+
   /// Guards against a late start and against doubt about a request that never left the queue.
   void DeadlineInTheQueueIsNotRun()
   {
