--- a/packages/core/include/skylarkwind/limit_shares.h
+++ b/packages/core/include/skylarkwind/limit_shares.h
@@ -48,7 +48,17 @@
 
 /// The shares of the concurrency and rate limits that this daemon may use. The sum of all shares
 /// of a limit never exceeds the limit, because every change of a share is a conditional update of
-/// the object `shares/<shard>`.
+/// the object `shares/<shard>`. A limit belongs to the shard Hash64(name) % mShards. The value is
+///
+///     {"t":<table serial>,
+///      "d":[["<vm>",<start id>,<renewal counter>],...],
+///      "l":{"c:<name>":[<limit>,<index in d>,<amount>,<wanted>,...],"r:<name>":[...]}}
+///
+/// where "c:" counts requests in flight and "r:" units of a rate. A rate has floor(rate) units, at
+/// least 1, of rate/units requests per second each; a share of k units is a token bucket of k
+/// requests. Entries of 0 are left out. `wanted` tells the other holders what a daemon would use;
+/// amounts converge to max-min fairness. With 350 daemons that hold both limits of 450 accounts, a
+/// value has about 300 kB in 16 shards and 570 kB in 8.
 class limit_shares
 {
 public:
--- a/packages/core/tests/fake_platform.h
+++ b/packages/core/tests/fake_platform.h
@@ -43,7 +43,7 @@
 
   std::string Value(const object_key& aKey) const
   {
-    const auto stored = mObjects.find(aKey);
+    const auto stored = mObjects.find(Name(aKey));
     return stored == mObjects.end() || stored->second.empty() ? "" : stored->second.back();
   }
 
@@ -76,6 +76,8 @@
   }
 
 private:
+  static std::string Name(const object_key& aKey) { return aKey.mKind + "/" + aKey.mName; }
+
   std::chrono::nanoseconds Delay() { return mTime.UpTo(mFaults.mDelay); }
 
   void Reply(std::chrono::nanoseconds aDelay, platform_replied aReplied, reply_function aReply)
@@ -89,7 +91,7 @@
     if (const auto* write = std::get_if<write_object>(&aOperation)) {
       return Write(*write);
     }
-    const auto& versions = mObjects[std::get<read_object>(aOperation).mKey];
+    const auto& versions = mObjects[Name(std::get<read_object>(aOperation).mKey)];
     std::size_t version = versions.size();
     if (version > 0 && mTime.Chance(mFaults.mStaleRead)) {
       version -= mTime.Below(std::min<std::size_t>(version, 3) + 1);
@@ -105,7 +107,7 @@
     if (aWrite.mValue.size() > 1'000'000) {
       return platform_refused{ "413" };
     }
-    auto& versions = mObjects[aWrite.mKey];
+    auto& versions = mObjects[Name(aWrite.mKey)];
     if (versions.size() != aWrite.mExpectedVersion) {
       return write_conflict{ versions.size() };
     }
@@ -121,7 +123,7 @@
   }
 
   simulated_time& mTime;
-  std::map<object_key, std::vector<std::string>> mObjects; ///< all versions
+  std::map<std::string, std::vector<std::string>> mObjects; ///< all versions, by kind and name
 };
 
 } // namespace skylarkwind
--- a/packages/core/tests/limit_cluster.h
+++ b/packages/core/tests/limit_cluster.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "../src/limit_shares_impl_p.h"
 #include "fake_membership.h"
 #include "fake_platform.h"
-#include "../src/limit_shares_impl_p.h"
 
 #include <memory>
 #include <string>
