--- a/packages/core/include/skylarkwind/router.h
+++ b/packages/core/include/skylarkwind/router.h
@@ -65,7 +65,7 @@
                     std::uint64_t aPromptTokens,
                     std::uint64_t aOutputTokens,
                     instant aNow);
-  void Progress(placed_work& aWork, instant aNow);
+  void Progress(placed_work& aWork, std::uint64_t aTokens, instant aNow);
   void Finish(const placed_work& aWork, instant aNow);
 
   /// Names of engines that became absent since the last call.
--- a/packages/core/src/router_index.cpp
+++ b/packages/core/src/router_index.cpp
@@ -250,13 +250,14 @@
 }
 
 void
-router::Progress(placed_work& aWork, instant aNow)
+router::Progress(placed_work& aWork, std::uint64_t aTokens, instant aNow)
 {
   // The last token's share stays until the attempt ends, so that a stream that outlives its
   // estimate still counts.
-  const double done = aWork.mPrompt + (aWork.mOutput > aWork.mEachToken ? aWork.mEachToken : 0.0);
-  aWork.mOutput -= done - aWork.mPrompt;
-  AddWork(aWork.mSlot, -done, -aWork.mPrompt, aNow);
+  const double generated = static_cast<double>(aTokens) * aWork.mEachToken;
+  const double output = std::min(generated, std::max(0.0, aWork.mOutput - aWork.mEachToken));
+  aWork.mOutput -= output;
+  AddWork(aWork.mSlot, -(aWork.mPrompt + output), -aWork.mPrompt, aNow);
   aWork.mPrompt = 0;
 }
 
--- a/packages/core/src/serving_attempts.cpp
+++ b/packages/core/src/serving_attempts.cpp
@@ -54,7 +54,7 @@
     perToken += kTransferShare * (seconds / static_cast<double>(tokens) - perToken);
   }
   attempt.mProgressed = true;
-  mEngines.Progress(attempt.mWork, aNow);
+  mEngines.Progress(attempt.mWork, aTokens.mOffset - aTokens.mFrom, aNow);
   if (aRequest.mVersion != attempt.mVersion) {
     aRequest.mMixed = !aRequest.mVersion.empty();
     aRequest.mVersion = attempt.mVersion;
--- a/packages/core/tests/serving_world.h
+++ b/packages/core/tests/serving_world.h
@@ -335,6 +335,19 @@
   {
     Report(aAttempt, attempt_tokens{ "t" + std::to_string(aOffset), aOffset - 1, aOffset });
   }
+  /// Tokens after `aFrom` up to `aOffset` in one chunk.
+  void Chunk(attempt_id aAttempt, std::uint64_t aFrom, std::uint64_t aOffset)
+  {
+    Report(aAttempt, attempt_tokens{ TextOf(aFrom, aOffset), aFrom, aOffset });
+  }
+  static std::string TextOf(std::uint64_t aFrom, std::uint64_t aOffset)
+  {
+    std::string text;
+    while (aFrom < aOffset) {
+      text += "t" + std::to_string(++aFrom);
+    }
+    return text;
+  }
   void Finish(attempt_id aAttempt) { Report(aAttempt, attempt_generated{ "stop" }); }
   void Gone(request_id aRequest) { mServing->OnCallerGone(aRequest, mNow, mOut); }
   void Tick(int aMilliseconds = 20)
