--- a/packages/core/tests/claim_schedules_test.cpp
+++ b/packages/core/tests/claim_schedules_test.cpp
@@ -186,7 +186,7 @@
   /// outcome, under any mix of lost and late calls, stale reads, partitions, outages and restarts.
   void RunsAtMostOnce()
   {
-    const auto failure = CheckSchedules("claim schedules", 20'261'204, 400, [] {
+    const auto failure = CheckSchedules("claim schedules", 20'261'204, 1'500, [] {
       const auto seed = *rc::gen::arbitrary<std::uint64_t>();
       const auto steps =
         *rc::gen::container<std::vector<std::tuple<int, std::size_t, std::uint64_t>>>(
--- a/packages/core/tests/limit_schedules_test.cpp
+++ b/packages/core/tests/limit_schedules_test.cpp
@@ -111,7 +111,9 @@
     for (const instant end = mCluster.mTime.Now() + aTime; mCluster.mTime.Now() < end;) {
       for (std::size_t i = 0; i < kCores; ++i) {
         for (std::uint64_t n = 0; n < mPressure[i]; ++n) {
-          mCluster.Request(i, kInFlight, milliseconds{ 100 + mCluster.mTime.Below(3'000) });
+          // Some requests are nearly as long as the term of the shares.
+          const std::uint64_t longest = mCluster.mTime.Chance(0.05) ? 18'000 : 3'000;
+          mCluster.Request(i, kInFlight, milliseconds{ 100 + mCluster.mTime.Below(longest) });
           CheckInFlight();
         }
         if (mPressure[i] > 0 && mCluster.Request(i, kPerSecond, milliseconds{ 1 })) {
@@ -186,7 +188,7 @@
   /// back afterwards.
   void NeverAboveTheLimit()
   {
-    const auto failure = CheckSchedules("limit schedules", 20'261'204, 300, [] {
+    const auto failure = CheckSchedules("limit schedules", 20'261'204, 1'000, [] {
       const auto seed = *rc::gen::arbitrary<std::uint64_t>();
       const auto steps =
         *rc::gen::container<std::vector<std::tuple<int, std::size_t, std::uint64_t>>>(
