Clear the clang-tidy findings of the fakes

Cause: clang-tidy rejects ordered containers whose key has a defaulted three-way comparison, a possible null reference in the fake platform and an enumerator's name. Change: the fakes key their maps by text; the null reference and the name are corrected.

--- a/packages/core/tests/documents_schedule_test.cpp
+++ b/packages/core/tests/documents_schedule_test.cpp
@@ -35,7 +35,7 @@
   Edit,
   BadEdit,
   FleetEdit,
-  kCount
+  Count
 };
 
 constexpr const char* kFaultTexts[] = { "kill",         "restart",     "replace",     "leave",
@@ -72,7 +72,7 @@
 {
   return Full(rc::gen::build<step>(
     rc::gen::set(&step::mFault,
-                 rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::kCount)),
+                 rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::Count)),
                               [](int aNumber) { return static_cast<fault>(aNumber); })),
     rc::gen::set(&step::mWhich),
     rc::gen::set(&step::mOther),
@@ -147,7 +147,7 @@
       return aFleet.EditBadly();
     case fault::FleetEdit:
       return aFleet.Edit("fleet/" + aFleet.mDaemons[which].mLocation.mDataCentre, which);
-    case fault::kCount:
+    case fault::Count:
       return;
   }
 }
--- a/packages/core/tests/fake_fleet.h
+++ b/packages/core/tests/fake_fleet.h
@@ -201,21 +201,20 @@
   /// Whether every running daemon's live list is exactly the set of running processes.
   bool MembersAgree() const
   {
-    std::set<process_id> running;
+    std::map<std::string, process_id> running;
     for (const auto& each : mDaemons) {
       if (each.Runs()) {
-        running.insert(each.mProcess);
+        running[each.mProcess.mVm] = each.mProcess;
       }
     }
     return std::all_of(mDaemons.begin(), mDaemons.end(), [&](const daemon& aDaemon) {
-      return !aDaemon.Runs() ||
-             std::equal(running.begin(),
-                        running.end(),
-                        aDaemon.mMembers->Live().begin(),
-                        aDaemon.mMembers->Live().end(),
-                        [](const process_id& aProcess, const member_update& aMember) {
-                          return aProcess == aMember.mProcess;
-                        });
+      return !aDaemon.Runs() || std::equal(running.begin(),
+                                           running.end(),
+                                           aDaemon.mMembers->Live().begin(),
+                                           aDaemon.mMembers->Live().end(),
+                                           [](const auto& aRunning, const member_update& aMember) {
+                                             return aRunning.second == aMember.mProcess;
+                                           });
     });
   }
 
--- a/packages/core/tests/fake_platform.h
+++ b/packages/core/tests/fake_platform.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -24,14 +25,14 @@
 
   const stored* Find(const object_key& aKey) const
   {
-    const auto found = mObjects.find(aKey);
+    const auto found = mObjects.find(Text(aKey));
     return found == mObjects.end() || found->second.empty() ? nullptr : &found->second.back();
   }
 
   void Write(const object_key& aKey, std::string aValue)
   {
     const auto* last = Find(aKey);
-    mObjects[aKey].push_back({ last == nullptr ? 1 : last->mVersion + 1, std::move(aValue) });
+    mObjects[Text(aKey)].push_back({ last == nullptr ? 1 : last->mVersion + 1, std::move(aValue) });
     std::vector<waiting> woken;
     std::erase_if(mWaiting, [&](const waiting& aWaiting) {
       const bool wakes = aWaiting.mKey == aKey && Find(aKey)->mVersion > aWaiting.mAfter;
@@ -75,9 +76,8 @@
     ++mCalls;
     waiting call{ aDaemon, aStart, aCall.mCall, {}, 0 };
     const auto* watch = std::get_if<watch_object>(&aCall.mOperation);
-    const auto* read = std::get_if<read_object>(&aCall.mOperation);
-    call.mKey = watch != nullptr ? watch->mKey : read->mKey;
-    mMostOpen = std::max(mMostOpen, ++mOpen[{ aDaemon, call.mKey }]);
+    call.mKey = watch != nullptr ? watch->mKey : std::get<read_object>(aCall.mOperation).mKey;
+    mMostOpen = std::max(mMostOpen, ++mOpen[{ aDaemon, Text(call.mKey) }]);
     if (mOutage || mUnreachableFrom.contains(aDaemon)) {
       Reply(call, platform_no_answer{ "outage" }, std::chrono::milliseconds{ 200 });
       return;
@@ -87,7 +87,7 @@
       Reply(call, object_missing{});
     } else if (watch == nullptr) {
       if (mRandom() % 100 < mStalePercent) {
-        found = &mObjects[call.mKey][mRandom() % mObjects[call.mKey].size()];
+        found = &mObjects[Text(call.mKey)][mRandom() % mObjects[Text(call.mKey)].size()];
       }
       ++mReads;
       Reply(call, object_found{ found->mVersion, found->mValue });
@@ -119,13 +119,15 @@
     std::uint64_t mAfter = 0;
   };
 
+  static std::string Text(const object_key& aKey) { return aKey.mKind + "/" + aKey.mName; }
+
   void Wait(const waiting& aCall, std::chrono::milliseconds aTime)
   {
     mWaiting.push_back(aCall);
     mSchedule(aTime, [this, aCall] {
       const auto ended = std::erase_if(mWaiting, [&](const waiting& aWaiting) {
         return aWaiting.mDaemon == aCall.mDaemon && aWaiting.mStart == aCall.mStart &&
-               aWaiting.mCall == aCall.mCall;
+               aWaiting.mCall.mNumber == aCall.mCall.mNumber;
       });
       if (ended > 0) {
         Reply(aCall, object_unchanged{});
@@ -138,7 +140,7 @@
              std::chrono::milliseconds aDelay = std::chrono::milliseconds{ 3 })
   {
     mSchedule(aDelay, [this, aCall, result = std::move(aResult)]() mutable {
-      const auto open = mOpen.find({ aCall.mDaemon, aCall.mKey });
+      const auto open = mOpen.find({ aCall.mDaemon, Text(aCall.mKey) });
       if (open != mOpen.end()) {
         --open->second;
       }
@@ -146,9 +148,9 @@
     });
   }
 
-  std::map<object_key, std::vector<stored>> mObjects;
+  std::map<std::string, std::vector<stored>> mObjects; ///< by kind/name
   std::vector<waiting> mWaiting;
-  std::map<std::pair<std::size_t, object_key>, int> mOpen;
+  std::map<std::pair<std::size_t, std::string>, int> mOpen;
 };
 
 } // namespace skylarkwind
