--- a/examples/flow_world.h
+++ b/examples/flow_world.h
@@ -133,7 +133,8 @@
     std::string models;
     std::string engines;
     const auto add = [](std::string& aList, const std::string& aItem) {
-      aList += (aList.empty() ? "" : ",") + aItem;
+      aList += aList.empty() ? "" : ",";
+      aList += aItem;
     };
     for (const service_shape& shape : mDeployment.mServices) {
       add(services,
--- a/packages/core/include/skylarkwind/role_planner.h
+++ b/packages/core/include/skylarkwind/role_planner.h
@@ -46,6 +46,8 @@
   double mBusyUse = 0.8;
   double mFullUse = 0.9;
   std::chrono::milliseconds mPeakTime{ 120'000 };
+  /// Share of the work that is taken to be refused after a role was busy for the whole peak time.
+  double mHiddenWork = 0.1;
   /// An engine that left service blocks changes of its group for this long, because it is
   /// expected back; after that it is taken to be gone.
   std::chrono::milliseconds mReturnWait{ 120'000 };
--- a/packages/core/src/role_planner.cpp
+++ b/packages/core/src/role_planner.cpp
@@ -133,6 +133,7 @@
     group.mEngines.push_back(&view);
   }
   std::vector<engine_group> result;
+  result.reserve(groups.size());
   for (auto& [key, group] : groups) {
     result.push_back(std::move(group));
   }
--- a/packages/core/src/role_planner_needs.cpp
+++ b/packages/core/src/role_planner_needs.cpp
@@ -156,10 +156,17 @@
   const double part = std::clamp(
     (busiest - mSettings.mBusyUse) / (mSettings.mFullUse - mSettings.mBusyUse), 0.0, 1.0);
   double peak = measured;
+  bool alwaysBusy = !aSamples.empty() && aSamples.back().mAt - aSamples.front().mAt >=
+                                           mSettings.mPeakTime - mSettings.mShortWindow;
   for (const work_sample& each : aSamples) {
     peak = std::max(peak, each.mMeasured);
+    alwaysBusy = alwaysBusy && each.mTotal > each.mMeasured;
   }
-  return measured + part * (peak - measured);
+  // Without any time at rest, the peak itself is what the busy role lets through.
+  peak = std::max(peak, alwaysBusy ? measured * (1 + mSettings.mHiddenWork) : 0);
+  // A busy sample is marked by a total above the measured work, if only by a trace.
+  constexpr double kTrace = 1e-9;
+  return measured + part * (peak - measured + kTrace);
 }
 
 const std::deque<role_planner::work_sample>&
