--- a/examples/flow_world.h
+++ b/examples/flow_world.h
@@ -145,18 +145,21 @@
             R"(","version":"1"})");
     }
     for (std::size_t i = 0; i < mEngines.size(); ++i) {
-      const engine& each = mEngines[i];
-      const std::string& service = Service(each.mService);
-      add(engines,
-          R"({"name":")" + each.mName + R"(","address":"10.0.0.)" + std::to_string(i + 1) +
-            R"(:80","data_centre":"dc)" + std::to_string(each.mDataCentre) + R"(","service":")" +
-            service + R"(","model":"m-)" + service + R"(","role":")" +
-            std::string(RoleText(each.mRole)) + R"("})");
+      add(engines, EngineJson(mEngines[i], i + 1));
     }
     return R"({"serial":1,"services":[)" + services + R"(],"models":[)" + models +
            R"(],"engines":[)" + engines + "]}";
   }
 
+  std::string EngineJson(const engine& aEngine, std::size_t aHost) const
+  {
+    const std::string& service = Service(aEngine.mService);
+    return R"({"name":")" + aEngine.mName + R"(","address":"10.0.0.)" + std::to_string(aHost) +
+           R"(:80","data_centre":"dc)" + std::to_string(aEngine.mDataCentre) + R"(","service":")" +
+           service + R"(","model":"m-)" + service + R"(","role":")" +
+           std::string(RoleText(aEngine.mRole)) + R"("})";
+  }
+
   const std::string& Service(int aService) const
   {
     return mDeployment.mServices[static_cast<std::size_t>(aService)].mName;
