Keep an engine that refuses in service, and hash prefix pieces alike

Cause: an engine that answers 'not run' under overload was counted as failed and taken out of service after a few refusals, which adds to the overload; the engine stand-in hashed prefix pieces otherwise than the cache belief does, so that its cache events could never match.

--- a/examples/flow_daemon.h
+++ b/examples/flow_daemon.h
@@ -125,7 +125,9 @@
   void Ended(int aEngine, double aPrompt, double aStreams, bool aHealthy, double aNow)
   {
     Add(aEngine, -aPrompt, -aStreams);
-    mFleet->OnAttemptEnded(mFleet->Engines()[Index(aEngine)].mName, aHealthy, At(aNow));
+    mFleet->OnAttemptEnded(mFleet->Engines()[Index(aEngine)].mName,
+                           aHealthy ? attempt_health::Answered : attempt_health::Failed,
+                           At(aNow));
   }
 
   /// A mixed engine goes on with the stream of a prompt that it has computed.
--- a/examples/serving_bench.cpp
+++ b/examples/serving_bench.cpp
@@ -42,7 +42,7 @@
   std::span<const engine_view> Backends() const override { return {}; }
   std::string Explain(std::string_view) const override { return {}; }
   void OnAttemptStarted(std::string_view, instant) override {}
-  void OnAttemptEnded(std::string_view, bool, instant) override {}
+  void OnAttemptEnded(std::string_view, attempt_health, instant) override {}
   void OnReport(const engine_report&, instant, effect_list&) override {}
   void OnTable(const table&, instant, effect_list&) override {}
   void OnFleetObject(std::string_view, const fleet_object&, instant, effect_list&) override {}
--- a/packages/core/include/skylarkwind/engine_lifecycle.h
+++ b/packages/core/include/skylarkwind/engine_lifecycle.h
@@ -70,7 +70,7 @@
   /// report may come from a process that has been replaced.
   void OnReport(const engine_report& aReport, instant aNow);
   void OnAttemptStarted(instant aNow);
-  void OnAttemptEnded(bool aHealthy, instant aNow);
+  void OnAttemptEnded(attempt_health aHealth, instant aNow);
   /// To be called after construction and whenever the daemons or the load of the peers change.
   void OnSurroundings(const lifecycle_surroundings& aSurroundings);
   void OnTick(instant aNow);
--- a/packages/core/include/skylarkwind/engine_view.h
+++ b/packages/core/include/skylarkwind/engine_view.h
@@ -23,6 +23,14 @@
 
 std::string_view EngineStatusText(engine_status aStatus);
 
+/// What the end of an attempt says of its backend server.
+enum class attempt_health
+{
+  Answered, ///< it did its work, or the attempt ended for a reason that is not its own
+  Refused,  ///< it is alive and said that it did not run the request, for example when overloaded
+  Failed    ///< it did not answer, or broke the answer off
+};
+
 /// What routing needs to know of an engine. Kept by the engine lifecycle, read by the router.
 struct engine_view
 {
--- a/packages/core/include/skylarkwind/fleet.h
+++ b/packages/core/include/skylarkwind/fleet.h
@@ -77,8 +77,7 @@
   virtual std::string Explain(std::string_view aName) const = 0;
 
   virtual void OnAttemptStarted(std::string_view aName, instant aNow) = 0;
-  /// `aHealthy` is false when the attempt failed by the backend server's fault.
-  virtual void OnAttemptEnded(std::string_view aName, bool aHealthy, instant aNow) = 0;
+  virtual void OnAttemptEnded(std::string_view aName, attempt_health aHealth, instant aNow) = 0;
   /// A report that came with an answer.
   virtual void OnReport(const engine_report& aReport, instant aNow, effect_list& aOut) = 0;
 
--- a/packages/core/include/skylarkwind/platform_calls.h
+++ b/packages/core/include/skylarkwind/platform_calls.h
@@ -14,7 +14,7 @@
 {
   std::string mKind;
   std::string mName;
-  auto operator<=>(const object_key&) const = default;
+  auto operator<=>(const object_key&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Reads one object.
--- a/packages/core/include/skylarkwind/types.h
+++ b/packages/core/include/skylarkwind/types.h
@@ -14,7 +14,7 @@
 struct handle
 {
   std::uint64_t mValue = 0;
-  auto operator<=>(const handle&) const = default;
+  auto operator<=>(const handle&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using request_id = handle<struct request_tag>;
@@ -38,7 +38,7 @@
 {
   part mPart = part::Configuration;
   std::uint64_t mNumber = 0;
-  auto operator<=>(const call_id&) const = default;
+  auto operator<=>(const call_id&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// A daemon process: the VM's name and the process's start time in ms, which never changes
@@ -47,7 +47,7 @@
 {
   std::string mVm;
   std::uint64_t mStartId = 0;
-  auto operator<=>(const process_id&) const = default;
+  auto operator<=>(const process_id&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Address and place of a daemon.
--- a/packages/core/src/engine_lifecycle.cpp
+++ b/packages/core/src/engine_lifecycle.cpp
@@ -295,7 +295,7 @@
 }
 
 void
-engine_lifecycle::OnAttemptEnded(bool aHealthy, instant aNow)
+engine_lifecycle::OnAttemptEnded(attempt_health aHealth, instant aNow)
 {
   if (mView.mInFlight > 0) {
     --mView.mInFlight;
@@ -304,13 +304,18 @@
   if (mStaleInFlight > 0) {
     // Sent before the last fault: says nothing of the engine as it is now.
     mStaleInFlight = std::min(mStaleInFlight - 1, mView.mInFlight);
-  } else if (aHealthy) {
+  } else if (aHealth == attempt_health::Answered) {
     mFailures = 0;
     mOpenQuestion.reset();
     if (mView.mStatus == engine_status::Warming ||
         (mView.mStatus == engine_status::Ramping && mRamp.OnCompleted(mShare, aNow))) {
       OnStep(aNow);
     }
+  } else if (aHealth == attempt_health::Refused && mView.mStatus != engine_status::Warming) {
+    // An overloaded engine is not lost: taking it out of service would add to the overload.
+    mFailures = 0;
+    mRamp.OnFailed(aNow);
+    UpdateLimit();
   } else {
     ++mFailures;
     mUrgent = true;
--- a/packages/core/src/fleet.cpp
+++ b/packages/core/src/fleet.cpp
@@ -85,10 +85,10 @@
 }
 
 void
-fleet_state::OnAttemptEnded(std::string_view aName, bool aHealthy, instant aNow)
+fleet_state::OnAttemptEnded(std::string_view aName, attempt_health aHealth, instant aNow)
 {
   if (server* found = Find(aName)) {
-    found->mLifecycle.OnAttemptEnded(aHealthy, aNow);
+    found->mLifecycle.OnAttemptEnded(aHealth, aNow);
     SyncOne(aName);
   }
 }
--- a/packages/core/src/fleet_p.h
+++ b/packages/core/src/fleet_p.h
@@ -23,7 +23,7 @@
   std::string Explain(std::string_view aName) const override;
 
   void OnAttemptStarted(std::string_view aName, instant aNow) override;
-  void OnAttemptEnded(std::string_view aName, bool aHealthy, instant aNow) override;
+  void OnAttemptEnded(std::string_view aName, attempt_health aHealth, instant aNow) override;
   void OnReport(const engine_report& aReport, instant aNow, effect_list& aOut) override;
   void OnTable(const table& aTable, instant aNow, effect_list& aOut) override;
   void OnFleetObject(std::string_view aDataCentre,
--- a/packages/core/src/serving.cpp
+++ b/packages/core/src/serving.cpp
@@ -66,7 +66,7 @@
     return;
   }
   if (request->mAttempt) {
-    CancelAttempt(*request, true, aNow, aOut);
+    CancelAttempt(*request, attempt_health::Answered, aNow, aOut);
   }
   const auto service = request->mService;
   WithdrawClaim(*request, aNow, aOut);
--- a/packages/core/src/serving_attempts.cpp
+++ b/packages/core/src/serving_attempts.cpp
@@ -15,6 +15,19 @@
 constexpr std::chrono::milliseconds kTryAgain{ 20 };
 constexpr std::chrono::milliseconds kRetryAfter{ 1'000 };
 
+attempt_health
+HealthOf(attempt_failed::cause aCause)
+{
+  switch (aCause) {
+    case attempt_failed::cause::Rejected:
+      return attempt_health::Answered;
+    case attempt_failed::cause::NotRun:
+      return attempt_health::Refused;
+    default:
+      return attempt_health::Failed;
+  }
+}
+
 } // namespace
 
 void
@@ -87,7 +100,7 @@
     return;
   }
   const auto prefillVersion = aRequest.mAttempt->mVersion;
-  CloseAttempt(aRequest, true, aNow);
+  CloseAttempt(aRequest, attempt_health::Answered, aNow);
   aRequest.mFlow.OnAttemptDone();
   if (prefill) {
     aRequest.mKv = aGenerated.mKv;
@@ -120,7 +133,7 @@
              aOut);
     return;
   }
-  CloseAttempt(aRequest, true, aNow);
+  CloseAttempt(aRequest, attempt_health::Answered, aNow);
   RecordOutcome(aRequest, aAnswered, aNow, aOut);
   if (!aRequest.mCallerDone) {
     aOut.emplace_back(
@@ -137,7 +150,7 @@
 {
   using cause = attempt_failed::cause;
   const auto attempt = *aRequest.mAttempt;
-  CloseAttempt(aRequest, aFailed.mCause == cause::Rejected, aNow);
+  CloseAttempt(aRequest, HealthOf(aFailed.mCause), aNow);
   aRequest.mFlow.OnAttemptFailed(aFailed.mCause);
   aOut.emplace_back(
     log_line{ log_level::Info,
@@ -176,23 +189,23 @@
 }
 
 void
-request_serving::CloseAttempt(open_request& aRequest, bool aHealthy, instant aNow)
+request_serving::CloseAttempt(open_request& aRequest, attempt_health aHealth, instant aNow)
 {
   const auto& attempt = *aRequest.mAttempt;
   RouterOf(aRequest).Finish(attempt.mWork, aNow);
-  mFleet.OnAttemptEnded(attempt.mBackend, aHealthy, aNow);
+  mFleet.OnAttemptEnded(attempt.mBackend, aHealth, aNow);
   mAttempts.erase(attempt.mId);
   aRequest.mAttempt.reset();
 }
 
 void
 request_serving::CancelAttempt(open_request& aRequest,
-                               bool aHealthy,
+                               attempt_health aHealth,
                                instant aNow,
                                effect_list& aOut)
 {
   aOut.emplace_back(cancel_attempt{ aRequest.mAttempt->mId });
-  CloseAttempt(aRequest, aHealthy, aNow);
+  CloseAttempt(aRequest, aHealth, aNow);
   aRequest.mFlow.OnAttemptDone();
 }
 
--- a/packages/core/src/serving_ends.cpp
+++ b/packages/core/src/serving_ends.cpp
@@ -105,14 +105,14 @@
       mDeadlines.emplace(aRequest.mDeadline, aRequest.mId.mValue);
       return;
     }
-    CancelAttempt(aRequest, false, aNow, aOut);
+    CancelAttempt(aRequest, attempt_health::Failed, aNow, aOut);
     RecordUnknown(aRequest, aNow, aOut);
     End(aRequest, request_outcome::Failed, aNow);
     return;
   }
   if (aRequest.mAttempt) {
     // A time limit says nothing about the engine; its own silence is reported as a failure.
-    CancelAttempt(aRequest, true, aNow, aOut);
+    CancelAttempt(aRequest, attempt_health::Answered, aNow, aOut);
   }
   Refuse(aRequest, std::move(passed), aNow, aOut);
 }
--- a/packages/core/src/serving_p.h
+++ b/packages/core/src/serving_p.h
@@ -133,8 +133,11 @@
                     const attempt_tokens& aTokens,
                     instant aNow,
                     effect_list& aOut);
-  void CloseAttempt(open_request& aRequest, bool aHealthy, instant aNow);
-  void CancelAttempt(open_request& aRequest, bool aHealthy, instant aNow, effect_list& aOut);
+  void CloseAttempt(open_request& aRequest, attempt_health aHealth, instant aNow);
+  void CancelAttempt(open_request& aRequest,
+                     attempt_health aHealth,
+                     instant aNow,
+                     effect_list& aOut);
   void AwaitAttempt(open_request& aRequest, instant aWhen);
   void RunRetries(instant aNow, effect_list& aOut);
   void ResumeFromAbsent(instant aNow, effect_list& aOut);
--- a/packages/core/tests/engine_lifecycle_test.cpp
+++ b/packages/core/tests/engine_lifecycle_test.cpp
@@ -148,6 +148,7 @@
   CPPUNIT_TEST(EngineInServiceIsNotRampedForANewDaemon);
   CPPUNIT_TEST(OlderLoadFiguresAreIgnored);
   CPPUNIT_TEST(PlainServerReturnsThroughOneProbe);
+  CPPUNIT_TEST(RefusalsDoNotTakeAnEngineOutOfService);
   CPPUNIT_TEST(ExplanationsNameTheReason);
   CPPUNIT_TEST_SUITE_END();
 
@@ -209,7 +210,7 @@
     driver.mReport.mIncarnation = 6;
     driver.Observe();
     for (int i = 0; i < 5; ++i) {
-      driver.mEngine.OnAttemptEnded(false, driver.Step());
+      driver.mEngine.OnAttemptEnded(attempt_health::Failed, driver.Step());
       CPPUNIT_ASSERT_EQUAL('W', Letter(driver));
     }
     driver.Complete(1);
@@ -314,6 +315,18 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, driver.mEngine.View().mReport.mRunning);
   }
 
+  /// Guards against an overload that takes engines out of service and so grows.
+  void RefusalsDoNotTakeAnEngineOutOfService()
+  {
+    lifecycle_driver driver;
+    driver.Reach(engine_status::Serving);
+    for (int i = 0; i < 20; ++i) {
+      driver.mEngine.OnAttemptStarted(driver.Step());
+      driver.mEngine.OnAttemptEnded(attempt_health::Refused, driver.Step());
+      CPPUNIT_ASSERT(driver.mEngine.View().mStatus == engine_status::Serving);
+    }
+  }
+
   /// Guards against a plain server that gets all waiting calls at once when it comes back.
   void PlainServerReturnsThroughOneProbe()
   {
@@ -325,7 +338,7 @@
     CPPUNIT_ASSERT(server.View().mStatus == engine_status::Serving);
     const auto end = [&](bool aHealthy) {
       server.OnAttemptStarted(now);
-      server.OnAttemptEnded(aHealthy, now);
+      server.OnAttemptEnded(aHealthy ? attempt_health::Answered : attempt_health::Failed, now);
     };
     for (int i = 0; i < 3; ++i) {
       end(false);
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -154,7 +154,7 @@
     CPPUNIT_ASSERT(self.mFleet->Engines()[0].mStatus == engine_status::Draining);
     self.mFleet->OnTable(TableOf(1, Engine("e1")), self.mNow, self.mOut); // older: ignored
     CPPUNIT_ASSERT(self.mFleet->Engines()[0].mStatus == engine_status::Draining);
-    self.mFleet->OnAttemptEnded("e1", true, self.mNow);
+    self.mFleet->OnAttemptEnded("e1", attempt_health::Answered, self.mNow);
     self.Tick(std::chrono::milliseconds{ 20 });
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, self.mFleet->Engines().size());
     CPPUNIT_ASSERT_EQUAL(std::string{ "e2" }, self.mFleet->Engines()[0].mName);
--- a/packages/core/tests/lifecycle_driver.h
+++ b/packages/core/tests/lifecycle_driver.h
@@ -64,7 +64,7 @@
       mEngine.OnAttemptStarted(Step());
     }
     for (int i = 0; i < aRequests; ++i) {
-      mEngine.OnAttemptEnded(aHealthy, Step());
+      mEngine.OnAttemptEnded(aHealthy ? attempt_health::Answered : attempt_health::Failed, Step());
     }
   }
 
--- a/packages/core/tests/lifecycle_schedule.h
+++ b/packages/core/tests/lifecycle_schedule.h
@@ -188,7 +188,8 @@
     if (aDaemon.mOpen > 0) {
       --aDaemon.mOpen;
       mTruth.mOutputTokensTotal += aHealthy ? 20 : 0;
-      aDaemon.mEngine.OnAttemptEnded(aHealthy, mNow);
+      aDaemon.mEngine.OnAttemptEnded(aHealthy ? attempt_health::Answered : attempt_health::Failed,
+                                     mNow);
     }
   }
 
--- a/packages/core/tests/serving_world.h
+++ b/packages/core/tests/serving_world.h
@@ -53,11 +53,11 @@
     ++mOpen[std::string{ aName }];
     ++At(aName).mInFlight;
   }
-  void OnAttemptEnded(std::string_view aName, bool aHealthy, instant) override
+  void OnAttemptEnded(std::string_view aName, attempt_health aHealth, instant) override
   {
     RequireInTest(--mOpen[std::string{ aName }] >= 0, "an attempt ended that never started");
     --At(aName).mInFlight;
-    mHealth.push_back(aHealthy);
+    mHealth.push_back(aHealth != attempt_health::Failed);
   }
   void OnReport(const engine_report& aReport, instant, effect_list&) override
   {
--- a/packages/daemon/src/skylarkwindd_main.cpp
+++ b/packages/daemon/src/skylarkwindd_main.cpp
@@ -7,6 +7,8 @@
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -18,6 +20,18 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
 
+/// Every caller, engine stream and daemon link takes a descriptor; the usual soft limit of 1,024 is
+/// below the default number of callers.
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 int
 Run(skylarkwind::daemon_settings aSettings)
 {
@@ -59,6 +73,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
+  RaiseDescriptorLimit();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   return Run(std::get<skylarkwind::daemon_settings>(std::move(loaded)));
 }
--- a/standins/engine_batch.cpp
+++ b/standins/engine_batch.cpp
@@ -21,8 +21,11 @@
 {
   constexpr std::size_t kPieceBytes = kPieceTokens * kBytesPerToken;
   std::vector<std::uint64_t> pieces;
-  for (std::size_t end = kPieceBytes; end <= aPrompt.size(); end += kPieceBytes) {
-    pieces.push_back(Hash64(std::string_view{ aPrompt }.substr(0, end)));
+  std::uint64_t before = 0;
+  for (std::string_view rest{ aPrompt }; rest.size() >= kPieceBytes;
+       rest.remove_prefix(kPieceBytes)) {
+    before = Hash64(rest.substr(0, kPieceBytes), before);
+    pieces.push_back(before);
   }
   return pieces;
 }
