--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -11,6 +11,49 @@
 
 namespace skylarkwind {
 
+enum class fault_kind
+{
+  PauseCore,
+  KillCore,
+  CutFromPlatform,
+  CutFromEngines,
+  Outage,
+  SlowPlatform,
+  LostReplies,
+  StaleReads,
+  Restore,
+  EngineCrash,
+  LateOrders,
+  LostOrderReplies,
+  LostOrders,
+  DrainStuck,
+  TableEdit,
+  EngineLeaves
+};
+inline constexpr int kFaultKinds = 16;
+
+/// One fault of a schedule. `mTarget` counts cores or engines, modulo their number; from
+/// `kBusiest` on it means the holder and the engine with an unsettled intent, if there is one.
+inline constexpr std::size_t kBusiest = 6;
+struct fault
+{
+  fault_kind mKind = fault_kind::PauseCore;
+  std::chrono::milliseconds mAt{ 0 };
+  std::chrono::milliseconds mLasts{ 0 };
+  std::size_t mTarget = 0;
+};
+
+struct world_settings
+{
+  std::size_t mCores = 3;
+  std::size_t mEngines = 3;
+  bool mChecksFencing = true;
+  bool mHonoursExpiry = true;
+  std::uint64_t mSeed = 1;
+  unsigned mLoseOneIn = 2; ///< orders and replies that a fault loses
+  bool mWishes = true;     ///< the planner asks for changes all the time
+};
+
 /// Membership that the test sets.
 class fake_members final : public membership
 {
--- a/packages/core/tests/control_test.cpp
+++ b/packages/core/tests/control_test.cpp
@@ -15,6 +15,7 @@
   settings.mCores = 2;
   settings.mEngines = 2;
   settings.mWishes = false;
+  settings.mLoseOneIn = 1;
   settings.mChecksFencing = aChecksFencing;
   settings.mHonoursExpiry = aChecksFencing;
   return settings;
--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -12,48 +12,6 @@
 
 namespace skylarkwind {
 
-enum class fault_kind
-{
-  PauseCore,
-  KillCore,
-  CutFromPlatform,
-  CutFromEngines,
-  Outage,
-  SlowPlatform,
-  LostReplies,
-  StaleReads,
-  Restore,
-  EngineCrash,
-  LateOrders,
-  LostOrderReplies,
-  LostOrders,
-  DrainStuck,
-  TableEdit,
-  EngineLeaves
-};
-inline constexpr int kFaultKinds = 16;
-
-/// One fault of a schedule. `mTarget` counts cores or engines, modulo their number; from
-/// `kBusiest` on it means the holder and the engine with an unsettled intent, if there is one.
-inline constexpr std::size_t kBusiest = 6;
-struct fault
-{
-  fault_kind mKind = fault_kind::PauseCore;
-  std::chrono::milliseconds mAt{ 0 };
-  std::chrono::milliseconds mLasts{ 0 };
-  std::size_t mTarget = 0;
-};
-
-struct world_settings
-{
-  std::size_t mCores = 3;
-  std::size_t mEngines = 3;
-  bool mChecksFencing = true;
-  bool mHonoursExpiry = true;
-  std::uint64_t mSeed = 1;
-  bool mWishes = true; ///< the planner asks for changes all the time
-};
-
 /// A few cores, the platform and engines of data centre "d" on one clock. Every rule that must
 /// hold at all times is checked at every step; breaches are collected in `mBreaches`.
 class control_world
@@ -423,7 +381,7 @@
     }
     const bool slow = Anywhere(fault_kind::SlowPlatform);
     const ms there = slow ? Upto(6'000) : Upto(60);
-    const bool lost = Anywhere(fault_kind::LostReplies) && Chance(2);
+    const bool lost = Anywhere(fault_kind::LostReplies) && Chance(mSettings.mLoseOneIn);
     const ms back = slow ? Upto(2'000) : Upto(60);
     const bool late = there + back > ms{ 1'500 };
     if (lost || late) {
@@ -473,6 +431,11 @@
     if (intent == nullptr || intent->mOrder != order.mOrder) {
       Breach("order " + order.mOrder + " is sent without its recorded intent");
     }
+    if (std::count_if(mNewest.mOrders.begin(), mNewest.mOrders.end(), [](const auto& aEach) {
+          return aEach.mStage == recorded_order::stage::Intended;
+        }) > 1) {
+      Breach("two engines of the service have an unsettled order");
+    }
     if (!aCore.mControl->HoldsLease(mNow)) {
       Breach("order " + order.mOrder + " is sent without the lease");
     }
@@ -483,7 +446,7 @@
         Carry(aTo, aIndex, out);
       });
     };
-    if (Anywhere(fault_kind::LostOrders) && Chance(2)) {
+    if (Anywhere(fault_kind::LostOrders) && Chance(mSettings.mLoseOneIn)) {
       answer(ms{ 1'000 }, engine_order_result::NoAnswer);
       return;
     }
@@ -500,7 +463,7 @@
         return;
       }
       const auto result = Arrive(engine, aSend, sentAt);
-      const bool lost = Anywhere(fault_kind::LostOrderReplies) && Chance(2);
+      const bool lost = Anywhere(fault_kind::LostOrderReplies) && Chance(mSettings.mLoseOneIn);
       if (there <= ms{ 1'000 }) {
         answer(lost ? ms{ 1'000 } : Upto(100), lost ? engine_order_result::NoAnswer : result);
       }
