Let the schedules see a missing notice time and a lost write

Cause: planted faults showed that work which pauses before all daemons know of an intent, and an intent that is on no platform, went unseen.

--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -131,14 +131,14 @@
     std::uint64_t mFencing = 0;
     instant mAt;
   };
-  std::map<object_key, std::vector<stored>> mObjects;
+  std::map<std::string, std::vector<stored>> mObjects; ///< by kind/name
   std::vector<acquisition> mAcquisitions;
 
   /// `aBack` is the number of versions by which a read is stale.
   platform_result Execute(const platform_operation& aOperation, std::size_t aBack, instant aNow)
   {
     if (const auto* read = std::get_if<read_object>(&aOperation)) {
-      const auto& versions = mObjects[read->mKey];
+      const auto& versions = mObjects[read->mKey.mKind + "/" + read->mKey.mName];
       if (versions.size() <= aBack) {
         return versions.empty() ? platform_result{ object_missing{} }
                                 : platform_result{ object_found{ versions.front().mVersion,
@@ -148,7 +148,7 @@
       return object_found{ at.mVersion, at.mValue };
     }
     const auto& write = std::get<write_object>(aOperation);
-    auto& versions = mObjects[write.mKey];
+    auto& versions = mObjects[write.mKey.mKind + "/" + write.mKey.mName];
     const auto version = versions.empty() ? 0 : versions.back().mVersion;
     if (version != write.mExpectedVersion) {
       return write_conflict{ version };
@@ -173,7 +173,7 @@
 
   const fleet_object& Fleet(const std::string& aDataCentre)
   {
-    const auto& versions = mObjects[{ "fleet", aDataCentre }];
+    const auto& versions = mObjects["fleet/" + aDataCentre];
     if (mParsed != versions.size()) {
       mParsed = versions.size();
       mFleet = *fleet_object::Parse(versions.back().mValue);
--- a/packages/core/tests/control_test.cpp
+++ b/packages/core/tests/control_test.cpp
@@ -82,8 +82,10 @@
     StartEdit(world);
     std::vector<instant> starts;
     const auto watch = [&] {
-      const auto changing = std::count_if(
-        world.mEngines.begin(), world.mEngines.end(), [](auto& e) { return e.Changing(); });
+      const auto changing =
+        std::count_if(world.mEngines.begin(), world.mEngines.end(), [](const fake_engine& aEngine) {
+          return aEngine.Changing();
+        });
       CPPUNIT_ASSERT(changing <= 1);
       if (world.mAccepted > starts.size()) {
         starts.push_back(world.mNow);
--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -19,6 +19,7 @@
 public:
   using ms = std::chrono::milliseconds;
   static constexpr ms kStep{ 100 };
+  static constexpr ms kNotice{ 2'500 };
 
   struct core
   {
@@ -364,7 +365,7 @@
   {
     ++mPlatformCalls[aCall.mCall.mPart];
     const auto reply = [this, &aCore, aIndex, id = aCall.mCall](ms aDelay,
-                                                                platform_result aResult) {
+                                                                const platform_result& aResult) {
       ToCore(aCore, aDelay, [this, aIndex, id, aResult](core& aTo) {
         effect_list out;
         aTo.mControl->OnPlatformReply({ id, aResult }, mNow, out);
@@ -428,7 +429,12 @@
       Breach("order " + order.mOrder + " is sent twice");
     }
     const auto* intent = Intent(aSend.mEngine);
-    if (intent == nullptr || intent->mOrder != order.mOrder) {
+    const auto& stored = mPlatform.Fleet("d").mOrders;
+    const bool onPlatform =
+      mRestored || std::any_of(stored.begin(), stored.end(), [&](const recorded_order& aEach) {
+        return aEach.mOrder == order.mOrder && aEach.mStage == recorded_order::stage::Intended;
+      });
+    if (intent == nullptr || intent->mOrder != order.mOrder || !onPlatform) {
       Breach("order " + order.mOrder + " is sent without its recorded intent");
     }
     if (std::count_if(mNewest.mOrders.begin(), mNewest.mOrders.end(), [](const auto& aEach) {
@@ -523,12 +529,15 @@
       return;
     }
     if (!since) {
-      since = mNow + ms{ 2'500 } + Upto(3'000);
+      since = mNow + kNotice + (Chance(2) ? ms{ 0 } : Upto(3'000));
+      mNoticed[aEngine.mName] = mNow + kNotice;
     }
     if (mNow < *since && Anywhere(fault_kind::DrainStuck)) {
       *since += kStep;
     }
-    aEngine.mWorking = mNow < *since;
+    // Until the last daemon knows, requests may still come after a moment without any.
+    const bool comesAndGoes = mNow < mNoticed[aEngine.mName];
+    aEngine.mWorking = mNow < *since && !(comesAndGoes && Chance(2));
   }
 
   void CheckHolders()
@@ -554,6 +563,7 @@
   std::mt19937_64 mRandom;
   std::multimap<instant, std::function<void()>> mQueue;
   std::map<std::string, std::optional<instant>> mIntendedSince;
+  std::map<std::string, instant> mNoticed; ///< when the last daemon knows of the intent
   fleet_object mNewest; ///< the newest fleet object that a core reported as written
   std::uint64_t mHighest = 0;
   std::uint64_t mEdits = 0;
--- a/packages/core/tests/lease_test.cpp
+++ b/packages/core/tests/lease_test.cpp
@@ -64,7 +64,7 @@
     }
     return calls;
   }
-  void Run(std::vector<lease*> aLeases, ms aTime)
+  void Run(const std::vector<lease*>& aLeases, ms aTime)
   {
     for (const auto end = mNow + aTime; mNow < end;) {
       mNow += ms{ 20 };
