--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -11,6 +11,49 @@
 
 namespace skylarkwind {
 
+enum class fault_kind
+{
+  PauseCore,
+  KillCore,
+  CutFromPlatform,
+  CutFromEngines,
+  Outage,
+  SlowPlatform,
+  LostReplies,
+  StaleReads,
+  Restore,
+  EngineCrash,
+  LateOrders,
+  LostOrderReplies,
+  LostOrders,
+  DrainStuck,
+  TableEdit,
+  EngineLeaves
+};
+inline constexpr int kFaultKinds = 16;
+
+/// One fault of a schedule. `mTarget` counts cores or engines, modulo their number; from
+/// `kBusiest` on it means the holder and the engine with an unsettled intent, if there is one.
+inline constexpr std::size_t kBusiest = 6;
+struct fault
+{
+  fault_kind mKind = fault_kind::PauseCore;
+  std::chrono::milliseconds mAt{ 0 };
+  std::chrono::milliseconds mLasts{ 0 };
+  std::size_t mTarget = 0;
+};
+
+struct world_settings
+{
+  std::size_t mCores = 3;
+  std::size_t mEngines = 3;
+  bool mChecksFencing = true;
+  bool mHonoursExpiry = true;
+  std::uint64_t mSeed = 1;
+  unsigned mLoseOneIn = 2; ///< orders and replies that a fault loses
+  bool mWishes = true;     ///< the planner asks for changes all the time
+};
+
 /// Membership that the test sets.
 class fake_members final : public membership
 {
@@ -88,14 +131,14 @@
     std::uint64_t mFencing = 0;
     instant mAt;
   };
-  std::map<object_key, std::vector<stored>> mObjects;
+  std::map<std::string, std::vector<stored>> mObjects; ///< by kind/name
   std::vector<acquisition> mAcquisitions;
 
   /// `aBack` is the number of versions by which a read is stale.
   platform_result Execute(const platform_operation& aOperation, std::size_t aBack, instant aNow)
   {
     if (const auto* read = std::get_if<read_object>(&aOperation)) {
-      const auto& versions = mObjects[read->mKey];
+      const auto& versions = mObjects[read->mKey.mKind + "/" + read->mKey.mName];
       if (versions.size() <= aBack) {
         return versions.empty() ? platform_result{ object_missing{} }
                                 : platform_result{ object_found{ versions.front().mVersion,
@@ -105,7 +148,7 @@
       return object_found{ at.mVersion, at.mValue };
     }
     const auto& write = std::get<write_object>(aOperation);
-    auto& versions = mObjects[write.mKey];
+    auto& versions = mObjects[write.mKey.mKind + "/" + write.mKey.mName];
     const auto version = versions.empty() ? 0 : versions.back().mVersion;
     if (version != write.mExpectedVersion) {
       return write_conflict{ version };
@@ -130,7 +173,7 @@
 
   const fleet_object& Fleet(const std::string& aDataCentre)
   {
-    const auto& versions = mObjects[{ "fleet", aDataCentre }];
+    const auto& versions = mObjects["fleet/" + aDataCentre];
     if (mParsed != versions.size()) {
       mParsed = versions.size();
       mFleet = *fleet_object::Parse(versions.back().mValue);
--- a/packages/core/tests/control_test.cpp
+++ b/packages/core/tests/control_test.cpp
@@ -15,6 +15,7 @@
   settings.mCores = 2;
   settings.mEngines = 2;
   settings.mWishes = false;
+  settings.mLoseOneIn = 1;
   settings.mChecksFencing = aChecksFencing;
   settings.mHonoursExpiry = aChecksFencing;
   return settings;
@@ -81,8 +82,10 @@
     StartEdit(world);
     std::vector<instant> starts;
     const auto watch = [&] {
-      const auto changing = std::count_if(
-        world.mEngines.begin(), world.mEngines.end(), [](auto& e) { return e.Changing(); });
+      const auto changing =
+        std::count_if(world.mEngines.begin(), world.mEngines.end(), [](const fake_engine& aEngine) {
+          return aEngine.Changing();
+        });
       CPPUNIT_ASSERT(changing <= 1);
       if (world.mAccepted > starts.size()) {
         starts.push_back(world.mNow);
