Remove the test stand-in of the table's JSON form; rename the front's request

Cause: two headers defined skylarkwind::http_request, which breaks the one-definition rule in the daemon; a weak copy of table::Parse in the core's tests could hide the real one.

--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control_fakes.h"
-#include "table_standin.h"
+#include "skylarkwind/table.h"
 
 #include <cppunit/TestAssert.h>
 
--- a/packages/front/src/caller_parse.cpp
+++ b/packages/front/src/caller_parse.cpp
@@ -107,7 +107,7 @@
 }
 
 local_request
-ToLocalRequest(http_request&& aRequest)
+ToLocalRequest(received_request&& aRequest)
 {
   local_request local;
   local.mPath = PathOf(aRequest.mTarget);
@@ -121,7 +121,7 @@
 }
 
 std::variant<caller_request, refusal>
-ParseCallerRequest(http_request&& aRequest)
+ParseCallerRequest(received_request&& aRequest)
 {
   const auto kind = RouteOf(aRequest.mTarget);
   if (kind != route::Plain && aRequest.mMethod != "POST") {
--- a/packages/front/src/connection.cpp
+++ b/packages/front/src/connection.cpp
@@ -24,7 +24,7 @@
 
 /// A large body takes milliseconds to parse; that is done here and not on the loop thread.
 void
-Parse(http_request&& aHttp, request_read& aRead)
+Parse(received_request&& aHttp, request_read& aRead)
 {
   aRead.mFraming = { aHttp.mHttp10, aHttp.mKeepAlive, aHttp.mMethod == "HEAD" };
   if (RouteOf(aHttp.mTarget) == route::Local) {
--- a/packages/front/src/request_reader.cpp
+++ b/packages/front/src/request_reader.cpp
@@ -157,7 +157,7 @@
   return std::exchange(mContinue, false);
 }
 
-http_request
+received_request
 request_reader::Take()
 {
   mStep = step::Head;
@@ -168,7 +168,7 @@
     // An open stream may last minutes; it must not hold the space of its request.
     mBuffer = std::string{};
   }
-  return std::exchange(mRequest, http_request{});
+  return std::exchange(mRequest, received_request{});
 }
 
 bool
--- a/packages/front/src/request_reader_p.h
+++ b/packages/front/src/request_reader_p.h
@@ -10,7 +10,7 @@
 namespace skylarkwind {
 
 /// One HTTP request as received.
-struct http_request
+struct received_request
 {
   std::string mMethod;
   std::string mTarget; ///< path and query, byte for byte
@@ -72,7 +72,7 @@
   bool TakeContinue();
 
   /// Returns the parsed request; the next one starts at the bytes after it.
-  http_request Take();
+  received_request Take();
   const refusal& Failure() const { return mFailure; }
 
 private:
@@ -110,7 +110,7 @@
   std::string mBuffer;
   std::size_t mScanned = 0; ///< bytes of the buffer that hold no end of the head
   step mStep = step::Head;
-  http_request mRequest;
+  received_request mRequest;
   std::uint64_t mRemaining = 0; ///< of the fixed body or the current chunk
   std::size_t mTrailerBytes = 0;
   bool mContinue = false;
