--- a/examples/direct_bench.cpp
+++ b/examples/direct_bench.cpp
@@ -4,7 +4,8 @@
 //   direct_bench hold DAEMON PID MODEL KEY [streams]
 // ENGINE and DAEMON are ip:port, PID is the daemon's process. `pace` sends the same requests
 // alternately to both, `full` keeps `open` streams at the daemon, `hold` prints the daemon's
-// resident memory without and with open streams. Nothing is started here; see scripts/measure.
+// resident memory without and with open streams. A chunk is one SSE event; a test double without a
+// limit for one stream puts many tokens in one. Nothing is started here; see scripts/measure.
 
 #include <curl/curl.h>
 #include <unistd.h>
@@ -172,7 +173,7 @@
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(mMulti, &left)) {
       if (message->msg == CURLMSG_DONE) {
-        End(message->easy_handle, message->data.result == CURLE_OK);
+        End(message->easy_handle, message->data.result);
       }
     }
   }
@@ -180,14 +181,16 @@
   std::size_t Open() const { return mOpen.size(); }
 
 private:
-  void End(CURL* aEasy, bool aGood)
+  void End(CURL* aEasy, CURLcode aResult)
   {
     const auto at = std::find_if(
       mOpen.begin(), mOpen.end(), [aEasy](const auto& aOpen) { return aOpen.first == aEasy; });
     auto& to = *at->second;
-    (aGood && to.mDone ? to.mFigures->mWhole : to.mFigures->mFailed) += 1;
-    if (!(aGood && to.mDone) && to.mFigures->mFailed == 1) {
-      std::fprintf(stderr, "first failed request: %s\n", to.mHead.c_str());
+    const bool good = aResult == CURLE_OK && to.mDone;
+    (good ? to.mFigures->mWhole : to.mFigures->mFailed) += 1;
+    if (!good && to.mFigures->mFailed == 1) {
+      std::fprintf(
+        stderr, "first failed request: %s, %s\n", curl_easy_strerror(aResult), to.mHead.c_str());
     }
     to.mFigures->mTokens += to.mEvents;
     curl_multi_remove_handle(mMulti, aEasy);
@@ -224,9 +227,9 @@
 PrintProcessor(const char* aName, const figures& aFigures, double aProcessor, double aSeconds)
 {
   std::printf(
-    "%s: %zu whole, %zu failed, %.1f requests/s, %.0f tokens/s; daemon %.3f s of processor"
-    " time in %.1f s (%.1f %% of a core), %.1f us for each request with its tokens,"
-    " %.2f us for each token\n",
+    "%s: %zu whole, %zu failed, %.1f requests/s, %.0f chunks/s; daemon %.3f s of processor"
+    " time in %.1f s (%.1f %% of a core), %.1f us for each request with its chunks,"
+    " %.2f us for each chunk\n",
     aName,
     aFigures.mWhole,
     aFigures.mFailed,
