Show the table serial of each daemon in the status

Cause: the status could not tell which table is in force where; the client printed "-" for every daemon. Change: membership keeps the highest version of each document heard from each live process (SeenVersion), from the versions that probes and replies carry already. /admin/status lists it for each member, the daemon's own serial for itself. Conclusion: no message and no call is added; the memory is one short list for each live daemon.

--- a/examples/flow_daemon.h
+++ b/examples/flow_daemon.h
@@ -43,6 +43,11 @@
   void OnVmList(const vm_list&, instant) override {}
   void OnShutdown(instant, effect_list&) override {}
   std::vector<seen_document> TakeSeenDocuments() override { return {}; }
+  std::optional<std::uint64_t> SeenVersion(const process_id& /*aProcess*/,
+                                           std::string_view /*aDocument*/) const override
+  {
+    return std::nullopt;
+  }
 
 private:
   process_id mSelf;
--- a/packages/core/include/skylarkwind/membership.h
+++ b/packages/core/include/skylarkwind/membership.h
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace skylarkwind {
@@ -63,6 +65,12 @@
     std::string mAddress;
   };
   virtual std::vector<seen_document> TakeSeenDocuments() = 0;
+
+  /// The highest version of a document that this live process was heard to have in force, from its
+  /// own probes and replies; empty when not heard yet. A value is at most about one round of probes
+  /// old.
+  virtual std::optional<std::uint64_t> SeenVersion(const process_id& aProcess,
+                                                   std::string_view aDocument) const = 0;
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/membership.cpp
+++ b/packages/core/src/membership.cpp
@@ -28,6 +28,16 @@
                              std::string{ aText } });
 }
 
+/// The entry of this name in a vector of document versions.
+template<class list>
+auto
+FindDocument(list& aDocuments, std::string_view aName)
+{
+  return std::find_if(aDocuments.begin(), aDocuments.end(), [&](const document_version& aDocument) {
+    return aDocument.mName == aName;
+  });
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<membership>>
@@ -160,9 +170,11 @@
       break;
     case member_state::Dead:
       LogMember(log_level::Info, aUpdate, "is dead", aOut);
+      mHeard.erase(aUpdate.mProcess.mVm);
       return;
     case member_state::Left:
       LogMember(log_level::Info, aUpdate, "has left", aOut);
+      mHeard.erase(aUpdate.mProcess.mVm);
       return;
     case member_state::Alive:
       break;
@@ -280,6 +292,49 @@
   }
 }
 
+void
+membership_core::NoteVersions(const process_id& aSender,
+                              std::span<const document_version> aDocuments)
+{
+  const auto* member = mList.Find(aSender.mVm);
+  if (aSender.mVm == mSettings.mSelf.mVm || member == nullptr || member->mProcess != aSender ||
+      !IsLive(member->mState)) {
+    return; // late news of a process that has ended
+  }
+  auto& heard = mHeard[aSender.mVm];
+  if (heard.mProcess != aSender) {
+    heard = { aSender, {} };
+  }
+  for (const auto& document : aDocuments) {
+    if (document.mName == kMembersChecksum) {
+      continue;
+    }
+    const auto known = FindDocument(heard.mDocuments, document.mName);
+    if (known == heard.mDocuments.end()) {
+      heard.mDocuments.push_back(document);
+    } else {
+      known->mVersion = std::max(known->mVersion, document.mVersion); // messages may overtake
+    }
+  }
+}
+
+std::optional<std::uint64_t>
+membership_core::SeenVersion(const process_id& aProcess, std::string_view aDocument) const
+{
+  const auto versionIn =
+    [&](const std::vector<document_version>& aDocuments) -> std::optional<std::uint64_t> {
+    const auto found = FindDocument(aDocuments, aDocument);
+    return found == aDocuments.end() ? std::nullopt : std::optional{ found->mVersion };
+  };
+  if (aProcess == mSettings.mSelf) {
+    return versionIn(mDocuments);
+  }
+  const auto heard = mHeard.find(aProcess.mVm);
+  return heard == mHeard.end() || heard->second.mProcess != aProcess
+           ? std::nullopt
+           : versionIn(heard->second.mDocuments);
+}
+
 template<class message>
 bool
 membership_core::Receive(const message& aMessage, instant aNow, effect_list& aOut)
@@ -288,6 +343,7 @@
     Apply(update, aNow, aOut);
   }
   Apply(aMessage.mSender, aNow, aOut);
+  NoteVersions(aMessage.mSender.mProcess, aMessage.mDocuments);
   bool equal = true;
   for (const auto& document : aMessage.mDocuments) {
     if (document.mName == kMembersChecksum) {
--- a/packages/core/src/membership_p.h
+++ b/packages/core/src/membership_p.h
@@ -38,6 +38,8 @@
   void OnVmList(const vm_list& aList, instant aNow) override;
   void OnShutdown(instant aNow, effect_list& aOut) override;
   std::vector<seen_document> TakeSeenDocuments() override;
+  std::optional<std::uint64_t> SeenVersion(const process_id& aProcess,
+                                           std::string_view aDocument) const override;
 
 private:
   enum class purpose
@@ -69,6 +71,12 @@
     std::string mPeer; ///< VM
     std::string mNext; ///< VM that the next message begins with
   };
+  /// What a live process was heard to have in force.
+  struct heard_versions
+  {
+    process_id mProcess;
+    std::vector<document_version> mDocuments;
+  };
   /// The member whose list differs from this one's.
   struct exchange_partner
   {
@@ -93,6 +101,7 @@
   template<class message>
   bool Receive(const message& aMessage, instant aNow, effect_list& aOut);
   void SeeDocument(const document_version& aDocument, const std::string& aAddress);
+  void NoteVersions(const process_id& aSender, std::span<const document_version> aDocuments);
 
   // membership_probes.cpp: who is called when
   void SendProbe(purpose aPurpose, const member_update& aTarget, instant aNow, effect_list& aOut);
@@ -123,6 +132,7 @@
   update_queue mQueue;
   std::vector<document_version> mDocuments;
   std::map<std::string, seen_document> mSeen;
+  std::map<std::string, heard_versions, std::less<>> mHeard; ///< by VM, live ones only
   std::set<std::string> mVmSeeds;
   std::map<std::uint64_t, pending_call> mPending;
   std::map<std::uint64_t, indirect_group> mGroups;
--- a/packages/core/tests/fake_membership.h
+++ b/packages/core/tests/fake_membership.h
@@ -45,6 +45,11 @@
   void OnVmList(const vm_list& /*aList*/, instant /*aNow*/) override {}
   void OnShutdown(instant /*aNow*/, effect_list& /*aOut*/) override {}
   std::vector<seen_document> TakeSeenDocuments() override { return {}; }
+  std::optional<std::uint64_t> SeenVersion(const process_id& /*aProcess*/,
+                                           std::string_view /*aDocument*/) const override
+  {
+    return std::nullopt;
+  }
 
 private:
   process_id mSelf;
--- a/packages/core/tests/membership_test.cpp
+++ b/packages/core/tests/membership_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(CostDoesNotGrowWithTheFleet);
   CPPUNIT_TEST(OneWayCutKeepsMembersAlive);
   CPPUNIT_TEST(LostMessagesKillNobody);
+  CPPUNIT_TEST(VersionsAreHeardFromTheirOwner);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<document_cluster> Started(std::size_t aCount)
@@ -162,6 +163,40 @@
       CPPUNIT_ASSERT(fleet->MembersAgree());
     }
   }
+
+  /// Guards against a status that shows a table serial of an ended process, one that a late message
+  /// lowered, or one for a member that was never heard.
+  void VersionsAreHeardFromTheirOwner()
+  {
+    const auto made = membership::Create({ { "self", 1 }, { "127.0.0.1:1", "a", "r" } });
+    CPPUNIT_ASSERT(made.ok());
+    auto& members = **made;
+    const instant now{ seconds{ 100 } };
+    const auto hear = [&](std::uint64_t aStartId, std::uint64_t aSerial) {
+      effect_list out;
+      const member_update sender{ { "peer", aStartId }, { "127.0.0.1:2", "a", "r" } };
+      members.OnPeerAsked(
+        { { 1 }, probe_message{ sender, {}, { { "table", aSerial } } } }, now, out);
+    };
+    const auto seen = [&](const process_id& aProcess) {
+      return members.SeenVersion(aProcess, "table").value_or(0);
+    };
+    CPPUNIT_ASSERT(!members.SeenVersion({ "peer", 5 }, "table"));
+    hear(5, 8);
+    hear(5, 7);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 8 }, seen({ "peer", 5 }));
+    CPPUNIT_ASSERT(!members.SeenVersion({ "peer", 5 }, "fleet/a"));
+    hear(6, 3);
+    hear(5, 9);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, seen({ "peer", 6 }));
+    CPPUNIT_ASSERT(!members.SeenVersion({ "peer", 5 }, "table"));
+    members.SetDocuments(std::vector<document_version>{ { "table", 4 } });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4 }, seen({ "self", 1 }));
+    effect_list out;
+    const member_update left{ { "peer", 6 }, { "127.0.0.1:2", "a", "r" }, 0, member_state::Left };
+    members.OnPeerAsked({ { 2 }, probe_message{ left, {}, {} } }, now, out);
+    CPPUNIT_ASSERT(!members.SeenVersion({ "peer", 6 }, "table"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(membership_test);
--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -71,11 +71,15 @@
 {
   auto rows = json::array();
   for (const auto& member : aNode.Members().Live()) {
+    const auto serial = member.mProcess == aNode.Members().Self()
+                          ? std::optional{ aNode.Table().Serial() }
+                          : aNode.Members().SeenVersion(member.mProcess, "table");
     rows.push_back({ { "vm", member.mProcess.mVm },
                      { "start_id", member.mProcess.mStartId },
                      { "data_centre", member.mLocation.mDataCentre },
                      { "address", member.mLocation.mAddress },
-                     { "state", MemberStateText(member.mState) } });
+                     { "state", MemberStateText(member.mState) },
+                     { "table_serial", serial ? json(*serial) : json("-") } });
   }
   return rows;
 }
