Let an edit follow a platform restored from older data

A full cell of a status column ran into the next one. Change: apply accepts a file with the serial of the daemon's table in that case and counts on from there. A cell of a status column always ends with a space. Conclusion: the newest table can be written back with two commands.

--- a/packages/cli/src/status_commands.cpp
+++ b/packages/cli/src/status_commands.cpp
@@ -28,14 +28,18 @@
 void
 PrintRows(const nlohmann::json& aRows, std::span<const char* const> aColumns, std::ostream& aOut)
 {
+  // A cell that fills its column still needs a space before the next one.
   constexpr int kColumnWidth = 18;
+  const auto print = [&](const std::string& aCell) {
+    aOut << std::left << std::setw(kColumnWidth - 1) << aCell << ' ';
+  };
   for (const auto* column : aColumns) {
-    aOut << std::left << std::setw(kColumnWidth) << column;
+    print(column);
   }
   aOut << '\n';
   for (const auto& row : aRows) {
     for (const auto* column : aColumns) {
-      aOut << std::left << std::setw(kColumnWidth) << Column(row, column);
+      print(Column(row, column));
     }
     aOut << '\n';
   }
--- a/packages/cli/src/table_commands.cpp
+++ b/packages/cli/src/table_commands.cpp
@@ -104,10 +104,11 @@
 EditedObject(const cli_settings& aSettings,
              const table_object& aStored,
              const table& aNew,
+             std::uint64_t aBase,
              std::span<const row_change> aChanges)
 {
   table_object next;
-  next.mTable = aNew.WithSerial(aStored.mTable.Serial() + 1);
+  next.mTable = aNew.WithSerial(aBase + 1);
   next.mHistory = aStored.mHistory;
   table_edit edit;
   edit.mSerial = next.mTable.Serial();
@@ -124,27 +125,28 @@
   return next;
 }
 
-/// A platform that was restored from older data must not take edits on top of it: the daemons
-/// hold a newer table and would refuse the result.
-absl::Status
-CheckNotBehind(const cli_settings& aSettings, std::uint64_t aStoredSerial)
+/// The serial that the daemon has in force; 0 when no daemon is named.
+absl::StatusOr<std::uint64_t>
+SerialInForce(const cli_settings& aSettings)
 {
   if (aSettings.mDaemon.empty()) {
-    return absl::OkStatus();
+    return std::uint64_t{ 0 };
   }
   const auto status = AskDaemon(aSettings, "/admin/status");
   if (!status.ok()) {
     return status.status();
   }
-  const auto serial = status->value("table_serial", std::uint64_t{ 0 });
-  if (serial > aStoredSerial) {
-    return absl::FailedPreconditionError(
-      "the platform holds table serial " + std::to_string(aStoredSerial) + " but the daemon has " +
-      std::to_string(serial) +
-      " in force: the platform's data is older. Save the newer table with `skylarkwind table show "
-      "--from_daemon`, set its serial to the platform's and apply it");
-  }
-  return absl::OkStatus();
+  return status->value("table_serial", std::uint64_t{ 0 });
+}
+
+absl::Status
+PlatformIsOlder(std::uint64_t aStored, std::uint64_t aInForce)
+{
+  return absl::FailedPreconditionError(
+    "the platform holds table serial " + std::to_string(aStored) + " but the daemon has " +
+    std::to_string(aInForce) +
+    " in force: the platform's data is older. Save the newer table with `skylarkwind table show "
+    "--from_daemon` and apply that file");
 }
 
 /// True when the platform's stored table is exactly the edit that was written, which settles a
@@ -156,23 +158,21 @@
   return stored.ok() && stored->mObject.ToJson() == aNext.ToJson();
 }
 
+/// Stores the table with the serial after `aBase`, the serial that the edit began from.
 cli_exit
 WriteEdit(const cli_settings& aSettings,
           const stored_table& aStored,
           const table& aNew,
+          std::uint64_t aBase,
           std::ostream& aOut,
           std::ostream& aErr)
 {
   const auto changes = DiffTables(aStored.mObject.mTable, aNew);
-  if (changes.empty()) {
-    aOut << "no row differs from serial " << aStored.mObject.mTable.Serial() << '\n';
+  if (changes.empty() && aBase == aStored.mObject.mTable.Serial()) {
+    aOut << "no row differs from serial " << aBase << '\n';
     return cli_exit::Done;
   }
-  const auto behind = CheckNotBehind(aSettings, aStored.mObject.mTable.Serial());
-  if (!behind.ok()) {
-    return Fail(aErr, behind);
-  }
-  const auto next = EditedObject(aSettings, aStored.mObject, aNew, changes);
+  const auto next = EditedObject(aSettings, aStored.mObject, aNew, aBase, changes);
   const auto answer = CallHttp("PUT",
                                "http://" + aSettings.mPlatform + "/v1/objects/table/current",
                                aSettings.mPlatformCredential,
@@ -208,11 +208,21 @@
   if (!stored.ok()) {
     return Fail(aErr, stored.status());
   }
+  const auto inForce = SerialInForce(aSettings);
+  if (!inForce.ok()) {
+    return Fail(aErr, inForce.status());
+  }
   const auto base = wanted->Serial();
-  if (base != stored->mObject.mTable.Serial()) {
+  const auto storedSerial = stored->mObject.mTable.Serial();
+  // Daemons refuse serials up to the one in force, so that a platform that was restored from older
+  // data takes only an edit that began from the daemons' table and counts on from there.
+  if (*inForce > storedSerial && base != *inForce) {
+    return Fail(aErr, PlatformIsOlder(storedSerial, *inForce));
+  }
+  if (*inForce <= storedSerial && base != storedSerial) {
     return ReportRace(stored->mObject, base, aErr);
   }
-  return WriteEdit(aSettings, *stored, *wanted, aOut, aErr);
+  return WriteEdit(aSettings, *stored, *wanted, base, aOut, aErr);
 }
 
 cli_exit
@@ -335,8 +345,13 @@
   if (!found) {
     return Fail(aErr, absl::NotFoundError("no backend server is named " + std::string{ aName }));
   }
+  const auto inForce = SerialInForce(aSettings);
+  const auto serial = stored->mObject.mTable.Serial();
+  if (!inForce.ok() || *inForce > serial) {
+    return Fail(aErr, inForce.ok() ? PlatformIsOlder(serial, *inForce) : inForce.status());
+  }
   const auto edited = table::Parse(value.dump());
-  return edited.ok() ? WriteEdit(aSettings, *stored, *edited, aOut, aErr)
+  return edited.ok() ? WriteEdit(aSettings, *stored, *edited, serial, aOut, aErr)
                      : Fail(aErr, edited.status());
 }
 
