--- a/tests/sessions/test_system.cpp
+++ b/tests/sessions/test_system.cpp
@@ -407,6 +407,12 @@
   return "http://" + kLoopback + std::to_string(Find(aVm).mCallerPort) + aPath;
 }
 
+const std::string&
+test_system::OperatorCredential()
+{
+  return kOperator;
+}
+
 header_lines
 test_system::CallerHeaders() const
 {
--- a/tests/sessions/test_system.h
+++ b/tests/sessions/test_system.h
@@ -129,6 +129,8 @@
 
   std::string Url(const std::string& aVm, const std::string& aPath) const;
   header_lines CallerHeaders() const;
+  /// The operators' credential of all daemons.
+  static const std::string& OperatorCredential();
   http_reply Complete(const std::string& aVm, const std::string& aPrompt, int aMaxTokens) const;
   std::unique_ptr<open_call> Stream(const std::string& aVm,
                                     const std::string& aPrompt,
