Test silent engine connections and callers that leave over real processes

Cause: no session test covered an engine whose open connections go silent, or the cancel of a caller's stream at the engine. Change: serving_faults_test with the two tests; answers are compared with the engine's direct answer.

--- /dev/null
+++ b/tests/sessions/serving_faults_test.cpp
@@ -0,0 +1,252 @@
+#include "test_system.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sys/wait.h>
+
+namespace skylarkwind::sessions {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr std::uint32_t kSeed = 20'261'204;
+const std::vector<std::string> kEngines{ "e1", "e2", "e3" };
+
+std::int64_t
+WallMs()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+/// A prompt of exactly this many tokens; a test uses each length once, so that the engines' logs
+/// tell which request a run belongs to.
+std::string
+PromptOf(std::size_t aTokens)
+{
+  auto prompt = "request " + std::to_string(aTokens) + " ";
+  prompt.resize(aTokens * 4, 'x'); // four bytes count as one token
+  return prompt;
+}
+
+long
+Tokens(const std::string& aText)
+{
+  return std::count(aText.begin(), aText.end(), ' ');
+}
+
+json
+Runs(test_system& aSystem, const std::string& aEngine)
+{
+  return json::parse(Call("GET", aSystem.Engine(aEngine).Url("/standin/log")).mBody).at("streams");
+}
+
+/// Runs of daemons' requests with a prompt of this length, over all engines.
+std::vector<json>
+RunsOfPrompt(test_system& aSystem, std::size_t aTokens)
+{
+  std::vector<json> runs;
+  for (const auto& engine : kEngines) {
+    for (const auto& run : Runs(aSystem, engine)) {
+      if (run["prompt_tokens"] == aTokens &&
+          !run["stream"].get<std::string>().starts_with("local-")) {
+        runs.push_back(run);
+      }
+    }
+  }
+  return runs;
+}
+
+/// The answer that an engine gives when it is asked directly.
+std::string
+DirectAnswer(test_system& aSystem, std::size_t aTokens, std::uint64_t aSeed, int aMaxTokens)
+{
+  const json body{ { "model", "granite" },
+                   { "prompt", PromptOf(aTokens) },
+                   { "max_tokens", aMaxTokens },
+                   { "skylarkwind", { { "seed", aSeed } } } };
+  const auto reply = Call("POST", aSystem.Engine("e1").Url("/v1/completions"), {}, body.dump());
+  const auto answer = json::parse(reply.mBody, nullptr, false);
+  return reply.mStatus == 200 ? answer["choices"][0].value("text", "") : "no direct answer";
+}
+
+std::string
+BusyEngine(const test_system& aSystem, const std::string& aVm)
+{
+  const auto status = aSystem.Status(aVm);
+  for (const auto& row : status["backend_servers"]) {
+    if (row.value("in_flight", 0) > 0) {
+      return row["name"];
+    }
+  }
+  return "";
+}
+
+system_options
+Engines(const std::vector<std::string>& aFlags)
+{
+  system_options options;
+  for (auto& engine : options.mEngines) {
+    engine.mFlags = aFlags;
+  }
+  return options;
+}
+
+bool
+SaysNotRun(const http_reply& aReply)
+{
+  const auto body = json::parse(aReply.mBody, nullptr, false);
+  return !aReply.mBroken && body.is_object() && body.contains("error") &&
+         body["error"].value("run", "") == "not run";
+}
+
+std::string
+Describe(const http_reply& aReply)
+{
+  return "status " + std::to_string(aReply.mStatus) + (aReply.mBroken ? ", broken, " : ", ") +
+         aReply.mBody.substr(aReply.mBody.size() - std::min<std::size_t>(aReply.mBody.size(), 400));
+}
+
+bool
+IsWhole(const http_reply& aReply, long aTokens)
+{
+  const auto view = ReadStream(aReply.mBody);
+  return aReply.mStatus == 200 && !aReply.mBroken && view.mDone && Tokens(view.mText) == aTokens;
+}
+
+/// Faults that client threads saw; CppUnit's assertions are for the test's own thread.
+class fault_list
+{
+public:
+  void Add(const std::string& aFault)
+  {
+    const std::lock_guard lock{ mMutex };
+    mFaults.push_back(aFault);
+  }
+  void AssertEmpty() const
+  {
+    const std::lock_guard lock{ mMutex };
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(mFaults.size()) +
+                             " faults, the first: " + (mFaults.empty() ? "" : mFaults[0]),
+                           mFaults.empty());
+  }
+
+private:
+  mutable std::mutex mMutex;
+  std::vector<std::string> mFaults;
+};
+
+/// Callers that place one streaming request after another, on both daemons in turn.
+class steady_load
+{
+public:
+  steady_load(const test_system& aSystem, int aCallers, int aMaxTokens)
+  {
+    for (int i = 0; i < aCallers; ++i) {
+      mCallers.emplace_back([this, &aSystem, i, aMaxTokens] {
+        for (int turn = i; !mStop; ++turn) {
+          const auto call =
+            aSystem.Stream(turn % 2 == 0 ? "entry-1" : "entry-2", "load", aMaxTokens);
+          const auto reply = call->Wait();
+          if (!IsWhole(reply, aMaxTokens)) {
+            mFaults.Add(Describe(reply));
+          }
+          ++mEnded;
+        }
+      });
+    }
+  }
+  ~steady_load() { Stop(); }
+  void Stop()
+  {
+    mStop = true;
+    for (auto& caller : mCallers) {
+      caller.join();
+    }
+    mCallers.clear();
+  }
+  int Ended() const { return mEnded; }
+  void AssertAllWhole() const { mFaults.AssertEmpty(); }
+
+private:
+  std::atomic<bool> mStop{ false };
+  std::atomic<int> mEnded{ 0 };
+  fault_list mFaults;
+  std::vector<std::thread> mCallers;
+};
+
+} // namespace
+
+class serving_faults_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(serving_faults_test);
+  CPPUNIT_TEST(OpenConnectionsGoSilent);
+  CPPUNIT_TEST(CallerThatLeaves);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a stream that hangs, is cut or has text twice when its connection goes silent.
+  void OpenConnectionsGoSilent()
+  {
+    auto options = Engines({ "--stream_tokens_per_s=100" });
+    for (auto& engine : options.mEngines) {
+      engine.mRelayed = true;
+    }
+    options.mMoreSettings += "serving: { progress_limit_ms: 1000 }\n";
+    test_system system{ options };
+    const auto call = system.Stream("entry-1", PromptOf(50), 200);
+    CPPUNIT_ASSERT(WaitUntil([&] { return Tokens(ReadStream(call->Received()).mText) >= 20; }));
+    const auto engine = BusyEngine(system, "entry-1");
+    CPPUNIT_ASSERT(!engine.empty());
+    system.Relay("engine/" + engine, "/standin/faults", R"({"silence_open":true})");
+    CPPUNIT_ASSERT(WaitUntil([&] { return call->Ended(); }, seconds{ 10 }));
+    const auto reply = call->Wait();
+    CPPUNIT_ASSERT_MESSAGE(Describe(reply), IsWhole(reply, 200));
+    const auto runs = RunsOfPrompt(system, 50);
+    CPPUNIT_ASSERT(
+      std::ranges::any_of(runs, [](const json& aRun) { return aRun["resume_from"] > 0; }));
+    CPPUNIT_ASSERT_EQUAL(DirectAnswer(system, 50, runs[0]["seed"], 200),
+                         ReadStream(reply.mBody).mText);
+  }
+
+  /// Guards against engines that go on working for callers that left.
+  void CallerThatLeaves()
+  {
+    test_system system{ Engines({ "--stream_tokens_per_s=100" }) };
+    const auto cancelled = [&](std::size_t aPrompt) {
+      const auto runs = RunsOfPrompt(system, aPrompt);
+      return !runs.empty() && std::ranges::all_of(runs, [](const json& aRun) {
+        return aRun["outcome"] == "cancelled";
+      });
+    };
+    const auto call = system.Stream("entry-1", PromptOf(50), 2'000);
+    CPPUNIT_ASSERT(WaitUntil([&] { return Tokens(ReadStream(call->Received()).mText) >= 20; }));
+    call->Abort();
+    CPPUNIT_ASSERT(WaitUntil([&] { return call->Ended(); }));
+    CPPUNIT_ASSERT(WaitUntil([&] { return cancelled(50); }, seconds{ 1 }));
+
+    // A caller of a whole answer, which has received nothing yet when it leaves.
+    const json body{ { "model", "granite" }, { "prompt", PromptOf(51) }, { "max_tokens", 2'000 } };
+    const auto left = Call("POST",
+                           system.Url("entry-2", "/v1/completions"),
+                           system.CallerHeaders(),
+                           body.dump(),
+                           milliseconds{ 700 });
+    CPPUNIT_ASSERT(left.mBroken);
+    CPPUNIT_ASSERT(WaitUntil([&] { return cancelled(51); }, seconds{ 1 }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(serving_faults_test);
+
+} // namespace skylarkwind::sessions
