Test the platform away, a daemon's stop and an engine's drain over real processes

Cause: no session test covered these planned and unplanned faults under load. Change: tests PlatformAway, PlatformSilent, DaemonStoppedUnderLoad, EngineDrainedUnderLoad.

--- a/tests/sessions/serving_faults_test.cpp
+++ b/tests/sessions/serving_faults_test.cpp
@@ -193,6 +193,10 @@
   CPPUNIT_TEST_SUITE(serving_faults_test);
   CPPUNIT_TEST(OpenConnectionsGoSilent);
   CPPUNIT_TEST(CallerThatLeaves);
+  CPPUNIT_TEST(PlatformAway);
+  CPPUNIT_TEST(PlatformSilent);
+  CPPUNIT_TEST(DaemonStoppedUnderLoad);
+  CPPUNIT_TEST(EngineDrainedUnderLoad);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a stream that hangs, is cut or has text twice when its connection goes silent.
@@ -245,6 +249,122 @@
     CPPUNIT_ASSERT(left.mBroken);
     CPPUNIT_ASSERT(WaitUntil([&] { return cancelled(51); }, seconds{ 1 }));
   }
+
+  /// Streams go on while the platform is away; orders with the keys are refused as `not run`, and
+  /// run once after the return.
+  static void CheckPlatformAway(const std::string& aOutage)
+  {
+    test_system system{ Engines({ "--stream_tokens_per_s=100" }) };
+    const auto call = system.Stream("entry-1", PromptOf(50), 300);
+    CPPUNIT_ASSERT(WaitUntil([&] { return Tokens(ReadStream(call->Received()).mText) >= 20; }));
+    Call("POST", system.Platform().Url("/standin/faults"), {}, aOutage);
+    // Several keys, so that either daemon is the preferred owner of some claim.
+    constexpr std::size_t kKeys = 6;
+    std::vector<http_reply> refused(kKeys);
+    std::vector<std::thread> callers;
+    const auto key = [](std::size_t aIndex) { return "away-" + std::to_string(aIndex); };
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      callers.emplace_back([&, i] { refused[i] = system.Order("entry-1", key(i), "{}"); });
+    }
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    const auto later = system.Stream("entry-2", PromptOf(51), 50);
+    const auto whole = later->Wait();
+    CPPUNIT_ASSERT_MESSAGE(Describe(whole), IsWhole(whole, 50));
+    const auto reply = call->Wait();
+    CPPUNIT_ASSERT_MESSAGE(Describe(reply), IsWhole(reply, 300));
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      CPPUNIT_ASSERT_EQUAL(0, system.RunsOf(key(i)));
+    }
+    Call(
+      "POST", system.Platform().Url("/standin/faults"), {}, R"({"outage":false,"silent":false})");
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      http_reply done;
+      const bool ran = WaitUntil([&] {
+        done = system.Order("entry-1", key(i), "{}");
+        return done.mStatus == 200;
+      });
+      CPPUNIT_ASSERT_MESSAGE(key(i) + " after the return: " + Describe(done), ran);
+      CPPUNIT_ASSERT_EQUAL(200, system.Order("entry-2", key(i), "{}").mStatus);
+      CPPUNIT_ASSERT_EQUAL(1, system.RunsOf(key(i)));
+    }
+    for (std::size_t i = 0; i < kKeys; ++i) {
+      CPPUNIT_ASSERT_MESSAGE(key(i) + ": " + Describe(refused[i]),
+                             refused[i].mStatus == 503 && SaysNotRun(refused[i]));
+    }
+  }
+
+  /// Guards against streams that end with the platform, and orders that run, or run twice, although
+  /// no claim could be recorded.
+  void PlatformAway() { CheckPlatformAway(R"({"outage":true})"); }
+
+  /// The same for a platform whose connections stay open and which answers nothing.
+  void PlatformSilent() { CheckPlatformAway(R"({"outage":true,"silent":true})"); }
+
+  /// Guards against a planned stop of a daemon that cuts requests or takes new ones.
+  void DaemonStoppedUnderLoad()
+  {
+    constexpr int kStreams = 12;
+    test_system system{ Engines({ "--stream_tokens_per_s=100" }) };
+    std::vector<std::unique_ptr<open_call>> calls;
+    for (int i = 0; i < kStreams; ++i) {
+      calls.push_back(system.Stream("entry-1", PromptOf(50 + i), 300));
+    }
+    for (const auto& call : calls) {
+      CPPUNIT_ASSERT(WaitUntil([&] { return Tokens(ReadStream(call->Received()).mText) >= 5; }));
+    }
+    system.Daemon("entry-1").Signal(SIGTERM);
+    CPPUNIT_ASSERT(WaitUntil(
+      [&] { return Call("GET", system.Url("entry-1", "/readyz")).mStatus != 200; }, seconds{ 1 }));
+    const auto refused = system.Complete("entry-1", "after the signal", 5);
+    CPPUNIT_ASSERT_MESSAGE(Describe(refused),
+                           refused.mStatus == 0 || (refused.mStatus == 503 && SaysNotRun(refused)));
+    CPPUNIT_ASSERT_EQUAL(200, system.Complete("entry-2", "after the signal", 5).mStatus);
+    CPPUNIT_ASSERT(std::ranges::any_of(calls, [](const auto& aCall) { return !aCall->Ended(); }));
+    for (int i = 0; i < kStreams; ++i) {
+      const auto reply = calls[i]->Wait();
+      CPPUNIT_ASSERT_MESSAGE(Describe(reply), IsWhole(reply, 300));
+    }
+    CPPUNIT_ASSERT(system.Daemon("entry-1").WaitForExit(seconds{ 10 }));
+    const int status = system.Daemon("entry-1").Status();
+    CPPUNIT_ASSERT(WIFEXITED(status));
+    CPPUNIT_ASSERT_EQUAL(0, WEXITSTATUS(status));
+  }
+
+  /// Guards against a drain that cuts requests or is not in effect, and an engine that stays out.
+  void EngineDrainedUnderLoad()
+  {
+    constexpr std::int64_t kNoNewWorkAfterMs = 3'000;
+    constexpr int kRequestsAfterLimit = 40;
+    test_system system{ Engines({ "--stream_tokens_per_s=100" }) };
+    const auto startsAfter = [&](std::int64_t aWallMs) {
+      const auto runs = Runs(system, "e1");
+      return std::ranges::count_if(runs, [&](const json& aRun) { return aRun["at_ms"] > aWallMs; });
+    };
+    steady_load load{ system, 8, 30 };
+    CPPUNIT_ASSERT(WaitUntil([&] { return startsAfter(0) >= 10; }));
+    std::string output;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      output,
+      0,
+      system.Client("entry-1", { "--who=test", "--why=session", "drain", "e1" }, &output));
+    const auto limit = WallMs() + kNoNewWorkAfterMs;
+    CPPUNIT_ASSERT(WaitUntil([&] { return WallMs() > limit; }));
+    const int ended = load.Ended();
+    CPPUNIT_ASSERT(WaitUntil([&] { return load.Ended() >= ended + kRequestsAfterLimit; }));
+    CPPUNIT_ASSERT_EQUAL(std::string{ "drained" }, system.EngineStatus("entry-2", "e1"));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 0 }, std::ptrdiff_t{ startsAfter(limit) });
+
+    const auto back = WallMs();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      output,
+      0,
+      system.Client("entry-2", { "--who=test", "--why=session", "serve", "e1" }, &output));
+    CPPUNIT_ASSERT(WaitUntil([&] { return startsAfter(back) >= 10; }, seconds{ 15 }));
+    load.Stop();
+    load.AssertAllWhole();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(serving_faults_test);
