Test answers under connection churn and an overload pulse over real processes

Cause: no session test checked answers against their own requests under churn, or refusals under overload.

--- a/tests/sessions/serving_faults_test.cpp
+++ b/tests/sessions/serving_faults_test.cpp
@@ -197,6 +197,9 @@
   CPPUNIT_TEST(PlatformSilent);
   CPPUNIT_TEST(DaemonStoppedUnderLoad);
   CPPUNIT_TEST(EngineDrainedUnderLoad);
+  CPPUNIT_TEST(CallerThatStopsReading);
+  CPPUNIT_TEST(AnswersUnderChurn);
+  CPPUNIT_TEST(OverloadPulse);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a stream that hangs, is cut or has text twice when its connection goes silent.
@@ -365,6 +368,210 @@
     load.Stop();
     load.AssertAllWhole();
   }
+
+  static long MemoryKib(test_system& aSystem, const std::string& aVm, const std::string& aField)
+  {
+    std::ifstream file{ "/proc/" + std::to_string(aSystem.Daemon(aVm).Pid()) + "/status" };
+    std::string word;
+    long value = 0;
+    while (file >> word && word != aField) {
+    }
+    file >> value;
+    CPPUNIT_ASSERT(value > 0);
+    return value;
+  }
+
+  /// Guards against a caller that stops reading and holds up others, or fills the daemon's memory.
+  void CallerThatStopsReading()
+  {
+    // The stalled stream would be 50 MB; the daemon may hold 1 MiB of it
+    // (callers.max_pending_bytes). The rest of the bound is for what the allocator and the parsers
+    // keep.
+    constexpr int kStalledTokens = 10'000'000;
+    constexpr long kMemoryBoundKib = 16 * 1'024;
+    auto options = Engines({ "--decode_tokens_per_s=1000000" });
+    test_system system{ options };
+    CPPUNIT_ASSERT_EQUAL(200, system.Complete("entry-1", "warm", 200).mStatus);
+    const auto before = MemoryKib(system, "entry-1", "VmRSS:");
+    const auto stalled = system.Stream("entry-1", PromptOf(50), kStalledTokens);
+    CPPUNIT_ASSERT_MESSAGE(
+      stalled->Received().substr(0, 400),
+      WaitUntil([&] { return Tokens(ReadStream(stalled->Received()).mText) > 0; }, seconds{ 5 }));
+    stalled->Pause(true);
+    const auto outcome = [&] { return RunsOfPrompt(system, 50).at(0)["outcome"]; };
+    std::size_t prompt = 51;
+    // Before callers.stalled_write_limit_ms (20 s), so that the limit of unsent output is what ends
+    // it.
+    const auto until = steady_clock::now() + seconds{ 15 };
+    while (outcome() == "running" && steady_clock::now() < until) {
+      const auto call = system.Stream("entry-1", PromptOf(prompt), 200);
+      CPPUNIT_ASSERT(WaitUntil([&] { return call->Ended(); }, seconds{ 2 }));
+      const auto reply = call->Wait();
+      CPPUNIT_ASSERT_MESSAGE(Describe(reply), IsWhole(reply, 200));
+      CPPUNIT_ASSERT_EQUAL(
+        DirectAnswer(system, prompt, RunsOfPrompt(system, prompt).at(0)["seed"], 200),
+        ReadStream(reply.mBody).mText);
+      ++prompt;
+    }
+    CPPUNIT_ASSERT(prompt > 52);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "cancelled" }, outcome().get<std::string>());
+    const auto growth = MemoryKib(system, "entry-1", "VmHWM:") - before;
+    std::cerr << "memory grew by " << growth << " KiB, " << prompt - 51 << " other answers\n";
+    CPPUNIT_ASSERT_MESSAGE("memory grew by " + std::to_string(growth) + " KiB",
+                           growth < kMemoryBoundKib);
+  }
+
+  struct churn_request
+  {
+    std::size_t mPrompt = 0; ///< length in tokens, unique
+    int mMaxTokens = 0;
+    bool mAborted = false;
+    std::string mText;
+  };
+
+  /// One client: requests in turn, streamed or whole, some of them given up at a random place.
+  static void Churn(const test_system& aSystem,
+                    std::size_t aClient,
+                    std::vector<churn_request>& aRequests,
+                    fault_list& aFaults)
+  {
+    std::mt19937 random{ static_cast<std::uint32_t>(kSeed + aClient) };
+    for (auto& request : aRequests) {
+      const std::string vm = random() % 2 == 0 ? "entry-1" : "entry-2";
+      request.mMaxTokens = static_cast<int>(5 + random() % 40);
+      request.mAborted = random() % 3 == 0;
+      const auto stopAt = static_cast<long>(random() % request.mMaxTokens);
+      if (request.mAborted || random() % 2 == 0) {
+        const auto call = aSystem.Stream(vm, PromptOf(request.mPrompt), request.mMaxTokens);
+        const auto stop = [&] {
+          return call->Ended() ||
+                 (request.mAborted && Tokens(ReadStream(call->Received()).mText) >= stopAt);
+        };
+        WaitUntil(stop, seconds{ 60 });
+        if (request.mAborted) {
+          call->Abort();
+        }
+        const auto reply = call->Wait();
+        request.mText = ReadStream(reply.mBody).mText;
+        if (!request.mAborted && !IsWhole(reply, request.mMaxTokens)) {
+          aFaults.Add(Describe(reply));
+        }
+      } else {
+        const auto reply = aSystem.Complete(vm, PromptOf(request.mPrompt), request.mMaxTokens);
+        const auto answer = json::parse(reply.mBody, nullptr, false);
+        if (reply.mStatus != 200 || reply.mBroken || !answer.is_object()) {
+          aFaults.Add(Describe(reply));
+        } else {
+          request.mText = answer["choices"][0].value("text", "");
+        }
+      }
+    }
+  }
+
+  /// Guards against an answer, or a part of one, that reaches another caller when connections and
+  /// requests come and go. The text depends on the prompt and on the seed that the engine logged.
+  void AnswersUnderChurn()
+  {
+    constexpr std::size_t kClients = 40;
+    constexpr std::size_t kRequests = 8;
+    std::cerr << "seed " << kSeed << "\n";
+    test_system system{ Engines({ "--stream_tokens_per_s=400", "--decode_tokens_per_s=20000" }) };
+    fault_list faults;
+    std::vector<std::vector<churn_request>> requests(kClients);
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0; i < kClients; ++i) {
+      for (std::size_t j = 0; j < kRequests; ++j) {
+        requests[i].push_back({ .mPrompt = 50 + i * kRequests + j });
+      }
+      clients.emplace_back([&, i] { Churn(system, i, requests[i], faults); });
+    }
+    for (auto& client : clients) {
+      client.join();
+    }
+    std::map<std::size_t, std::uint64_t> seeds;
+    for (const auto& engine : kEngines) {
+      for (const auto& run : Runs(system, engine)) {
+        seeds[run["prompt_tokens"]] = run["seed"];
+      }
+    }
+    std::atomic<int> compared{ 0 };
+    for (std::size_t i = 0; i < kClients; ++i) {
+      clients[i] = std::thread{ [&, i] {
+        for (const auto& request : requests[i]) {
+          if (request.mText.empty()) {
+            continue;
+          }
+          const auto direct =
+            DirectAnswer(system, request.mPrompt, seeds[request.mPrompt], request.mMaxTokens);
+          const bool equal =
+            request.mAborted ? direct.starts_with(request.mText) : direct == request.mText;
+          if (!equal) {
+            faults.Add("prompt " + std::to_string(request.mPrompt) + ": expected " + direct +
+                       ", received " + request.mText);
+          }
+          ++compared;
+        }
+      } };
+    }
+    for (auto& client : clients) {
+      client.join();
+    }
+    std::cerr << compared << " answers compared\n";
+    faults.AssertEmpty();
+    CPPUNIT_ASSERT(compared > static_cast<int>(kClients * kRequests / 2));
+  }
+
+  /// Guards against overload that cuts accepted requests, refuses without `not run`, or outlasts
+  /// its cause.
+  void OverloadPulse()
+  {
+    // 3 engines, 4 streams each, 0.4 s for a stream: 30 requests/s, of which the pulse is the
+    // triple.
+    constexpr int kMaxTokens = 40;
+    constexpr int kArrivals = 360;
+    constexpr std::chrono::microseconds kBetween{ 11'111 };
+    auto options = Engines({ "--stream_tokens_per_s=100", "--max_batch=4", "--max_queue=4" });
+    options.mEditTable = [](json& aTable) { aTable["services"][0]["queue_limit"] = 24; };
+    test_system system{ options };
+    std::vector<std::unique_ptr<open_call>> calls;
+    auto at = steady_clock::now();
+    for (int i = 0; i < kArrivals; ++i) {
+      std::this_thread::sleep_until(at); // the arrivals' own times, not a wait for an effect
+      at += kBetween;
+      calls.push_back(system.Stream(i % 2 == 0 ? "entry-1" : "entry-2", PromptOf(20), kMaxTokens));
+    }
+    const auto end = steady_clock::now();
+    http_reply first;
+    const auto recovered = [&] {
+      const auto call = system.Stream("entry-1", "after the pulse", kMaxTokens);
+      if (!WaitUntil([&] { return call->Ended(); }, seconds{ 5 })) {
+        return false;
+      }
+      first = call->Wait();
+      return IsWhole(first, kMaxTokens);
+    };
+    const bool whole = WaitUntil(recovered, seconds{ 5 });
+    const auto took = std::chrono::duration_cast<milliseconds>(steady_clock::now() - end);
+    int answered = 0;
+    int refused = 0;
+    std::string fault;
+    for (const auto& call : calls) {
+      const auto reply = call->Wait();
+      if (IsWhole(reply, kMaxTokens)) {
+        ++answered;
+      } else if ((reply.mStatus == 429 || reply.mStatus == 503) && SaysNotRun(reply)) {
+        ++refused;
+      } else {
+        fault = Describe(reply);
+      }
+    }
+    std::cerr << answered << " answered, " << refused << " refused, whole again after "
+              << took.count() << " ms\n";
+    CPPUNIT_ASSERT_MESSAGE(fault, fault.empty());
+    CPPUNIT_ASSERT(answered > 0);
+    CPPUNIT_ASSERT(refused > 0);
+    CPPUNIT_ASSERT_MESSAGE(Describe(first), whole && took <= seconds{ 5 });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(serving_faults_test);
