Refuse orders as not run when the claim's owner never wrote them

Cause: while the platform was away, an order whose claim's preferred owner is another daemon was answered 502 outcome unknown with the text that it had been sent. The owner gave up without a word on whether a write of the claim was under way, so the asking daemon had to assume one. Change: an owner that could not settle a claim returns the entry when no write of it was sent; the asker then no longer doubts. An empty entry still means doubt, so daemons of both versions work together. Conclusion: an outage is answered 503 not run, as docs/design.md 4.4 asks; a write in doubt stays 502.

--- a/packages/core/include/skylarkwind/peer_messages.h
+++ b/packages/core/include/skylarkwind/peer_messages.h
@@ -96,7 +96,8 @@
   std::string mEntry;
 };
 
-/// The entry that is now stored, or an empty one when the owner could not tell.
+/// The entry that is now stored. When the owner could not settle the claim: the entry that was
+/// asked for if the owner never wrote it and will not, or an empty one if it may still be stored.
 struct claim_reply
 {
   bool mSettled = false;
--- a/packages/core/src/order_claims.cpp
+++ b/packages/core/src/order_claims.cpp
@@ -215,6 +215,9 @@
   }
   const auto* reply = aAnswered.mReply ? std::get_if<claim_reply>(&*aAnswered.mReply) : nullptr;
   if (reply == nullptr || !reply->mSettled) {
+    if (reply != nullptr && !reply->mEntry.empty()) {
+      open->second.mOwnerDoubt = false; // The owner dropped the operation before any write of it.
+    }
     UseOwnPath(open->second, aNow);
     return true;
   }
--- a/packages/core/src/order_claims_settle.cpp
+++ b/packages/core/src/order_claims_settle.cpp
@@ -162,8 +162,11 @@
   for (const std::uint64_t number : numbers) {
     auto& open = mOpen.at(number);
     if (open.mPurpose == purpose::Peer && aNow >= open.mPeerLimit) {
-      AnswerPeer(open, false, std::nullopt, aOut);
-      Shard(open.mShard).Remove(number);
+      // The entry itself says that no write of it was sent, so that it cannot be stored later.
+      auto& shard = Shard(open.mShard);
+      const bool doubt = shard.InDoubt(number);
+      AnswerPeer(open, false, doubt ? std::nullopt : std::optional{ open.mOperation.mEntry }, aOut);
+      shard.Remove(number);
       mOpen.erase(number);
       continue;
     }
