--- a/tests/sessions/test_system.cpp
+++ b/tests/sessions/test_system.cpp
@@ -361,6 +361,13 @@
   StartEngine(engine);
 }
 
+void
+test_system::RestartEngine(const std::string& aName, std::vector<std::string> aFlags)
+{
+  FindEngine(aName).mOptions.mFlags = std::move(aFlags);
+  RestartEngine(aName);
+}
+
 child_process&
 test_system::Daemon(const std::string& aVm)
 {
--- a/tests/sessions/test_system.h
+++ b/tests/sessions/test_system.h
@@ -126,6 +126,8 @@
   void KillEngine(const std::string& aName);
   /// Starts an engine again on its old address.
   void RestartEngine(const std::string& aName);
+  /// The same with other flags than before.
+  void RestartEngine(const std::string& aName, std::vector<std::string> aFlags);
 
   std::string Url(const std::string& aVm, const std::string& aPath) const;
   header_lines CallerHeaders() const;
