Wake the paused lease holder with its platform silent

Change: the platform connection of the paused daemon is silent when it wakes, 3.3 s after its intent, so only its own clock tells it that the lease ended.

--- a/tests/sessions/control_session_test.cpp
+++ b/tests/sessions/control_session_test.cpp
@@ -95,10 +95,13 @@
   {
     system_options options;
     options.mEngines = { { "e1" }, { "e2" } };
+    options.mDaemons.clear();
     for (auto& engine : options.mEngines) {
       engine.mChecksFencing = aChecksFencing;
     }
-    options.mDaemons = { { "entry-1" }, { "entry-2" }, { "entry-3" } };
+    for (const auto& vm : { "entry-1", "entry-2", "entry-3" }) {
+      options.mDaemons.push_back({ vm, "ga-a", true });
+    }
     test_system system{ options };
     std::string paused;
     CPPUNIT_ASSERT(WaitUntil([&] { return !(paused = HolderOf(system, system.Vms())).empty(); }));
@@ -107,6 +110,7 @@
     RowOf(table, "e1")["pinned"] = true;
     ApplyOrFail(system, table);
     CPPUNIT_ASSERT(WaitUntil([&] { return !OpenOrders(system, "ga-a").empty(); }));
+    const auto intended = std::chrono::steady_clock::now();
     system.Daemon(paused).Signal(SIGSTOP);
     CPPUNIT_ASSERT(EngineLog(system, "e1")["orders"].empty());
 
@@ -115,17 +119,25 @@
     std::string next;
     CPPUNIT_ASSERT(WaitUntil([&] { return !(next = HolderOf(system, others)).empty(); }));
     const auto fencing = system.Status(next)["fencing"].get<std::uint64_t>();
+    // On waking, the platform does not answer, so that only its own clock tells the daemon that
+    // its lease ended; and the notice time of its intent has passed, so that it could order.
+    const auto relay = "platform/" + paused;
+    system.Relay(relay, "/standin/faults", R"({"silence_all":true})");
+    CPPUNIT_ASSERT(WaitUntil(
+      [&] { return std::chrono::steady_clock::now() - intended > milliseconds{ 3'300 }; }));
+    CPPUNIT_ASSERT(EngineLog(system, "e1")["orders"].empty());
     system.Daemon(paused).Signal(SIGCONT);
+    const auto changed = [&] {
+      return IsReadyWith(system, "e1", "role", "decode") && OpenOrders(system, "ga-a").empty();
+    };
+    CPPUNIT_ASSERT(WaitUntil(changed, seconds{ 40 }));
+    system.Relay(relay, "/standin/faults", R"({"silence_all":false})");
     const auto woken = [&] {
       const auto status = system.Status(paused);
       return status.value("lease_holder", "").find(next) != std::string::npos &&
              !status.value("holds_lease", true);
     };
-    CPPUNIT_ASSERT_MESSAGE(system.Status(paused).dump(), WaitUntil(woken));
-    const auto changed = [&] {
-      return IsReadyWith(system, "e1", "role", "decode") && OpenOrders(system, "ga-a").empty();
-    };
-    CPPUNIT_ASSERT(WaitUntil(changed, seconds{ 40 }));
+    CPPUNIT_ASSERT(WaitUntil(woken));
     for (const auto& name : { "e1", "e2" }) {
       CheckOrders(EngineLog(system, name), paused, fencing);
     }
