--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -4,6 +4,7 @@
 #include "skylarkwind/table.h"
 
 #include <cppunit/TestAssert.h>
+#include <nlohmann/json.hpp>
 
 #include <deque>
 #include <functional>
