--- a/tests/sessions/serving_faults_test.cpp
+++ b/tests/sessions/serving_faults_test.cpp
@@ -313,6 +313,7 @@
     constexpr int kStreams = 12;
     test_system system{ Engines({ "--stream_tokens_per_s=100" }) };
     std::vector<std::unique_ptr<open_call>> calls;
+    calls.reserve(kStreams);
     for (int i = 0; i < kStreams; ++i) {
       calls.push_back(system.Stream("entry-1", PromptOf(50 + i), 300));
     }
