Resume streams without the retry budget, and give a retry that succeeds back to it

Change: the resume of a stream that had made progress is not counted, since it replaces work that has ended; a retry that makes progress returns its token. Requests that fail without progress pay as before.

--- a/packages/core/src/open_request_p.h
+++ b/packages/core/src/open_request_p.h
@@ -77,6 +77,7 @@
 
   instant mNextAttempt{};
   bool mRetryPaid = false; ///< the next attempt is already counted against the retry budget
+  bool mTookRetry = false; ///< the open attempt was taken from the retry budget
   std::vector<std::string> mAvoid;
 
   // Generations only.
--- a/packages/core/src/retry_budget.cpp
+++ b/packages/core/src/retry_budget.cpp
@@ -40,6 +40,12 @@
   return true;
 }
 
+void
+retry_budget::Return()
+{
+  mTokens = std::min(kMostTokens, mTokens + 1);
+}
+
 std::chrono::milliseconds
 retry_budget::Backoff(std::uint32_t aFailedAttempts)
 {
--- a/packages/core/src/serving_attempts.cpp
+++ b/packages/core/src/serving_attempts.cpp
@@ -66,6 +66,10 @@
     auto& perToken = Measures(aRequest).mTransferSecondsPerToken;
     perToken += kTransferShare * (seconds / static_cast<double>(tokens) - perToken);
   }
+  if (aRequest.mTookRetry) {
+    mBudget.Return();
+    aRequest.mTookRetry = false;
+  }
   attempt.mProgressed = true;
   mEngines.Progress(attempt.mWork, aTokens.mOffset - aTokens.mFrom, aNow);
   if (aRequest.mVersion != attempt.mVersion) {
@@ -170,6 +174,9 @@
            aOut);
     return;
   }
+  // A stream that ran only replaces work that has ended, so its resume is no extra load.
+  aRequest.mRetryPaid = attempt.mProgressed;
+  aRequest.mTookRetry = false;
   // The cache may be gone, or be the cause: the next attempt computes the prompt itself.
   aRequest.mKv.reset();
   aRequest.mAvoid.push_back(attempt.mBackend);
@@ -230,7 +237,10 @@
   for (const auto id : due) {
     auto& request = *FindRequest(id);
     mRetries.erase({ request.mNextAttempt, id.mValue });
-    request.mRetryPaid = request.mRetryPaid || mBudget.TryTake(aNow);
+    if (!request.mRetryPaid && mBudget.TryTake(aNow)) {
+      request.mRetryPaid = true;
+      request.mTookRetry = true;
+    }
     const bool ready = request.mRetryPaid && request.mNextShareTry <= aNow;
     const auto result = ready ? TryStart(request, aNow, aOut) : start_result::NoEngine;
     if (result == start_result::NoEngine || result == start_result::NoShare) {
--- a/packages/core/tests/serving_test.cpp
+++ b/packages/core/tests/serving_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(DeadlineInTheQueueIsNotRun);
   CPPUNIT_TEST(LimitsRefuseOrWait);
   CPPUNIT_TEST(RetriesStayWithinTheBudget);
+  CPPUNIT_TEST(StreamsOfALostEngineResumeAtOnce);
+  CPPUNIT_TEST(RetriesThatSucceedMakeRoomForMore);
   CPPUNIT_TEST(LongPromptIsSplitWhileMovingIsCheaper);
   CPPUNIT_TEST(RolesServeWholeRequestsInOrder);
   CPPUNIT_TEST(ShutdownEndsOpenWork);
@@ -301,6 +303,48 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 13 }, retries);
   }
 
+  /// Guards against accepted streams that wait for a retry budget while engines are idle.
+  void StreamsOfALostEngineResumeAtOnce()
+  {
+    constexpr std::size_t kStreams = 200;
+    serving_world world{ 2 };
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      world.Send(serving_world::Generation());
+    }
+    for (const auto& start : world.All<start_attempt>()) {
+      world.Token(start.mAttempt, 1);
+    }
+    for (const auto& start : world.All<start_attempt>()) {
+      world.Fail(start.mAttempt, cause::Interrupted);
+    }
+    for (int i = 0; i < 50; ++i) {
+      world.Tick();
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kStreams, world.All<start_attempt>().size());
+  }
+
+  /// Guards against refused requests that trickle in at the budget's floor after an overload.
+  void RetriesThatSucceedMakeRoomForMore()
+  {
+    constexpr std::size_t kRequests = 100;
+    serving_world world{ 8 };
+    for (std::size_t i = 0; i < kRequests; ++i) {
+      world.Send(serving_world::Generation());
+    }
+    for (const auto& start : world.All<start_attempt>()) {
+      world.Fail(start.mAttempt, cause::NotRun);
+    }
+    std::size_t answered = kRequests;
+    for (int i = 0; i < 50; ++i) {
+      world.Tick();
+      const auto starts = world.All<start_attempt>();
+      for (; answered < starts.size(); ++answered) {
+        world.Token(starts[answered].mAttempt, 1);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kRequests, world.All<start_attempt>().size());
+  }
+
   /// Guards against a prefill that is moved when moving costs more, and against a lost cache.
   void LongPromptIsSplitWhileMovingIsCheaper()
   {
