--- /dev/null
+++ b/packages/core/tests/node_backends.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "control_fakes.h"
+#include "simulated_time.h"
+#include "skylarkwind/backend_calls.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace skylarkwind {
+
+/// An engine, or with `mPlain` the backend server of a plain service.
+struct world_backend
+{
+  fake_engine mEngine;
+  std::string mAddress;
+  std::string mDataCentre;
+  bool mPlain = false;
+  bool mSilent = false;    ///< connections stay open and carry nothing
+  bool mListed = true;     ///< false when the VM list shows it as leaving
+  std::uint64_t mRuns = 0; ///< changes with each crash
+  std::optional<instant> mNoWorkSince;
+  std::map<std::string, int> mOrderRuns; ///< by idempotency key
+
+  bool Down(instant aNow) const { return aNow < mEngine.mDownUntil; }
+  void Crash(instant aNow, std::chrono::milliseconds aDown)
+  {
+    mEngine.Crash(aNow, aDown);
+    ++mRuns;
+  }
+};
+
+/// A caller's request and what came of it.
+struct world_caller
+{
+  caller_request mBody;
+  std::size_t mDaemon = 0;
+  std::uint64_t mProcess = 0; ///< start id of the daemon that it was sent to
+  std::uint64_t mTokens = 0;  ///< of the whole answer
+  std::uint64_t mFirst = 0;   ///< number of the request whose stream this continues
+  std::uint64_t mOffset = 0;
+  std::string mText;
+  std::string mResumeToken;
+  instant mSentAt;
+  bool mLimited = false;
+  bool mRan = false; ///< a backend server took it
+  bool mSaidNotRun = false;
+  bool mWhole = false;
+  int mEnds = 0;
+  int mStatus = 0;
+  int mOpenAttempts = 0;
+};
+
+/// Text of token `aOffset` of a request's answer.
+inline std::string
+TokenText(std::uint64_t aRequest, std::uint64_t aOffset)
+{
+  return std::to_string(aRequest) + "." + std::to_string(aOffset) + " ";
+}
+
+} // namespace skylarkwind
