--- a/packages/core/src/limit_shares.cpp
+++ b/packages/core/src/limit_shares.cpp
@@ -92,7 +92,7 @@
 limit_shares_impl::Denied(needed_slot& aSlot, instant aNow)
 {
   aSlot.mSlot->Deny(aNow);
-  const bool exhausted = aSlot.mShard->Exhausted(aSlot.mSlotName);
+  const bool exhausted = aSlot.mShard->Exhausted(aSlot.mSlotName, aNow);
   auto retryAfter = exhausted ? kRetryExhausted : kRetryShortly;
   if (const auto wait = aSlot.mSlot->TakeableIn()) {
     retryAfter = std::min(retryAfter, std::chrono::ceil<std::chrono::milliseconds>(*wait));
--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -122,10 +122,11 @@
 }
 
 bool
-share_shard::Exhausted(std::string_view aName) const
+share_shard::Exhausted(std::string_view aName, instant aNow) const
 {
   const auto found = mSlots.find(aName);
-  if (!mRead || found == mSlots.end()) {
+  // A daemon without demand skips its reads; what it read last says nothing when one is overdue.
+  if (!mRead || aNow >= mNextRead || found == mSlots.end()) {
     return false;
   }
   const auto& room = found->second.mRoom;
--- a/packages/core/src/share_shard_p.h
+++ b/packages/core/src/share_shard_p.h
@@ -79,7 +79,7 @@
   /// True when the entry of this daemon stays valid until `aEndsBy`.
   bool CoversTerm(instant aEndsBy, instant aNow);
   /// True when the limit is used up over all daemons, as far as known.
-  bool Exhausted(std::string_view aName) const;
+  bool Exhausted(std::string_view aName, instant aNow) const;
 
   /// Writes at the next tick, whenever the last write was.
   void Hurry() { mNextWrite = mNextRead = instant{}; }
