--- a/packages/core/tests/node_world.h
+++ b/packages/core/tests/node_world.h
@@ -375,6 +375,10 @@
       receiver.mBacklog.push_back(std::move(aEvent));
       return;
     }
+    if (const auto* arrived = std::get_if<caller_arrived>(&aEvent)) {
+      // A daemon accepts a request when it wakes, not while it is paused.
+      mCallers.at(arrived->mRequest.mValue).mSentAt = mTime.Now();
+    }
     if (const auto* progress = std::get_if<attempt_progress>(&aEvent)) {
       auto& known = mAttempts[{ aIndex, progress->mAttempt.mValue }];
       if (!known.mOpen) {
