Crash the order service in the middle of an order in node schedules

A crash at a random time met a running order in few schedules: a planted second send of an interrupted order was not found in 12 s. The crash now comes 50 ms into the next order, and the planted fault is found (order k0 runs twice).

--- a/packages/core/tests/node_backends.h
+++ b/packages/core/tests/node_backends.h
@@ -20,9 +20,10 @@
   std::string mAddress;
   std::string mDataCentre;
   bool mPlain = false;
-  bool mSilent = false;    ///< connections stay open and carry nothing
-  bool mListed = true;     ///< false when the VM list shows it as leaving
-  std::uint64_t mRuns = 0; ///< changes with each crash
+  bool mSilent = false;       ///< connections stay open and carry nothing
+  bool mListed = true;        ///< false when the VM list shows it as leaving
+  bool mCrashesInRun = false; ///< in the middle of its next order
+  std::uint64_t mRuns = 0;    ///< changes with each crash
   std::optional<instant> mNoWorkSince;
   std::map<std::string, int> mOrderRuns; ///< by idempotency key
 
--- a/packages/core/tests/node_schedule_test.cpp
+++ b/packages/core/tests/node_schedule_test.cpp
@@ -199,7 +199,7 @@
         engine.mSilent = true;
         return;
       case node_fault::ServiceCrash:
-        mWorld.mBackends.back().Crash(mWorld.mTime.Now(), ms{ 3'000 });
+        mWorld.mBackends.back().mCrashesInRun = true;
         return;
       case node_fault::LostOrderReplies:
         mWorld.mLoseOrderReply = 0.5;
--- a/packages/core/tests/node_world_carry.h
+++ b/packages/core/tests/node_world_carry.h
@@ -181,6 +181,9 @@
     Breach("order " + idempotencyKey + " runs twice");
   }
   Note(backend.mEngine.mName, "runs order " + idempotencyKey);
+  if (std::exchange(backend.mCrashesInRun, false)) {
+    mTime.After(ms{ 50 }, [this, &backend] { backend.Crash(mTime.Now(), ms{ 3'000 }); });
+  }
   mTime.After(ms{ 100 }, [this, aKey, &backend, idempotencyKey, runs = backend.mRuns] {
     if (backend.mRuns != runs) {
       Fail(aKey, cause::Interrupted, "connection reset", ms{ 1 });
