Ask the daemon's serial before the stored table; share the fakes of membership

Cause: table_session_test failed once in a run beside other tests: two operators applied at once, and the second client read the platform's table, then the daemon's serial, between which the first edit came into force, so that it reported an older platform (exit code 1) in place of the race (3). Four test fakes of membership did the same. Change: the client asks the daemon first; one fake_membership serves the core's tests and the policy bench; the session tests take ports that no outgoing connection uses; the client reads its two tables in one function. Conclusion: the order of the two reads was the cause.

--- a/examples/flow_daemon.h
+++ b/examples/flow_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../packages/core/tests/fake_membership.h"
 #include "flow_engine.h"
 
 #include "skylarkwind/fleet.h"
@@ -21,40 +22,6 @@
          std::chrono::milliseconds{ std::llround(aSeconds * 1'000) };
 }
 
-/// All daemons are live, always.
-class live_members final : public membership
-{
-public:
-  explicit live_members(int aSelf)
-    : mSelf{ "d" + std::to_string(aSelf), 1 }
-  {
-    for (int i = 0; i < kDaemons; ++i) {
-      mLive.push_back({ { "d" + std::to_string(i), 1 } });
-    }
-  }
-  const process_id& Self() const override { return mSelf; }
-  const daemon_location& Location() const override { return mLocation; }
-  std::span<const member_update> Live() const override { return mLive; }
-  bool MayBeAlive(const process_id&) const override { return true; }
-  void SetDocuments(std::span<const document_version>) override {}
-  void OnTick(instant, effect_list&) override {}
-  bool OnPeerAsked(const peer_asked&, instant, effect_list&) override { return false; }
-  bool OnPeerAnswered(const peer_answered&, instant, effect_list&) override { return false; }
-  void OnVmList(const vm_list&, instant) override {}
-  void OnShutdown(instant, effect_list&) override {}
-  std::vector<seen_document> TakeSeenDocuments() override { return {}; }
-  std::optional<std::uint64_t> SeenVersion(const process_id& /*aProcess*/,
-                                           std::string_view /*aDocument*/) const override
-  {
-    return std::nullopt;
-  }
-
-private:
-  process_id mSelf;
-  daemon_location mLocation;
-  std::vector<member_update> mLive;
-};
-
 /// How a daemon picks an engine.
 struct routing
 {
@@ -71,7 +38,8 @@
   static constexpr double kStreamsAtLimit = kDecodeRate * kTokenLimit;
 
   daemon(int aIndex, std::size_t aEngines, routing aRouting, std::uint64_t aSeed)
-    : mMembers(std::make_unique<live_members>(aIndex))
+    : mMembers(std::make_unique<fake_membership>(
+        fake_membership::Numbered(kDaemons, static_cast<std::size_t>(aIndex))))
     , mRouting(aRouting)
     , mRandom(aSeed * 100 + static_cast<std::uint64_t>(aIndex))
     , mOwn(aEngines)
@@ -150,7 +118,7 @@
     ++mTicks;
   }
 
-  std::unique_ptr<live_members> mMembers;
+  std::unique_ptr<fake_membership> mMembers;
   std::unique_ptr<fleet> mFleet;
   std::deque<int> mPrompts;
   std::deque<int> mStreams;
--- a/packages/cli/src/table_commands.cpp
+++ b/packages/cli/src/table_commands.cpp
@@ -125,7 +125,9 @@
   return next;
 }
 
-/// The serial that the daemon has in force; 0 when no daemon is named.
+/// The serial that the daemon has in force; 0 when no daemon is named. To be asked before the
+/// stored table is read: an edit of someone else between the two would make the platform look
+/// older.
 absl::StatusOr<std::uint64_t>
 SerialInForce(const cli_settings& aSettings)
 {
@@ -194,35 +196,53 @@
   return cli_exit::Done;
 }
 
+/// The table of a file and the stored one.
+struct both_tables
+{
+  table mWanted;
+  stored_table mStored;
+};
+
+absl::StatusOr<both_tables>
+ReadBothTables(const cli_settings& aSettings, const std::string& aFile)
+{
+  auto wanted = ReadTableFile(aFile);
+  if (!wanted.ok()) {
+    return wanted.status();
+  }
+  auto stored = ReadStoredTable(aSettings);
+  if (!stored.ok()) {
+    return stored.status();
+  }
+  return both_tables{ *std::move(wanted), *std::move(stored) };
+}
+
 cli_exit
 Apply(const cli_settings& aSettings,
       const std::string& aFile,
       std::ostream& aOut,
       std::ostream& aErr)
 {
-  const auto wanted = ReadTableFile(aFile);
-  if (!wanted.ok()) {
-    return Fail(aErr, wanted.status());
-  }
-  const auto stored = ReadStoredTable(aSettings);
-  if (!stored.ok()) {
-    return Fail(aErr, stored.status());
-  }
   const auto inForce = SerialInForce(aSettings);
   if (!inForce.ok()) {
     return Fail(aErr, inForce.status());
   }
-  const auto base = wanted->Serial();
-  const auto storedSerial = stored->mObject.mTable.Serial();
+  const auto tables = ReadBothTables(aSettings, aFile);
+  if (!tables.ok()) {
+    return Fail(aErr, tables.status());
+  }
+  const auto& [wanted, stored] = *tables;
+  const auto base = wanted.Serial();
+  const auto storedSerial = stored.mObject.mTable.Serial();
   // Daemons refuse serials up to the one in force, so that a platform that was restored from older
   // data takes only an edit that began from the daemons' table and counts on from there.
   if (*inForce > storedSerial && base != *inForce) {
     return Fail(aErr, PlatformIsOlder(storedSerial, *inForce));
   }
   if (*inForce <= storedSerial && base != storedSerial) {
-    return ReportRace(stored->mObject, base, aErr);
+    return ReportRace(stored.mObject, base, aErr);
   }
-  return WriteEdit(aSettings, *stored, *wanted, base, aOut, aErr);
+  return WriteEdit(aSettings, stored, wanted, base, aOut, aErr);
 }
 
 cli_exit
@@ -231,15 +251,12 @@
      std::ostream& aOut,
      std::ostream& aErr)
 {
-  const auto wanted = ReadTableFile(aFile);
-  if (!wanted.ok()) {
-    return Fail(aErr, wanted.status());
+  const auto tables = ReadBothTables(aSettings, aFile);
+  if (!tables.ok()) {
+    return Fail(aErr, tables.status());
   }
-  const auto stored = ReadStoredTable(aSettings);
-  if (!stored.ok()) {
-    return Fail(aErr, stored.status());
-  }
-  PrintChanges(DiffTables(stored->mObject.mTable, *wanted), aSettings.mJson, aOut);
+  const auto& [wanted, stored] = *tables;
+  PrintChanges(DiffTables(stored.mObject.mTable, wanted), aSettings.mJson, aOut);
   return cli_exit::Done;
 }
 
@@ -328,6 +345,7 @@
     aErr << "skylarkwind: an edit needs --who and --why\n";
     return cli_exit::Usage;
   }
+  const auto inForce = SerialInForce(aSettings);
   const auto stored = ReadStoredTable(aSettings);
   if (!stored.ok()) {
     return Fail(aErr, stored.status());
@@ -345,7 +363,6 @@
   if (!found) {
     return Fail(aErr, absl::NotFoundError("no backend server is named " + std::string{ aName }));
   }
-  const auto inForce = SerialInForce(aSettings);
   const auto serial = stored->mObject.mTable.Serial();
   if (!inForce.ok() || *inForce > serial) {
     return Fail(aErr, inForce.ok() ? PlatformIsOlder(serial, *inForce) : inForce.status());
--- a/packages/core/tests/claim_cluster.h
+++ b/packages/core/tests/claim_cluster.h
@@ -72,7 +72,7 @@
     core.mClaims.reset();
     for (auto& other : mCores) {
       if (aKnown) {
-        other.mMembers->mDead.emplace_back(core.mProcess.mVm, core.mProcess.mStartId);
+        other.mMembers->mDead.push_back(core.mProcess);
       }
     }
   }
--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fake_membership.h"
 #include "skylarkwind/control.h"
 #include "skylarkwind/lease.h"
 
@@ -54,32 +55,6 @@
   bool mWishes = true;     ///< the planner asks for changes all the time
 };
 
-/// Membership that the test sets.
-class fake_members final : public membership
-{
-public:
-  process_id mSelf;
-  daemon_location mLocation;
-  std::vector<member_update> mLive;
-
-  const process_id& Self() const override { return mSelf; }
-  const daemon_location& Location() const override { return mLocation; }
-  std::span<const member_update> Live() const override { return mLive; }
-  bool MayBeAlive(const process_id&) const override { return true; }
-  void SetDocuments(std::span<const document_version>) override {}
-  void OnTick(instant, effect_list&) override {}
-  bool OnPeerAsked(const peer_asked&, instant, effect_list&) override { return false; }
-  bool OnPeerAnswered(const peer_answered&, instant, effect_list&) override { return false; }
-  void OnVmList(const vm_list&, instant) override {}
-  void OnShutdown(instant, effect_list&) override {}
-  std::vector<seen_document> TakeSeenDocuments() override { return {}; }
-  std::optional<std::uint64_t> SeenVersion(const process_id& /*aProcess*/,
-                                           std::string_view /*aDocument*/) const override
-  {
-    return std::nullopt;
-  }
-};
-
 /// Fleet whose views the test sets.
 class fake_fleet final : public fleet
 {
--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -25,7 +25,7 @@
   struct core
   {
     process_id mSelf;
-    fake_members mMembers;
+    fake_membership mMembers;
     fake_fleet mFleet;
     std::optional<wanted_role> mWanted;
     std::unique_ptr<control> mControl;
--- a/packages/core/tests/fake_membership.h
+++ b/packages/core/tests/fake_membership.h
@@ -3,58 +3,56 @@
 #include "skylarkwind/membership.h"
 
 #include <algorithm>
-#include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace skylarkwind {
 
-/// Member list that the test sets.
+/// Member list that the test sets; it sends nothing and hears nothing.
 class fake_membership final : public membership
 {
 public:
+  fake_membership() = default;
   fake_membership(process_id aSelf, std::vector<member_update> aLive)
     : mSelf{ std::move(aSelf) }
     , mLive{ std::move(aLive) }
   {
   }
+  /// Live daemons d0, d1 and so on, of which this is number `aSelf`.
+  static fake_membership Numbered(std::size_t aDaemons, std::size_t aSelf)
+  {
+    fake_membership members;
+    members.mSelf = { "d" + std::to_string(aSelf), 1 };
+    for (std::size_t i = 0; i < aDaemons; ++i) {
+      members.mLive.push_back({ { "d" + std::to_string(i), 1 } });
+    }
+    return members;
+  }
 
-  std::vector<std::pair<std::string, std::uint64_t>> mDead;
-
-  void SetLive(std::vector<member_update> aLive) { mLive = std::move(aLive); }
+  process_id mSelf;
+  daemon_location mLocation;
+  std::vector<member_update> mLive;
+  std::vector<process_id> mDead;
 
   const process_id& Self() const override { return mSelf; }
   const daemon_location& Location() const override { return mLocation; }
   std::span<const member_update> Live() const override { return mLive; }
   bool MayBeAlive(const process_id& aProcess) const override
   {
-    return std::none_of(mDead.begin(), mDead.end(), [&](const auto& aDead) {
-      return aDead.first == aProcess.mVm && aDead.second == aProcess.mStartId;
-    });
-  }
-  void SetDocuments(std::span<const document_version> /*aDocuments*/) override {}
-  void OnTick(instant /*aNow*/, effect_list& /*aOut*/) override {}
-  bool OnPeerAsked(const peer_asked& /*aAsked*/, instant /*aNow*/, effect_list& /*aOut*/) override
-  {
-    return false;
-  }
-  bool OnPeerAnswered(const peer_answered& /*aAnswered*/,
-                      instant /*aNow*/,
-                      effect_list& /*aOut*/) override
-  {
-    return false;
+    return std::ranges::find(mDead, aProcess) == mDead.end();
   }
-  void OnVmList(const vm_list& /*aList*/, instant /*aNow*/) override {}
-  void OnShutdown(instant /*aNow*/, effect_list& /*aOut*/) override {}
+  void SetDocuments(std::span<const document_version>) override {}
+  void OnTick(instant, effect_list&) override {}
+  bool OnPeerAsked(const peer_asked&, instant, effect_list&) override { return false; }
+  bool OnPeerAnswered(const peer_answered&, instant, effect_list&) override { return false; }
+  void OnVmList(const vm_list&, instant) override {}
+  void OnShutdown(instant, effect_list&) override {}
   std::vector<seen_document> TakeSeenDocuments() override { return {}; }
-  std::optional<std::uint64_t> SeenVersion(const process_id& /*aProcess*/,
-                                           std::string_view /*aDocument*/) const override
+  std::optional<std::uint64_t> SeenVersion(const process_id&, std::string_view) const override
   {
     return std::nullopt;
   }
-
-private:
-  process_id mSelf;
-  daemon_location mLocation;
-  std::vector<member_update> mLive;
 };
 
 } // namespace skylarkwind
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "members_stub.h"
+#include "fake_membership.h"
 #include "skylarkwind/fleet.h"
 #include "skylarkwind/return_ramp.h"
 
@@ -35,7 +35,7 @@
 struct daemon
 {
   daemon(std::size_t aDaemons, std::size_t aSelf)
-    : mMembers(aDaemons, aSelf)
+    : mMembers(fake_membership::Numbered(aDaemons, aSelf))
   {
     fleet_settings settings;
     settings.mSelf = mMembers.mSelf;
@@ -69,7 +69,7 @@
       }));
   }
 
-  members_stub mMembers;
+  fake_membership mMembers;
   std::unique_ptr<fleet> mFleet;
   effect_list mOut;
   instant mNow{ std::chrono::seconds{ 100 } };
--- a/packages/core/tests/limit_cluster.h
+++ b/packages/core/tests/limit_cluster.h
@@ -69,7 +69,7 @@
     core.mShares.reset();
     core.mInFlight = 0;
     for (auto& other : mCores) {
-      other.mMembers->mDead.emplace_back(core.mVm, core.mStartId);
+      other.mMembers->mDead.push_back({ core.mVm, core.mStartId });
     }
   }
 
--- a/packages/core/tests/node_world.h
+++ b/packages/core/tests/node_world.h
@@ -236,7 +236,7 @@
   }
 
   /// One operator's edit: read, change, conditional update; a conflict is left to the operator.
-  void Edit(const std::string& aWho, std::function<void(nlohmann::json&)> aChange)
+  void Edit(const std::string& aWho, const std::function<void(nlohmann::json&)>& aChange)
   {
     mPlatform.Call({ {}, read_object{ kTable } }, false, [this, aWho, aChange](const auto& aRead) {
       const auto* found = std::get_if<object_found>(&aRead.mResult);
--- a/packages/core/tests/node_world_carry.h
+++ b/packages/core/tests/node_world_carry.h
@@ -61,7 +61,7 @@
   }
   std::string recorded;
   for (const auto& [name, value] : aAnswered.mHeaders) {
-    recorded += ", " + name + ": " + value;
+    recorded.append(", ").append(name).append(": ").append(value);
   }
   Note("c" + std::to_string(number),
        "gets " + std::to_string(aAnswered.mStatus) + " " + aAnswered.mBody + recorded);
--- a/packages/core/tests/order_claims_test.cpp
+++ b/packages/core/tests/order_claims_test.cpp
@@ -125,7 +125,7 @@
     for (auto& core : mCluster->mCores) {
       core.mSilent = true;
     }
-    mCluster->mCores[0].mMembers->SetLive({});
+    mCluster->mCores[0].mMembers->mLive.clear();
     mCluster->mPlatform.mFaults.mOutage = true;
     const auto request = Claim(0, "k");
     CPPUNIT_ASSERT(Decided<claim_unavailable>(request, milliseconds{ 2'500 }));
@@ -138,7 +138,7 @@
   /// and blocks its key.
   void ClaimThatLandsLateIsWithdrawn()
   {
-    mCluster->mCores[0].mMembers->SetLive({});
+    mCluster->mCores[0].mMembers->mLive.clear();
     const auto first = Claim(0, "k");
     mCluster->mPlatform.mFaults.mDelay = seconds{ 12 };
     mCluster->mPlatform.mFaults.mLoseWriteReply = 1;
--- a/tests/sessions/commands_session_test.cpp
+++ b/tests/sessions/commands_session_test.cpp
@@ -178,7 +178,9 @@
         ++at;
       }
       skips = false;
-      CPPUNIT_ASSERT_MESSAGE(text + "missing: " + line, at < aResult.mLines.size());
+      auto missing = text;
+      missing.append("missing: ").append(line);
+      CPPUNIT_ASSERT_MESSAGE(missing, at < aResult.mLines.size());
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, wanted, FixedPart(aResult.mLines[at]));
       ++at;
     }
--- a/tests/sessions/test_system.cpp
+++ b/tests/sessions/test_system.cpp
@@ -46,19 +46,36 @@
   return list;
 }
 
-/// A port that nothing listens on now.
-std::uint16_t
-FreePort()
+bool
+CanListen(std::uint16_t aPort)
 {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  bind(descriptor, reinterpret_cast<sockaddr*>(&address), length);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+  address.sin_port = htons(aPort);
+  const bool free = bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   close(descriptor);
-  return ntohs(address.sin_port);
+  return free;
+}
+
+/// A port that nothing listens on now. The ports lie below the range that the kernel gives to
+/// outgoing connections, and each process has a part of its own: a port that was only found free
+/// could be taken by a test program that runs at the same time.
+std::uint16_t
+FreePort()
+{
+  constexpr int kFirstPort = 20'000;
+  constexpr int kPortsOfProcess = 200;
+  constexpr int kProcesses = 60;
+  static int sUsed = 0;
+  for (;;) {
+    const int port = kFirstPort + getpid() % kProcesses * kPortsOfProcess + sUsed;
+    sUsed = (sUsed + 1) % kPortsOfProcess;
+    if (CanListen(static_cast<std::uint16_t>(port))) {
+      return static_cast<std::uint16_t>(port);
+    }
+  }
 }
 
 std::string
@@ -269,7 +286,7 @@
 std::string
 test_system::AddRelay(const std::string& aName, const std::string& aTarget, std::uint16_t aPort)
 {
-  const auto address = kLoopback + std::to_string(aPort);
+  auto address = kLoopback + std::to_string(aPort);
   auto process = child_process::Start(Program("standin_relay"),
                                       { "--listen=" + address, "--target=" + aTarget });
   const auto control = process->Address();
@@ -307,7 +324,7 @@
 std::string
 test_system::WriteSettings(const daemon_entry& aDaemon) const
 {
-  const auto file = mDirectory + "/" + aDaemon.mOptions.mVm + ".yaml";
+  auto file = mDirectory + "/" + aDaemon.mOptions.mVm + ".yaml";
   std::ofstream out{ file };
   out << "vm: " << aDaemon.mOptions.mVm
       << "\nregion: north-ga\ndata_centre: " << aDaemon.mOptions.mDataCentre
