Say why a return took its first step

Cause: 'it completed a first request' was logged for every first step of a return, also when nothing had been sent and the step came from time or a report.

--- a/packages/core/include/skylarkwind/engine_lifecycle.h
+++ b/packages/core/include/skylarkwind/engine_lifecycle.h
@@ -114,8 +114,9 @@
   bool LeaveDrained();
   bool LeaveChanging();
   void FinishRamp(instant aNow);
-  void StartRamp(instant aNow);
-  void OnStep(instant aNow);
+  void StartRamp(std::string_view aReason, instant aNow);
+  /// The ramp took a step; `aReason` says why.
+  void OnStep(std::string_view aReason, instant aNow);
   void UpdateLimit();
   void Touch() { ++mRevision; }
 
--- a/packages/core/src/engine_lifecycle.cpp
+++ b/packages/core/src/engine_lifecycle.cpp
@@ -259,7 +259,7 @@
   const std::uint64_t units = WorkUnits(aReport.mPromptTokensTotal, aReport.mOutputTokensTotal);
   if (inReturn && aReport.mIncarnation == mView.mIncarnation &&
       mRamp.OnWork(units, aSampledAt, aNow)) {
-    OnStep(aNow);
+    OnStep("it reported the work of a first request", aNow);
   }
   return true;
 }
@@ -309,7 +309,7 @@
     mOpenQuestion.reset();
     if (mView.mStatus == engine_status::Warming ||
         (mView.mStatus == engine_status::Ramping && mRamp.OnCompleted(mShare, aNow))) {
-      OnStep(aNow);
+      OnStep("it completed a first request", aNow);
     }
   } else if (aHealth == attempt_health::Refused && mView.mStatus != engine_status::Warming) {
     // An overloaded engine is not lost: taking it out of service would add to the overload.
@@ -379,7 +379,7 @@
   const bool inUse = mView.mInFlight > 0 || (!mPlain && mView.mReport.mRunning > 0);
   const bool mayStep = inReturn && !(mPlain && mView.mStatus == engine_status::Warming);
   if (mayStep && mRamp.OnTick(inUse, aNow)) {
-    OnStep(aNow);
+    OnStep("nothing was sent to it for a while", aNow);
   }
   Settle(aNow);
 }
@@ -562,19 +562,19 @@
 }
 
 void
-engine_lifecycle::StartRamp(instant aNow)
+engine_lifecycle::StartRamp(std::string_view aReason, instant aNow)
 {
   // A plain backend server has no report that shows other daemons' requests, so each daemon
   // needs a request of its own to learn from.
   mRamp.Restart(mPlain ? mShare.mDaemons : return_ramp::kFirstLimit, aNow);
-  Move(engine_status::Ramping, "it completed a first request");
+  Move(engine_status::Ramping, std::string{ aReason });
 }
 
 void
-engine_lifecycle::OnStep(instant aNow)
+engine_lifecycle::OnStep(std::string_view aReason, instant aNow)
 {
   if (mView.mStatus == engine_status::Warming) {
-    StartRamp(aNow);
+    StartRamp(aReason, aNow);
   }
   Touch();
 }
