Keep room above the use of a limit while half of it is free

Change: the first wish asks for a quarter of the fair share; while half of the limit is free, room of a quarter of the use, at least 8 and at most a quarter of the fair share, stays above the use.

--- a/packages/core/src/limit_shares.cpp
+++ b/packages/core/src/limit_shares.cpp
@@ -91,7 +91,7 @@
 limit_denied
 limit_shares_impl::Denied(needed_slot& aSlot, instant aNow)
 {
-  aSlot.mSlot->Deny(aNow);
+  aSlot.mSlot->Deny(mContext.mMembers->Live().size(), aNow);
   const bool exhausted = aSlot.mShard->Exhausted(aSlot.mSlotName, aNow);
   auto retryAfter = exhausted ? kRetryExhausted : kRetryShortly;
   if (const auto wait = aSlot.mSlot->TakeableIn()) {
--- a/packages/core/src/share_shard.cpp
+++ b/packages/core/src/share_shard.cpp
@@ -257,6 +257,7 @@
   const auto& room = aTracked.mRoom;
   aTracked.mSlot.SetRecorded(mine ? room.mOwn : 0, aNow);
   aTracked.mSlot.SetCap(std::min(room.mFair, room.Proportional()), aNow);
+  aTracked.mSlot.SetPlenty(room.mOwn + room.mOthers <= room.mLimit / 2);
 }
 
 void
--- a/packages/core/src/share_slot.cpp
+++ b/packages/core/src/share_slot.cpp
@@ -8,6 +8,8 @@
 
 /// Asked for by a daemon that uses nothing yet.
 constexpr std::uint64_t kFirstHeadroom = 8;
+/// Part of this daemon's fair share that one wish asks for.
+constexpr std::uint64_t kWishesOfFairShare = 4;
 
 double
 Seconds(std::chrono::nanoseconds aDuration)
@@ -105,13 +107,15 @@
 }
 
 void
-share_slot::Deny(instant aNow)
+share_slot::Deny(std::uint64_t aDaemons, instant aNow)
 {
   Roll(aNow);
   mDeniedAt = aNow;
   const std::uint64_t used = UnitsUsed();
+  mFairPart = mLimit / (kWishesOfFairShare * std::max<std::uint64_t>(1, aDaemons));
   if (mHeadroom == 0) {
-    mHeadroom = used == 0 ? kFirstHeadroom : std::max<std::uint64_t>(1, used / 4);
+    mHeadroom =
+      used == 0 ? std::max(mFairPart, kFirstHeadroom) : std::max<std::uint64_t>(1, used / 4);
     mHeadroomAt = aNow;
     mAsked = used + mHeadroom;
   } else if (aNow - mHeadroomAt >= mTiming.mWritePeriod && mAmount >= mAsked) {
@@ -130,7 +134,12 @@
   if (!Limited()) {
     return 0;
   }
-  return std::max(Held(), std::min(mLimit, UnitsUsed() + mHeadroom));
+  const std::uint64_t used = UnitsUsed();
+  // Without some room above its use, a growing account waits for a write at each step. When the
+  // limit is scarce the room would lie idle, so it is kept only while half of the limit is free.
+  const std::uint64_t standing =
+    used == 0 || !mPlenty ? 0 : std::min(mFairPart, std::max(kFirstHeadroom, used / 4));
+  return std::max(Held(), std::min(mLimit, used + std::max(mHeadroom, standing)));
 }
 
 void
--- a/packages/core/src/share_slot_p.h
+++ b/packages/core/src/share_slot_p.h
@@ -50,6 +50,8 @@
   void SetRecorded(std::uint64_t aAmount, instant aNow);
   /// Most that a proportional reduction or the wishes of others leave to this daemon.
   void SetCap(std::uint64_t aCap, instant aNow);
+  /// At least half of the limit is free, so that room above the use takes nothing from others.
+  void SetPlenty(bool aPlenty) { mPlenty = aPlenty; }
   /// A write that would record this amount is on its way.
   void LowerFloor(std::uint64_t aAmount, instant aNow);
   void ClearFloor(instant aNow);
@@ -60,8 +62,10 @@
   std::optional<std::chrono::nanoseconds> TakeableIn() const;
   void Take(instant aNow);
   void Release();
-  /// Remembers that a request was denied for want of this limit.
-  void Deny(instant aNow);
+  /// Remembers that a request was denied for want of this limit. `aDaemons` is the number of live
+  /// daemons: a quarter of this daemon's fair part is asked for at once, so that an account that
+  /// starts here need not wait for one write after another.
+  void Deny(std::uint64_t aDaemons, instant aNow);
 
   /// The amount that cannot be given back now.
   std::uint64_t Held() const { return mKind == limit_kind::Concurrency ? mInUse : 0; }
@@ -91,7 +95,9 @@
   std::uint64_t mPreviousPeak = 0;
   std::uint64_t mHeadroom = 0; ///< asked for above the use; 0 when nothing was denied lately
   instant mHeadroomAt;
-  std::uint64_t mAsked = 0; ///< target when the headroom was set
+  bool mPlenty = false;
+  std::uint64_t mFairPart = 0; ///< a quarter of this daemon's fair share at the last denial
+  std::uint64_t mAsked = 0;    ///< target when the headroom was set
   instant mDeniedAt;
 };
 
