--- a/packages/core/src/node.cpp
+++ b/packages/core/src/node.cpp
@@ -231,8 +231,11 @@
   mLimits->OnTick(aNow, aOut);
   mClaims->OnTick(aNow, aWallNow, aOut);
   mFleet->OnTick(aNow, aOut);
+  // The platform's balancer spreads callers evenly, so this daemon's queue stands for all of them.
+  const auto daemons = mMembers->Live().size();
   for (const auto& queued : mServing->Queued()) {
-    mControl->OnQueuedWork(queued.mService, queued.mPromptTokens, queued.mOutputTokens);
+    mControl->OnQueuedWork(
+      queued.mService, queued.mPromptTokens * daemons, queued.mOutputTokens * daemons);
   }
   mControl->OnTick(aNow, aWallNow, aOut);
   mServing->OnTick(aNow, aOut);
