Use one function where the same logic stood twice

Cause: a read of the whole change found the names of roles written three times, one type under two names, the client's error line twice, and four readers of text settings that differed only in their check. Change: control and the limit list call RoleText; planned_change is the one name; Fail is shared by the client's commands; ReadText carries the check of a text setting. No behaviour changes.

--- a/packages/cli/src/client.cpp
+++ b/packages/cli/src/client.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <ostream>
 
 namespace skylarkwind {
 
@@ -82,6 +83,13 @@
   return answer;
 }
 
+cli_exit
+Fail(std::ostream& aErr, const absl::Status& aStatus)
+{
+  aErr << "skylarkwind: " << std::string{ aStatus.message() } << '\n';
+  return cli_exit::Failed;
+}
+
 absl::StatusOr<nlohmann::json>
 AskDaemon(const cli_settings& aSettings, const std::string& aPath)
 {
--- a/packages/cli/src/client_p.h
+++ b/packages/cli/src/client_p.h
@@ -24,6 +24,9 @@
                                      const std::string& aIfMatch = {},
                                      const std::string& aBody = {});
 
+/// Prints why a command failed.
+cli_exit Fail(std::ostream& aErr, const absl::Status& aStatus);
+
 /// GET of a path at the daemon with the operators' credential.
 absl::StatusOr<nlohmann::json> AskDaemon(const cli_settings& aSettings, const std::string& aPath);
 
--- a/packages/cli/src/status_commands.cpp
+++ b/packages/cli/src/status_commands.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-cli_exit
-Fail(std::ostream& aErr, const absl::Status& aStatus)
-{
-  aErr << "skylarkwind: " << std::string{ aStatus.message() } << '\n';
-  return cli_exit::Failed;
-}
-
 /// Text of a member for a column; numbers and flags as JSON writes them.
 std::string
 Column(const nlohmann::json& aObject, const char* aKey)
--- a/packages/cli/src/table_commands.cpp
+++ b/packages/cli/src/table_commands.cpp
@@ -22,13 +22,6 @@
   return text.data();
 }
 
-cli_exit
-Fail(std::ostream& aErr, const absl::Status& aStatus)
-{
-  aErr << "skylarkwind: " << std::string{ aStatus.message() } << '\n';
-  return cli_exit::Failed;
-}
-
 absl::StatusOr<table>
 ReadTableFile(const std::string& aFile)
 {
--- a/packages/core/include/skylarkwind/plan_source.h
+++ b/packages/core/include/skylarkwind/plan_source.h
@@ -12,7 +12,7 @@
 namespace skylarkwind {
 
 /// A role change that the role planner asks for.
-struct wanted_role
+struct planned_change
 {
   std::string mEngine;
   engine_role mRole = engine_role::Both;
@@ -29,10 +29,10 @@
                         std::uint64_t aPromptTokens,
                         std::uint64_t aOutputTokens,
                         instant aNow) = 0;
-  virtual std::optional<wanted_role> Plan(std::span<const engine_view> aEngines,
-                                          const table& aTable,
-                                          std::string_view aDataCentre,
-                                          instant aNow) = 0;
+  virtual std::optional<planned_change> Plan(std::span<const engine_view> aEngines,
+                                             const table& aTable,
+                                             std::string_view aDataCentre,
+                                             instant aNow) = 0;
 };
 
 } // namespace skylarkwind
--- a/packages/core/include/skylarkwind/role_planner.h
+++ b/packages/core/include/skylarkwind/role_planner.h
@@ -57,8 +57,6 @@
   std::chrono::milliseconds mEmptyRoleWait{ 2'000 };
 };
 
-using planned_change = wanted_role;
-
 /// Decides how many engines of each service and model do prefill and how many decode. Asked by
 /// the lease holder of a data centre; changes only engines of that data centre, at most one a
 /// call. Engines of role `both` take either work and are never changed, so that a short swing is
--- a/packages/core/src/control_wishes.cpp
+++ b/packages/core/src/control_wishes.cpp
@@ -12,26 +12,12 @@
 /// An older answer is no basis for an intent.
 constexpr milliseconds kFreshFor{ 5'000 };
 
-std::string_view
-RoleName(engine_role aRole)
-{
-  switch (aRole) {
-    case engine_role::Prefill:
-      return "prefill";
-    case engine_role::Decode:
-      return "decode";
-    case engine_role::Both:
-      return "both";
-  }
-  return "both";
-}
-
 } // namespace
 
 std::string
 TargetText(engine_role aRole, std::string_view aModel, std::string_view aVersion)
 {
-  std::string text{ RoleName(aRole) };
+  std::string text{ RoleText(aRole) };
   text.append(" ").append(aModel).append(" ").append(aVersion);
   return text;
 }
--- a/packages/core/src/limit_list.cpp
+++ b/packages/core/src/limit_list.cpp
@@ -6,20 +6,6 @@
 
 namespace {
 
-std::string_view
-RoleName(engine_role aRole)
-{
-  switch (aRole) {
-    case engine_role::Prefill:
-      return "prefill";
-    case engine_role::Decode:
-      return "decode";
-    case engine_role::Both:
-      break;
-  }
-  return "both";
-}
-
 void
 Add(std::vector<limit_row>& aRows, std::string aName, const row_limits& aLimits)
 {
@@ -45,7 +31,7 @@
 std::string
 RoleLimit(std::string_view aService, engine_role aRole)
 {
-  return "role/" + std::string{ aService } + "/" + std::string{ RoleName(aRole) };
+  return "role/" + std::string{ aService } + "/" + std::string{ RoleText(aRole) };
 }
 
 std::vector<limit_row>
--- a/packages/core/tests/control_fakes.h
+++ b/packages/core/tests/control_fakes.h
@@ -78,22 +78,22 @@
 class fake_plans final : public plan_source
 {
 public:
-  explicit fake_plans(std::optional<wanted_role>& aNext)
+  explicit fake_plans(std::optional<planned_change>& aNext)
     : mNext(aNext)
   {
   }
   void OnReport(const engine_report&, instant) override {}
   void OnQueued(std::string_view, std::uint64_t, std::uint64_t, instant) override {}
-  std::optional<wanted_role> Plan(std::span<const engine_view>,
-                                  const table&,
-                                  std::string_view,
-                                  instant) override
+  std::optional<planned_change> Plan(std::span<const engine_view>,
+                                     const table&,
+                                     std::string_view,
+                                     instant) override
   {
     return mNext;
   }
 
 private:
-  std::optional<wanted_role>& mNext;
+  std::optional<planned_change>& mNext;
 };
 
 /// The platform's objects with all their versions. Watches the lease's fencing numbers.
--- a/packages/core/tests/control_world.h
+++ b/packages/core/tests/control_world.h
@@ -27,7 +27,7 @@
     process_id mSelf;
     fake_membership mMembers;
     fake_fleet mFleet;
-    std::optional<wanted_role> mWanted;
+    std::optional<planned_change> mWanted;
     std::unique_ptr<control> mControl;
     fleet_object mNewest;
     std::deque<std::function<void(core&)>> mBacklog; ///< events that came during a pause
@@ -310,9 +310,9 @@
     }
     aCore.mWanted.reset();
     if (mSettings.mWishes && !mQuiet && Chance(4)) {
-      aCore.mWanted = wanted_role{ mEngines[mRandom() % mEngines.size()].mName,
-                                   static_cast<engine_role>(mRandom() % 3),
-                                   "test" };
+      aCore.mWanted = planned_change{ mEngines[mRandom() % mEngines.size()].mName,
+                                      static_cast<engine_role>(mRandom() % 3),
+                                      "test" };
     }
     Gossip(aCore);
     effect_list out;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -75,12 +75,11 @@
 using member = std::function<value&(daemon_settings&)>;
 
 reader
-ReadName(const member<std::string>& aInto)
+ReadText(const member<std::string>& aInto, const std::function<bool(const std::string&)>& aGood)
 {
-  return [aInto](const YAML::Node& aNode, daemon_settings& aSettings) {
+  return [aInto, aGood](const YAML::Node& aNode, daemon_settings& aSettings) {
     const auto text = Scalar(aNode);
-    const bool good =
-      text && text->find_first_of(" /\"\\\t\n") == std::string::npos && text->size() <= 64;
+    const bool good = text && aGood(*text);
     if (good) {
       aInto(aSettings) = *text;
     }
@@ -88,17 +87,18 @@
   };
 }
 
+reader
+ReadName(const member<std::string>& aInto)
+{
+  return ReadText(aInto, [](const std::string& aText) {
+    return aText.find_first_of(" /\"\\\t\n") == std::string::npos && aText.size() <= 64;
+  });
+}
+
 reader
 ReadAddress(const member<std::string>& aInto)
 {
-  return [aInto](const YAML::Node& aNode, daemon_settings& aSettings) {
-    const auto text = Scalar(aNode);
-    const bool good = text && IsAddress(*text);
-    if (good) {
-      aInto(aSettings) = *text;
-    }
-    return good;
-  };
+  return ReadText(aInto, IsAddress);
 }
 
 reader
@@ -125,28 +125,16 @@
 reader
 ReadSecret(const member<std::string>& aInto)
 {
-  return [aInto](const YAML::Node& aNode, daemon_settings& aSettings) {
-    const auto text = Scalar(aNode);
-    const bool good = text && text->size() >= kMinSecretLength;
-    if (good) {
-      aInto(aSettings) = *text;
-    }
-    return good;
-  };
+  return ReadText(aInto, [](const std::string& aText) { return aText.size() >= kMinSecretLength; });
 }
 
 reader
 ReadSha256(const member<std::string>& aInto)
 {
-  return [aInto](const YAML::Node& aNode, daemon_settings& aSettings) {
-    const auto text = Scalar(aNode);
-    const bool good = text && text->size() == kSha256HexLength &&
-                      text->find_first_not_of("0123456789abcdef") == std::string::npos;
-    if (good) {
-      aInto(aSettings) = *text;
-    }
-    return good;
-  };
+  return ReadText(aInto, [](const std::string& aText) {
+    return aText.size() == kSha256HexLength &&
+           aText.find_first_not_of("0123456789abcdef") == std::string::npos;
+  });
 }
 
 reader
