--- /dev/null
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "skylarkwind/clock.h"
+#include "skylarkwind/forward_types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkwind {
+
+struct backend_board_settings
+{
+  /// Prompt tokens that a prefill engine computes in a ms, before any measurement. From the
+  /// operators' sheet of their engines.
+  double mPrefillTokensPerMs = 50;
+  /// Part of that rate which a decode engine reaches between the steps of its streams.
+  double mDecodePart = 0.43;
+  /// Peers that sent nothing for this long are left out of the sums.
+  std::chrono::milliseconds mPeerSilence{ 1'500 };
+};
+
+/// Work of one daemon at one backend server.
+struct backend_work
+{
+  std::string mBackendId;
+  std::uint32_t mPrefillTokens = 0; ///< of requests without a first token
+  std::uint32_t mRunning = 0;       ///< requests
+};
+
+/// Says that a backend server keeps a part of prompts.
+struct kept_part
+{
+  std::uint64_t mKey = 0;
+  std::string mBackendId;
+};
+
+/// What one daemon tells the others: its own work as absolute values, so that a lost message is
+/// made good by the next.
+struct work_digest
+{
+  std::string mSender;
+  std::uint64_t mSequence = 0;
+  std::vector<backend_work> mWork;
+  std::vector<kept_part> mKept; ///< learnt lately
+};
+
+/// How a request ended at a backend server, as far as the server's health is concerned.
+enum class backend_outcome
+{
+  Answered,    ///< it did its work, or the attempt ended for a reason that is not its own
+  Refused,     ///< it is alive and said that it did not run the request
+  Failed,      ///< it failed the request, or broke it off
+  Unreachable, ///< no connection could be made
+  Silent,      ///< it gave no sign of life in the expected time
+  Cancelled    ///< ended by this daemon; says nothing of the server
+};
+
+/// This daemon's view of the load and health of all backend servers: its own work, known exactly,
+/// the work that other daemons report, and what answers have shown.
+class backend_board
+{
+public:
+  /// Names one piece of work at one backend server.
+  using ticket = std::uint64_t;
+
+  explicit backend_board(backend_board_settings aSettings);
+
+  /// A request is sent. `aPrefillTokens` is what the server has to compute before the first token.
+  ticket Begin(std::string_view aBackendId,
+               std::uint32_t aPrefillTokens,
+               std::chrono::duration<double, std::milli> aExpected,
+               instant aNow);
+  /// Its first token or its answer came.
+  void OnFirst(ticket aTicket, instant aNow);
+  void End(ticket aTicket, backend_outcome aOutcome, instant aNow);
+  /// The load that a server stated with an answer.
+  void OnLoad(std::string_view aBackendId, const backend_load& aLoad, instant aNow);
+
+  /// Prompt tokens that wait at a server, of all daemons.
+  double WaitingTokens(std::string_view aBackendId, instant aNow) const;
+  /// Requests at a server, of all daemons.
+  std::uint32_t Running(std::string_view aBackendId, instant aNow) const;
+  /// How many times slower than expected the server is, 1 before any measurement.
+  double Slowdown(std::string_view aBackendId) const;
+  /// Part of the recent requests that failed there, 0 to 1.
+  double FailedPart(std::string_view aBackendId) const;
+  /// False while the server is set aside because of failures. After that time one request may try
+  /// it again.
+  bool Admits(std::string_view aBackendId, instant aNow) const;
+  /// Whether this server has answered nothing for `aFor` while requests of this daemon wait.
+  bool SilentFor(std::string_view aBackendId, std::chrono::milliseconds aFor, instant aNow) const;
+
+  /// Computation rate in tokens a ms, by role.
+  double Rate(std::optional<engine_role> aRole, std::string_view aBackendId) const;
+
+  /// The server has computed or fetched these parts.
+  void OnKept(std::string_view aBackendId, std::span<const prompt_part> aParts, instant aNow);
+  /// Tokens at the start of the prompt that the server is thought to keep.
+  std::uint32_t KeptTokens(std::string_view aBackendId,
+                           std::span<const prompt_part> aParts,
+                           instant aNow) const;
+  /// The server has left or restarted and keeps nothing.
+  void Forget(std::string_view aBackendId);
+
+  work_digest Digest(std::string_view aSender);
+  /// Whether own work or knowledge changed since the last digest.
+  bool DigestDue() const { return mChanged; }
+  void OnDigest(const work_digest& aDigest, instant aNow);
+  std::size_t Peers(instant aNow) const;
+
+private:
+  struct open_work
+  {
+    std::string mBackendId;
+    std::uint32_t mPrefillTokens = 0;
+    std::chrono::duration<double, std::milli> mExpected{};
+    instant mBegun;
+    bool mFirst = false;
+  };
+  struct backend_state
+  {
+    double mOwnTokens = 0;
+    std::uint32_t mOwnRunning = 0;
+    double mSlowdown = 1;
+    double mFailedPart = 0;
+    std::uint32_t mFailuresInARow = 0;
+    instant mSetAsideUntil{};
+    bool mTrialOpen = false; ///< the one request after a time set aside is under way
+    instant mLastSign{};     ///< of life
+    instant mWaitingSince{}; ///< start of the oldest wait since the last sign
+    backend_load mLoad;
+    instant mLoadAt{};
+  };
+  struct peer_state
+  {
+    std::uint64_t mSequence = 0;
+    instant mHeardAt{};
+    std::unordered_map<std::string, backend_work> mWork;
+  };
+
+  backend_state& StateOf(std::string_view aBackendId);
+  const backend_state* FindState(std::string_view aBackendId) const;
+  void OnFailure(backend_state& aState, bool aUnreachable, instant aNow);
+  template<class fold>
+  void ForPeers(std::string_view aBackendId, instant aNow, fold aFold) const;
+
+  backend_board_settings mSettings;
+  std::map<std::string, backend_state, std::less<>> mStates;
+  std::unordered_map<ticket, open_work> mOpen;
+  ticket mLastTicket = 0;
+  std::map<std::string, peer_state, std::less<>> mPeers;
+  /// By part, the servers that keep it and when that was last seen.
+  std::unordered_map<std::uint64_t, std::map<std::string, instant, std::less<>>> mKept;
+  std::vector<kept_part> mFresh; ///< for the next digest
+  std::uint64_t mSequence = 0;
+  bool mChanged = false;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/include/skylarkwind/placement.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "skylarkwind/backend_board.h"
+#include "skylarkwind/forward_types.h"
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace skylarkwind {
+
+/// Where a request goes.
+struct placement
+{
+  const backend_server* mTarget = nullptr;
+  /// Engine that computes the prompt first; null when the target does.
+  const backend_server* mPrefill = nullptr;
+  /// Engine that keeps the start of the prompt, to be fetched by whoever computes it.
+  const backend_server* mFetchFrom = nullptr;
+  std::uint32_t mComputeTokens = 0; ///< left to compute after what is kept or fetched
+  std::chrono::duration<double, std::milli> mPrefillTime{}; ///< until the prompt is computed
+  std::chrono::duration<double, std::milli> mFirstToken{};  ///< predicted, from now
+};
+
+/// No backend server can serve the request in time.
+struct no_placement
+{
+  std::string_view mReason;
+  std::chrono::milliseconds mRetryAfter{};
+};
+
+struct placement_settings
+{
+  std::string mDataCentre; ///< of this daemon
+  /// Added for a backend server in another data centre, whose traffic is paid for.
+  std::chrono::duration<double, std::milli> mOtherDataCentre{ 25 };
+  /// Weight of computing time against waiting time. Computing delays the requests behind it.
+  double mComputeWeight = 0.5;
+  /// Weight of the time that a transfer of KV cache takes on the links between engines.
+  double mTransferWeight = 2;
+};
+
+/// What is to be placed.
+struct placement_query
+{
+  const forward_route* mRoute = nullptr;
+  const forward_service* mService = nullptr;
+  const generation_shape* mGeneration = nullptr; ///< null for a plain service
+  std::span<const backend_server* const> mServers;
+  std::span<const std::string> mAvoid; ///< ids that failed this request
+  std::chrono::milliseconds mTimeLeft{};
+};
+
+using placement_result = std::variant<placement, no_placement>;
+
+/// Chooses the backend server, and for a generation the engine that computes its prompt, by the
+/// predicted time to the first token.
+class placer
+{
+public:
+  placer(placement_settings aSettings, const backend_board& aBoard);
+
+  placement_result Place(const placement_query& aQuery, instant aNow) const;
+
+private:
+  struct option
+  {
+    placement mPlacement;
+    double mCost = 0;
+  };
+
+  placement_result PlacePlain(const placement_query& aQuery, instant aNow) const;
+  placement_result PlaceGeneration(const placement_query& aQuery, instant aNow) const;
+  /// Computing the prompt at one engine, with what it keeps and what it can fetch.
+  option Compute(const placement_query& aQuery,
+                 const backend_server& aEngine,
+                 const backend_server* aHolder,
+                 std::uint32_t aHolderTokens,
+                 instant aNow) const;
+  double DistanceCost(const backend_server& aServer) const;
+  double TransferMs(const forward_service& aService, double aTokens, bool aNear) const;
+
+  placement_settings mSettings;
+  const backend_board& mBoard;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/backend_board.cpp
@@ -0,0 +1,328 @@
+#include "skylarkwind/backend_board.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+/// Weight of a new measurement against the ones before.
+constexpr double kSlowdownStep = 0.15;
+constexpr double kFailureStep = 0.2;
+constexpr double kLeastSlowdown = 0.5;
+constexpr double kMostSlowdown = 8;
+/// Measurements of less than this are dominated by the network.
+constexpr milliseconds_f kLeastMeasured{ 10 };
+/// Failures in a row that set a server aside; one refused connection is enough.
+constexpr std::uint32_t kFailuresToSetAside = 3;
+constexpr std::chrono::milliseconds kFirstAside{ 400 };
+constexpr std::chrono::milliseconds kLongestAside{ 3'200 };
+/// A kept part that was not used for this long may have been evicted.
+constexpr std::chrono::seconds kKeptFor{ 30 };
+/// Facts that one digest carries; the rest follows with the next.
+constexpr std::size_t kMostFresh = 32;
+/// A stated load older than this says nothing of the load now.
+constexpr std::chrono::milliseconds kLoadLife{ 500 };
+
+} // namespace
+
+backend_board::backend_board(backend_board_settings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+backend_board::backend_state&
+backend_board::StateOf(std::string_view aBackendId)
+{
+  auto found = mStates.find(aBackendId);
+  if (found == mStates.end()) {
+    found = mStates.try_emplace(std::string{ aBackendId }).first;
+  }
+  return found->second;
+}
+
+const backend_board::backend_state*
+backend_board::FindState(std::string_view aBackendId) const
+{
+  const auto found = mStates.find(aBackendId);
+  return found == mStates.end() ? nullptr : &found->second;
+}
+
+backend_board::ticket
+backend_board::Begin(std::string_view aBackendId,
+                     std::uint32_t aPrefillTokens,
+                     milliseconds_f aExpected,
+                     instant aNow)
+{
+  auto& state = StateOf(aBackendId);
+  if (state.mOwnRunning == 0) {
+    state.mWaitingSince = aNow;
+  }
+  state.mOwnTokens += aPrefillTokens;
+  state.mOwnRunning += 1;
+  state.mTrialOpen = true;
+  mChanged = true;
+  mOpen[++mLastTicket] = { std::string{ aBackendId }, aPrefillTokens, aExpected, aNow, false };
+  return mLastTicket;
+}
+
+void
+backend_board::OnFirst(ticket aTicket, instant aNow)
+{
+  const auto found = mOpen.find(aTicket);
+  if (found == mOpen.end()) {
+    return;
+  }
+  auto& work = found->second;
+  auto& state = StateOf(work.mBackendId);
+  state.mLastSign = aNow;
+  state.mWaitingSince = aNow;
+  if (work.mFirst) {
+    return;
+  }
+  work.mFirst = true;
+  state.mOwnTokens -= work.mPrefillTokens;
+  mChanged = true;
+  const milliseconds_f taken = aNow - work.mBegun;
+  if (work.mExpected >= kLeastMeasured) {
+    const double ratio =
+      std::clamp(taken / work.mExpected * state.mSlowdown, kLeastSlowdown, kMostSlowdown);
+    state.mSlowdown += kSlowdownStep * (ratio - state.mSlowdown);
+  }
+}
+
+void
+backend_board::End(ticket aTicket, backend_outcome aOutcome, instant aNow)
+{
+  const auto found = mOpen.find(aTicket);
+  if (found == mOpen.end()) {
+    return;
+  }
+  auto& state = StateOf(found->second.mBackendId);
+  if (!found->second.mFirst) {
+    state.mOwnTokens -= found->second.mPrefillTokens;
+  }
+  state.mOwnRunning -= 1;
+  mOpen.erase(found);
+  mChanged = true;
+  if (aOutcome == backend_outcome::Cancelled) {
+    state.mTrialOpen = false;
+    return;
+  }
+  if (aOutcome == backend_outcome::Answered || aOutcome == backend_outcome::Refused) {
+    state.mLastSign = aNow;
+    state.mWaitingSince = aNow;
+    state.mTrialOpen = false;
+    if (aOutcome == backend_outcome::Answered) {
+      state.mFailuresInARow = 0;
+      state.mFailedPart -= kFailureStep * state.mFailedPart;
+    }
+    return;
+  }
+  OnFailure(state, aOutcome != backend_outcome::Failed, aNow);
+}
+
+void
+backend_board::OnFailure(backend_state& aState, bool aUnreachable, instant aNow)
+{
+  aState.mTrialOpen = false;
+  aState.mFailuresInARow += 1;
+  aState.mFailedPart += kFailureStep * (1 - aState.mFailedPart);
+  const auto threshold = aUnreachable ? 1U : kFailuresToSetAside;
+  if (aState.mFailuresInARow < threshold || aNow < aState.mSetAsideUntil) {
+    return;
+  }
+  const auto doublings = std::min(aState.mFailuresInARow - threshold, 3U);
+  aState.mSetAsideUntil = aNow + std::min(kLongestAside, kFirstAside * (1U << doublings));
+}
+
+void
+backend_board::OnLoad(std::string_view aBackendId, const backend_load& aLoad, instant aNow)
+{
+  auto& state = StateOf(aBackendId);
+  state.mLoad = aLoad;
+  state.mLoadAt = aNow;
+}
+
+template<class fold>
+void
+backend_board::ForPeers(std::string_view aBackendId, instant aNow, fold aFold) const
+{
+  const std::string id{ aBackendId };
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mHeardAt + mSettings.mPeerSilence < aNow) {
+      continue;
+    }
+    const auto work = peer.mWork.find(id);
+    if (work != peer.mWork.end()) {
+      aFold(work->second);
+    }
+  }
+}
+
+double
+backend_board::WaitingTokens(std::string_view aBackendId, instant aNow) const
+{
+  const auto* state = FindState(aBackendId);
+  double sum = state == nullptr ? 0 : state->mOwnTokens;
+  ForPeers(aBackendId, aNow, [&](const backend_work& aWork) { sum += aWork.mPrefillTokens; });
+  return sum;
+}
+
+std::uint32_t
+backend_board::Running(std::string_view aBackendId, instant aNow) const
+{
+  const auto* state = FindState(aBackendId);
+  std::uint32_t sum = state == nullptr ? 0 : state->mOwnRunning;
+  ForPeers(aBackendId, aNow, [&](const backend_work& aWork) { sum += aWork.mRunning; });
+  if (state != nullptr && aNow - state->mLoadAt < kLoadLife) {
+    sum = std::max(sum, state->mLoad.mWaiting);
+  }
+  return sum;
+}
+
+double
+backend_board::Slowdown(std::string_view aBackendId) const
+{
+  const auto* state = FindState(aBackendId);
+  return state == nullptr ? 1 : state->mSlowdown;
+}
+
+double
+backend_board::FailedPart(std::string_view aBackendId) const
+{
+  const auto* state = FindState(aBackendId);
+  return state == nullptr ? 0 : state->mFailedPart;
+}
+
+bool
+backend_board::Admits(std::string_view aBackendId, instant aNow) const
+{
+  const auto* state = FindState(aBackendId);
+  if (state == nullptr || state->mFailuresInARow == 0) {
+    return true;
+  }
+  if (aNow < state->mSetAsideUntil) {
+    return false;
+  }
+  // After a time set aside one request tries the server; the others wait for its result.
+  return state->mSetAsideUntil == instant{} || !state->mTrialOpen;
+}
+
+bool
+backend_board::SilentFor(std::string_view aBackendId,
+                         std::chrono::milliseconds aFor,
+                         instant aNow) const
+{
+  const auto* state = FindState(aBackendId);
+  return state != nullptr && state->mOwnRunning > 0 && aNow - state->mWaitingSince >= aFor;
+}
+
+double
+backend_board::Rate(std::optional<engine_role> aRole, std::string_view aBackendId) const
+{
+  const double part = aRole == engine_role::Prefill ? 1 : mSettings.mDecodePart;
+  return mSettings.mPrefillTokensPerMs * part / Slowdown(aBackendId);
+}
+
+void
+backend_board::OnKept(std::string_view aBackendId,
+                      std::span<const prompt_part> aParts,
+                      instant aNow)
+{
+  for (const auto& part : aParts) {
+    auto& holders = mKept[part.mKey];
+    const auto [holder, isNew] = holders.insert_or_assign(std::string{ aBackendId }, aNow);
+    if (isNew && mFresh.size() < kMostFresh) {
+      mFresh.push_back({ part.mKey, holder->first });
+      mChanged = true;
+    }
+  }
+}
+
+std::uint32_t
+backend_board::KeptTokens(std::string_view aBackendId,
+                          std::span<const prompt_part> aParts,
+                          instant aNow) const
+{
+  std::uint32_t sum = 0;
+  for (const auto& part : aParts) {
+    const auto holders = mKept.find(part.mKey);
+    if (holders == mKept.end()) {
+      return sum;
+    }
+    const auto holder = holders->second.find(aBackendId);
+    if (holder == holders->second.end() || holder->second + kKeptFor < aNow) {
+      return sum;
+    }
+    sum += part.mTokens;
+  }
+  return sum;
+}
+
+void
+backend_board::Forget(std::string_view aBackendId)
+{
+  if (const auto state = mStates.find(aBackendId); state != mStates.end()) {
+    state->second.mFailuresInARow = 0;
+    state->second.mFailedPart = 0;
+    state->second.mSlowdown = 1;
+    state->second.mSetAsideUntil = {};
+  }
+  for (auto& [key, holders] : mKept) {
+    if (const auto holder = holders.find(aBackendId); holder != holders.end()) {
+      holders.erase(holder);
+    }
+  }
+}
+
+work_digest
+backend_board::Digest(std::string_view aSender)
+{
+  work_digest digest;
+  digest.mSender = aSender;
+  digest.mSequence = ++mSequence;
+  for (const auto& [id, state] : mStates) {
+    if (state.mOwnRunning > 0) {
+      digest.mWork.push_back({ id,
+                               static_cast<std::uint32_t>(std::max(0.0, state.mOwnTokens)),
+                               state.mOwnRunning });
+    }
+  }
+  digest.mKept = std::move(mFresh);
+  mFresh.clear();
+  mChanged = false;
+  return digest;
+}
+
+void
+backend_board::OnDigest(const work_digest& aDigest, instant aNow)
+{
+  auto& peer = mPeers[aDigest.mSender];
+  for (const auto& kept : aDigest.mKept) {
+    mKept[kept.mKey].insert_or_assign(kept.mBackendId, aNow);
+  }
+  // Datagrams may overtake one another.
+  if (aDigest.mSequence <= peer.mSequence && peer.mHeardAt + mSettings.mPeerSilence >= aNow) {
+    return;
+  }
+  peer.mSequence = aDigest.mSequence;
+  peer.mHeardAt = aNow;
+  peer.mWork.clear();
+  for (const auto& work : aDigest.mWork) {
+    peer.mWork.insert_or_assign(work.mBackendId, work);
+  }
+}
+
+std::size_t
+backend_board::Peers(instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+      return aPeer.second.mHeardAt + mSettings.mPeerSilence >= aNow;
+    }));
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/backend_directory.cpp
@@ -0,0 +1,94 @@
+#include "skylarkwind/backend_directory.h"
+
+namespace skylarkwind {
+
+backend_directory::backend_directory(directory_settings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+backend_directory::Replace(std::span<const backend_server> aServers,
+                           bool aAfterOutage,
+                           instant aNow)
+{
+  std::set<std::string, std::less<>> listed;
+  for (const auto& server : aServers) {
+    listed.insert(server.mId);
+    Upsert(server);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : mServers) {
+    if (!listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    Remove(id, aAfterOutage, aNow);
+  }
+}
+
+void
+backend_directory::Upsert(const backend_server& aServer)
+{
+  mLapsing.erase(aServer.mId);
+  auto& stored = mServers[aServer.mId];
+  if (stored == aServer) {
+    return;
+  }
+  stored = aServer;
+  ++mRevision;
+}
+
+void
+backend_directory::Remove(std::string_view aId, bool aAfterOutage, instant aNow)
+{
+  const auto found = mServers.find(aId);
+  if (found == mServers.end()) {
+    return;
+  }
+  if (aAfterOutage && !found->second.mDraining) {
+    mLapsing.try_emplace(found->first, aNow + mSettings.mLapseGrace);
+    return;
+  }
+  if (mLapsing.contains(aId)) {
+    return;
+  }
+  mServers.erase(found);
+  ++mRevision;
+}
+
+void
+backend_directory::OnTick(instant aNow)
+{
+  for (auto lapsing = mLapsing.begin(); lapsing != mLapsing.end();) {
+    if (aNow < lapsing->second) {
+      ++lapsing;
+      continue;
+    }
+    mServers.erase(lapsing->first);
+    lapsing = mLapsing.erase(lapsing);
+    ++mRevision;
+  }
+}
+
+const backend_server*
+backend_directory::Find(std::string_view aId) const
+{
+  const auto found = mServers.find(aId);
+  return found == mServers.end() ? nullptr : &found->second;
+}
+
+std::vector<const backend_server*>
+backend_directory::Usable(std::string_view aService) const
+{
+  std::vector<const backend_server*> usable;
+  for (const auto& [id, server] : mServers) {
+    if (server.mService == aService && !server.mDraining) {
+      usable.push_back(&server);
+    }
+  }
+  return usable;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/placement.cpp
@@ -0,0 +1,225 @@
+#include "skylarkwind/placement.h"
+
+#include "skylarkwind/hash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace skylarkwind {
+
+namespace {
+
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+/// Cost added for each recent failure in ten, in ms: a server that fails half of its requests is
+/// used only when the others are far behind.
+constexpr double kFailureCostMs = 400;
+/// From the end of the computation to the first event, and the hop between the engines.
+constexpr double kFirstStepMs = 15;
+/// Start of a transfer between engines.
+constexpr double kTransferSetupMs = 4;
+/// A decode engine that computes prompts too has steps of about this length.
+constexpr double kSharedStepMs = 45;
+/// Part of a plain request's time that one more request on the same server costs.
+constexpr double kPlainRequestMs = 30;
+/// Callers give up on a stream without an event after the longest of these.
+constexpr std::chrono::milliseconds kLeastPatience{ 2'000 };
+constexpr int kPatienceInTargets = 4;
+constexpr int kPatienceInGaps = 8;
+/// Part of the patience that a prediction may fill; predictions err.
+constexpr double kUsablePatience = 0.85;
+constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
+
+bool
+Contains(std::span<const std::string> aIds, std::string_view aId)
+{
+  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
+}
+
+/// How long the caller of this route waits for the first event.
+milliseconds_f
+FirstEventPatience(const forward_route& aRoute, std::chrono::milliseconds aTimeLeft)
+{
+  const auto patience =
+    std::max({ kLeastPatience, aRoute.mTarget * kPatienceInTargets, aRoute.mMaxGap * kPatienceInGaps });
+  return std::min(patience, aTimeLeft);
+}
+
+std::uint64_t
+HomeKey(const generation_shape& aShape)
+{
+  return aShape.mParts.size() < 2 ? 0 : aShape.mParts[aShape.mParts.size() - 2].mKey;
+}
+
+} // namespace
+
+placer::placer(placement_settings aSettings, const backend_board& aBoard)
+  : mSettings(std::move(aSettings))
+  , mBoard(aBoard)
+{
+}
+
+placement_result
+placer::Place(const placement_query& aQuery, instant aNow) const
+{
+  return aQuery.mGeneration != nullptr && aQuery.mService->mEngine
+           ? PlaceGeneration(aQuery, aNow)
+           : PlacePlain(aQuery, aNow);
+}
+
+double
+placer::DistanceCost(const backend_server& aServer) const
+{
+  return aServer.mDataCentre == mSettings.mDataCentre ? 0 : mSettings.mOtherDataCentre.count();
+}
+
+double
+placer::TransferMs(const forward_service& aService, double aTokens, bool aNear) const
+{
+  const auto& engine = *aService.mEngine;
+  if (engine.mLinkMegabits <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const double bitsEach = engine.mKvBytesEach * 8;
+  const double transfer = aTokens * bitsEach / (engine.mLinkMegabits * 1'000);
+  return kTransferSetupMs + (aNear ? transfer : 2 * transfer);
+}
+
+placement_result
+placer::PlacePlain(const placement_query& aQuery, instant aNow) const
+{
+  const backend_server* best = nullptr;
+  double bestCost = std::numeric_limits<double>::infinity();
+  for (const auto* server : aQuery.mServers) {
+    if (Contains(aQuery.mAvoid, server->mId) || !mBoard.Admits(server->mId, aNow)) {
+      continue;
+    }
+    const double running = mBoard.Running(server->mId, aNow);
+    const double over = running - std::max<double>(1, server->mSlots);
+    const double cost = running * kPlainRequestMs / std::max<double>(1, server->mSlots) +
+                        std::max(0.0, over) * kPlainRequestMs + DistanceCost(*server) +
+                        mBoard.FailedPart(server->mId) * kFailureCostMs;
+    if (cost < bestCost) {
+      best = server;
+      bestCost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return no_placement{ "no server admits the request", kLeastRetryAfter };
+  }
+  placement chosen;
+  chosen.mTarget = best;
+  return chosen;
+}
+
+placer::option
+placer::Compute(const placement_query& aQuery,
+                const backend_server& aEngine,
+                const backend_server* aHolder,
+                std::uint32_t aHolderTokens,
+                instant aNow) const
+{
+  const auto& shape = *aQuery.mGeneration;
+  const auto kept = mBoard.KeptTokens(aEngine.mId, shape.mParts, aNow);
+  std::uint32_t have = kept;
+  option made;
+  double transfer = 0;
+  if (aHolder != nullptr && aHolder != &aEngine && aHolderTokens > kept) {
+    transfer = TransferMs(
+      *aQuery.mService, aHolderTokens - kept, aHolder->mDataCentre == aEngine.mDataCentre);
+    made.mPlacement.mFetchFrom = aHolder;
+    have = aHolderTokens;
+  }
+  const double rate = mBoard.Rate(aEngine.mRole, aEngine.mId);
+  const auto compute = shape.mPromptTokens > have ? shape.mPromptTokens - have : 1;
+  const double wait = mBoard.WaitingTokens(aEngine.mId, aNow) / rate;
+  const double computing = compute / rate;
+  made.mPlacement.mComputeTokens = compute;
+  made.mPlacement.mPrefillTime = milliseconds_f{ wait + computing + transfer };
+  made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
+  made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
+               mSettings.mTransferWeight * transfer + DistanceCost(aEngine) +
+               mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
+  return made;
+}
+
+placement_result
+placer::PlaceGeneration(const placement_query& aQuery, instant aNow) const
+{
+  const auto& shape = *aQuery.mGeneration;
+  const auto home = HomeKey(shape);
+  // The engine that keeps most of the prompt; where none is known, the part's home by hashing, so
+  // that all daemons have a new part computed at the same engine.
+  const backend_server* holder = nullptr;
+  std::uint32_t holderTokens = 0;
+  const backend_server* decode = nullptr;
+  double decodeCost = std::numeric_limits<double>::infinity();
+  std::vector<const backend_server*> usable;
+  for (const auto* engine : aQuery.mServers) {
+    if (Contains(aQuery.mAvoid, engine->mId) || !mBoard.Admits(engine->mId, aNow)) {
+      continue;
+    }
+    usable.push_back(engine);
+    const auto kept = mBoard.KeptTokens(engine->mId, shape.mParts, aNow);
+    if (kept > holderTokens) {
+      holder = engine;
+      holderTokens = kept;
+    }
+    if (engine->mRole == engine_role::Prefill ||
+        mBoard.Running(engine->mId, aNow) >= aQuery.mService->mEngine->mSlots) {
+      continue;
+    }
+    const double busy = mBoard.WaitingTokens(engine->mId, aNow) > 0 ? kSharedStepMs : 0;
+    const double cost = busy + mBoard.Running(engine->mId, aNow) * mBoard.Slowdown(engine->mId) +
+                        DistanceCost(*engine) + mBoard.FailedPart(engine->mId) * kFailureCostMs;
+    if (cost < decodeCost) {
+      decode = engine;
+      decodeCost = cost;
+    }
+  }
+  std::optional<option> best;
+  std::uint64_t bestTie = 0;
+  for (const auto* engine : usable) {
+    auto made = Compute(aQuery, *engine, holder, holderTokens, aNow);
+    if (engine->mRole == engine_role::Prefill) {
+      if (decode == nullptr) {
+        continue;
+      }
+      const double transfer = TransferMs(
+        *aQuery.mService, shape.mPromptTokens, decode->mDataCentre == engine->mDataCentre);
+      made.mPlacement.mPrefill = engine;
+      made.mPlacement.mTarget = decode;
+      made.mPlacement.mFirstToken += milliseconds_f{ transfer + decodeCost };
+      made.mCost += transfer * (1 + mSettings.mTransferWeight) + decodeCost;
+    } else {
+      if (mBoard.Running(engine->mId, aNow) >= aQuery.mService->mEngine->mSlots) {
+        continue;
+      }
+      made.mPlacement.mTarget = engine;
+    }
+    // Nearly equal engines are told apart by the part's home, so that parts gather there.
+    const auto tie = RendezvousScore(std::to_string(home), engine->mId);
+    made.mCost += 30.0 * (1 - static_cast<double>(tie) /
+                                static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
+    if (!best || made.mCost < best->mCost) {
+      best = made;
+      bestTie = tie;
+    }
+  }
+  if (!best) {
+    return no_placement{ "no engine admits the request", kLeastRetryAfter };
+  }
+  const auto patience = FirstEventPatience(*aQuery.mRoute, aQuery.mTimeLeft);
+  if (best->mPlacement.mFirstToken > kUsablePatience * patience) {
+    const auto excess = best->mPlacement.mFirstToken - milliseconds_f{ aQuery.mRoute->mTarget };
+    const auto spread = 0.75 + 0.5 * static_cast<double>(bestTie >> 11U) / static_cast<double>(1ULL << 53U);
+    return no_placement{
+      "the first token would come too late",
+      std::max(kLeastRetryAfter,
+               std::chrono::duration_cast<std::chrono::milliseconds>(excess * spread))
+    };
+  }
+  return best->mPlacement;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/src/repeat_allowance.cpp
@@ -0,0 +1,60 @@
+#include "skylarkwind/repeat_allowance.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Part of the bound that is used; the rest covers daemons that restart within a window and have
+/// lost their counts.
+constexpr double kUsedPart = 0.75;
+
+} // namespace
+
+repeat_allowance::repeat_allowance(repeat_allowance_settings aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+repeat_allowance::OnRequest(std::string_view aService, instant aNow)
+{
+  auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    found = mServices.try_emplace(std::string{ aService }).first;
+  }
+  Trim(found->second, aNow);
+  found->second.mRequests.push_back(aNow);
+}
+
+bool
+repeat_allowance::TryTake(std::string_view aService, std::uint32_t aDaemons, instant aNow)
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return false;
+  }
+  auto& counts = found->second;
+  Trim(counts, aNow);
+  const double bound =
+    kUsedPart * (mSettings.mRatio * static_cast<double>(counts.mRequests.size()) +
+                 static_cast<double>(mSettings.mFloor) / std::max<std::uint32_t>(1, aDaemons));
+  if (static_cast<double>(counts.mRepeats.size()) + 1 > bound) {
+    return false;
+  }
+  counts.mRepeats.push_back(aNow);
+  return true;
+}
+
+void
+repeat_allowance::Trim(service_counts& aCounts, instant aNow) const
+{
+  for (auto* times : { &aCounts.mRequests, &aCounts.mRepeats }) {
+    while (!times->empty() && times->front() + mSettings.mWindow < aNow) {
+      times->pop_front();
+    }
+  }
+}
+
+} // namespace skylarkwind
--- a/packages/daemon/src/skylarkwindd_main.cpp
+++ b/packages/daemon/src/skylarkwindd_main.cpp
@@ -1,4 +1,7 @@
 #include "skylarkwind/daemon.h"
+#include "skylarkwind/gateway.h"
+#include "skylarkwind/wire_dialect.h"
+#include "skylarkwind/wire_store.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -10,9 +13,15 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
-ABSL_FLAG(std::string, settings, "", "settings file (YAML)");
+ABSL_FLAG(std::string,
+          settings,
+          "",
+          "settings file (YAML); without it the variable SKYLARKWIND_SETTINGS names the file");
 ABSL_FLAG(bool, check_settings, false, "check the settings file and exit");
 
 namespace {
@@ -32,6 +41,72 @@
   }
 }
 
+std::string
+SettingsFile()
+{
+  auto file = absl::GetFlag(FLAGS_settings);
+  const auto* variable = std::getenv("SKYLARKWIND_SETTINGS");
+  if (file.empty() && variable != nullptr) {
+    file = variable;
+  }
+  return file;
+}
+
+/// Signals are captured before any thread exists, so that every thread has them blocked.
+void
+CaptureSignals()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  kj::UnixEventPort::captureSignal(SIGTERM);
+  kj::UnixEventPort::captureSignal(SIGINT);
+  kj::UnixEventPort::captureSignal(SIGHUP);
+}
+
+template<class problem_list>
+int
+PrintProblems(const problem_list& aProblems)
+{
+  for (const auto& problem : aProblems) {
+    std::cerr << problem.Text() << '\n';
+  }
+  return kExitBadSettings;
+}
+
+int
+PrintGood()
+{
+  std::cout << "the settings are good\n";
+  return 0;
+}
+
+/// Runs the daemon as the gateway of a deployment whose platform stores routes and servers.
+int
+RunGateway(const std::string& aText, const std::string& aFile)
+{
+  auto parsed = skylarkwind::ParseGatewaySettings(aText, aFile);
+  if (const auto* problems = std::get_if<skylarkwind::gateway_settings_problems>(&parsed)) {
+    return PrintProblems(*problems);
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    return PrintGood();
+  }
+  auto settings = std::get<skylarkwind::gateway_settings>(std::move(parsed));
+  CaptureSignals();
+  RaiseDescriptorLimit();
+  skylarkwind::StartLog(settings.mLog);
+  const skylarkwind::system_clock_source clock;
+  auto context = kj::setupAsyncIo();
+  skylarkwind::deployment_adapter adapter;
+  adapter.mDialect = skylarkwind::MakeWireDialect();
+  adapter.mObjects = skylarkwind::MakeWireObjects();
+  adapter.mMakeStore = [address = settings.mStoreAddress](skylarkwind::http_pool& aPool,
+                                                          kj::Timer& aTimer) {
+    return skylarkwind::MakeWireStore(address, aPool, aTimer);
+  };
+  skylarkwind::gateway::Create(std::move(settings), std::move(adapter), context, clock)->Run();
+  return 0;
+}
+
 int
 Run(skylarkwind::daemon_settings aSettings)
 {
@@ -58,21 +133,20 @@
 {
   absl::SetProgramUsageMessage("skylarkwind daemon");
   absl::ParseCommandLine(aArgc, aArgv);
-  auto loaded = skylarkwind::LoadSettings(absl::GetFlag(FLAGS_settings));
+  const auto file = SettingsFile();
+  std::ostringstream text;
+  text << std::ifstream{ file }.rdbuf();
+  if (skylarkwind::HasGatewaySettings(text.str())) {
+    return RunGateway(text.str(), file);
+  }
+  auto loaded = skylarkwind::LoadSettings(file);
   if (const auto* problems = std::get_if<skylarkwind::settings_problems>(&loaded)) {
-    for (const auto& problem : *problems) {
-      std::cerr << problem.Text() << '\n';
-    }
-    return kExitBadSettings;
+    return PrintProblems(*problems);
   }
   if (absl::GetFlag(FLAGS_check_settings)) {
-    std::cout << "the settings are good\n";
-    return 0;
+    return PrintGood();
   }
-  // Signals are captured before any thread exists, so that every thread has them blocked.
-  std::signal(SIGPIPE, SIG_IGN);
-  kj::UnixEventPort::captureSignal(SIGTERM);
-  kj::UnixEventPort::captureSignal(SIGINT);
+  CaptureSignals();
   RaiseDescriptorLimit();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   return Run(std::get<skylarkwind::daemon_settings>(std::move(loaded)));
--- /dev/null
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "skylarkwind/log.h"
+#include "skylarkwind/repeat_allowance.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Everything that a daemon of a gateway deployment reads from its settings file.
+struct gateway_settings
+{
+  std::string mVm;
+  std::string mDataCentre;
+  std::string mCallerAddress;  ///< ip:port for callers
+  std::string mReadyAddress;   ///< ip:port for the balancer's readiness checks and the metrics
+  std::string mStoreAddress;   ///< ip:port of the platform's store
+  std::string mPeerAddress;    ///< ip:port (UDP) for work digests of other daemons
+  std::chrono::milliseconds mConfigurationWithin{ 2'000 }; ///< bound for a change to be in force
+  std::chrono::milliseconds mDrainWithin{ 2'000 };   ///< bound for no new work to a leaving server
+  std::chrono::milliseconds mContact{ 3'000 };       ///< after it a VM counts as healthy again
+  std::chrono::milliseconds mShutdownGrace{ 8'000 }; ///< from SIGTERM to SIGKILL
+  std::chrono::milliseconds mLease{ 3'000 };         ///< least time between two order holders
+  repeat_allowance_settings mRepeats;
+  double mPrefillTokensPerMs = 50; ///< of a prefill engine, until measured
+  double mPrefillShare = 0.5;      ///< part of a model service's engines that should prefill
+  log_settings mLog;
+};
+
+/// One mistake in a settings file.
+struct gateway_settings_problem
+{
+  std::string mFile;
+  int mLine = 0; ///< 0 when the whole file is meant
+  std::string mKey;
+  std::string mExpected;
+
+  std::string Text() const;
+};
+
+using gateway_settings_problems = std::vector<gateway_settings_problem>;
+
+/// True when the text has the settings of a gateway deployment rather than those of a daemon with
+/// its own table.
+bool HasGatewaySettings(std::string_view aText);
+
+/// Reads and checks a whole file; nothing is started when there is a mistake.
+std::variant<gateway_settings, gateway_settings_problems> ParseGatewaySettings(
+  std::string_view aText,
+  const std::string& aFile);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/caller_listener.cpp
@@ -0,0 +1,137 @@
+#include "caller_listener_p.h"
+
+#include "skylarkwind/log.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Idle connections are closed by `CloseIdle`, whose limit may change while a connection is open.
+constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
+
+} // namespace
+
+class caller_listener::connection final
+  : public kj::HttpService
+  , private kj::HttpServerErrorHandler
+{
+public:
+  connection(caller_listener& aOwner, kj::Own<kj::AsyncIoStream> aStream)
+    : mOwner(aOwner)
+    , mStream(kj::heap<monitored_stream>(kj::mv(aStream)))
+    , mServer(aOwner.mContext.mTimer, aOwner.mContext.mTable, *this, Settings())
+    , mIdleSince(aOwner.mContext.mClock.Now())
+  {
+  }
+
+  void Start()
+  {
+    // The stream is borrowed, so that it outlives the server's use of it.
+    auto serving = mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ mStream.get(), kj::NullDisposer::instance });
+    mServing = serving
+                 .catch_([](kj::Exception&&) {
+                   // The exchange has logged why; the connection is closed either way.
+                 })
+                 .then([this] { mDone = true; })
+                 .eagerlyEvaluate(nullptr);
+  }
+
+  kj::Promise<void> request(kj::HttpMethod aMethod,
+                            kj::StringPtr aUrl,
+                            const kj::HttpHeaders& aHeaders,
+                            kj::AsyncInputStream& aBody,
+                            Response& aResponse) override
+  {
+    auto& context = mOwner.mContext;
+    std::string host;
+    KJ_IF_MAYBE (value, aHeaders.get(kj::HttpHeaderId::HOST)) {
+      host.assign(value->cStr(), value->size());
+    }
+    auto method = kj::str(aMethod);
+    auto request = context.mDialect.ReadRequest({ method.cStr(), method.size() },
+                                                std::move(host),
+                                                { aUrl.cStr(), aUrl.size() },
+                                                FromKj(aHeaders));
+    ++mOwner.mOpenRequests;
+    ++mOpen;
+    auto serving = kj::heap<exchange>(context, aResponse, [this] { return mStream->WhenPeerCloses(); });
+    auto promise = serving->Serve(std::move(request), aBody);
+    return promise.attach(kj::mv(serving), kj::defer([this] {
+                            --mOwner.mOpenRequests;
+                            --mOpen;
+                            mIdleSince = mOwner.mContext.mClock.Now();
+                          }));
+  }
+
+  bool Done() const { return mDone; }
+  bool IdleFor(std::chrono::milliseconds aLimit, instant aNow) const
+  {
+    return mOpen == 0 && aNow - mIdleSince >= aLimit;
+  }
+
+private:
+  kj::HttpServerSettings Settings()
+  {
+    kj::HttpServerSettings settings;
+    const auto& configuration = mOwner.mContext.mRoutes.Current();
+    const auto limits = configuration ? configuration->mLimits : caller_limits{};
+    settings.headerTimeout = ToKj(limits.mHeaderTime);
+    settings.pipelineTimeout = kNoPipelineTimeout;
+    settings.errorHandler = static_cast<kj::HttpServerErrorHandler&>(*this);
+    settings.callbacks = static_cast<kj::HttpServerCallbacks&>(mOwner);
+    return settings;
+  }
+
+  kj::Promise<void> handleApplicationError(kj::Exception aError,
+                                           kj::Maybe<Response&>) override
+  {
+    if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
+      Log(log_level::Error, "callers", aError.getDescription().cStr());
+    }
+    return kj::READY_NOW;
+  }
+
+  caller_listener& mOwner;
+  kj::Own<monitored_stream> mStream;
+  kj::HttpServer mServer;
+  std::size_t mOpen = 0;
+  instant mIdleSince;
+  bool mDone = false;
+  kj::Promise<void> mServing = nullptr;
+};
+
+caller_listener::caller_listener(exchange_context& aContext)
+  : mContext(aContext)
+  , mTasks(*this)
+{
+}
+
+caller_listener::~caller_listener() noexcept = default;
+
+kj::Promise<void>
+caller_listener::Accept(kj::ConnectionReceiver& aPort)
+{
+  return aPort.accept().then([this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
+    mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
+    mConnections.back()->Start();
+    return Accept(aPort);
+  });
+}
+
+void
+caller_listener::CloseIdle(std::chrono::milliseconds aLimit, instant aNow)
+{
+  mConnections.remove_if([&](const auto& aConnection) {
+    return aConnection->Done() || aConnection->IdleFor(aLimit, aNow);
+  });
+}
+
+void
+caller_listener::taskFailed(kj::Exception&& aError)
+{
+  Log(log_level::Error, "callers", aError.getDescription().cStr());
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/exchange.cpp
@@ -0,0 +1,566 @@
+#include "exchange_p.h"
+
+#include "skylarkwind/log.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace skylarkwind {
+
+namespace {
+
+using std::chrono::milliseconds;
+using milliseconds_f = std::chrono::duration<double, std::milli>;
+
+constexpr std::size_t kChunkBytes = 8 * 1'024;
+constexpr std::uint64_t kMostAnswerBytes = 8 * 1'024 * 1'024;
+/// An attempt with less time than this left cannot end well.
+constexpr milliseconds kLeastTimeLeft{ 20 };
+/// A stream that may go on elsewhere does so when its engine is silent for longer than this and
+/// than four times the route's longest pause.
+constexpr milliseconds kSilenceFloor{ 700 };
+constexpr int kSilenceInGaps = 4;
+/// Servers that say that they did not run a request may be asked one after the other; the bound
+/// ends a round over a service that refuses everywhere.
+constexpr std::size_t kMostServersTried = 4;
+constexpr milliseconds kRetryAfterRefusal{ 400 };
+/// Requests that may run only once use kept connections only within this time, because a server
+/// may have closed its end.
+constexpr milliseconds kOnceReuseWithin{ 1'000 };
+constexpr milliseconds kReuseWithin{ 60'000 };
+
+std::string_view
+StatusText(unsigned int aStatus)
+{
+  switch (aStatus) {
+    case 404:
+      return "Not Found";
+    case 413:
+      return "Payload Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Error";
+  }
+}
+
+/// Whether a status says of itself that the request has not run.
+bool
+PromisesNotRun(int aStatus)
+{
+  return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
+}
+
+std::string
+Seconds(milliseconds aTime)
+{
+  std::array<char, 24> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(aTime.count()) / 1'000);
+  return text.data();
+}
+
+} // namespace
+
+exchange::exchange(exchange_context& aContext,
+                   kj::HttpService::Response& aResponse,
+                   kj::Function<kj::Promise<void>()> aCallerGone)
+  : mContext(aContext)
+  , mResponse(aResponse)
+  , mCallerGone(kj::mv(aCallerGone))
+  , mArrived(aContext.mClock.Now())
+  , mDeadline(mArrived)
+{
+}
+
+exchange::~exchange()
+{
+  Close(backend_outcome::Cancelled);
+}
+
+kj::Promise<void>
+exchange::Serve(forward_request aRequest, kj::AsyncInputStream& aBody)
+{
+  mRequest = std::move(aRequest);
+  mConfiguration = mContext.mRoutes.Current();
+  const auto& limits = mConfiguration ? mConfiguration->mLimits : caller_limits{};
+  KJ_IF_MAYBE (length, aBody.tryGetLength()) {
+    if (*length > limits.mMaxBodyBytes) {
+      return Fail(413, "the body is too large");
+    }
+  }
+  return ReadBody(aBody).then([this] { return Begin(); });
+}
+
+kj::Promise<void>
+exchange::ReadBody(kj::AsyncInputStream& aBody)
+{
+  const auto& limits = mConfiguration ? mConfiguration->mLimits : caller_limits{};
+  return aBody.readAllBytes(limits.mMaxBodyBytes + 1).then([this](kj::Array<kj::byte> aBytes) {
+    mRequest.mBody.assign(reinterpret_cast<const char*>(aBytes.begin()), aBytes.size());
+  });
+}
+
+kj::Promise<void>
+exchange::Begin()
+{
+  // The body may have taken long; the configuration in force now decides.
+  mConfiguration = mContext.mRoutes.Current();
+  if (!mConfiguration) {
+    return Refuse("no configuration is known yet", kRetryAfterRefusal);
+  }
+  mRoute = mContext.mRoutes.Find(mRequest.mHost, mRequest.mTarget);
+  if (mRoute == nullptr) {
+    return Fail(404, "no route");
+  }
+  const auto& service = route_index::ServiceFor(*mRoute, mRequest.mId);
+  mService = mConfiguration->FindService(service);
+  if (mService == nullptr) {
+    return Refuse("the route's service is not configured", kRetryAfterRefusal);
+  }
+  if (mRoute->mKind != route_kind::Streaming) {
+    mRequest.mGeneration.reset();
+  }
+  mDeadline = mArrived + std::min(mRoute->mLimit, mRequest.mPatience.value_or(mRoute->mLimit));
+  mContext.mRepeats.OnRequest(mService->mName, mContext.mClock.Now());
+  const auto limit = std::max(milliseconds{ 0 }, TimeLeft());
+  // The losers of the race are dropped before its end is handled, so that nothing still uses the
+  // connections that are closed then.
+  return Attempt()
+    .then([] { return race_end::Served; })
+    .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(limit)).then([] { return race_end::Expired; }))
+    .exclusiveJoin(mCallerGone().then([] { return race_end::CallerGone; }))
+    .then([this](race_end aEnd) -> kj::Promise<void> {
+      switch (aEnd) {
+        case race_end::Served:
+          return kj::READY_NOW;
+        case race_end::Expired:
+          return OnTimeLimit();
+        case race_end::CallerGone:
+          break;
+      }
+      LogEnd("gone", "the caller closed its connection");
+      return KJ_EXCEPTION(DISCONNECTED, "the caller closed its connection");
+    });
+}
+
+milliseconds
+exchange::TimeLeft() const
+{
+  return std::chrono::duration_cast<milliseconds>(mDeadline - mContext.mClock.Now());
+}
+
+placement_query
+exchange::Query(const std::vector<const backend_server*>& aServers) const
+{
+  placement_query query;
+  query.mRoute = mRoute;
+  query.mService = mService;
+  query.mGeneration = mRequest.mGeneration ? &*mRequest.mGeneration : nullptr;
+  query.mServers = aServers;
+  query.mAvoid = mAvoid;
+  query.mTimeLeft = TimeLeft();
+  return query;
+}
+
+kj::Promise<void>
+exchange::Attempt()
+{
+  if (TimeLeft() < kLeastTimeLeft) {
+    return OnTimeLimit();
+  }
+  const auto servers = mContext.mDirectory.Usable(mService->mName);
+  const auto result = mContext.mPlacer.Place(Query(servers), mContext.mClock.Now());
+  if (const auto* none = std::get_if<no_placement>(&result)) {
+    return mMayHaveRun ? Fail(502, none->mReason) : Refuse(none->mReason, none->mRetryAfter);
+  }
+  const auto& chosen = std::get<placement>(result);
+  return chosen.mPrefill != nullptr ? Prefill(chosen) : Send(chosen, std::nullopt);
+}
+
+kj::Promise<void>
+exchange::Prefill(const placement& aPlacement)
+{
+  const auto& engine = *aPlacement.mPrefill;
+  const auto now = mContext.mClock.Now();
+  mTicket = mContext.mBoard.Begin(
+    engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
+  forward_attempt attempt;
+  attempt.mBackendId = engine.mId;
+  attempt.mTimeLeft = TimeLeft();
+  attempt.mPrefillOnly = true;
+  attempt.mUrgency = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
+  if (aPlacement.mFetchFrom != nullptr) {
+    attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
+  }
+  http_call call;
+  call.mAddress = engine.mAddress;
+  call.mMethod = mRequest.mMethod;
+  call.mTarget = mRequest.mTarget;
+  call.mHost = mRequest.mHost;
+  call.mHeaders = mContext.mDialect.AttemptHeaders(mRequest, attempt);
+  call.mBody = mRequest.mBody;
+  auto plan = kj::heap<placement>(aPlacement);
+  mTarget = engine;
+  // The target is kept by value: the directory may change before the prefill ends.
+  auto target = kj::heap<backend_server>(*aPlacement.mTarget);
+  plan->mTarget = target.get();
+  plan->mPrefill = &mTarget;
+  return mContext.mPool.Call(std::move(call))
+    .then([this, plan = kj::mv(plan), target = kj::mv(target)](
+            http_result aResult) mutable -> kj::Promise<void> {
+      if (const auto* failure = std::get_if<http_failure>(&aResult)) {
+        Close(failure->mSent ? backend_outcome::Failed : backend_outcome::Unreachable);
+        return OnNotRun(failure->mReason, failure->mSent);
+      }
+      mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
+      mHead = mContext.mDialect.ReadAnswer(mAnswer->mStatus, mAnswer->mHeaders);
+      return mAnswer->Body().readAllText(kMostAnswerBytes).then(
+        [this, plan = kj::mv(plan), target = kj::mv(target)](
+          kj::String aText) mutable -> kj::Promise<void> {
+          mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
+          if (mHead.mLoad) {
+            mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, mContext.mClock.Now());
+          }
+          auto prefilled = OnPrefilled(*plan, std::string{ aText.cStr(), aText.size() });
+          return prefilled.attach(kj::mv(plan), kj::mv(target));
+        },
+        [this](kj::Exception&& aError) -> kj::Promise<void> {
+          Close(backend_outcome::Failed);
+          return OnNotRun(aError.getDescription().cStr(), true);
+        });
+    });
+}
+
+kj::Promise<void>
+exchange::OnPrefilled(const placement& aPlacement, std::string aBody)
+{
+  const auto now = mContext.mClock.Now();
+  auto handle = mContext.mDialect.ReadPrefillHandle(aBody);
+  if (mHead.mStatus != 200 || !handle.ok()) {
+    Close(mHead.mNotRun ? backend_outcome::Refused : backend_outcome::Failed);
+    return OnNotRun("the prefill was refused with status " + std::to_string(mHead.mStatus), true);
+  }
+  mContext.mBoard.OnFirst(*mTicket, now);
+  mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+  const kv_source source{ mTarget.mAddress, *handle };
+  Close(backend_outcome::Answered);
+  return Send(aPlacement, source);
+}
+
+kj::Promise<void>
+exchange::Send(const placement& aPlacement, std::optional<kv_source> aKv)
+{
+  // The server may have begun to drain since it was chosen.
+  const auto* listed = mContext.mDirectory.Find(aPlacement.mTarget->mId);
+  if (listed == nullptr || listed->mDraining) {
+    return OnNotRun("the chosen server has left", false);
+  }
+  mTarget = *listed;
+  const auto now = mContext.mClock.Now();
+  const bool prefilled = aKv.has_value();
+  mTicket = mContext.mBoard.Begin(mTarget.mId,
+                                  prefilled ? 0 : aPlacement.mComputeTokens,
+                                  prefilled ? milliseconds_f{ 0 } : aPlacement.mPrefillTime,
+                                  now);
+  forward_attempt attempt;
+  attempt.mBackendId = mTarget.mId;
+  attempt.mTimeLeft = TimeLeft();
+  attempt.mResumeAfter = mEvents.LastId().empty() ? mRequest.mResumeAfter : mEvents.LastId();
+  attempt.mKv = std::move(aKv);
+  if (mRequest.mGeneration) {
+    attempt.mUrgency = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
+    if (!prefilled && aPlacement.mFetchFrom != nullptr) {
+      attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
+    }
+  }
+  http_call call;
+  call.mAddress = mTarget.mAddress;
+  call.mMethod = mRequest.mMethod;
+  call.mTarget = mRequest.mTarget;
+  call.mHost = mRequest.mHost;
+  call.mHeaders = mContext.mDialect.AttemptHeaders(mRequest, attempt);
+  call.mBody = mRequest.mBody;
+  call.mReuseWithin = mRoute->MayRepeat() ? kReuseWithin : kOnceReuseWithin;
+  ++mSends;
+  auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
+    return OnAnswer(std::move(aResult));
+  });
+  return calling;
+}
+
+kj::Promise<void>
+exchange::OnAnswer(http_result aResult)
+{
+  if (const auto* failure = std::get_if<http_failure>(&aResult)) {
+    const bool sent = failure->mSent;
+    Close(sent ? backend_outcome::Failed : backend_outcome::Unreachable);
+    if (!sent) {
+      --mSends;
+      return OnNotRun(failure->mReason, false);
+    }
+    mMayHaveRun = true;
+    return OnBroken(failure->mReason);
+  }
+  mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
+  const bool resumed = mAnswerBegun;
+  mHead = mContext.mDialect.ReadAnswer(mAnswer->mStatus, mAnswer->mHeaders);
+  const auto now = mContext.mClock.Now();
+  if (mHead.mLoad) {
+    mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, now);
+  }
+  if (!mRequest.mId.empty() && !mHead.mRequestId.empty() && mHead.mRequestId != mRequest.mId) {
+    mMayHaveRun = true;
+    mAnswer = nullptr;
+    Close(backend_outcome::Failed);
+    return OnBroken("the answer belongs to another request");
+  }
+  const bool success = mHead.mStatus / 100 == 2;
+  if (success && !mHead.mSigned) {
+    mMayHaveRun = true;
+    mAnswer = nullptr;
+    Close(backend_outcome::Failed);
+    return OnBroken("the answer carries no signature");
+  }
+  if (success && mRoute->mKind == route_kind::Streaming) {
+    mMayHaveRun = true;
+    if (!resumed) {
+      mServedBy = mTarget.mId;
+    }
+    mChunk = kj::heapArray<kj::byte>(kChunkBytes);
+    return StreamFurther();
+  }
+  mMayHaveRun = mMayHaveRun || !mHead.mNotRun;
+  auto& body = mAnswer->Body();
+  return body.readAllBytes(kMostAnswerBytes)
+    .then(
+      [this](kj::Array<kj::byte> aBody) {
+        mContext.mBoard.OnFirst(*mTicket, mContext.mClock.Now());
+        mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
+        return OnWholeAnswer(std::move(mHead), kj::mv(aBody));
+      },
+      [this](kj::Exception&& aError) -> kj::Promise<void> {
+        mAnswer = nullptr;
+        Close(backend_outcome::Failed);
+        if (mHead.mNotRun) {
+          return OnNotRun("a refusal broke off", true);
+        }
+        return OnBroken(aError.getDescription().cStr());
+      });
+}
+
+kj::Promise<void>
+exchange::OnWholeAnswer(answer_head aHead, kj::Array<kj::byte> aBody)
+{
+  if (aHead.mNotRun) {
+    Close(backend_outcome::Refused);
+    return OnNotRun("the server refused with status " + std::to_string(aHead.mStatus), true);
+  }
+  const bool failed = aHead.mStatus >= 500;
+  Close(failed ? backend_outcome::Failed : backend_outcome::Answered);
+  if (failed && mRoute->MayRepeat() && MayTryAgain()) {
+    mAvoid.push_back(mTarget.mId);
+    LogEnd("repeat", "status " + std::to_string(aHead.mStatus));
+    return Attempt();
+  }
+  if (mAnswerBegun) {
+    return OnBroken("a resumed stream ended with status " + std::to_string(aHead.mStatus));
+  }
+  // The request may have run, so a status that promises the opposite is not passed on.
+  if (PromisesNotRun(aHead.mStatus)) {
+    return Fail(502, "the server refused without saying that it did not run the request");
+  }
+  LogEnd("answered", "status " + std::to_string(aHead.mStatus));
+  return Reply(static_cast<unsigned int>(aHead.mStatus),
+               {},
+               aHead.mHeaders,
+               std::string{ reinterpret_cast<const char*>(aBody.begin()), aBody.size() });
+}
+
+kj::Promise<void>
+exchange::StreamFurther()
+{
+  auto reading = mAnswer->Body().tryRead(mChunk.begin(), 1, mChunk.size());
+  const auto* listed = mContext.mDirectory.Find(mTarget.mId);
+  const bool waits = mRoute->MayRepeat() && mSends < mRoute->mMaxBackends && listed != nullptr;
+  auto guarded = kj::mv(reading);
+  if (waits) {
+    const auto limit = std::max(kSilenceFloor, mRoute->mMaxGap * kSilenceInGaps);
+    const auto whole = mEvents.Events() == 0 ? limit + mRoute->mTarget : limit;
+    guarded = mContext.mTimer.timeoutAfter(ToKj(whole), kj::mv(guarded));
+  }
+  return guarded.then(
+    [this](size_t aBytes) -> kj::Promise<void> {
+      if (aBytes == 0) {
+        return OnStreamEnd();
+      }
+      const auto now = mContext.mClock.Now();
+      const bool first = mEvents.Events() == 0;
+      const auto whole =
+        mEvents.Feed({ reinterpret_cast<const char*>(mChunk.begin()), aBytes });
+      if (whole.empty()) {
+        return StreamFurther();
+      }
+      mContext.mBoard.OnFirst(*mTicket, now);
+      if (first && mRequest.mGeneration) {
+        mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+      }
+      if (!mAnswerBegun) {
+        mAnswerBegun = true;
+        mOut = mResponse.send(static_cast<unsigned int>(mHead.mStatus),
+                              ToKj(mAnswer->mStatusText),
+                              ToKj(mHead.mHeaders, mContext.mTable));
+      }
+      return mOut->write(whole.data(), whole.size()).then([this] { return StreamFurther(); });
+    },
+    [this](kj::Exception&& aError) -> kj::Promise<void> {
+      mAnswer = nullptr;
+      Close(aError.getType() == kj::Exception::Type::OVERLOADED ? backend_outcome::Silent
+                                                                 : backend_outcome::Failed);
+      return OnBroken(aError.getDescription().cStr());
+    });
+}
+
+kj::Promise<void>
+exchange::OnStreamEnd()
+{
+  if (!mEvents.Rest().empty() || !mAnswerBegun) {
+    mAnswer = nullptr;
+    Close(backend_outcome::Failed);
+    return OnBroken("the stream ended within an event");
+  }
+  mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
+  Close(backend_outcome::Answered);
+  LogEnd("answered", "stream");
+  mOut = nullptr;
+  return kj::READY_NOW;
+}
+
+std::uint32_t
+exchange::Daemons() const
+{
+  return static_cast<std::uint32_t>(mContext.mBoard.Peers(mContext.mClock.Now())) + 1;
+}
+
+bool
+exchange::MayTryAgain()
+{
+  return mSends < mRoute->mMaxBackends && mAvoid.size() < kMostServersTried &&
+         TimeLeft() >= kLeastTimeLeft &&
+         mContext.mRepeats.TryTake(mService->mName, Daemons(), mContext.mClock.Now());
+}
+
+kj::Promise<void>
+exchange::OnNotRun(std::string_view aReason, bool aSent)
+{
+  mAvoid.push_back(mTarget.mId);
+  const bool again = aSent ? MayTryAgain()
+                           : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
+  if (again) {
+    return Attempt();
+  }
+  if (mAnswerBegun) {
+    return OnBroken(aReason);
+  }
+  return mMayHaveRun ? Fail(502, aReason) : Refuse(aReason, kRetryAfterRefusal);
+}
+
+kj::Promise<void>
+exchange::OnBroken(std::string_view aReason)
+{
+  mEvents.DropRest();
+  mAvoid.push_back(mTarget.mId);
+  if (mRoute->MayRepeat() && MayTryAgain()) {
+    LogEnd("repeat", aReason);
+    return Attempt();
+  }
+  if (!mAnswerBegun) {
+    return Fail(502, aReason);
+  }
+  LogEnd("broken", aReason);
+  return KJ_EXCEPTION(DISCONNECTED, "the stream broke off at its engine");
+}
+
+kj::Promise<void>
+exchange::Refuse(std::string_view aReason, milliseconds aRetryAfter)
+{
+  LogEnd("refused", aReason);
+  return Reply(503,
+               StatusText(503),
+               { { "Retry-After", Seconds(aRetryAfter) } },
+               "the request has not run\n");
+}
+
+kj::Promise<void>
+exchange::Fail(unsigned int aStatus, std::string_view aReason)
+{
+  LogEnd("failed", std::to_string(aStatus) + " " + std::string{ aReason });
+  return Reply(aStatus, StatusText(aStatus), {}, std::string{ aReason } + '\n');
+}
+
+kj::Promise<void>
+exchange::OnTimeLimit()
+{
+  mAnswer = nullptr;
+  Close(backend_outcome::Cancelled);
+  if (mAnswerBegun) {
+    LogEnd("broken", "time limit");
+    return KJ_EXCEPTION(DISCONNECTED, "the stream reached its time limit");
+  }
+  if (mSends == 0) {
+    return Refuse("the time limit passed before a server was found", kRetryAfterRefusal);
+  }
+  return Fail(504, "time limit");
+}
+
+kj::Promise<void>
+exchange::Reply(unsigned int aStatus,
+                std::string_view aStatusText,
+                const header_list& aHeaders,
+                std::string aBody)
+{
+  const std::string text{ aStatusText.empty() ? StatusText(aStatus) : aStatusText };
+  auto body = kj::heap<std::string>(std::move(aBody));
+  mAnswerBegun = true;
+  auto out = mResponse.send(aStatus, ToKj(text), ToKj(aHeaders, mContext.mTable), body->size());
+  auto& stream = *out;
+  return stream.write(body->data(), body->size()).attach(kj::mv(out), kj::mv(body));
+}
+
+void
+exchange::Close(backend_outcome aOutcome)
+{
+  if (mTicket) {
+    mContext.mBoard.End(*mTicket, aOutcome, mContext.mClock.Now());
+    mTicket.reset();
+  }
+}
+
+void
+exchange::LogEnd(std::string_view aOutcome, std::string_view aReason)
+{
+  const auto taken =
+    std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mArrived).count();
+  std::string text{ "id=" };
+  text += mRequest.mId;
+  text += " outcome=";
+  text += aOutcome;
+  text += " ms=" + std::to_string(taken);
+  text += " sends=" + std::to_string(mSends);
+  text += " backend=" + mTarget.mId;
+  text += " route=";
+  text += mRoute != nullptr ? mRoute->mName : "-";
+  text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
+  text += " reason=\"";
+  text += aReason;
+  text += '"';
+  Log(log_level::Info, "request", text);
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/exchange_p.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "skylarkwind/backend_board.h"
+#include "skylarkwind/backend_directory.h"
+#include "skylarkwind/clock.h"
+#include "skylarkwind/counters.h"
+#include "skylarkwind/event_splitter.h"
+#include "skylarkwind/forward_dialect.h"
+#include "skylarkwind/http_pool.h"
+#include "skylarkwind/placement.h"
+#include "skylarkwind/repeat_allowance.h"
+#include "skylarkwind/route_index.h"
+
+#include <kj/async.h>
+#include <kj/compat/http.h>
+#include <kj/function.h>
+#include <kj/timer.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// What all exchanges of a daemon share.
+struct exchange_context
+{
+  const forward_dialect& mDialect;
+  const route_index& mRoutes;
+  const backend_directory& mDirectory;
+  backend_board& mBoard;
+  const placer& mPlacer;
+  repeat_allowance& mRepeats;
+  http_pool& mPool;
+  kj::Timer& mTimer;
+  const clock_source& mClock;
+  const kj::HttpHeaderTable& mTable;
+  counters& mCounters;
+  kj::TaskSet& mTasks; ///< calls that outlive an exchange
+};
+
+/// One request of a caller from its arrival to the end of its answer.
+class exchange
+{
+public:
+  /// `aCallerGone` gives a promise that ends when the caller has closed its connection; it is asked
+  /// for once, after the body was read.
+  exchange(exchange_context& aContext,
+           kj::HttpService::Response& aResponse,
+           kj::Function<kj::Promise<void>()> aCallerGone);
+  ~exchange();
+
+  /// Serves the request whose head is given. The promise ends when the answer is complete; it
+  /// throws when the answer has to be broken off. Dropping it cancels all work.
+  kj::Promise<void> Serve(forward_request aRequest, kj::AsyncInputStream& aBody);
+
+private:
+  /// What ended the race between the work, the time limit and the caller.
+  enum class race_end
+  {
+    Served,
+    Expired,
+    CallerGone
+  };
+
+  kj::Promise<void> ReadBody(kj::AsyncInputStream& aBody);
+  kj::Promise<void> Begin();
+  kj::Promise<void> Attempt();
+  kj::Promise<void> Prefill(const placement& aPlacement);
+  kj::Promise<void> OnPrefilled(const placement& aPlacement, std::string aBody);
+  kj::Promise<void> Send(const placement& aPlacement, std::optional<kv_source> aKv);
+  kj::Promise<void> OnAnswer(http_result aResult);
+  kj::Promise<void> OnWholeAnswer(answer_head aHead, kj::Array<kj::byte> aBody);
+  kj::Promise<void> Stream();
+  kj::Promise<void> StreamFurther();
+  kj::Promise<void> OnStreamEnd();
+
+  /// The attempt has not run. Tries another server or refuses.
+  kj::Promise<void> OnNotRun(std::string_view aReason, bool aSent);
+  /// The attempt may have run.
+  kj::Promise<void> OnBroken(std::string_view aReason);
+  bool MayTryAgain();
+  kj::Promise<void> Refuse(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
+  kj::Promise<void> Fail(unsigned int aStatus, std::string_view aReason);
+  kj::Promise<void> OnTimeLimit();
+  kj::Promise<void> Reply(unsigned int aStatus,
+                          std::string_view aStatusText,
+                          const header_list& aHeaders,
+                          std::string aBody);
+
+  std::chrono::milliseconds TimeLeft() const;
+  placement_query Query(const std::vector<const backend_server*>& aServers) const;
+  /// Ends the accounting of the open attempt.
+  void Close(backend_outcome aOutcome);
+  void LogEnd(std::string_view aOutcome, std::string_view aReason);
+  std::uint32_t Daemons() const;
+
+  exchange_context& mContext;
+  kj::HttpService::Response& mResponse;
+  kj::Function<kj::Promise<void>()> mCallerGone;
+  forward_request mRequest;
+  instant mArrived;
+  instant mDeadline;
+  /// Keeps the route alive while a newer configuration comes into force.
+  std::shared_ptr<const forward_configuration> mConfiguration;
+  const forward_route* mRoute = nullptr;
+  const forward_service* mService = nullptr;
+
+  std::vector<std::string> mAvoid; ///< servers that failed this request
+  std::uint32_t mSends = 0;        ///< arrivals at servers that count as attempts
+  bool mMayHaveRun = false;
+  bool mAnswerBegun = false;
+
+  backend_server mTarget; ///< copy: the directory may change while the attempt is open
+  std::optional<backend_board::ticket> mTicket;
+  std::unique_ptr<http_answer> mAnswer;
+  answer_head mHead;
+  std::string mServedBy; ///< id of the first server of a stream
+  event_splitter mEvents;
+  kj::Own<kj::AsyncOutputStream> mOut;
+  kj::Array<kj::byte> mChunk;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/gateway.cpp
@@ -0,0 +1,411 @@
+#include "skylarkwind/gateway.h"
+
+#include "caller_listener_p.h"
+#include "peer_digests_p.h"
+#include "store_follower_p.h"
+
+#include "skylarkwind/log.h"
+
+#include <kj/async-unix.h>
+#include <kj/debug.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace skylarkwind {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 50 };
+/// The kind of the objects under which daemons find one another.
+constexpr const char* kDaemonKind = "skylarkwind-daemons";
+/// Digests are sent at most this often, and at least this often while there is work.
+constexpr milliseconds kDigestPeriod{ 50 };
+constexpr milliseconds kDigestAtLeast{ 500 };
+/// Datagrams that a daemon sends in a second at most; with more peers digests become rarer.
+constexpr std::size_t kDatagramsPerSecond = 160;
+/// From the balancer's second failed check on it sends no new connections.
+constexpr milliseconds kBalancerNotices{ 2'600 };
+constexpr milliseconds kShutdownMargin{ 600 };
+/// Connections without a request are closed this early when the daemon stops.
+constexpr milliseconds kIdleWhileStopping{ 300 };
+/// A server that is silent for this long while requests wait is checked.
+constexpr milliseconds kSilenceChecked{ 1'200 };
+
+class kj_gateway final
+  : public gateway
+  , private kj::TaskSet::ErrorHandler
+  , private kj::HttpService
+{
+public:
+  kj_gateway(gateway_settings aSettings,
+             deployment_adapter aAdapter,
+             kj::AsyncIoContext& aContext,
+             const clock_source& aClock)
+    : mSettings(std::move(aSettings))
+    , mAdapter(std::move(aAdapter))
+    , mContext(aContext)
+    , mTimer(aContext.provider->getTimer())
+    , mClock(aClock)
+    , mPool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
+    , mStorePool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
+    , mStore(mAdapter.mMakeStore(mStorePool, mTimer))
+    , mDirectory(DirectorySettings(mSettings))
+    , mBoard(BoardSettings(mSettings))
+    , mPlacer(PlacementSettings(mSettings), mBoard)
+    , mRepeats(mSettings.mRepeats)
+    , mTasks(*this)
+    , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard, mPlacer, mRepeats, mPool, mTimer,
+                  mClock, mTable, mCounters, mTasks }
+    , mCallers(mExchanges)
+    , mPeers(aContext.provider->getNetwork(),
+             [this](const work_digest& aDigest) { mBoard.OnDigest(aDigest, mClock.Now()); })
+    , mReadyServer(mTimer, mTable, *this)
+    , mConfigurations(Follow(std::string{ mAdapter.mObjects->ConfigurationKind() }),
+                      *mStore, mTimer, mClock,
+                      [this](const auto& aObjects, bool) { OnConfigurations(aObjects); },
+                      [this](const object_change& aChange, bool) { OnConfiguration(aChange); })
+    , mServers(Follow(std::string{ mAdapter.mObjects->BackendKind() }),
+               *mStore, mTimer, mClock,
+               [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
+               [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); })
+    , mDaemons(Follow(kDaemonKind), *mStore, mTimer, mClock,
+               [this](const auto& aObjects, bool) { OnDaemons(aObjects); },
+               [this](const object_change& aChange, bool) { OnDaemon(aChange); })
+  {
+  }
+
+  ~kj_gateway() noexcept override = default;
+
+  void Run() override
+  {
+    auto& network = mContext.provider->getNetwork();
+    mFrontPort = network.parseAddress(ToKj(mSettings.mCallerAddress)).wait(mContext.waitScope)->listen();
+    mReadyPort = network.parseAddress(ToKj(mSettings.mReadyAddress)).wait(mContext.waitScope)->listen();
+    mAccepting = mCallers.Accept(*mFrontPort).eagerlyEvaluate([this](kj::Exception&& aError) {
+      taskFailed(kj::mv(aError));
+    });
+    mTasks.add(mReadyServer.listenHttp(*mReadyPort));
+    mTasks.add(mPeers.Run(mSettings.mPeerAddress));
+    mTasks.add(mConfigurations.Run());
+    mTasks.add(mServers.Run());
+    mTasks.add(mDaemons.Run());
+    mTasks.add(Register());
+    mTasks.add(TickForever());
+    mTasks.add(mContext.unixEventPort.onSignal(SIGTERM).then([this](siginfo_t) {
+      BeginShutdown();
+    }));
+    mTasks.add(IgnoreHangups());
+    Log(log_level::Info, "daemon", "started vm=" + mSettings.mVm);
+    mEnded.promise.wait(mContext.waitScope);
+    Log(log_level::Info, "daemon", "ended vm=" + mSettings.mVm);
+  }
+
+private:
+  static directory_settings DirectorySettings(const gateway_settings& aSettings)
+  {
+    directory_settings settings;
+    settings.mLapseGrace = std::min(settings.mLapseGrace, aSettings.mDrainWithin * 3 / 4);
+    return settings;
+  }
+  static backend_board_settings BoardSettings(const gateway_settings& aSettings)
+  {
+    backend_board_settings settings;
+    settings.mPrefillTokensPerMs = aSettings.mPrefillTokensPerMs;
+    return settings;
+  }
+  static placement_settings PlacementSettings(const gateway_settings& aSettings)
+  {
+    placement_settings settings;
+    settings.mDataCentre = aSettings.mDataCentre;
+    return settings;
+  }
+  store_follower_settings Follow(std::string aKind) const
+  {
+    store_follower_settings settings;
+    settings.mKind = std::move(aKind);
+    settings.mWatch = mSettings.mContact;
+    settings.mRandomSeed = static_cast<std::uint64_t>(mClock.Now().time_since_epoch().count());
+    return settings;
+  }
+
+  void OnConfigurations(const std::vector<stored_object>& aObjects)
+  {
+    for (const auto& object : aObjects) {
+      OnConfiguration({ object, false });
+    }
+  }
+
+  void OnConfiguration(const object_change& aChange)
+  {
+    if (aChange.mRemoved || aChange.mObject.mName != mAdapter.mObjects->ConfigurationName()) {
+      return;
+    }
+    auto parsed = mAdapter.mObjects->ParseConfiguration(aChange.mObject);
+    if (!parsed.ok()) {
+      Log(log_level::Error, "configuration", std::string{ parsed.status().message() });
+      return;
+    }
+    auto made = std::make_shared<const forward_configuration>(*std::move(parsed));
+    const auto version = made->mVersion;
+    const auto routes = made->mRoutes.size();
+    if (mRoutes.Apply(std::move(made))) {
+      Log(log_level::Info,
+          "configuration",
+          "in force version=" + std::to_string(version) + " routes=" + std::to_string(routes));
+    }
+  }
+
+  void OnServers(const std::vector<stored_object>& aObjects, bool aAfterOutage)
+  {
+    std::vector<backend_server> servers;
+    for (const auto& object : aObjects) {
+      if (auto server = mAdapter.mObjects->ParseBackend(object); server.ok()) {
+        servers.push_back(*std::move(server));
+      }
+    }
+    for (const auto& server : servers) {
+      NoteRestart(server);
+    }
+    mDirectory.Replace(servers, aAfterOutage, mClock.Now());
+    Log(log_level::Info, "servers", "listed count=" + std::to_string(servers.size()));
+  }
+
+  void OnServer(const object_change& aChange, bool aAfterOutage)
+  {
+    const auto& name = aChange.mObject.mName;
+    const auto now = mClock.Now();
+    if (aChange.mRemoved) {
+      Log(log_level::Info,
+          "servers",
+          "removed id=" + name + " after_outage=" + std::to_string(aAfterOutage));
+      mDirectory.Remove(name, aAfterOutage, now);
+      return;
+    }
+    auto server = mAdapter.mObjects->ParseBackend(aChange.mObject);
+    if (!server.ok()) {
+      // An entry that can't be read names no server to use.
+      Log(log_level::Warning, "servers", "unreadable id=" + name);
+      mDirectory.Remove(name, false, now);
+      return;
+    }
+    NoteRestart(*server);
+    const auto* known = mDirectory.Find(name);
+    if (known == nullptr || known->mDraining != server->mDraining) {
+      Log(log_level::Info,
+          "servers",
+          "id=" + name + " draining=" + std::to_string(server->mDraining));
+    }
+    mDirectory.Upsert(*server);
+  }
+
+  /// A server that started again under its id has lost what it kept.
+  void NoteRestart(const backend_server& aServer)
+  {
+    const auto* known = mDirectory.Find(aServer.mId);
+    if (known != nullptr && known->mStartedAt != aServer.mStartedAt) {
+      mBoard.Forget(aServer.mId);
+    }
+  }
+
+  void OnDaemons(const std::vector<stored_object>& aObjects)
+  {
+    for (const auto& object : aObjects) {
+      OnDaemon({ object, false });
+    }
+  }
+
+  void OnDaemon(const object_change& aChange)
+  {
+    const auto& name = aChange.mObject.mName;
+    if (name == mSettings.mVm) {
+      return;
+    }
+    const auto value = nlohmann::json::parse(aChange.mObject.mValue, nullptr, false);
+    if (aChange.mRemoved || !value.is_object() || !value.contains("address")) {
+      mPeers.RemovePeer(name);
+      return;
+    }
+    mPeers.SetPeer(name, value["address"].get<std::string>());
+  }
+
+  /// Makes this daemon known to the others.
+  kj::Promise<void> Register()
+  {
+    const nlohmann::json value{ { "address", mSettings.mPeerAddress },
+                                { "data_centre", mSettings.mDataCentre } };
+    return mStore->Read(kDaemonKind, mSettings.mVm)
+      .then([this, text = value.dump()](
+              store_result<stored_object> aResult) -> kj::Promise<store_result<object_written>> {
+        std::optional<std::uint64_t> revision;
+        if (const auto* found = std::get_if<stored_object>(&aResult)) {
+          revision = found->mRevision;
+        } else if (std::get<store_failure>(aResult).mCause != store_failure::cause::Missing) {
+          return store_result<object_written>{ std::get<store_failure>(aResult) };
+        }
+        return mStore->Write(kDaemonKind, mSettings.mVm, revision, text);
+      })
+      .then([this](store_result<object_written> aResult) -> kj::Promise<void> {
+        if (const auto* written = std::get_if<object_written>(&aResult)) {
+          mRegistered = written->mRevision;
+          return kj::READY_NOW;
+        }
+        Log(log_level::Warning,
+            "store",
+            "registration failed reason=\"" + std::get<store_failure>(aResult).mReason + '"');
+        return mTimer.afterDelay(ToKj(kRegisterAgain)).then([this] { return Register(); });
+      });
+  }
+
+  kj::Promise<void> TickForever()
+  {
+    return mTimer.afterDelay(ToKj(kTick)).then([this] {
+      OnTick(mClock.Now());
+      return TickForever();
+    });
+  }
+
+  void OnTick(instant aNow)
+  {
+    mDirectory.OnTick(aNow);
+    mPool.OnTick(aNow);
+    mStorePool.OnTick(aNow);
+    const auto& configuration = mRoutes.Current();
+    const auto idle = configuration ? configuration->mLimits.mIdleTime : caller_limits{}.mIdleTime;
+    const bool closing = mStoppingSince && aNow - *mStoppingSince >= kBalancerNotices;
+    mCallers.CloseIdle(closing ? std::min(idle, kIdleWhileStopping) : idle, aNow);
+    SendDigest(aNow);
+    if (mStoppingSince) {
+      ShutdownFurther(aNow);
+    }
+  }
+
+  void SendDigest(instant aNow)
+  {
+    const auto peers = mPeers.Peers();
+    const milliseconds spread{ peers * 1'000 / kDatagramsPerSecond };
+    const auto period = std::max(kDigestPeriod, spread);
+    const bool due = mBoard.DigestDue() ? aNow - mDigestAt >= period
+                                        : aNow - mDigestAt >= std::max(kDigestAtLeast, period);
+    if (due) {
+      mDigestAt = aNow;
+      mPeers.Send(mBoard.Digest(mSettings.mVm), mTasks);
+    }
+  }
+
+  void BeginShutdown()
+  {
+    Log(log_level::Info, "daemon", "shutdown requested vm=" + mSettings.mVm);
+    mStoppingSince = mClock.Now();
+    mCallers.BeginShutdown();
+    if (mRegistered) {
+      mTasks.add(mStore->Remove(kDaemonKind, mSettings.mVm, *mRegistered)
+                   .then([](store_result<object_written> aResult) {
+                     if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+                       Log(log_level::Warning, "store", "deregistration: " + failure->mReason);
+                     }
+                   }));
+    }
+  }
+
+  void ShutdownFurther(instant aNow)
+  {
+    const auto lasted = aNow - *mStoppingSince;
+    const bool quiet = lasted >= kBalancerNotices + kIdleWhileStopping &&
+                       mCallers.Connections() == 0;
+    if (quiet || lasted >= mSettings.mShutdownGrace - kShutdownMargin) {
+      mEnded.fulfiller->fulfill();
+    }
+  }
+
+  /// Settings are read at the start; the platform's changes to them need no action here.
+  kj::Promise<void> IgnoreHangups()
+  {
+    return mContext.unixEventPort.onSignal(SIGHUP).then([this](siginfo_t) {
+      Log(log_level::Info, "daemon", "SIGHUP: the settings stay as they are until a restart");
+      return IgnoreHangups();
+    });
+  }
+
+  bool Ready() const { return mRoutes.Version() > 0 && mServers.Listed() && !mStoppingSince; }
+
+  /// Readiness checks and metrics.
+  kj::Promise<void> request(kj::HttpMethod,
+                            kj::StringPtr aUrl,
+                            const kj::HttpHeaders&,
+                            kj::AsyncInputStream&,
+                            Response& aResponse) override
+  {
+    const std::string_view path{ aUrl.cStr(), aUrl.size() };
+    const kj::HttpHeaders headers{ mTable };
+    if (path == mAdapter.mDialect->ReadyPath()) {
+      const bool ready = Ready();
+      auto out = aResponse.send(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", headers,
+                                std::uint64_t{ 0 });
+      return kj::READY_NOW;
+    }
+    if (path == "/metrics") {
+      auto text = kj::heap<std::string>(mCounters.PrometheusText());
+      auto out = aResponse.send(200, "OK", headers, text->size());
+      auto& stream = *out;
+      return stream.write(text->data(), text->size()).attach(kj::mv(out), kj::mv(text));
+    }
+    auto out = aResponse.send(404, "Not Found", headers, std::uint64_t{ 0 });
+    return kj::READY_NOW;
+  }
+
+  void taskFailed(kj::Exception&& aError) override
+  {
+    Log(log_level::Error, "daemon", aError.getDescription().cStr());
+  }
+
+  static constexpr milliseconds kRegisterAgain{ 700 };
+
+  gateway_settings mSettings;
+  deployment_adapter mAdapter;
+  kj::AsyncIoContext& mContext;
+  kj::Timer& mTimer;
+  const clock_source& mClock;
+  kj::HttpHeaderTable mTable;
+  counters mCounters;
+  http_pool mPool;
+  http_pool mStorePool;
+  std::unique_ptr<object_store> mStore;
+  route_index mRoutes;
+  backend_directory mDirectory;
+  backend_board mBoard;
+  placer mPlacer;
+  repeat_allowance mRepeats;
+  kj::TaskSet mTasks;
+  exchange_context mExchanges;
+  caller_listener mCallers;
+  peer_digests mPeers;
+  kj::HttpServer mReadyServer;
+  store_follower mConfigurations;
+  store_follower mServers;
+  store_follower mDaemons;
+  kj::Own<kj::ConnectionReceiver> mFrontPort;
+  kj::Own<kj::ConnectionReceiver> mReadyPort;
+  kj::Promise<void> mAccepting = nullptr;
+  kj::PromiseFulfillerPair<void> mEnded = kj::newPromiseAndFulfiller<void>();
+  std::optional<std::uint64_t> mRegistered; ///< revision of this daemon's object
+  std::optional<instant> mStoppingSince;
+  instant mDigestAt{};
+};
+
+} // namespace
+
+std::unique_ptr<gateway>
+gateway::Create(gateway_settings aSettings,
+                deployment_adapter aAdapter,
+                kj::AsyncIoContext& aContext,
+                const clock_source& aClock)
+{
+  return std::make_unique<kj_gateway>(
+    std::move(aSettings), std::move(aAdapter), aContext, aClock);
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -0,0 +1,226 @@
+#include "skylarkwind/gateway_settings.h"
+
+#include <arpa/inet.h>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace skylarkwind {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct setting
+{
+  std::string mExpected;
+  bool mRequired = false;
+  std::function<bool(const std::string&, gateway_settings&)> mRead;
+};
+
+bool
+IsAddress(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  in_addr parsed{};
+  const auto ip = aText.substr(0, colon);
+  std::uint16_t port = 0;
+  const auto* first = aText.data() + colon + 1;
+  const auto* last = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(first, last, port);
+  return inet_pton(AF_INET, ip.c_str(), &parsed) == 1 && error == std::errc{} && rest == last &&
+         first != last;
+}
+
+std::optional<double>
+Number(const std::string& aText)
+{
+  double value = 0;
+  const auto* last = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), last, value);
+  if (error != std::errc{} || rest != last) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+setting
+Text(std::string gateway_settings::* aMember)
+{
+  return { "a name", true, [aMember](const std::string& aText, gateway_settings& aInto) {
+            aInto.*aMember = aText;
+            return !aText.empty();
+          } };
+}
+
+setting
+Address(std::string gateway_settings::* aMember)
+{
+  return { "ip:port", true, [aMember](const std::string& aText, gateway_settings& aInto) {
+            aInto.*aMember = aText;
+            return IsAddress(aText);
+          } };
+}
+
+/// Reads a number of at least zero; `aTake` puts it where it belongs.
+setting
+Amount(std::string aExpected, double aMost, std::function<void(double, gateway_settings&)> aTake)
+{
+  return { std::move(aExpected),
+           false,
+           [aMost, take = std::move(aTake)](const std::string& aText, gateway_settings& aInto) {
+             const auto value = Number(aText);
+             if (!value || *value < 0 || *value > aMost) {
+               return false;
+             }
+             take(*value, aInto);
+             return true;
+           } };
+}
+
+setting
+Milliseconds(milliseconds gateway_settings::* aMember)
+{
+  constexpr double kMost = 3'600'000;
+  return Amount("milliseconds", kMost, [aMember](double aValue, gateway_settings& aInto) {
+    aInto.*aMember = milliseconds{ static_cast<std::int64_t>(aValue) };
+  });
+}
+
+const std::map<std::string, setting>&
+Settings()
+{
+  constexpr double kMostSeconds = 3'600;
+  constexpr double kMostRepeats = 1e9;
+  constexpr double kMostRate = 1e6;
+  static const std::map<std::string, setting> kSettings{
+    { "vm", Text(&gateway_settings::mVm) },
+    { "data_centre", Text(&gateway_settings::mDataCentre) },
+    { "callers_address", Address(&gateway_settings::mCallerAddress) },
+    { "ready_address", Address(&gateway_settings::mReadyAddress) },
+    { "store_address", Address(&gateway_settings::mStoreAddress) },
+    { "peer_address", Address(&gateway_settings::mPeerAddress) },
+    { "configuration_within_ms", Milliseconds(&gateway_settings::mConfigurationWithin) },
+    { "drain_within_ms", Milliseconds(&gateway_settings::mDrainWithin) },
+    { "contact_ms", Milliseconds(&gateway_settings::mContact) },
+    { "lease_ms", Milliseconds(&gateway_settings::mLease) },
+    { "shutdown_grace_s",
+      Amount("seconds",
+             kMostSeconds,
+             [](double aValue, gateway_settings& aInto) {
+               aInto.mShutdownGrace = milliseconds{ static_cast<std::int64_t>(aValue * 1'000) };
+             }) },
+    { "repeat_ratio",
+      Amount("a number from 0 to 1",
+             1,
+             [](double aValue, gateway_settings& aInto) { aInto.mRepeats.mRatio = aValue; }) },
+    { "repeat_floor",
+      Amount("a number of repeats",
+             kMostRepeats,
+             [](double aValue, gateway_settings& aInto) {
+               aInto.mRepeats.mFloor = static_cast<std::uint32_t>(aValue);
+             }) },
+    { "repeat_window_s",
+      Amount("seconds",
+             kMostSeconds,
+             [](double aValue, gateway_settings& aInto) {
+               aInto.mRepeats.mWindow = milliseconds{ static_cast<std::int64_t>(aValue * 1'000) };
+             }) },
+    { "prefill_tokens_per_ms",
+      Amount("tokens a ms",
+             kMostRate,
+             [](double aValue, gateway_settings& aInto) { aInto.mPrefillTokensPerMs = aValue; }) },
+    { "prefill_share",
+      Amount("a number from 0 to 1",
+             1,
+             [](double aValue, gateway_settings& aInto) { aInto.mPrefillShare = aValue; }) },
+    { "log_level",
+      { "debug, info, warning or error",
+        false,
+        [](const std::string& aText, gateway_settings& aInto) {
+          static const std::map<std::string, log_level> kLevels{ { "debug", log_level::Debug },
+                                                                 { "info", log_level::Info },
+                                                                 { "warning", log_level::Warning },
+                                                                 { "error", log_level::Error } };
+          const auto found = kLevels.find(aText);
+          if (found == kLevels.end()) {
+            return false;
+          }
+          aInto.mLog.mLevel = found->second;
+          return true;
+        } } },
+  };
+  return kSettings;
+}
+
+constexpr const char* kSection = "gateway";
+
+YAML::Node
+Load(std::string_view aText)
+{
+  try {
+    return YAML::Load(std::string{ aText });
+  } catch (const YAML::Exception&) {
+    // The caller reports an unreadable file; an undefined node stands for it.
+    return YAML::Node{ YAML::NodeType::Undefined };
+  }
+}
+
+} // namespace
+
+std::string
+gateway_settings_problem::Text() const
+{
+  return mFile + ":" + std::to_string(mLine) + ": " + mKey + ": expected " + mExpected;
+}
+
+bool
+HasGatewaySettings(std::string_view aText)
+{
+  const auto root = Load(aText);
+  return root.IsMap() && root[kSection];
+}
+
+std::variant<gateway_settings, gateway_settings_problems>
+ParseGatewaySettings(std::string_view aText, const std::string& aFile)
+{
+  gateway_settings read;
+  gateway_settings_problems problems;
+  const auto root = Load(aText);
+  if (!root.IsMap() || !root[kSection] || !root[kSection].IsMap()) {
+    problems.push_back({ aFile, 0, kSection, "a map of settings" });
+    return problems;
+  }
+  std::set<std::string> seen;
+  for (const auto& entry : root[kSection]) {
+    const auto key = entry.first.Scalar();
+    const auto line = entry.first.Mark().line + 1;
+    const auto found = Settings().find(key);
+    if (found == Settings().end()) {
+      problems.push_back({ aFile, line, key, "a known setting" });
+      continue;
+    }
+    seen.insert(key);
+    if (!entry.second.IsScalar() || !found->second.mRead(entry.second.Scalar(), read)) {
+      problems.push_back({ aFile, line, key, found->second.mExpected });
+    }
+  }
+  for (const auto& [key, setting] : Settings()) {
+    if (setting.mRequired && !seen.contains(key)) {
+      problems.push_back({ aFile, 0, key, setting.mExpected });
+    }
+  }
+  if (!problems.empty()) {
+    return problems;
+  }
+  return read;
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/http_pool.cpp
@@ -0,0 +1,242 @@
+#include "skylarkwind/http_pool.h"
+
+#include "monitored_stream_p.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// A server that closes an idle connection at its limit may do so while a request is on its way.
+constexpr std::chrono::milliseconds kIdleMargin{ 400 };
+
+/// Headers that the HTTP library writes from the body's size.
+bool
+IsFraming(kj::StringPtr aName)
+{
+  return aName == "Content-Length" || aName == "Transfer-Encoding" || aName == "Connection";
+}
+
+std::string
+ToStd(kj::StringPtr aText)
+{
+  return { aText.cStr(), aText.size() };
+}
+
+kj::HttpMethod
+MethodOf(const std::string& aName)
+{
+  KJ_IF_MAYBE (method, kj::tryParseHttpMethod(ToKj(aName))) {
+    return *method;
+  }
+  return kj::HttpMethod::GET;
+}
+
+http_failure
+FailureOf(const kj::Exception& aError, bool aSent, bool aReused)
+{
+  return { aSent, aReused, ToStd(aError.getDescription()) };
+}
+
+} // namespace
+
+header_list
+FromKj(const kj::HttpHeaders& aHeaders)
+{
+  header_list list;
+  aHeaders.forEach([&](kj::StringPtr aName, kj::StringPtr aValue) {
+    list.emplace_back(ToStd(aName), ToStd(aValue));
+  });
+  return list;
+}
+
+kj::HttpHeaders
+ToKj(const header_list& aHeaders, const kj::HttpHeaderTable& aTable)
+{
+  kj::HttpHeaders headers{ aTable };
+  for (const auto& [name, value] : aHeaders) {
+    if (!IsFraming(ToKj(name))) {
+      headers.add(kj::str(name.c_str()), kj::str(value.c_str()));
+    }
+  }
+  return headers;
+}
+
+kj::Duration
+ToKj(std::chrono::milliseconds aTime)
+{
+  return aTime.count() * kj::MILLISECONDS;
+}
+
+std::optional<std::uint64_t>
+http_answer::Length()
+{
+  KJ_IF_MAYBE (length, mBody->tryGetLength()) {
+    return *length;
+  }
+  return std::nullopt;
+}
+
+http_pool::http_pool(kj::Network& aNetwork,
+                     kj::Timer& aTimer,
+                     const clock_source& aClock,
+                     const kj::HttpHeaderTable& aTable,
+                     http_pool_settings aSettings)
+  : mNetwork(aNetwork)
+  , mTimer(aTimer)
+  , mClock(aClock)
+  , mTable(aTable)
+  , mSettings(aSettings)
+{
+}
+
+http_pool::~http_pool() = default;
+
+kj::Promise<kj::Own<pooled_connection>>
+http_pool::Connect(std::string aAddress)
+{
+  return mNetwork.parseAddress(ToKj(aAddress))
+    .then([](kj::Own<kj::NetworkAddress> aParsed) {
+      auto& parsed = *aParsed;
+      return parsed.connect().attach(kj::mv(aParsed));
+    })
+    .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
+      ++mOpened;
+      auto connection = kj::heap<pooled_connection>();
+      connection->mAddress = aAddress;
+      connection->mStream = kj::heap<monitored_stream>(kj::mv(aStream));
+      connection->mClient = kj::newHttpClient(mTable, *connection->mStream);
+      return connection;
+    });
+}
+
+kj::Maybe<kj::Own<pooled_connection>>
+http_pool::TakeIdle(const http_call& aCall)
+{
+  const auto found = mIdle.find(aCall.mAddress);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  const auto now = mClock.Now();
+  while (!idle.empty()) {
+    auto connection = kj::mv(idle.back());
+    idle.pop_back();
+    const bool usable = !connection->mStream->Spoiled() && now < connection->mUsableUntil &&
+                        now - connection->mIdleSince <= aCall.mReuseWithin;
+    if (usable) {
+      connection->mStream->SetIdle(false);
+      return kj::mv(connection);
+    }
+  }
+  return nullptr;
+}
+
+kj::Promise<http_result>
+http_pool::Call(http_call aCall)
+{
+  KJ_IF_MAYBE (idle, TakeIdle(aCall)) {
+    return Send(kj::mv(*idle), std::move(aCall));
+  }
+  auto connecting =
+    mTimer.timeoutAfter(ToKj(mSettings.mConnectLimit), Connect(std::string{ aCall.mAddress }));
+  return connecting.then(
+    [this, call = std::move(aCall)](kj::Own<pooled_connection> aConnection) mutable {
+      return Send(kj::mv(aConnection), std::move(call));
+    },
+    [](kj::Exception&& aError) -> kj::Promise<http_result> {
+      return http_result{ FailureOf(aError, false, false) };
+    });
+}
+
+kj::Promise<http_result>
+http_pool::Send(kj::Own<pooled_connection> aConnection, http_call aCall)
+{
+  const bool reused = aConnection->mReused;
+  auto answer = std::make_unique<http_answer>();
+  answer->mConnection = kj::mv(aConnection);
+  answer->mUploaded = std::make_shared<bool>(true);
+  auto headers = ToKj(aCall.mHeaders, mTable);
+  headers.set(kj::HttpHeaderId::HOST, kj::str(aCall.mHost.c_str()));
+  const auto method = MethodOf(aCall.mMethod);
+  const bool bodyless = method == kj::HttpMethod::GET || method == kj::HttpMethod::HEAD;
+  kj::Maybe<kj::HttpClient::Request> made;
+  auto refused = kj::runCatchingExceptions([&] {
+    kj::Maybe<std::uint64_t> size = nullptr;
+    if (!bodyless || !aCall.mBody.empty()) {
+      size = aCall.mBody.size();
+    }
+    made = answer->mConnection->mClient->request(method, ToKj(aCall.mTarget), headers, size);
+  });
+  KJ_IF_MAYBE (error, refused) {
+    // The client throws before it writes when the server has closed the connection.
+    return http_result{ FailureOf(*error, false, reused) };
+  }
+  auto& request = KJ_ASSERT_NONNULL(made);
+  if (!aCall.mBody.empty()) {
+    *answer->mUploaded = false;
+    auto upload = request.body->write(aCall.mBody.data(), aCall.mBody.size());
+    answer->mUpload =
+      upload.attach(kj::mv(request.body))
+        .then([done = answer->mUploaded] { *done = true; },
+              [](kj::Exception&&) {
+                // The answer, or its failure, tells what became of the request.
+              })
+        .eagerlyEvaluate(nullptr);
+  }
+  return request.response.then(
+    [answer = std::move(answer)](kj::HttpClient::Response aResponse) mutable -> http_result {
+      answer->mStatus = static_cast<int>(aResponse.statusCode);
+      answer->mStatusText = ToStd(aResponse.statusText);
+      answer->mHeaders = FromKj(*aResponse.headers);
+      answer->mBody = kj::mv(aResponse.body);
+      return std::move(answer);
+    },
+    [reused](kj::Exception&& aError) -> http_result { return FailureOf(aError, true, reused); });
+}
+
+void
+http_pool::Release(std::unique_ptr<http_answer> aAnswer,
+                   bool aServerCloses,
+                   std::optional<std::chrono::milliseconds> aIdleLimit)
+{
+  const bool uploaded = *aAnswer->mUploaded;
+  aAnswer->mBody = nullptr;
+  aAnswer->mUpload = nullptr;
+  auto connection = kj::mv(aAnswer->mConnection);
+  if (aServerCloses || !uploaded || connection->mStream->Ended()) {
+    return;
+  }
+  const auto limit = aIdleLimit ? *aIdleLimit - kIdleMargin : mSettings.mIdleDefault;
+  const auto now = mClock.Now();
+  connection->mIdleSince = now;
+  connection->mUsableUntil = now + std::min(limit, mSettings.mIdleMost);
+  connection->mReused = true;
+  connection->mStream->SetIdle(true);
+  mIdle[connection->mAddress].push_back(kj::mv(connection));
+}
+
+void
+http_pool::Forget(std::string_view aAddress)
+{
+  if (const auto found = mIdle.find(aAddress); found != mIdle.end()) {
+    mIdle.erase(found);
+  }
+}
+
+void
+http_pool::OnTick(instant aNow)
+{
+  for (auto entry = mIdle.begin(); entry != mIdle.end();) {
+    auto& idle = entry->second;
+    std::erase_if(idle, [&](const auto& aConnection) {
+      return aNow >= aConnection->mUsableUntil || aConnection->mStream->Spoiled();
+    });
+    entry = idle.empty() ? mIdle.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/peer_digests.cpp
@@ -0,0 +1,152 @@
+#include "peer_digests_p.h"
+
+#include "skylarkwind/http_pool.h"
+#include "skylarkwind/log.h"
+
+#include <kj/debug.h>
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+namespace skylarkwind {
+
+namespace {
+
+using nlohmann::json;
+
+/// A datagram that fits one Ethernet frame is not fragmented.
+constexpr std::size_t kMostBytes = 8 * 1'024;
+
+} // namespace
+
+std::string
+EncodeDigest(const work_digest& aDigest)
+{
+  json work = json::array();
+  for (const auto& entry : aDigest.mWork) {
+    work.push_back({ entry.mBackendId, entry.mPrefillTokens, entry.mRunning });
+  }
+  json kept = json::array();
+  for (const auto& entry : aDigest.mKept) {
+    kept.push_back({ entry.mKey, entry.mBackendId });
+  }
+  const json digest = { aDigest.mSender, aDigest.mSequence, std::move(work), std::move(kept) };
+  std::string bytes;
+  json::to_cbor(digest, bytes);
+  return bytes;
+}
+
+std::optional<work_digest>
+DecodeDigest(std::string_view aBytes)
+{
+  const auto parsed = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  try {
+    work_digest digest;
+    digest.mSender = parsed.at(0).get<std::string>();
+    digest.mSequence = parsed.at(1).get<std::uint64_t>();
+    for (const auto& entry : parsed.at(2)) {
+      digest.mWork.push_back({ entry.at(0).get<std::string>(),
+                               entry.at(1).get<std::uint32_t>(),
+                               entry.at(2).get<std::uint32_t>() });
+    }
+    for (const auto& entry : parsed.at(3)) {
+      digest.mKept.push_back({ entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::string>() });
+    }
+    return digest;
+  } catch (const json::exception&) {
+    // Datagrams of other programs may reach the port; the receiver counts and drops them.
+    return std::nullopt;
+  }
+}
+
+peer_digests::peer_digests(kj::Network& aNetwork, std::function<void(const work_digest&)> aOnDigest)
+  : mNetwork(aNetwork)
+  , mOnDigest(std::move(aOnDigest))
+{
+}
+
+kj::Promise<void>
+peer_digests::Run(std::string aAddress)
+{
+  return mNetwork.parseAddress(ToKj(aAddress))
+    .then([this](kj::Own<kj::NetworkAddress> aParsed) {
+      mPort = aParsed->bindDatagramPort();
+      kj::DatagramReceiver::Capacity capacity;
+      capacity.content = kMostBytes;
+      mReceiver = mPort->makeReceiver(capacity);
+      return Receive();
+    })
+    .attach(kj::heap<std::string>(std::move(aAddress)));
+}
+
+kj::Promise<void>
+peer_digests::Receive()
+{
+  return mReceiver->receive().then(
+    [this] {
+      const auto content = mReceiver->getContent();
+      const auto bytes = content.value;
+      const auto digest = DecodeDigest(
+        { reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
+      if (digest && !content.isTruncated) {
+        mOnDigest(*digest);
+      } else {
+        Log(log_level::Debug, "peers", "dropped a datagram that is no digest");
+      }
+      return Receive();
+    },
+    [this](kj::Exception&& aError) {
+      // An unreachable peer shows as an error of a later receive; the port stays usable.
+      Log(log_level::Debug, "peers", aError.getDescription().cStr());
+      return Receive();
+    });
+}
+
+void
+peer_digests::SetPeer(const std::string& aName, const std::string& aAddress)
+{
+  auto& entry = mPeers[aName];
+  if (entry.mAddress != aAddress) {
+    entry.mAddress = aAddress;
+    entry.mParsed = nullptr;
+  }
+}
+
+void
+peer_digests::RemovePeer(const std::string& aName)
+{
+  mPeers.erase(aName);
+}
+
+void
+peer_digests::Send(const work_digest& aDigest, kj::TaskSet& aTasks)
+{
+  if (mPort.get() == nullptr || mPeers.empty()) {
+    return;
+  }
+  const auto bytes = EncodeDigest(aDigest);
+  for (auto& [name, entry] : mPeers) {
+    if (entry.mParsed.get() == nullptr) {
+      const auto colon = entry.mAddress.rfind(':');
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      address.sin_port = htons(
+        static_cast<std::uint16_t>(std::strtoul(entry.mAddress.c_str() + colon + 1, nullptr, 10)));
+      if (inet_pton(AF_INET, entry.mAddress.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+        continue;
+      }
+      entry.mParsed = mNetwork.getSockaddr(&address, sizeof(address));
+    }
+    auto copy = kj::heap<std::string>(bytes);
+    auto target = entry.mParsed->clone();
+    auto sending = mPort->send(copy->data(), copy->size(), *target);
+    aTasks.add(sending.ignoreResult()
+                 .catch_([](kj::Exception&&) {
+                   // A lost digest is made good by the next one.
+                 })
+                 .attach(kj::mv(copy), kj::mv(target)));
+  }
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/store_follower.cpp
@@ -0,0 +1,138 @@
+#include "store_follower_p.h"
+
+#include "skylarkwind/http_pool.h"
+#include "skylarkwind/log.h"
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+namespace {
+
+/// Removals within this time after an outage may be lapses of entries whose servers live.
+constexpr std::chrono::milliseconds kLapsesSeenFor{ 2'000 };
+
+} // namespace
+
+store_follower::store_follower(store_follower_settings aSettings,
+                               object_store& aStore,
+                               kj::Timer& aTimer,
+                               const clock_source& aClock,
+                               on_list aOnList,
+                               on_change aOnChange)
+  : mSettings(std::move(aSettings))
+  , mStore(aStore)
+  , mTimer(aTimer)
+  , mClock(aClock)
+  , mOnList(std::move(aOnList))
+  , mOnChange(std::move(aOnChange))
+  , mRandom(mSettings.mRandomSeed)
+{
+}
+
+kj::Promise<void>
+store_follower::Run()
+{
+  return (mNeedList ? List() : Watch()).then([this] { return Run(); });
+}
+
+kj::Promise<void>
+store_follower::List()
+{
+  const std::string after = mItems.empty() ? std::string{} : mItems.back().mName;
+  return mStore.List(mSettings.mKind, after).then([this](store_result<object_page> aResult) {
+    return OnPage(std::move(aResult));
+  });
+}
+
+kj::Promise<void>
+store_follower::OnPage(store_result<object_page> aResult)
+{
+  if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+    mItems.clear();
+    return OnFailure(*failure);
+  }
+  auto& page = std::get<object_page>(aResult);
+  OnSuccess();
+  if (mItems.empty()) {
+    // Changes between the pages are seen again by the watch.
+    mListedAt = page.mAt;
+  }
+  const bool more = page.mMore && !page.mObjects.empty();
+  std::move(page.mObjects.begin(), page.mObjects.end(), std::back_inserter(mItems));
+  if (more) {
+    return List();
+  }
+  mAt = mListedAt;
+  mNeedList = false;
+  mListed = true;
+  mOnList(mItems, AfterOutage());
+  mItems.clear();
+  return kj::READY_NOW;
+}
+
+kj::Promise<void>
+store_follower::Watch()
+{
+  return mStore.Watch(mSettings.mKind, mAt, mSettings.mWatch)
+    .then([this](store_result<object_changes> aResult) -> kj::Promise<void> {
+      if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+        if (failure->mCause == store_failure::cause::HistoryGone) {
+          Log(log_level::Info, "store", "the history of " + mSettings.mKind + " is gone; listing");
+          mNeedList = true;
+          return kj::READY_NOW;
+        }
+        return OnFailure(*failure);
+      }
+      const auto& changes = std::get<object_changes>(aResult);
+      OnSuccess();
+      mAt = std::max(mAt, changes.mAt);
+      for (const auto& change : changes.mChanges) {
+        mOnChange(change, AfterOutage());
+      }
+      return kj::READY_NOW;
+    });
+}
+
+void
+store_follower::OnSuccess()
+{
+  const auto now = mClock.Now();
+  if (mOutageSince != instant{}) {
+    const auto lasted =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - mOutageSince);
+    Log(log_level::Info,
+        "store",
+        "regained kind=" + mSettings.mKind + " after_ms=" + std::to_string(lasted.count()));
+    if (lasted >= mSettings.mLapseAfter) {
+      mOutageEndedAt = now;
+    }
+    mOutageSince = {};
+  }
+  mFailures = 0;
+  mLastAnswer = now;
+}
+
+bool
+store_follower::AfterOutage() const
+{
+  return mOutageEndedAt != instant{} && mClock.Now() - mOutageEndedAt < kLapsesSeenFor;
+}
+
+kj::Promise<void>
+store_follower::OnFailure(const store_failure& aFailure)
+{
+  if (mOutageSince == instant{}) {
+    mOutageSince = mClock.Now();
+    Log(log_level::Warning,
+        "store",
+        "lost kind=" + mSettings.mKind + " reason=\"" + aFailure.mReason + '"');
+  }
+  const auto doublings = std::min<std::uint32_t>(mFailures, 8);
+  const auto ceiling = std::min(mSettings.mLongestPause, mSettings.mFirstPause * (1U << doublings));
+  ++mFailures;
+  std::uniform_int_distribution<std::int64_t> pause{ ceiling.count() / 4, ceiling.count() };
+  return mTimer.afterDelay(ToKj(std::chrono::milliseconds{ pause(mRandom) }));
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/src/store_follower_p.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "skylarkwind/clock.h"
+#include "skylarkwind/object_store.h"
+
+#include <kj/async.h>
+#include <kj/function.h>
+#include <kj/timer.h>
+
+#include <chrono>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+struct store_follower_settings
+{
+  std::string mKind;
+  /// Longest time of one watch. A watch whose connection has gone silent is noticed after it.
+  std::chrono::milliseconds mWatch{ 3'000 };
+  std::chrono::milliseconds mFirstPause{ 50 };
+  std::chrono::milliseconds mLongestPause{ 1'000 };
+  /// An outage of at least this length may have let entries of live servers lapse.
+  std::chrono::milliseconds mLapseAfter{ 1'500 };
+  std::uint64_t mRandomSeed = 1;
+};
+
+/// Follows all objects of one kind: a list, then watches. Failed calls are repeated after a pause
+/// with full jitter that doubles up to a limit.
+class store_follower
+{
+public:
+  using on_list = std::function<void(const std::vector<stored_object>&, bool aAfterOutage)>;
+  using on_change = std::function<void(const object_change&, bool aAfterOutage)>;
+
+  store_follower(store_follower_settings aSettings,
+                 object_store& aStore,
+                 kj::Timer& aTimer,
+                 const clock_source& aClock,
+                 on_list aOnList,
+                 on_change aOnChange);
+
+  /// Runs until it is dropped.
+  kj::Promise<void> Run();
+  bool Listed() const { return mListed; }
+  /// Last time that the store answered.
+  instant LastAnswer() const { return mLastAnswer; }
+  bool InOutage() const { return mOutageSince != instant{}; }
+
+private:
+  kj::Promise<void> List();
+  kj::Promise<void> OnPage(store_result<object_page> aResult);
+  kj::Promise<void> Watch();
+  kj::Promise<void> OnFailure(const store_failure& aFailure);
+  void OnSuccess();
+  bool AfterOutage() const;
+
+  store_follower_settings mSettings;
+  object_store& mStore;
+  kj::Timer& mTimer;
+  const clock_source& mClock;
+  on_list mOnList;
+  on_change mOnChange;
+  std::vector<stored_object> mItems; ///< of a list that is not complete
+  std::uint64_t mListedAt = 0;       ///< revision of the first page
+  std::uint64_t mAt = 0;
+  bool mNeedList = true;
+  bool mListed = false;
+  instant mLastAnswer{};
+  instant mOutageSince{};
+  instant mOutageEndedAt{};
+  std::uint32_t mFailures = 0;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace skylarkwind
