--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -56,7 +56,7 @@
                                                 FromKj(aHeaders));
     ++mOwner.mOpenRequests;
     ++mOpen;
-    auto serving = kj::heap<exchange>(context, aResponse, [this] { return mStream->WhenPeerCloses(); });
+    auto serving = kj::heap<exchange>(context, aResponse, *mStream);
     auto promise = serving->Serve(std::move(request), aBody);
     return promise.attach(kj::mv(serving), kj::defer([this] {
                             --mOwner.mOpenRequests;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -70,10 +70,10 @@
 
 exchange::exchange(exchange_context& aContext,
                    kj::HttpService::Response& aResponse,
-                   kj::Function<kj::Promise<void>()> aCallerGone)
+                   monitored_stream& aConnection)
   : mContext(aContext)
   , mResponse(aResponse)
-  , mCallerGone(kj::mv(aCallerGone))
+  , mConnection(aConnection)
   , mArrived(aContext.mClock.Now())
   , mDeadline(mArrived)
 {
@@ -82,6 +82,9 @@
 exchange::~exchange()
 {
   Close(backend_outcome::Cancelled);
+  if (mOut.get() != nullptr) {
+    mConnection.Abort();
+  }
 }
 
 kj::Promise<void>
@@ -135,7 +138,7 @@
   return Attempt()
     .then([] { return race_end::Served; })
     .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(limit)).then([] { return race_end::Expired; }))
-    .exclusiveJoin(mCallerGone().then([] { return race_end::CallerGone; }))
+    .exclusiveJoin(mConnection.WhenPeerCloses().then([] { return race_end::CallerGone; }))
     .then([this](race_end aEnd) -> kj::Promise<void> {
       switch (aEnd) {
         case race_end::Served:
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "monitored_stream_p.h"
+
 #include "skylarkwind/backend_board.h"
 #include "skylarkwind/backend_directory.h"
 #include "skylarkwind/clock.h"
@@ -13,7 +15,6 @@
 
 #include <kj/async.h>
 #include <kj/compat/http.h>
-#include <kj/function.h>
 #include <kj/timer.h>
 
 #include <memory>
@@ -43,11 +44,9 @@
 class exchange
 {
 public:
-  /// `aCallerGone` gives a promise that ends when the caller has closed its connection; it is asked
-  /// for once, after the body was read.
   exchange(exchange_context& aContext,
            kj::HttpService::Response& aResponse,
-           kj::Function<kj::Promise<void>()> aCallerGone);
+           monitored_stream& aConnection);
   ~exchange();
 
   /// Serves the request whose head is given. The promise ends when the answer is complete; it
@@ -97,7 +96,7 @@
 
   exchange_context& mContext;
   kj::HttpService::Response& mResponse;
-  kj::Function<kj::Promise<void>()> mCallerGone;
+  monitored_stream& mConnection; ///< to the caller
   forward_request mRequest;
   instant mArrived;
   instant mDeadline;
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -106,12 +106,18 @@
 kj::Promise<void>
 monitored_stream::write(const void* aBuffer, size_t aSize)
 {
+  if (mAborted) {
+    return KJ_EXCEPTION(DISCONNECTED, "the answer was broken off");
+  }
   return mInner->write(aBuffer, aSize);
 }
 
 kj::Promise<void>
 monitored_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> aPieces)
 {
+  if (mAborted) {
+    return KJ_EXCEPTION(DISCONNECTED, "the answer was broken off");
+  }
   return mInner->write(aPieces);
 }
 
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -21,6 +21,9 @@
   /// Whether the peer sent bytes or closed while idle.
   bool Spoiled() const { return mSpoiled; }
   bool Ended() const { return mEnded; }
+  /// From now on nothing is written, so that an answer that is broken off cannot end as if it were
+  /// complete: kj writes the last chunk when a body is dropped.
+  void Abort() { mAborted = true; }
 
   kj::Promise<size_t> read(void* aBuffer, size_t aLeast, size_t aMost) override;
   kj::Promise<size_t> tryRead(void* aBuffer, size_t aLeast, size_t aMost) override;
@@ -44,6 +47,7 @@
   bool mIdle = false;
   bool mSpoiled = false;
   bool mEnded = false;
+  bool mAborted = false;
 };
 
 } // namespace skylarkwind
