Keep most engines on prefill by orders of one lease holder; wait for parts that are being computed

Placement now counts that pause, and one daemon that holds a lease in the store orders the wanted share of engines (setting prefill_share) to prefill.

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -39,6 +39,15 @@
 {
   std::uint64_t mKey = 0;
   std::string mBackendId;
+  bool mComputed = false; ///< false while a request that computes it waits there
+  std::uint32_t mReadyInMs = 0; ///< expected time until it is computed
+};
+
+/// A backend server that changes its role and refuses work meanwhile.
+struct changing_backend
+{
+  std::string mBackendId;
+  std::uint32_t mLeftMs = 0;
 };
 
 /// What one daemon tells the others: its own work as absolute values, so that a lost message is
@@ -49,6 +58,7 @@
   std::uint64_t mSequence = 0;
   std::vector<backend_work> mWork;
   std::vector<kept_part> mKept; ///< learnt lately
+  std::vector<changing_backend> mChanging;
 };
 
 /// How a request ended at a backend server, as far as the server's health is concerned.
@@ -97,23 +107,42 @@
   /// Whether this server has answered nothing for `aFor` while requests of this daemon wait.
   bool SilentFor(std::string_view aBackendId, std::chrono::milliseconds aFor, instant aNow) const;
 
+  /// The server refuses work until then, because it changes its role.
+  void OnChanging(std::string_view aBackendId, instant aUntil);
+
   /// Computation rate in tokens a ms, by role.
   double Rate(std::optional<engine_role> aRole, std::string_view aBackendId) const;
 
+  /// A request that makes the server compute these parts was sent to it and is expected to have
+  /// done so after `aExpected`.
+  void OnComing(std::string_view aBackendId,
+                std::span<const prompt_part> aParts,
+                std::chrono::duration<double, std::milli> aExpected,
+                instant aNow);
   /// The server has computed or fetched these parts.
   void OnKept(std::string_view aBackendId, std::span<const prompt_part> aParts, instant aNow);
   /// Tokens at the start of the prompt that the server is thought to keep.
   std::uint32_t KeptTokens(std::string_view aBackendId,
                            std::span<const prompt_part> aParts,
                            instant aNow) const;
+  /// Tokens at the start of the prompt that any server keeps or is computing, and when the last of
+  /// them is expected. A request that is sent before that computes them once more.
+  struct coming_parts
+  {
+    std::uint32_t mTokens = 0;
+    instant mReadyAt{};
+  };
+  coming_parts Coming(std::span<const prompt_part> aParts, instant aNow) const;
   /// The server has left or restarted and keeps nothing.
   void Forget(std::string_view aBackendId);
 
-  work_digest Digest(std::string_view aSender);
+  work_digest Digest(std::string_view aSender, instant aNow);
   /// Whether own work or knowledge changed since the last digest.
   bool DigestDue() const { return mChanged; }
   void OnDigest(const work_digest& aDigest, instant aNow);
   std::size_t Peers(instant aNow) const;
+  /// Whether `aSelf` is the first by name of the daemons that are alive.
+  bool IsFirst(std::string_view aSelf, instant aNow) const;
 
 private:
   struct open_work
@@ -135,6 +164,7 @@
     bool mTrialOpen = false; ///< the one request after a time set aside is under way
     instant mLastSign{};     ///< of life
     instant mWaitingSince{}; ///< start of the oldest wait since the last sign
+    instant mChangingUntil{};
     backend_load mLoad;
     instant mLoadAt{};
   };
@@ -156,8 +186,18 @@
   std::unordered_map<ticket, open_work> mOpen;
   ticket mLastTicket = 0;
   std::map<std::string, peer_state, std::less<>> mPeers;
-  /// By part, the servers that keep it and when that was last seen.
-  std::unordered_map<std::uint64_t, std::map<std::string, instant, std::less<>>> mKept;
+  struct holding
+  {
+    instant mSeenAt{};
+    bool mComputed = false;
+    instant mReadyAt{}; ///< while it is not computed
+  };
+  using holders = std::map<std::string, holding, std::less<>>;
+
+  /// Adds a fact to the next digest.
+  void Announce(std::uint64_t aKey, std::string_view aBackendId, const holding& aHeld, instant aNow);
+
+  std::unordered_map<std::uint64_t, holders> mKept; ///< by part
   std::vector<kept_part> mFresh; ///< for the next digest
   std::uint64_t mSequence = 0;
   bool mChanged = false;
--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -50,6 +50,7 @@
 {
   std::uint32_t mSlots = 0;
   std::uint64_t mKvTokens = 0;
+  std::uint32_t mTokensEachEvent = 1; ///< output tokens that one event of a stream holds
   double mKvBytesEach = 0;    ///< KV cache bytes of one token
   double mLinkMegabits = 0;   ///< bandwidth between engines, Mbit/s
   std::chrono::milliseconds mHandleLife{}; ///< how long an engine keeps an exported KV cache
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -32,6 +32,13 @@
   std::chrono::milliseconds mRetryAfter{};
 };
 
+/// The shared start of the prompt is being computed for another request. Sent now, this request
+/// would compute it once more; sent after that, it reuses or fetches it.
+struct await_parts
+{
+  instant mReadyAt{};
+};
+
 struct placement_settings
 {
   std::string mDataCentre; ///< of this daemon
@@ -52,9 +59,10 @@
   std::span<const backend_server* const> mServers;
   std::span<const std::string> mAvoid; ///< ids that failed this request
   std::chrono::milliseconds mTimeLeft{};
+  bool mMayWait = true; ///< false once the request has waited for parts as long as it may
 };
 
-using placement_result = std::variant<placement, no_placement>;
+using placement_result = std::variant<placement, no_placement, await_parts>;
 
 /// Chooses the backend server, and for a generation the engine that computes its prompt, by the
 /// predicted time to the first token.
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -26,6 +26,13 @@
 /// A stated load older than this says nothing of the load now.
 constexpr std::chrono::milliseconds kLoadLife{ 500 };
 
+/// The last part belongs to one request alone; nobody else asks for it.
+std::span<const prompt_part>
+SharedParts(std::span<const prompt_part> aParts)
+{
+  return aParts.first(aParts.empty() ? 0 : aParts.size() - 1);
+}
+
 } // namespace
 
 backend_board::backend_board(backend_board_settings aSettings)
@@ -201,6 +208,9 @@
 backend_board::Admits(std::string_view aBackendId, instant aNow) const
 {
   const auto* state = FindState(aBackendId);
+  if (state != nullptr && aNow < state->mChangingUntil) {
+    return false;
+  }
   if (state == nullptr || state->mFailuresInARow == 0) {
     return true;
   }
@@ -220,6 +230,14 @@
   return state != nullptr && state->mOwnRunning > 0 && aNow - state->mWaitingSince >= aFor;
 }
 
+void
+backend_board::OnChanging(std::string_view aBackendId, instant aUntil)
+{
+  auto& state = StateOf(aBackendId);
+  mChanged = mChanged || state.mChangingUntil < aUntil;
+  state.mChangingUntil = std::max(state.mChangingUntil, aUntil);
+}
+
 double
 backend_board::Rate(std::optional<engine_role> aRole, std::string_view aBackendId) const
 {
@@ -227,21 +245,56 @@
   return mSettings.mPrefillTokensPerMs * part / Slowdown(aBackendId);
 }
 
+void
+backend_board::OnComing(std::string_view aBackendId,
+                        std::span<const prompt_part> aParts,
+                        milliseconds_f aExpected,
+                        instant aNow)
+{
+  for (const auto& part : SharedParts(aParts)) {
+    auto& held = mKept[part.mKey][std::string{ aBackendId }];
+    if (held.mComputed && held.mSeenAt + kKeptFor >= aNow) {
+      held.mSeenAt = aNow;
+      continue;
+    }
+    held = { aNow, false, aNow + std::chrono::duration_cast<instant::duration>(aExpected) };
+    Announce(part.mKey, aBackendId, held, aNow);
+  }
+}
+
 void
 backend_board::OnKept(std::string_view aBackendId,
                       std::span<const prompt_part> aParts,
                       instant aNow)
 {
-  for (const auto& part : aParts) {
-    auto& holders = mKept[part.mKey];
-    const auto [holder, isNew] = holders.insert_or_assign(std::string{ aBackendId }, aNow);
-    if (isNew && mFresh.size() < kMostFresh) {
-      mFresh.push_back({ part.mKey, holder->first });
-      mChanged = true;
+  for (const auto& part : SharedParts(aParts)) {
+    auto& held = mKept[part.mKey][std::string{ aBackendId }];
+    const bool news = !held.mComputed || held.mSeenAt + kKeptFor < aNow;
+    held = { aNow, true, {} };
+    if (news) {
+      Announce(part.mKey, aBackendId, held, aNow);
     }
   }
 }
 
+void
+backend_board::Announce(std::uint64_t aKey,
+                        std::string_view aBackendId,
+                        const holding& aHeld,
+                        instant aNow)
+{
+  if (mFresh.size() >= kMostFresh) {
+    return;
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(aHeld.mReadyAt - aNow);
+  const auto readyIn = aHeld.mComputed ? 0 : std::max<std::int64_t>(0, left.count());
+  mFresh.push_back({ aKey,
+                     std::string{ aBackendId },
+                     aHeld.mComputed,
+                     static_cast<std::uint32_t>(readyIn) });
+  mChanged = true;
+}
+
 std::uint32_t
 backend_board::KeptTokens(std::string_view aBackendId,
                           std::span<const prompt_part> aParts,
@@ -249,12 +302,13 @@
 {
   std::uint32_t sum = 0;
   for (const auto& part : aParts) {
-    const auto holders = mKept.find(part.mKey);
-    if (holders == mKept.end()) {
+    const auto known = mKept.find(part.mKey);
+    if (known == mKept.end()) {
       return sum;
     }
-    const auto holder = holders->second.find(aBackendId);
-    if (holder == holders->second.end() || holder->second + kKeptFor < aNow) {
+    const auto held = known->second.find(aBackendId);
+    if (held == known->second.end() || !held->second.mComputed ||
+        held->second.mSeenAt + kKeptFor < aNow) {
       return sum;
     }
     sum += part.mTokens;
@@ -262,6 +316,32 @@
   return sum;
 }
 
+backend_board::coming_parts
+backend_board::Coming(std::span<const prompt_part> aParts, instant aNow) const
+{
+  coming_parts coming;
+  for (const auto& part : SharedParts(aParts)) {
+    const auto known = mKept.find(part.mKey);
+    if (known == mKept.end()) {
+      return coming;
+    }
+    bool found = false;
+    auto readyAt = instant::max();
+    for (const auto& [id, held] : known->second) {
+      if (held.mComputed ? held.mSeenAt + kKeptFor >= aNow : held.mReadyAt >= aNow) {
+        found = true;
+        readyAt = std::min(readyAt, held.mComputed ? instant{} : held.mReadyAt);
+      }
+    }
+    if (!found) {
+      return coming;
+    }
+    coming.mTokens += part.mTokens;
+    coming.mReadyAt = std::max(coming.mReadyAt, readyAt);
+  }
+  return coming;
+}
+
 void
 backend_board::Forget(std::string_view aBackendId)
 {
@@ -271,15 +351,15 @@
     state->second.mSlowdown = 1;
     state->second.mSetAsideUntil = {};
   }
-  for (auto& [key, holders] : mKept) {
-    if (const auto holder = holders.find(aBackendId); holder != holders.end()) {
-      holders.erase(holder);
+  for (auto& [key, known] : mKept) {
+    if (const auto held = known.find(aBackendId); held != known.end()) {
+      known.erase(held);
     }
   }
 }
 
 work_digest
-backend_board::Digest(std::string_view aSender)
+backend_board::Digest(std::string_view aSender, instant aNow)
 {
   work_digest digest;
   digest.mSender = aSender;
@@ -290,6 +370,11 @@
                                static_cast<std::uint32_t>(std::max(0.0, state.mOwnTokens)),
                                state.mOwnRunning });
     }
+    if (aNow < state.mChangingUntil) {
+      const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(state.mChangingUntil - aNow);
+      digest.mChanging.push_back({ id, static_cast<std::uint32_t>(left.count()) });
+    }
   }
   digest.mKept = std::move(mFresh);
   mFresh.clear();
@@ -302,7 +387,15 @@
 {
   auto& peer = mPeers[aDigest.mSender];
   for (const auto& kept : aDigest.mKept) {
-    mKept[kept.mKey].insert_or_assign(kept.mBackendId, aNow);
+    auto& held = mKept[kept.mKey][kept.mBackendId];
+    held.mSeenAt = aNow;
+    held.mComputed = held.mComputed || kept.mComputed;
+    held.mReadyAt = aNow + std::chrono::milliseconds{ kept.mReadyInMs };
+  }
+  for (const auto& changing : aDigest.mChanging) {
+    auto& state = StateOf(changing.mBackendId);
+    state.mChangingUntil =
+      std::max(state.mChangingUntil, aNow + std::chrono::milliseconds{ changing.mLeftMs });
   }
   // Datagrams may overtake one another.
   if (aDigest.mSequence <= peer.mSequence && peer.mHeardAt + mSettings.mPeerSilence >= aNow) {
@@ -325,4 +418,12 @@
     }));
 }
 
+bool
+backend_board::IsFirst(std::string_view aSelf, instant aNow) const
+{
+  return std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+    return aPeer.first < aSelf && aPeer.second.mHeardAt + mSettings.mPeerSilence >= aNow;
+  });
+}
+
 } // namespace skylarkwind
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -3,6 +3,7 @@
 #include "skylarkwind/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace skylarkwind {
@@ -20,6 +21,14 @@
 constexpr double kTransferSetupMs = 4;
 /// A decode engine that computes prompts too has steps of about this length.
 constexpr double kSharedStepMs = 45;
+/// Tokens that a decode engine computes of prompts in one step of its streams.
+constexpr double kSharedStepTokens = 1'024;
+/// Length of a step without prompt tokens.
+constexpr double kPlainStepMs = 8;
+/// Pauses longer than this part of the allowed one are avoided.
+constexpr double kUsableGap = 0.75;
+/// Cost for each stream of the engine that a long pause would make late.
+constexpr double kLateStreamMs = 120;
 /// Part of a plain request's time that one more request on the same server costs.
 constexpr double kPlainRequestMs = 30;
 /// Callers give up on a stream without an event after the longest of these.
@@ -29,6 +38,8 @@
 /// Part of the patience that a prediction may fill; predictions err.
 constexpr double kUsablePatience = 0.85;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
+/// Shorter parts are computed in less time than a wait for news of them takes.
+constexpr std::uint32_t kWorthWaitingTokens = 1'000;
 
 bool
 Contains(std::span<const std::string> aIds, std::string_view aId)
@@ -45,6 +56,16 @@
   return std::min(patience, aTimeLeft);
 }
 
+/// Longest pause between events of streams on a decode engine that computes `aTokens` of prompts
+/// meanwhile. An event covers several steps.
+double
+GapMs(const engine_traits& aEngine, double aTokens)
+{
+  const double steps = std::max<std::uint32_t>(1, aEngine.mTokensEachEvent);
+  const double shared = std::min(steps, std::ceil(aTokens / kSharedStepTokens));
+  return shared * kSharedStepMs + (steps - shared) * kPlainStepMs;
+}
+
 std::uint64_t
 HomeKey(const generation_shape& aShape)
 {
@@ -177,6 +198,12 @@
       decodeCost = cost;
     }
   }
+  if (aQuery.mMayWait) {
+    const auto coming = mBoard.Coming(shape.mParts, aNow);
+    if (coming.mTokens >= holderTokens + kWorthWaitingTokens && coming.mReadyAt > aNow) {
+      return await_parts{ coming.mReadyAt };
+    }
+  }
   std::optional<option> best;
   std::uint64_t bestTie = 0;
   for (const auto* engine : usable) {
@@ -196,6 +223,11 @@
         continue;
       }
       made.mPlacement.mTarget = engine;
+      const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + made.mPlacement.mComputeTokens;
+      const double gap = GapMs(*aQuery.mService->mEngine, tokens);
+      if (gap > kUsableGap * static_cast<double>(aQuery.mRoute->mMaxGap.count())) {
+        made.mCost += kLateStreamMs * mBoard.Running(engine->mId, aNow);
+      }
     }
     // Nearly equal engines are told apart by the part's home, so that parts gather there.
     const auto tie = RendezvousScore(std::to_string(home), engine->mId);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -31,6 +31,11 @@
 /// may have closed its end.
 constexpr milliseconds kOnceReuseWithin{ 1'000 };
 constexpr milliseconds kReuseWithin{ 60'000 };
+/// Bounds of one wait for news of a prompt's parts.
+constexpr milliseconds kShortestWait{ 10 };
+constexpr milliseconds kLongestWait{ 300 };
+/// A computation that takes this many times as long as predicted is no longer waited for.
+constexpr double kComingMargin = 1.5;
 
 std::string_view
 StatusText(unsigned int aStatus)
@@ -169,6 +174,7 @@
   query.mServers = aServers;
   query.mAvoid = mAvoid;
   query.mTimeLeft = TimeLeft();
+  query.mMayWait = !mWaitsSince || mContext.mClock.Now() - *mWaitsSince < mRoute->mTarget;
   return query;
 }
 
@@ -183,10 +189,45 @@
   if (const auto* none = std::get_if<no_placement>(&result)) {
     return mMayHaveRun ? Fail(502, none->mReason) : Refuse(none->mReason, none->mRetryAfter);
   }
+  if (const auto* parts = std::get_if<await_parts>(&result)) {
+    return AwaitParts(*parts);
+  }
   const auto& chosen = std::get<placement>(result);
+  NotePlan(chosen);
   return chosen.mPrefill != nullptr ? Prefill(chosen) : Send(chosen, std::nullopt);
 }
 
+void
+exchange::NotePlan(const placement& aPlacement)
+{
+  mSentAt = mContext.mClock.Now();
+  if (!mRequest.mGeneration) {
+    return;
+  }
+  const auto& prefill = aPlacement.mPrefill;
+  const auto* computing = prefill != nullptr ? prefill : aPlacement.mTarget;
+  mPlan = " prompt=" + std::to_string(mRequest.mGeneration->mPromptTokens) +
+          " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId +
+          " ahead=" +
+          std::to_string(static_cast<std::int64_t>(
+            mContext.mBoard.WaitingTokens(computing->mId, mContext.mClock.Now()))) +
+          " fetch=" + (aPlacement.mFetchFrom != nullptr ? aPlacement.mFetchFrom->mId : "-") +
+          " predicted_ms=" +
+          std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count()));
+}
+
+kj::Promise<void>
+exchange::AwaitParts(const await_parts& aParts)
+{
+  const auto now = mContext.mClock.Now();
+  mWaitsSince = mWaitsSince.value_or(now);
+  const auto left = std::chrono::duration_cast<milliseconds>(aParts.mReadyAt - now);
+  const auto pause = std::clamp(left, kShortestWait, kLongestWait);
+  return mContext.mParts.Wait()
+    .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(pause)))
+    .then([this] { return Attempt(); });
+}
+
 kj::Promise<void>
 exchange::Prefill(const placement& aPlacement)
 {
@@ -194,6 +235,8 @@
   const auto now = mContext.mClock.Now();
   mTicket = mContext.mBoard.Begin(
     engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
+  mContext.mBoard.OnComing(
+    engine.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
   forward_attempt attempt;
   attempt.mBackendId = engine.mId;
   attempt.mTimeLeft = TimeLeft();
@@ -252,6 +295,7 @@
   }
   mContext.mBoard.OnFirst(*mTicket, now);
   mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+  mContext.mParts.Fire();
   const kv_source source{ mTarget.mAddress, *handle };
   Close(backend_outcome::Answered);
   return Send(aPlacement, source);
@@ -278,6 +322,10 @@
   attempt.mResumeAfter = mEvents.LastId().empty() ? mRequest.mResumeAfter : mEvents.LastId();
   attempt.mKv = std::move(aKv);
   if (mRequest.mGeneration) {
+    if (!prefilled) {
+      mContext.mBoard.OnComing(
+        mTarget.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
+    }
     attempt.mUrgency = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
     if (!prefilled && aPlacement.mFetchFrom != nullptr) {
       attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
@@ -411,8 +459,10 @@
         return StreamFurther();
       }
       mContext.mBoard.OnFirst(*mTicket, now);
+      mFirstAt = mFirstAt.value_or(now);
       if (first && mRequest.mGeneration) {
         mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+        mContext.mParts.Fire();
       }
       if (!mAnswerBegun) {
         mAnswerBegun = true;
@@ -560,6 +610,16 @@
   text += " route=";
   text += mRoute != nullptr ? mRoute->mName : "-";
   text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
+  const auto since = [this](instant aFrom, instant aTo) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
+  };
+  if (mSentAt != instant{}) {
+    text += " held_ms=" + since(mArrived, mSentAt);
+  }
+  text += mPlan;
+  if (mFirstAt) {
+    text += " first_ms=" + since(mSentAt, *mFirstAt);
+  }
   text += " reason=\"";
   text += aReason;
   text += '"';
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -23,6 +23,34 @@
 
 namespace skylarkwind {
 
+/// Wakes requests that wait until a part of their prompt is computed.
+class part_signal
+{
+public:
+  part_signal()
+    : part_signal(kj::newPromiseAndFulfiller<void>())
+  {
+  }
+  /// Ends at the next news.
+  kj::Promise<void> Wait() { return mNext.addBranch(); }
+  void Fire()
+  {
+    mFulfiller->fulfill();
+    auto next = kj::newPromiseAndFulfiller<void>();
+    mNext = next.promise.fork();
+    mFulfiller = kj::mv(next.fulfiller);
+  }
+
+private:
+  explicit part_signal(kj::PromiseFulfillerPair<void> aPair)
+    : mNext(aPair.promise.fork())
+    , mFulfiller(kj::mv(aPair.fulfiller))
+  {
+  }
+  kj::ForkedPromise<void> mNext;
+  kj::Own<kj::PromiseFulfiller<void>> mFulfiller;
+};
+
 /// What all exchanges of a daemon share.
 struct exchange_context
 {
@@ -38,6 +66,7 @@
   const kj::HttpHeaderTable& mTable;
   counters& mCounters;
   kj::TaskSet& mTasks; ///< calls that outlive an exchange
+  part_signal& mParts;
 };
 
 /// One request of a caller from its arrival to the end of its answer.
@@ -65,6 +94,8 @@
   kj::Promise<void> ReadBody(kj::AsyncInputStream& aBody);
   kj::Promise<void> Begin();
   kj::Promise<void> Attempt();
+  /// Waits for news of the prompt's parts, then places the request again.
+  kj::Promise<void> AwaitParts(const await_parts& aParts);
   kj::Promise<void> Prefill(const placement& aPlacement);
   kj::Promise<void> OnPrefilled(const placement& aPlacement, std::string aBody);
   kj::Promise<void> Send(const placement& aPlacement, std::optional<kv_source> aKv);
@@ -89,6 +120,8 @@
 
   std::chrono::milliseconds TimeLeft() const;
   placement_query Query(const std::vector<const backend_server*>& aServers) const;
+  /// Notes the inputs of a placement for the log.
+  void NotePlan(const placement& aPlacement);
   /// Ends the accounting of the open attempt.
   void Close(backend_outcome aOutcome);
   void LogEnd(std::string_view aOutcome, std::string_view aReason);
@@ -106,12 +139,16 @@
   const forward_service* mService = nullptr;
 
   std::vector<std::string> mAvoid; ///< servers that failed this request
+  std::optional<instant> mWaitsSince; ///< for parts of the prompt
   std::uint32_t mSends = 0;        ///< arrivals at servers that count as attempts
   bool mMayHaveRun = false;
   bool mAnswerBegun = false;
 
   backend_server mTarget; ///< copy: the directory may change while the attempt is open
   std::optional<backend_board::ticket> mTicket;
+  instant mSentAt{};                 ///< start of the last attempt, its prefill included
+  std::optional<instant> mFirstAt;   ///< first event or whole answer
+  std::string mPlan;                 ///< what the last placement was decided by, for the log
   std::unique_ptr<http_answer> mAnswer;
   answer_head mHead;
   std::string mServedBy; ///< id of the first server of a stream
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_listener_p.h"
 #include "peer_digests_p.h"
+#include "role_driver_p.h"
 #include "store_follower_p.h"
 
 #include "skylarkwind/log.h"
@@ -32,6 +33,8 @@
 constexpr milliseconds kShutdownMargin{ 600 };
 /// Connections without a request are closed this early when the daemon stops.
 constexpr milliseconds kIdleWhileStopping{ 300 };
+/// How often the roles of engines are compared with the wanted ones.
+constexpr milliseconds kRolePeriod{ 200 };
 /// A server that is silent for this long while requests wait is checked.
 constexpr milliseconds kSilenceChecked{ 1'200 };
 
@@ -59,10 +62,12 @@
     , mRepeats(mSettings.mRepeats)
     , mTasks(*this)
     , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard, mPlacer, mRepeats, mPool, mTimer,
-                  mClock, mTable, mCounters, mTasks }
+                  mClock, mTable, mCounters, mTasks, mParts }
     , mCallers(mExchanges)
     , mPeers(aContext.provider->getNetwork(),
-             [this](const work_digest& aDigest) { mBoard.OnDigest(aDigest, mClock.Now()); })
+             [this](const work_digest& aDigest) { OnDigest(aDigest); })
+    , mRoles(RoleSettings(mSettings), *mAdapter.mDialect, mRoutes, mDirectory, mBoard, *mStore, mPool,
+             mTimer, mClock, mTasks)
     , mReadyServer(mTimer, mTable, *this)
     , mConfigurations(Follow(std::string{ mAdapter.mObjects->ConfigurationKind() }),
                       *mStore, mTimer, mClock,
@@ -123,6 +128,10 @@
     settings.mDataCentre = aSettings.mDataCentre;
     return settings;
   }
+  static role_keeper_settings RoleSettings(const gateway_settings& aSettings)
+  {
+    return { aSettings.mVm, aSettings.mPrefillShare, aSettings.mLease };
+  }
   store_follower_settings Follow(std::string aKind) const
   {
     store_follower_settings settings;
@@ -278,11 +287,23 @@
     const bool closing = mStoppingSince && aNow - *mStoppingSince >= kBalancerNotices;
     mCallers.CloseIdle(closing ? std::min(idle, kIdleWhileStopping) : idle, aNow);
     SendDigest(aNow);
+    if (!mStoppingSince && aNow >= mNextRoles) {
+      mNextRoles = aNow + kRolePeriod;
+      mRoles.OnTick(aNow);
+    }
     if (mStoppingSince) {
       ShutdownFurther(aNow);
     }
   }
 
+  void OnDigest(const work_digest& aDigest)
+  {
+    mBoard.OnDigest(aDigest, mClock.Now());
+    if (!aDigest.mKept.empty()) {
+      mParts.Fire();
+    }
+  }
+
   void SendDigest(instant aNow)
   {
     const auto peers = mPeers.Peers();
@@ -292,7 +313,7 @@
                                         : aNow - mDigestAt >= std::max(kDigestAtLeast, period);
     if (due) {
       mDigestAt = aNow;
-      mPeers.Send(mBoard.Digest(mSettings.mVm), mTasks);
+      mPeers.Send(mBoard.Digest(mSettings.mVm, aNow), mTasks);
     }
   }
 
@@ -380,9 +401,11 @@
   placer mPlacer;
   repeat_allowance mRepeats;
   kj::TaskSet mTasks;
+  part_signal mParts;
   exchange_context mExchanges;
   caller_listener mCallers;
   peer_digests mPeers;
+  role_driver mRoles;
   kj::HttpServer mReadyServer;
   store_follower mConfigurations;
   store_follower mServers;
@@ -394,6 +417,7 @@
   std::optional<std::uint64_t> mRegistered; ///< revision of this daemon's object
   std::optional<instant> mStoppingSince;
   instant mDigestAt{};
+  instant mNextRoles{};
 };
 
 } // namespace
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -29,9 +29,15 @@
   }
   json kept = json::array();
   for (const auto& entry : aDigest.mKept) {
-    kept.push_back({ entry.mKey, entry.mBackendId });
+    kept.push_back({ entry.mKey, entry.mBackendId, entry.mComputed, entry.mReadyInMs });
   }
-  const json digest = { aDigest.mSender, aDigest.mSequence, std::move(work), std::move(kept) };
+  json changing = json::array();
+  for (const auto& entry : aDigest.mChanging) {
+    changing.push_back({ entry.mBackendId, entry.mLeftMs });
+  }
+  const json digest = {
+    aDigest.mSender, aDigest.mSequence, std::move(work), std::move(kept), std::move(changing)
+  };
   std::string bytes;
   json::to_cbor(digest, bytes);
   return bytes;
@@ -51,7 +57,14 @@
                                entry.at(2).get<std::uint32_t>() });
     }
     for (const auto& entry : parsed.at(3)) {
-      digest.mKept.push_back({ entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::string>() });
+      digest.mKept.push_back({ entry.at(0).get<std::uint64_t>(),
+                               entry.at(1).get<std::string>(),
+                               entry.at(2).get<bool>(),
+                               entry.at(3).get<std::uint32_t>() });
+    }
+    for (const auto& entry : parsed.at(4)) {
+      digest.mChanging.push_back(
+        { entry.at(0).get<std::string>(), entry.at(1).get<std::uint32_t>() });
     }
     return digest;
   } catch (const json::exception&) {
