Follow the turnover of engine memory; charge for steps shared with prompts and for copies of parts

Cause: a quarter of the placements that relied on kept parts took over three times the predicted time: prompts of one request push parts out within seconds on a busy engine, while the belief lasted 30 s. Each daemon now counts tokens added to each engine, tells them in its digests, and takes a part for evicted after half of the engine's memory has turned over. In-place prompts on a decode engine are charged for the streams that they slow down, fetched copies for what they push out.

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -32,6 +32,7 @@
   std::string mBackendId;
   std::uint32_t mPrefillTokens = 0; ///< of requests without a first token
   std::uint32_t mRunning = 0;       ///< requests
+  std::uint64_t mAddedTokens = 0;   ///< put into its memory since the daemon started
 };
 
 /// Says that a backend server keeps a part of prompts.
@@ -119,12 +120,15 @@
                 std::span<const prompt_part> aParts,
                 std::chrono::duration<double, std::milli> aExpected,
                 instant aNow);
+  /// Tokens come into the server's memory and push out what was used least recently.
+  void OnAdded(std::string_view aBackendId, std::uint32_t aTokens);
+  /// The memory of a server for kept parts, from the configuration.
+  void SetCapacity(std::string_view aBackendId, std::uint64_t aTokens);
   /// The server has computed or fetched these parts.
   void OnKept(std::string_view aBackendId, std::span<const prompt_part> aParts, instant aNow);
   /// Tokens at the start of the prompt that the server is thought to keep.
   std::uint32_t KeptTokens(std::string_view aBackendId,
-                           std::span<const prompt_part> aParts,
-                           instant aNow) const;
+                           std::span<const prompt_part> aParts) const;
   /// Tokens at the start of the prompt that any server keeps or is computing, and when the last of
   /// them is expected. A request that is sent before that computes them once more.
   struct coming_parts
@@ -156,6 +160,9 @@
   struct backend_state
   {
     double mOwnTokens = 0;
+    std::uint64_t mAddedTokens = 0;
+    double mPeersAdded = 0; ///< sum over the peers
+    std::uint64_t mCapacity = 0;
     std::uint32_t mOwnRunning = 0;
     double mSlowdown = 1;
     double mFailedPart = 0;
@@ -173,10 +180,25 @@
     std::uint64_t mSequence = 0;
     instant mHeardAt{};
     std::unordered_map<std::string, backend_work> mWork;
+    std::unordered_map<std::string, std::uint64_t> mAdded; ///< newest counts
   };
 
+  struct holding
+  {
+    instant mSeenAt{};
+    bool mComputed = false;
+    instant mReadyAt{};        ///< while it is not computed
+    double mAddedBefore = 0;   ///< tokens added to the server until it was last used
+    double mAnnouncedAt = 0;   ///< the same when it was last announced
+  };
+  using holders = std::map<std::string, holding, std::less<>>;
+
   backend_state& StateOf(std::string_view aBackendId);
   const backend_state* FindState(std::string_view aBackendId) const;
+  /// Tokens added to a server by all daemons.
+  double Added(std::string_view aBackendId) const;
+  /// Whether a part that was used is still kept, given what has come since.
+  bool StillKept(std::string_view aBackendId, const holding& aHeld) const;
   void OnFailure(backend_state& aState, bool aUnreachable, instant aNow);
   template<class fold>
   void ForPeers(std::string_view aBackendId, instant aNow, fold aFold) const;
@@ -186,14 +208,6 @@
   std::unordered_map<ticket, open_work> mOpen;
   ticket mLastTicket = 0;
   std::map<std::string, peer_state, std::less<>> mPeers;
-  struct holding
-  {
-    instant mSeenAt{};
-    bool mComputed = false;
-    instant mReadyAt{}; ///< while it is not computed
-  };
-  using holders = std::map<std::string, holding, std::less<>>;
-
   /// Adds a fact to the next digest.
   void Announce(std::uint64_t aKey, std::string_view aBackendId, const holding& aHeld, instant aNow);
 
--- a/packages/core/include/skylarkwind/backend_directory.h
+++ b/packages/core/include/skylarkwind/backend_directory.h
@@ -39,6 +39,13 @@
   const backend_server* Find(std::string_view aId) const;
   /// Servers of a service that may get new work, in the order of their ids.
   std::vector<const backend_server*> Usable(std::string_view aService) const;
+  template<class visitor>
+  void ForEach(visitor aVisit) const
+  {
+    for (const auto& [id, server] : mServers) {
+      aVisit(server);
+    }
+  }
   std::size_t Size() const { return mServers.size(); }
   /// Grows with each change.
   std::uint64_t Revision() const { return mRevision; }
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -21,6 +21,7 @@
   /// Engine that keeps the start of the prompt, to be fetched by whoever computes it.
   const backend_server* mFetchFrom = nullptr;
   std::uint32_t mComputeTokens = 0; ///< left to compute after what is kept or fetched
+  std::uint32_t mFetchTokens = 0;   ///< fetched from another engine
   std::chrono::duration<double, std::milli> mPrefillTime{}; ///< until the prompt is computed
   std::chrono::duration<double, std::milli> mFirstToken{};  ///< predicted, from now
 };
@@ -48,6 +49,8 @@
   double mComputeWeight = 0.5;
   /// Weight of the time that a transfer of KV cache takes on the links between engines.
   double mTransferWeight = 2;
+  /// Weight of the time to compute what one more copy of a part pushes out of an engine's memory.
+  double mCopyWeight = 0.25;
 };
 
 /// What is to be placed.
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -19,8 +19,11 @@
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr std::chrono::milliseconds kFirstAside{ 400 };
 constexpr std::chrono::milliseconds kLongestAside{ 3'200 };
-/// A kept part that was not used for this long may have been evicted.
-constexpr std::chrono::seconds kKeptFor{ 30 };
+/// Part of a server's memory whose turnover evicts a part that was not used meanwhile. Running
+/// requests take the rest.
+constexpr double kKeptWithin = 0.5;
+/// A part's use is told to the other daemons again after this much turnover.
+constexpr double kAnnounceAgain = 0.1;
 /// Facts that one digest carries; the rest follows with the next.
 constexpr std::size_t kMostFresh = 32;
 /// A stated load older than this says nothing of the load now.
@@ -245,6 +248,33 @@
   return mSettings.mPrefillTokensPerMs * part / Slowdown(aBackendId);
 }
 
+void
+backend_board::OnAdded(std::string_view aBackendId, std::uint32_t aTokens)
+{
+  StateOf(aBackendId).mAddedTokens += aTokens;
+}
+
+void
+backend_board::SetCapacity(std::string_view aBackendId, std::uint64_t aTokens)
+{
+  StateOf(aBackendId).mCapacity = aTokens;
+}
+
+double
+backend_board::Added(std::string_view aBackendId) const
+{
+  const auto* state = FindState(aBackendId);
+  return state == nullptr ? 0 : static_cast<double>(state->mAddedTokens) + state->mPeersAdded;
+}
+
+bool
+backend_board::StillKept(std::string_view aBackendId, const holding& aHeld) const
+{
+  const auto* state = FindState(aBackendId);
+  const double capacity = state == nullptr ? 0 : static_cast<double>(state->mCapacity);
+  return Added(aBackendId) - aHeld.mAddedBefore <= kKeptWithin * capacity;
+}
+
 void
 backend_board::OnComing(std::string_view aBackendId,
                         std::span<const prompt_part> aParts,
@@ -253,8 +283,7 @@
 {
   for (const auto& part : SharedParts(aParts)) {
     auto& held = mKept[part.mKey][std::string{ aBackendId }];
-    if (held.mComputed && held.mSeenAt + kKeptFor >= aNow) {
-      held.mSeenAt = aNow;
+    if (held.mComputed && StillKept(aBackendId, held)) {
       continue;
     }
     held = { aNow, false, aNow + std::chrono::duration_cast<instant::duration>(aExpected) };
@@ -269,8 +298,11 @@
 {
   for (const auto& part : SharedParts(aParts)) {
     auto& held = mKept[part.mKey][std::string{ aBackendId }];
-    const bool news = !held.mComputed || held.mSeenAt + kKeptFor < aNow;
-    held = { aNow, true, {} };
+    const double added = Added(aBackendId);
+    const bool news = !held.mComputed || !StillKept(aBackendId, held) ||
+                      added - held.mAnnouncedAt >
+                        kAnnounceAgain * static_cast<double>(StateOf(aBackendId).mCapacity);
+    held = { aNow, true, {}, added, news ? added : held.mAnnouncedAt };
     if (news) {
       Announce(part.mKey, aBackendId, held, aNow);
     }
@@ -297,8 +329,7 @@
 
 std::uint32_t
 backend_board::KeptTokens(std::string_view aBackendId,
-                          std::span<const prompt_part> aParts,
-                          instant aNow) const
+                          std::span<const prompt_part> aParts) const
 {
   std::uint32_t sum = 0;
   for (const auto& part : aParts) {
@@ -308,7 +339,7 @@
     }
     const auto held = known->second.find(aBackendId);
     if (held == known->second.end() || !held->second.mComputed ||
-        held->second.mSeenAt + kKeptFor < aNow) {
+        !StillKept(aBackendId, held->second)) {
       return sum;
     }
     sum += part.mTokens;
@@ -328,7 +359,7 @@
     bool found = false;
     auto readyAt = instant::max();
     for (const auto& [id, held] : known->second) {
-      if (held.mComputed ? held.mSeenAt + kKeptFor >= aNow : held.mReadyAt >= aNow) {
+      if (held.mComputed ? StillKept(id, held) : held.mReadyAt >= aNow) {
         found = true;
         readyAt = std::min(readyAt, held.mComputed ? instant{} : held.mReadyAt);
       }
@@ -368,7 +399,8 @@
     if (state.mOwnRunning > 0) {
       digest.mWork.push_back({ id,
                                static_cast<std::uint32_t>(std::max(0.0, state.mOwnTokens)),
-                               state.mOwnRunning });
+                               state.mOwnRunning,
+                               state.mAddedTokens });
     }
     if (aNow < state.mChangingUntil) {
       const auto left =
@@ -391,6 +423,7 @@
     held.mSeenAt = aNow;
     held.mComputed = held.mComputed || kept.mComputed;
     held.mReadyAt = aNow + std::chrono::milliseconds{ kept.mReadyInMs };
+    held.mAddedBefore = Added(kept.mBackendId);
   }
   for (const auto& changing : aDigest.mChanging) {
     auto& state = StateOf(changing.mBackendId);
@@ -406,6 +439,11 @@
   peer.mWork.clear();
   for (const auto& work : aDigest.mWork) {
     peer.mWork.insert_or_assign(work.mBackendId, work);
+    auto& added = peer.mAdded[work.mBackendId];
+    if (work.mAddedTokens > added) {
+      StateOf(work.mBackendId).mPeersAdded += static_cast<double>(work.mAddedTokens - added);
+    }
+    added = work.mAddedTokens;
   }
 }
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -27,6 +27,8 @@
 constexpr double kPlainStepMs = 8;
 /// Pauses longer than this part of the allowed one are avoided.
 constexpr double kUsableGap = 0.75;
+/// Weight of the time by which a step with prompt tokens holds up each stream of the engine.
+constexpr double kSharedStepWeight = 0.15;
 /// Cost for each stream of the engine that a long pause would make late.
 constexpr double kLateStreamMs = 120;
 /// Part of a plain request's time that one more request on the same server costs.
@@ -141,14 +143,17 @@
                 instant aNow) const
 {
   const auto& shape = *aQuery.mGeneration;
-  const auto kept = mBoard.KeptTokens(aEngine.mId, shape.mParts, aNow);
+  const auto kept = mBoard.KeptTokens(aEngine.mId, shape.mParts);
   std::uint32_t have = kept;
   option made;
   double transfer = 0;
+  double copied = 0;
   if (aHolder != nullptr && aHolder != &aEngine && aHolderTokens > kept) {
     transfer = TransferMs(
       *aQuery.mService, aHolderTokens - kept, aHolder->mDataCentre == aEngine.mDataCentre);
     made.mPlacement.mFetchFrom = aHolder;
+    copied = aHolderTokens - kept;
+    made.mPlacement.mFetchTokens = aHolderTokens - kept;
     have = aHolderTokens;
   }
   const double rate = mBoard.Rate(aEngine.mRole, aEngine.mId);
@@ -159,7 +164,8 @@
   made.mPlacement.mPrefillTime = milliseconds_f{ wait + computing + transfer };
   made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
   made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
-               mSettings.mTransferWeight * transfer + DistanceCost(aEngine) +
+               mSettings.mTransferWeight * transfer +
+               mSettings.mCopyWeight * copied / rate + DistanceCost(aEngine) +
                mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
   return made;
 }
@@ -181,7 +187,7 @@
       continue;
     }
     usable.push_back(engine);
-    const auto kept = mBoard.KeptTokens(engine->mId, shape.mParts, aNow);
+    const auto kept = mBoard.KeptTokens(engine->mId, shape.mParts);
     if (kept > holderTokens) {
       holder = engine;
       holderTokens = kept;
@@ -225,8 +231,11 @@
       made.mPlacement.mTarget = engine;
       const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + made.mPlacement.mComputeTokens;
       const double gap = GapMs(*aQuery.mService->mEngine, tokens);
+      const auto running = mBoard.Running(engine->mId, aNow);
+      const double shared = std::ceil(made.mPlacement.mComputeTokens / kSharedStepTokens);
+      made.mCost += kSharedStepWeight * shared * kSharedStepMs * running;
       if (gap > kUsableGap * static_cast<double>(aQuery.mRoute->mMaxGap.count())) {
-        made.mCost += kLateStreamMs * mBoard.Running(engine->mId, aNow);
+        made.mCost += kLateStreamMs * running;
       }
     }
     // Nearly equal engines are told apart by the part's home, so that parts gather there.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -197,6 +197,12 @@
   return chosen.mPrefill != nullptr ? Prefill(chosen) : Send(chosen, std::nullopt);
 }
 
+std::uint32_t
+exchange::AddedTokens(const placement& aPlacement) const
+{
+  return aPlacement.mComputeTokens + aPlacement.mFetchTokens;
+}
+
 void
 exchange::NotePlan(const placement& aPlacement)
 {
@@ -296,6 +302,7 @@
   mContext.mBoard.OnFirst(*mTicket, now);
   mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
   mContext.mParts.Fire();
+  mContext.mBoard.OnAdded(mTarget.mId, AddedTokens(aPlacement));
   const kv_source source{ mTarget.mAddress, *handle };
   Close(backend_outcome::Answered);
   return Send(aPlacement, source);
@@ -310,6 +317,10 @@
     return OnNotRun("the chosen server has left", false);
   }
   mTarget = *listed;
+  mAddsAtTarget = 0;
+  if (mRequest.mGeneration) {
+    mAddsAtTarget = aKv ? mRequest.mGeneration->mPromptTokens : AddedTokens(aPlacement);
+  }
   const auto now = mContext.mClock.Now();
   const bool prefilled = aKv.has_value();
   mTicket = mContext.mBoard.Begin(mTarget.mId,
@@ -459,6 +470,9 @@
         return StreamFurther();
       }
       mContext.mBoard.OnFirst(*mTicket, now);
+      if (first && mRequest.mGeneration) {
+        mContext.mBoard.OnAdded(mTarget.mId, mAddsAtTarget);
+      }
       mFirstAt = mFirstAt.value_or(now);
       if (first && mRequest.mGeneration) {
         mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -120,6 +120,8 @@
 
   std::chrono::milliseconds TimeLeft() const;
   placement_query Query(const std::vector<const backend_server*>& aServers) const;
+  /// Tokens that come into the memory of the engine that computes the prompt.
+  std::uint32_t AddedTokens(const placement& aPlacement) const;
   /// Notes the inputs of a placement for the log.
   void NotePlan(const placement& aPlacement);
   /// Ends the accounting of the open attempt.
@@ -146,6 +148,7 @@
 
   backend_server mTarget; ///< copy: the directory may change while the attempt is open
   std::optional<backend_board::ticket> mTicket;
+  std::uint32_t mAddsAtTarget = 0;   ///< tokens that come into the target's memory
   instant mSentAt{};                 ///< start of the last attempt, its prefill included
   std::optional<instant> mFirstAt;   ///< first event or whole answer
   std::string mPlan;                 ///< what the last placement was decided by, for the log
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -211,6 +211,15 @@
     mDirectory.Upsert(*server);
   }
 
+  void NoteCapacity(const backend_server& aServer)
+  {
+    const auto& configuration = mRoutes.Current();
+    const auto* service = configuration ? configuration->FindService(aServer.mService) : nullptr;
+    if (service != nullptr && service->mEngine) {
+      mBoard.SetCapacity(aServer.mId, service->mEngine->mKvTokens);
+    }
+  }
+
   /// A server that started again under its id has lost what it kept.
   void NoteRestart(const backend_server& aServer)
   {
@@ -291,6 +300,10 @@
       mNextRoles = aNow + kRolePeriod;
       mRoles.OnTick(aNow);
     }
+    if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
+      mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
+      mDirectory.ForEach([this](const backend_server& aServer) { NoteCapacity(aServer); });
+    }
     if (mStoppingSince) {
       ShutdownFurther(aNow);
     }
@@ -418,6 +431,8 @@
   std::optional<instant> mStoppingSince;
   instant mDigestAt{};
   instant mNextRoles{};
+  /// Versions of the configuration and the directory from which the capacities were read.
+  std::pair<std::uint64_t, std::uint64_t> mCapacitiesOf{};
 };
 
 } // namespace
