Charge decode engines for kept parts that they may have evicted

Only 241,000 prompt tokens were planned on decode engines, but prompts whose start was wrongly taken for kept were read there in full, and each held up all streams of its engine for up to a second. Three parts in ten are now taken for evicted when the pause is predicted.

--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -29,6 +29,8 @@
 constexpr double kUsableGap = 0.75;
 /// Weight of the time by which a step with prompt tokens holds up each stream of the engine.
 constexpr double kSharedStepWeight = 0.15;
+/// Part of the prompts whose kept start a decode engine has evicted for its running streams.
+constexpr double kDecodeMissRisk = 0.3;
 /// Cost for each stream of the engine that a long pause would make late.
 constexpr double kLateStreamMs = 120;
 /// Part of a plain request's time that one more request on the same server costs.
@@ -229,10 +231,12 @@
         continue;
       }
       made.mPlacement.mTarget = engine;
-      const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + made.mPlacement.mComputeTokens;
+      const auto kept = shape.mPromptTokens - std::min(shape.mPromptTokens, made.mPlacement.mComputeTokens);
+      const auto likely = made.mPlacement.mComputeTokens + kDecodeMissRisk * kept;
+      const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + likely;
       const double gap = GapMs(*aQuery.mService->mEngine, tokens);
       const auto running = mBoard.Running(engine->mId, aNow);
-      const double shared = std::ceil(made.mPlacement.mComputeTokens / kSharedStepTokens);
+      const double shared = std::ceil(likely / kSharedStepTokens);
       made.mCost += kSharedStepWeight * shared * kSharedStepMs * running;
       if (gap > kUsableGap * static_cast<double>(aQuery.mRoute->mMaxGap.count())) {
         made.mCost += kLateStreamMs * running;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -473,7 +473,11 @@
       if (first && mRequest.mGeneration) {
         mContext.mBoard.OnAdded(mTarget.mId, mAddsAtTarget);
       }
+      if (mFirstAt) {
+        mLongestGap = std::max(mLongestGap, now - mLastEventAt);
+      }
       mFirstAt = mFirstAt.value_or(now);
+      mLastEventAt = now;
       if (first && mRequest.mGeneration) {
         mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
         mContext.mParts.Fire();
@@ -633,6 +637,7 @@
   text += mPlan;
   if (mFirstAt) {
     text += " first_ms=" + since(mSentAt, *mFirstAt);
+    text += " gap_ms=" + since(instant{}, instant{} + mLongestGap);
   }
   text += " reason=\"";
   text += aReason;
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -151,6 +151,8 @@
   std::uint32_t mAddsAtTarget = 0;   ///< tokens that come into the target's memory
   instant mSentAt{};                 ///< start of the last attempt, its prefill included
   std::optional<instant> mFirstAt;   ///< first event or whole answer
+  instant mLastEventAt{};
+  instant::duration mLongestGap{};   ///< between events
   std::string mPlan;                 ///< what the last placement was decided by, for the log
   std::unique_ptr<http_answer> mAnswer;
   answer_head mHead;
