Order as soon as the lease was unused long enough; stop accepting before the grace period ends

Cause: the lease was read only when orders were due, so that a new holder waited twice for a lease time, and a daemon that had read before the first write took it for free. While a data centre's daemons stop in turn the balancer sends connections to all of them; they now refuse new requests after 2.6 s.

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -145,8 +145,8 @@
   bool DigestDue() const { return mChanged; }
   void OnDigest(const work_digest& aDigest, instant aNow);
   std::size_t Peers(instant aNow) const;
-  /// Whether `aSelf` is the first by name of the daemons that are alive.
-  bool IsFirst(std::string_view aSelf, instant aNow) const;
+  /// How many of the daemons that are alive come before `aSelf` by name.
+  std::size_t Rank(std::string_view aSelf, instant aNow) const;
 
 private:
   struct open_work
--- a/packages/core/include/skylarkwind/role_keeper.h
+++ b/packages/core/include/skylarkwind/role_keeper.h
@@ -64,10 +64,11 @@
 /// lease gives orders. A lease is taken when an order is due and is not renewed otherwise, so that
 /// it costs nothing while the roles are as wanted.
 ///
-/// A holder orders within the lease time after the start of the write that gave or renewed it its
-/// lease, by a clock that counts on through a suspension. Another daemon takes the lease only when
-/// it has seen the same revision for longer than that, and then waits once more, so that two
-/// holders are always a lease time apart.
+/// A holder orders within a second after the start of the write that gave it the lease, by a clock
+/// that counts on through a suspension, and writes again before later orders. Another daemon takes
+/// the lease only when it has seen the same revision for that second and a lease time more. Its
+/// conditional write then shows that nobody wrote in between, so that the orders of two holders
+/// are always a lease time apart.
 class role_keeper
 {
 public:
@@ -85,10 +86,11 @@
     std::vector<engine_view> mEngines;
   };
 
-  /// What is to be done now. `aDesignated` tells whether this daemon is the one that the live
-  /// daemons expect to give orders; it keeps them from competing, the lease keeps them apart.
+  /// What is to be done now. `aRank` is the number of live daemons that come before this one. The
+  /// first gives orders and the next two watch the lease, so that they can follow at once; this
+  /// keeps daemons from competing, while the lease keeps them apart.
   std::vector<role_action> OnTick(std::span<const service_view> aServices,
-                                  bool aDesignated,
+                                  std::size_t aRank,
                                   instant aNow);
   /// Empty when there is none; `aFailed` when the store gave no answer.
   void OnLease(const std::optional<order_lease>& aLease, bool aFailed, instant aNow);
@@ -113,7 +115,10 @@
   };
 
   bool HoldsLease(instant aNow) const;
-  std::optional<role_action> Acquire(instant aNow);
+  /// Whether the lease as last seen may be written by this daemon now.
+  bool MayTake(instant aNow) const;
+  /// Takes the lease when orders are due, else keeps the knowledge of it fresh.
+  std::optional<role_action> Acquire(bool aDue, instant aNow);
 
   role_keeper_settings mSettings;
   std::optional<instant> mWantedSince; ///< first time that the roles differed
@@ -124,7 +129,6 @@
   bool mCallOpen = false;  ///< a store call is under way
   instant mCallAt{};
   std::uint64_t mHeldFencing = 0; ///< 0 while no lease is held
-  instant mHeldFrom{};            ///< orders may begin
   instant mHeldUntil{};
   std::map<std::string, wanted_change> mAsked; ///< engines whose state was asked for an order
   std::map<std::string, std::chrono::milliseconds> mOrdered; ///< orders without an answer yet
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -456,12 +456,13 @@
     }));
 }
 
-bool
-backend_board::IsFirst(std::string_view aSelf, instant aNow) const
+std::size_t
+backend_board::Rank(std::string_view aSelf, instant aNow) const
 {
-  return std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
-    return aPeer.first < aSelf && aPeer.second.mHeardAt + mSettings.mPeerSilence >= aNow;
-  });
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+      return aPeer.first < aSelf && aPeer.second.mHeardAt + mSettings.mPeerSilence >= aNow;
+    }));
 }
 
 } // namespace skylarkwind
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -42,6 +42,8 @@
 /// Part of the patience that a prediction may fill; predictions err.
 constexpr double kUsablePatience = 0.85;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
+/// While no engine admits work, one is changing its role or coming back.
+constexpr std::chrono::milliseconds kNoEngineRetryAfter{ 1'000 };
 /// Shorter parts are computed in less time than a wait for news of them takes.
 constexpr std::uint32_t kWorthWaitingTokens = 1'000;
 
@@ -252,7 +254,7 @@
     }
   }
   if (!best) {
-    return no_placement{ "no engine admits the request", kLeastRetryAfter };
+    return no_placement{ "no engine admits the request", kNoEngineRetryAfter };
   }
   const auto patience = FirstEventPatience(*aQuery.mRoute, aQuery.mTimeLeft);
   if (best->mPlacement.mFirstToken > kUsablePatience * patience) {
--- a/packages/core/src/role_keeper.cpp
+++ b/packages/core/src/role_keeper.cpp
@@ -12,12 +12,18 @@
 /// A deviation that is shorter than this is not acted on: entries of engines that start or leave
 /// come one after the other.
 constexpr milliseconds kSettleTime{ 400 };
-/// The lease is read again after this long while somebody else may hold it.
-constexpr milliseconds kCheckPeriod{ 1'000 };
+/// The lease is read again after this long while orders are due, and otherwise, so that a daemon
+/// that has to order knows how long the lease has been unused.
+constexpr milliseconds kCheckPeriod{ 700 };
+constexpr milliseconds kWatchPeriod{ 2'500 };
+/// Daemons that watch the lease, the one that gives orders included.
+constexpr std::size_t kLeaseWatchers = 3;
+/// How long after a write of the lease its holder may order.
+constexpr milliseconds kHold{ 1'000 };
 /// A store call without an answer is given up after this long.
 constexpr milliseconds kCallLimit{ 2'000 };
-/// The holder stops this long before its time is over; it covers the way of an order.
-constexpr milliseconds kHolderMargin{ 500 };
+/// Covers the way of the last order of the holder before.
+constexpr milliseconds kHolderMargin{ 600 };
 /// An engine whose order was not answered is ordered again no sooner than this after its change
 /// should be over.
 constexpr milliseconds kOrderAgain{ 1'500 };
@@ -89,11 +95,11 @@
 bool
 role_keeper::HoldsLease(instant aNow) const
 {
-  return mHeldFencing != 0 && aNow >= mHeldFrom && aNow < mHeldUntil;
+  return mHeldFencing != 0 && aNow < mHeldUntil;
 }
 
 std::vector<role_action>
-role_keeper::OnTick(std::span<const service_view> aServices, bool aDesignated, instant aNow)
+role_keeper::OnTick(std::span<const service_view> aServices, std::size_t aRank, instant aNow)
 {
   std::erase_if(mChanging, [&](const auto& aEntry) { return aNow >= aEntry.second; });
   std::erase_if(mNotBefore, [&](const auto& aEntry) { return aNow >= aEntry.second; });
@@ -118,16 +124,17 @@
       }
     }
   }
-  if (due.empty() || !aDesignated) {
+  if (due.empty()) {
     mWantedSince.reset();
-    return actions;
+  } else {
+    mWantedSince = mWantedSince.value_or(aNow);
   }
-  mWantedSince = mWantedSince.value_or(aNow);
-  if (aNow - *mWantedSince < kSettleTime) {
+  if (aRank >= kLeaseWatchers) {
     return actions;
   }
-  if (!HoldsLease(aNow)) {
-    if (auto action = Acquire(aNow)) {
+  const bool act = aRank == 0 && mWantedSince && aNow - *mWantedSince >= kSettleTime;
+  if (!act || !HoldsLease(aNow)) {
+    if (auto action = Acquire(act, aNow)) {
       actions.push_back(*std::move(action));
     }
     return actions;
@@ -140,29 +147,32 @@
   return actions;
 }
 
+bool
+role_keeper::MayTake(instant aNow) const
+{
+  const bool mine = mSeen && mSeen->mHolder == mSettings.mSelf && mHeldFencing == mSeen->mFencing;
+  // That there is no lease may have changed since an older read.
+  const bool none = mSeenNone && aNow - mCheckedAt < kCheckPeriod;
+  return none || mine ||
+         (mSeen && aNow - mSeenAt >= kHold + mSettings.mLease + kHolderMargin);
+}
+
 std::optional<role_action>
-role_keeper::Acquire(instant aNow)
+role_keeper::Acquire(bool aDue, instant aNow)
 {
   if (mCallOpen && aNow - mCallAt < kCallLimit) {
     return std::nullopt;
   }
-  if (mHeldFencing != 0 && aNow < mHeldFrom) {
-    return std::nullopt;
-  }
-  const bool fresh = mSeen || mSeenNone;
-  const bool mine = mSeen && mSeen->mHolder == mSettings.mSelf && mHeldFencing == mSeen->mFencing;
-  const bool lapsed = mSeenNone || mine || aNow - mSeenAt > mSettings.mLease + kHolderMargin;
-  // The lease is read once more right before it is taken from another holder.
-  const bool justRead = aNow - mCheckedAt < kCheckPeriod;
-  mCallAt = aNow;
-  if (fresh && lapsed && (justRead || mine)) {
+  if (aDue && MayTake(aNow)) {
     mCallOpen = true;
+    mCallAt = aNow;
     return write_lease{ mSeen ? mSeen->mRevision : 0, mSeen ? mSeen->mFencing + 1 : 1 };
   }
-  if (fresh && justRead) {
+  if (aNow - mCheckedAt < (aDue ? kCheckPeriod : kWatchPeriod)) {
     return std::nullopt;
   }
   mCallOpen = true;
+  mCallAt = aNow;
   return read_lease{};
 }
 
@@ -192,27 +202,19 @@
   if (!aRevision) {
     // Whether it was written is not known, or somebody else was faster: begin with a read.
     mHeldFencing = 0;
+    mHeldUntil = {};
     mSeenNone = false;
     mSeen.reset();
     mCheckedAt = {};
     return;
   }
-  const bool first = mSeenNone;
-  const bool mine = mSeen && mSeen->mHolder == mSettings.mSelf && mHeldFencing == mSeen->mFencing;
   mHeldFencing = mSeen ? mSeen->mFencing + 1 : 1;
   mSeen = order_lease{ *aRevision, mSettings.mSelf, mHeldFencing };
   mSeenNone = false;
   mSeenAt = aNow;
-  if (first || mine) {
-    // Time counts from the start of the write: others may have seen the revision since then.
-    mHeldFrom = aNow;
-    mHeldUntil = mCallAt + mSettings.mLease - kHolderMargin;
-    return;
-  }
-  // The holder before may have ordered until its time was over. Orders begin a lease time later,
-  // after a renewal that shows that nobody took the lease meanwhile.
-  mHeldFrom = aNow + mSettings.mLease + kHolderMargin;
-  mHeldUntil = {};
+  mCheckedAt = aNow;
+  // Time counts from the start of the write: others may have seen the revision since then.
+  mHeldUntil = mCallAt + kHold;
 }
 
 std::vector<role_action>
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -57,7 +57,8 @@
     ++mOwner.mOpenRequests;
     ++mOpen;
     auto serving = kj::heap<exchange>(context, aResponse, *mStream);
-    auto promise = serving->Serve(std::move(request), aBody);
+    auto promise = mOwner.mRefusing ? serving->RefuseStopping(std::move(request))
+                                    : serving->Serve(std::move(request), aBody);
     return promise.attach(kj::mv(serving), kj::defer([this] {
                             --mOwner.mOpenRequests;
                             --mOpen;
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -26,6 +26,8 @@
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
   /// Answers from now on end their connections.
   void BeginShutdown() { mClosing = true; }
+  /// Requests from now on are answered as not run.
+  void RefuseRequests() { mRefusing = true; }
   /// Closes connections that were idle for longer than the limit.
   void CloseIdle(std::chrono::milliseconds aLimit, instant aNow);
   std::size_t OpenRequests() const { return mOpenRequests; }
@@ -39,6 +41,7 @@
 
   exchange_context& mContext;
   bool mClosing = false;
+  bool mRefusing = false;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
   kj::TaskSet mTasks;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -106,6 +106,13 @@
   return ReadBody(aBody).then([this] { return Begin(); });
 }
 
+kj::Promise<void>
+exchange::RefuseStopping(forward_request aRequest)
+{
+  mRequest = std::move(aRequest);
+  return Refuse("the daemon stops", kRetryAfterRefusal);
+}
+
 kj::Promise<void>
 exchange::ReadBody(kj::AsyncInputStream& aBody)
 {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -82,6 +82,9 @@
   /// throws when the answer has to be broken off. Dropping it cancels all work.
   kj::Promise<void> Serve(forward_request aRequest, kj::AsyncInputStream& aBody);
 
+  /// Refuses the request because the daemon stops.
+  kj::Promise<void> RefuseStopping(forward_request aRequest);
+
 private:
   /// What ended the race between the work, the time limit and the caller.
   enum class race_end
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -348,8 +348,16 @@
   void ShutdownFurther(instant aNow)
   {
     const auto lasted = aNow - *mStoppingSince;
+    if (lasted >= kBalancerNotices && mFrontPort.get() != nullptr) {
+      // While most daemons of a data centre stop, the balancer sends connections to all of them.
+      // Requests that begin now might not end before the process does.
+      Log(log_level::Info, "daemon", "no longer accepts connections");
+      mAccepting = nullptr;
+      mFrontPort = nullptr;
+      mCallers.RefuseRequests();
+    }
     const bool quiet = lasted >= kBalancerNotices + kIdleWhileStopping &&
-                       mCallers.Connections() == 0;
+                       mCallers.OpenRequests() == 0;
     if (quiet || lasted >= mSettings.mShutdownGrace - kShutdownMargin) {
       mEnded.fulfiller->fulfill();
     }
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -101,7 +101,7 @@
 role_driver::OnTick(instant aNow)
 {
   const auto views = Views(aNow);
-  Carry(mKeeper.OnTick(views, mBoard.IsFirst(mSelf, aNow), aNow));
+  Carry(mKeeper.OnTick(views, mBoard.Rank(mSelf, aNow), aNow));
 }
 
 void
