--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -60,6 +60,9 @@
   std::vector<backend_work> mWork;
   std::vector<kept_part> mKept; ///< learnt lately
   std::vector<changing_backend> mChanging;
+  std::string mAddress;                 ///< where the sender receives digests
+  std::uint64_t mConfigurationSeen = 0; ///< store revision of its last news of the configuration
+  std::uint64_t mServersSeen = 0;       ///< the same of the backend servers
 };
 
 /// How a request ended at a backend server, as far as the server's health is concerned.
--- a/packages/gateway/include/skylarkwind/object_store.h
+++ b/packages/gateway/include/skylarkwind/object_store.h
@@ -60,7 +60,10 @@
 {
 public:
   virtual ~object_store() = default;
-  virtual kj::Promise<store_result<object_page>> List(std::string aKind, std::string aAfter) = 0;
+  /// With `aMayBeStale` the list may be seconds old; such a call is cheaper.
+  virtual kj::Promise<store_result<object_page>> List(std::string aKind,
+                                                      std::string aAfter,
+                                                      bool aMayBeStale) = 0;
   /// Waits for changes after revision `aFrom`, for `aWait` at most.
   virtual kj::Promise<store_result<object_changes>> Watch(std::string aKind,
                                                           std::uint64_t aFrom,
--- /dev/null
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -0,0 +1,146 @@
+#include "daemon_registry_p.h"
+
+#include "skylarkwind/http_pool.h"
+#include "skylarkwind/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace skylarkwind {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kKind = "skylarkwind-daemons";
+constexpr milliseconds kRegisterAgain{ 1'000 };
+/// Lists come quickly at first, because daemons start at about the same time, and rarely later.
+constexpr std::array kListPauses{ milliseconds{ 300 },
+                                  milliseconds{ 1'000 },
+                                  milliseconds{ 3'000 } };
+constexpr milliseconds kListPeriod{ 15'000 };
+
+} // namespace
+
+daemon_registry::daemon_registry(std::string aSelf,
+                                 std::string aAddress,
+                                 std::string aDataCentre,
+                                 object_store& aStore,
+                                 kj::Timer& aTimer,
+                                 std::uint64_t aRandomSeed,
+                                 peer_digests& aPeers)
+  : mSelf(std::move(aSelf))
+  , mAddress(std::move(aAddress))
+  , mDataCentre(std::move(aDataCentre))
+  , mStore(aStore)
+  , mTimer(aTimer)
+  , mRandom(aRandomSeed)
+  , mPeers(aPeers)
+{
+}
+
+kj::Promise<void>
+daemon_registry::Run()
+{
+  return Register().then([this] { return ListForever(); });
+}
+
+kj::Promise<void>
+daemon_registry::Register()
+{
+  return Write(std::nullopt);
+}
+
+kj::Promise<void>
+daemon_registry::Write(std::optional<std::uint64_t> aRevision)
+{
+  const nlohmann::json value{ { "address", mAddress }, { "data_centre", mDataCentre } };
+  return mStore.Write(kKind, mSelf, aRevision, value.dump())
+    .then([this](store_result<object_written> aResult) { return OnWritten(std::move(aResult)); });
+}
+
+kj::Promise<void>
+daemon_registry::OnWritten(store_result<object_written> aResult)
+{
+  if (const auto* written = std::get_if<object_written>(&aResult)) {
+    mRevision = written->mRevision;
+    return kj::READY_NOW;
+  }
+  const auto& failure = std::get<store_failure>(aResult);
+  if (failure.mCause != store_failure::cause::Conflict) {
+    Log(log_level::Warning, "peers", "registration failed reason=\"" + failure.mReason + '"');
+    return Pause(kRegisterAgain).then([this] { return Register(); });
+  }
+  // An earlier process of this VM left its object.
+  return mStore.Read(kKind, mSelf).then([this](store_result<stored_object> aRead) {
+    if (const auto* found = std::get_if<stored_object>(&aRead)) {
+      return Write(found->mRevision);
+    }
+    return Pause(kRegisterAgain).then([this] { return Register(); });
+  });
+}
+
+kj::Promise<void>
+daemon_registry::Leave()
+{
+  if (!mRevision) {
+    return kj::READY_NOW;
+  }
+  return mStore.Remove(kKind, mSelf, *mRevision).then([](store_result<object_written> aResult) {
+    if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+      Log(log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
+    }
+  });
+}
+
+kj::Promise<void>
+daemon_registry::Pause(milliseconds aTime)
+{
+  // Spread over the last quarter, so that daemons that start together do not call together.
+  std::uniform_int_distribution<std::int64_t> part{ aTime.count() * 3 / 4, aTime.count() };
+  return mTimer.afterDelay(ToKj(milliseconds{ part(mRandom) }));
+}
+
+kj::Promise<void>
+daemon_registry::ListForever()
+{
+  const auto pause = mLists < kListPauses.size() ? kListPauses[mLists] : kListPeriod;
+  ++mLists;
+  return Pause(pause).then([this] { return ListPage({}); }).then([this] { return ListForever(); });
+}
+
+kj::Promise<void>
+daemon_registry::ListPage(std::string aAfter)
+{
+  return mStore.List(kKind, std::move(aAfter), true)
+    .then([this](store_result<object_page> aResult) -> kj::Promise<void> {
+      const auto* page = std::get_if<object_page>(&aResult);
+      if (page == nullptr) {
+        Log(log_level::Debug, "peers", "the list of daemons could not be read");
+        return kj::READY_NOW;
+      }
+      for (const auto& object : page->mObjects) {
+        const auto value = nlohmann::json::parse(object.mValue, nullptr, false);
+        if (object.mName != mSelf && value.is_object() && value.contains("address") &&
+            value["address"].is_string()) {
+          mPeers.SetPeer(object.mName, value["address"].get<std::string>());
+        }
+      }
+      if (!page->mMore || page->mObjects.empty()) {
+        return kj::READY_NOW;
+      }
+      return ListPage(page->mObjects.back().mName);
+    });
+}
+
+void
+daemon_registry::OnDigest(const work_digest& aDigest)
+{
+  if (aDigest.mSender != mSelf && !aDigest.mAddress.empty()) {
+    mPeers.SetPeer(aDigest.mSender, aDigest.mAddress);
+  }
+}
+
+} // namespace skylarkwind
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,10 +1,12 @@
 #include "skylarkwind/gateway.h"
 
 #include "caller_listener_p.h"
+#include "daemon_registry_p.h"
 #include "peer_digests_p.h"
 #include "role_driver_p.h"
 #include "store_follower_p.h"
 
+#include "skylarkwind/hash.h"
 #include "skylarkwind/log.h"
 
 #include <kj/async-unix.h>
@@ -21,8 +23,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{ 50 };
-/// The kind of the objects under which daemons find one another.
-constexpr const char* kDaemonKind = "skylarkwind-daemons";
+/// Daemons that use short watches, so that they notice connections that have gone silent. The
+/// others learn from their digests that they have missed a change.
+constexpr std::size_t kShortWatchers = 3;
+constexpr milliseconds kLongWatch{ 25'000 };
 /// Digests are sent at most this often, and at least this often while there is work.
 constexpr milliseconds kDigestPeriod{ 50 };
 constexpr milliseconds kDigestAtLeast{ 500 };
@@ -77,9 +81,8 @@
                *mStore, mTimer, mClock,
                [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
                [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); })
-    , mDaemons(Follow(kDaemonKind), *mStore, mTimer, mClock,
-               [this](const auto& aObjects, bool) { OnDaemons(aObjects); },
-               [this](const object_change& aChange, bool) { OnDaemon(aChange); })
+    , mRegistry(mSettings.mVm, mSettings.mPeerAddress, mSettings.mDataCentre, *mStore, mTimer,
+                RandomSeed(), mPeers)
   {
   }
 
@@ -97,8 +100,7 @@
     mTasks.add(mPeers.Run(mSettings.mPeerAddress));
     mTasks.add(mConfigurations.Run());
     mTasks.add(mServers.Run());
-    mTasks.add(mDaemons.Run());
-    mTasks.add(Register());
+    mTasks.add(mRegistry.Run());
     mTasks.add(TickForever());
     mTasks.add(mContext.unixEventPort.onSignal(SIGTERM).then([this](siginfo_t) {
       BeginShutdown();
@@ -137,9 +139,14 @@
     store_follower_settings settings;
     settings.mKind = std::move(aKind);
     settings.mWatch = mSettings.mContact;
-    settings.mRandomSeed = static_cast<std::uint64_t>(mClock.Now().time_since_epoch().count());
+    settings.mRandomSeed = RandomSeed();
     return settings;
   }
+  std::uint64_t RandomSeed() const
+  {
+    return Hash64(mSettings.mVm) ^
+           static_cast<std::uint64_t>(mClock.Now().time_since_epoch().count());
+  }
 
   void OnConfigurations(const std::vector<stored_object>& aObjects)
   {
@@ -229,55 +236,6 @@
     }
   }
 
-  void OnDaemons(const std::vector<stored_object>& aObjects)
-  {
-    for (const auto& object : aObjects) {
-      OnDaemon({ object, false });
-    }
-  }
-
-  void OnDaemon(const object_change& aChange)
-  {
-    const auto& name = aChange.mObject.mName;
-    if (name == mSettings.mVm) {
-      return;
-    }
-    const auto value = nlohmann::json::parse(aChange.mObject.mValue, nullptr, false);
-    if (aChange.mRemoved || !value.is_object() || !value.contains("address")) {
-      mPeers.RemovePeer(name);
-      return;
-    }
-    mPeers.SetPeer(name, value["address"].get<std::string>());
-  }
-
-  /// Makes this daemon known to the others.
-  kj::Promise<void> Register()
-  {
-    const nlohmann::json value{ { "address", mSettings.mPeerAddress },
-                                { "data_centre", mSettings.mDataCentre } };
-    return mStore->Read(kDaemonKind, mSettings.mVm)
-      .then([this, text = value.dump()](
-              store_result<stored_object> aResult) -> kj::Promise<store_result<object_written>> {
-        std::optional<std::uint64_t> revision;
-        if (const auto* found = std::get_if<stored_object>(&aResult)) {
-          revision = found->mRevision;
-        } else if (std::get<store_failure>(aResult).mCause != store_failure::cause::Missing) {
-          return store_result<object_written>{ std::get<store_failure>(aResult) };
-        }
-        return mStore->Write(kDaemonKind, mSettings.mVm, revision, text);
-      })
-      .then([this](store_result<object_written> aResult) -> kj::Promise<void> {
-        if (const auto* written = std::get_if<object_written>(&aResult)) {
-          mRegistered = written->mRevision;
-          return kj::READY_NOW;
-        }
-        Log(log_level::Warning,
-            "store",
-            "registration failed reason=\"" + std::get<store_failure>(aResult).mReason + '"');
-        return mTimer.afterDelay(ToKj(kRegisterAgain)).then([this] { return Register(); });
-      });
-  }
-
   kj::Promise<void> TickForever()
   {
     return mTimer.afterDelay(ToKj(kTick)).then([this] {
@@ -299,6 +257,9 @@
     if (!mStoppingSince && aNow >= mNextRoles) {
       mNextRoles = aNow + kRolePeriod;
       mRoles.OnTick(aNow);
+      const bool shortWatch = mBoard.Rank(mSettings.mVm, aNow) < kShortWatchers;
+      mConfigurations.SetWatch(shortWatch ? mSettings.mContact : kLongWatch);
+      mServers.SetWatch(shortWatch ? mSettings.mContact : kLongWatch);
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
       mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
@@ -312,6 +273,9 @@
   void OnDigest(const work_digest& aDigest)
   {
     mBoard.OnDigest(aDigest, mClock.Now());
+    mRegistry.OnDigest(aDigest);
+    mConfigurations.OnNewsElsewhere(aDigest.mConfigurationSeen);
+    mServers.OnNewsElsewhere(aDigest.mServersSeen);
     if (!aDigest.mKept.empty()) {
       mParts.Fire();
     }
@@ -326,7 +290,11 @@
                                         : aNow - mDigestAt >= std::max(kDigestAtLeast, period);
     if (due) {
       mDigestAt = aNow;
-      mPeers.Send(mBoard.Digest(mSettings.mVm, aNow), mTasks);
+      auto digest = mBoard.Digest(mSettings.mVm, aNow);
+      digest.mAddress = mSettings.mPeerAddress;
+      digest.mConfigurationSeen = mConfigurations.LastChange();
+      digest.mServersSeen = mServers.LastChange();
+      mPeers.Send(digest, mTasks);
     }
   }
 
@@ -335,14 +303,7 @@
     Log(log_level::Info, "daemon", "shutdown requested vm=" + mSettings.mVm);
     mStoppingSince = mClock.Now();
     mCallers.BeginShutdown();
-    if (mRegistered) {
-      mTasks.add(mStore->Remove(kDaemonKind, mSettings.mVm, *mRegistered)
-                   .then([](store_result<object_written> aResult) {
-                     if (const auto* failure = std::get_if<store_failure>(&aResult)) {
-                       Log(log_level::Warning, "store", "deregistration: " + failure->mReason);
-                     }
-                   }));
-    }
+    mTasks.add(mRegistry.Leave());
   }
 
   void ShutdownFurther(instant aNow)
@@ -404,8 +365,6 @@
     Log(log_level::Error, "daemon", aError.getDescription().cStr());
   }
 
-  static constexpr milliseconds kRegisterAgain{ 700 };
-
   gateway_settings mSettings;
   deployment_adapter mAdapter;
   kj::AsyncIoContext& mContext;
@@ -430,12 +389,11 @@
   kj::HttpServer mReadyServer;
   store_follower mConfigurations;
   store_follower mServers;
-  store_follower mDaemons;
+  daemon_registry mRegistry;
   kj::Own<kj::ConnectionReceiver> mFrontPort;
   kj::Own<kj::ConnectionReceiver> mReadyPort;
   kj::Promise<void> mAccepting = nullptr;
   kj::PromiseFulfillerPair<void> mEnded = kj::newPromiseAndFulfiller<void>();
-  std::optional<std::uint64_t> mRegistered; ///< revision of this daemon's object
   std::optional<instant> mStoppingSince;
   instant mDigestAt{};
   instant mNextRoles{};
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -36,7 +36,8 @@
     changing.push_back({ entry.mBackendId, entry.mLeftMs });
   }
   const json digest = {
-    aDigest.mSender, aDigest.mSequence, std::move(work), std::move(kept), std::move(changing)
+    aDigest.mSender,    aDigest.mSequence,          std::move(work),     std::move(kept),
+    std::move(changing), aDigest.mAddress, aDigest.mConfigurationSeen, aDigest.mServersSeen
   };
   std::string bytes;
   json::to_cbor(digest, bytes);
@@ -66,6 +67,9 @@
       digest.mChanging.push_back(
         { entry.at(0).get<std::string>(), entry.at(1).get<std::uint32_t>() });
     }
+    digest.mAddress = parsed.at(5).get<std::string>();
+    digest.mConfigurationSeen = parsed.at(6).get<std::uint64_t>();
+    digest.mServersSeen = parsed.at(7).get<std::uint64_t>();
     return digest;
   } catch (const json::exception&) {
     // Datagrams of other programs may reach the port; the receiver counts and drops them.
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -33,14 +33,35 @@
 kj::Promise<void>
 store_follower::Run()
 {
-  return (mNeedList ? List() : Watch()).then([this] { return Run(); });
+  auto interrupt = kj::newPromiseAndFulfiller<void>();
+  mInterrupt = kj::mv(interrupt.fulfiller);
+  return Step().exclusiveJoin(kj::mv(interrupt.promise)).then([this] { return Run(); });
+}
+
+kj::Promise<void>
+store_follower::Step()
+{
+  return mNeedList ? List() : Watch();
+}
+
+void
+store_follower::OnNewsElsewhere(std::uint64_t aRevision)
+{
+  if (aRevision <= mAt || aRevision <= mToldOf) {
+    return;
+  }
+  mToldOf = aRevision;
+  mItems.clear();
+  KJ_IF_MAYBE (interrupt, mInterrupt) {
+    (*interrupt)->fulfill();
+  }
 }
 
 kj::Promise<void>
 store_follower::List()
 {
   const std::string after = mItems.empty() ? std::string{} : mItems.back().mName;
-  return mStore.List(mSettings.mKind, after).then([this](store_result<object_page> aResult) {
+  return mStore.List(mSettings.mKind, after, false).then([this](store_result<object_page> aResult) {
     return OnPage(std::move(aResult));
   });
 }
@@ -64,6 +85,7 @@
     return List();
   }
   mAt = mListedAt;
+  mLastChange = std::max(mLastChange, mListedAt);
   mNeedList = false;
   mListed = true;
   mOnList(mItems, AfterOutage());
@@ -87,10 +109,14 @@
       const auto& changes = std::get<object_changes>(aResult);
       OnSuccess();
       mAt = std::max(mAt, changes.mAt);
+      if (changes.mChanges.empty()) {
+        return kj::READY_NOW;
+      }
+      mLastChange = mAt;
       for (const auto& change : changes.mChanges) {
         mOnChange(change, AfterOutage());
       }
-      return kj::READY_NOW;
+      return mTimer.afterDelay(ToKj(mSettings.mCoalesce));
     });
 }
 
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -18,8 +18,11 @@
 struct store_follower_settings
 {
   std::string mKind;
-  /// Longest time of one watch. A watch whose connection has gone silent is noticed after it.
+  /// Longest time of one watch. A watch whose connection has gone silent is noticed after it, or
+  /// when another daemon tells of news that did not come.
   std::chrono::milliseconds mWatch{ 3'000 };
+  /// Pause after changes, so that a series of them takes few calls.
+  std::chrono::milliseconds mCoalesce{ 150 };
   std::chrono::milliseconds mFirstPause{ 50 };
   std::chrono::milliseconds mLongestPause{ 1'000 };
   /// An outage of at least this length may have let entries of live servers lapse.
@@ -45,11 +48,19 @@
   /// Runs until it is dropped.
   kj::Promise<void> Run();
   bool Listed() const { return mListed; }
+  /// For the watches from the next one on.
+  void SetWatch(std::chrono::milliseconds aWatch) { mSettings.mWatch = aWatch; }
+  /// The store's revision with the last change that was seen.
+  std::uint64_t LastChange() const { return mLastChange; }
+  /// Another daemon has seen a change at this revision. Begins the open call again if that is news,
+  /// once for each revision.
+  void OnNewsElsewhere(std::uint64_t aRevision);
   /// Last time that the store answered.
   instant LastAnswer() const { return mLastAnswer; }
   bool InOutage() const { return mOutageSince != instant{}; }
 
 private:
+  kj::Promise<void> Step();
   kj::Promise<void> List();
   kj::Promise<void> OnPage(store_result<object_page> aResult);
   kj::Promise<void> Watch();
@@ -66,6 +77,9 @@
   std::vector<stored_object> mItems; ///< of a list that is not complete
   std::uint64_t mListedAt = 0;       ///< revision of the first page
   std::uint64_t mAt = 0;
+  std::uint64_t mLastChange = 0;
+  std::uint64_t mToldOf = 0; ///< revision of the last news from elsewhere
+  kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
   bool mNeedList = true;
   bool mListed = false;
   instant mLastAnswer{};
