Coalesce series of changes; ask again only for news that stays out for a second

Cause: starts of engines came one by one, and the revisions in digests differ between daemons for the same change.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -139,6 +139,8 @@
     store_follower_settings settings;
     settings.mKind = std::move(aKind);
     settings.mWatch = mSettings.mContact;
+    // Pauses take a part of the bounds; the rest is for the call and for a slow start of it.
+    settings.mCoalesceMost = std::min(mSettings.mDrainWithin, mSettings.mConfigurationWithin) / 4;
     settings.mRandomSeed = RandomSeed();
     return settings;
   }
@@ -249,6 +251,8 @@
     mDirectory.OnTick(aNow);
     mPool.OnTick(aNow);
     mStorePool.OnTick(aNow);
+    mConfigurations.OnTick(aNow);
+    mServers.OnTick(aNow);
     const auto& configuration = mRoutes.Current();
     const auto idle = configuration ? configuration->mLimits.mIdleTime : caller_limits{}.mIdleTime;
     const bool closing = mStoppingSince && aNow - *mStoppingSince >= kBalancerNotices;
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -51,6 +51,23 @@
     return;
   }
   mToldOf = aRevision;
+  mToldAt = mToldAt.value_or(mClock.Now());
+}
+
+void
+store_follower::OnTick(instant aNow)
+{
+  if (!mToldAt) {
+    return;
+  }
+  if (mAt >= mToldOf) {
+    mToldAt.reset();
+    return;
+  }
+  if (aNow - *mToldAt < mSettings.mNewsWithin) {
+    return;
+  }
+  mToldAt.reset();
   mItems.clear();
   KJ_IF_MAYBE (interrupt, mInterrupt) {
     (*interrupt)->fulfill();
@@ -110,13 +127,16 @@
       OnSuccess();
       mAt = std::max(mAt, changes.mAt);
       if (changes.mChanges.empty()) {
+        mBusyWatches = 0;
         return kj::READY_NOW;
       }
       mLastChange = mAt;
       for (const auto& change : changes.mChanges) {
         mOnChange(change, AfterOutage());
       }
-      return mTimer.afterDelay(ToKj(mSettings.mCoalesce));
+      const auto doublings = std::min<std::uint32_t>(mBusyWatches++, 4);
+      return mTimer.afterDelay(
+        ToKj(std::min(mSettings.mCoalesceMost, mSettings.mCoalesce * (1U << doublings))));
     });
 }
 
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -21,8 +21,12 @@
   /// Longest time of one watch. A watch whose connection has gone silent is noticed after it, or
   /// when another daemon tells of news that did not come.
   std::chrono::milliseconds mWatch{ 3'000 };
-  /// Pause after changes, so that a series of them takes few calls.
-  std::chrono::milliseconds mCoalesce{ 150 };
+  /// Pause after a change, which doubles up to the second value while changes go on, so that a
+  /// series of them takes few calls.
+  std::chrono::milliseconds mCoalesce{ 100 };
+  std::chrono::milliseconds mCoalesceMost{ 500 };
+  /// News elsewhere that has not come here within this time makes the open call begin again.
+  std::chrono::milliseconds mNewsWithin{ 1'000 };
   std::chrono::milliseconds mFirstPause{ 50 };
   std::chrono::milliseconds mLongestPause{ 1'000 };
   /// An outage of at least this length may have let entries of live servers lapse.
@@ -52,9 +56,10 @@
   void SetWatch(std::chrono::milliseconds aWatch) { mSettings.mWatch = aWatch; }
   /// The store's revision with the last change that was seen.
   std::uint64_t LastChange() const { return mLastChange; }
-  /// Another daemon has seen a change at this revision. Begins the open call again if that is news,
-  /// once for each revision.
+  /// Another daemon has seen a change at this revision.
   void OnNewsElsewhere(std::uint64_t aRevision);
+  /// Begins the open call again, once for each news elsewhere that did not come here in time.
+  void OnTick(instant aNow);
   /// Last time that the store answered.
   instant LastAnswer() const { return mLastAnswer; }
   bool InOutage() const { return mOutageSince != instant{}; }
@@ -79,6 +84,8 @@
   std::uint64_t mAt = 0;
   std::uint64_t mLastChange = 0;
   std::uint64_t mToldOf = 0; ///< revision of the last news from elsewhere
+  std::optional<instant> mToldAt; ///< empty when it has come or was acted on
+  std::uint32_t mBusyWatches = 0; ///< watches in a row that brought changes
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
   bool mNeedList = true;
   bool mListed = false;
