--- /dev/null
+++ b/packages/core/tests/backend_directory_test.cpp
@@ -0,0 +1,93 @@
+#include "skylarkwind/backend_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class backend_directory_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(backend_directory_test);
+  CPPUNIT_TEST(DrainingServerGetsNoNewWork);
+  CPPUNIT_TEST(RemovedServerIsGoneAtOnce);
+  CPPUNIT_TEST(LapsedEntryStaysForTheGracePeriodOnly);
+  CPPUNIT_TEST(DrainingServerHasNoGracePeriod);
+  CPPUNIT_TEST(EntryThatComesBackStays);
+  CPPUNIT_TEST_SUITE_END();
+
+  instant mNow{ seconds{ 100 } };
+
+  static backend_server Server(std::string aId, bool aDraining = false)
+  {
+    backend_server server;
+    server.mId = std::move(aId);
+    server.mService = "s";
+    server.mDraining = aDraining;
+    return server;
+  }
+  static backend_directory Directory()
+  {
+    backend_directory directory{ { milliseconds{ 1'500 } } };
+    directory.Upsert(Server("a"));
+    directory.Upsert(Server("b"));
+    return directory;
+  }
+
+  void DrainingServerGetsNoNewWork()
+  {
+    auto directory = Directory();
+    directory.Upsert(Server("a", true));
+    const auto usable = directory.Usable("s");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, usable.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{ "b" }, usable[0]->mId);
+    CPPUNIT_ASSERT(directory.Usable("t").empty());
+  }
+
+  /// Guards against requests to a server that left without a word, more than the bound after it.
+  void RemovedServerIsGoneAtOnce()
+  {
+    auto directory = Directory();
+    directory.Remove("a", false, mNow);
+    CPPUNIT_ASSERT(directory.Find("a") == nullptr);
+  }
+
+  /// Guards against a fleet that is emptied because the store was away for longer than an entry
+  /// lives, and against one that keeps dead servers after that.
+  void LapsedEntryStaysForTheGracePeriodOnly()
+  {
+    auto directory = Directory();
+    const std::array listed{ Server("b") };
+    directory.Replace(listed, true, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, directory.Usable("s").size());
+    directory.OnTick(mNow + milliseconds{ 1'400 });
+    CPPUNIT_ASSERT(directory.Find("a") != nullptr);
+    directory.OnTick(mNow + milliseconds{ 1'500 });
+    CPPUNIT_ASSERT(directory.Find("a") == nullptr);
+    CPPUNIT_ASSERT(directory.Find("b") != nullptr);
+  }
+
+  void DrainingServerHasNoGracePeriod()
+  {
+    auto directory = Directory();
+    directory.Upsert(Server("a", true));
+    directory.Remove("a", true, mNow);
+    CPPUNIT_ASSERT(directory.Find("a") == nullptr);
+  }
+
+  void EntryThatComesBackStays()
+  {
+    auto directory = Directory();
+    directory.Remove("a", true, mNow);
+    directory.Upsert(Server("a"));
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT(directory.Find("a") != nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_directory_test);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/tests/event_splitter_test.cpp
@@ -0,0 +1,66 @@
+#include "skylarkwind/event_splitter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace skylarkwind {
+
+class event_splitter_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(event_splitter_test);
+  CPPUNIT_TEST(PartsDoNotChangeWhatIsPassedOn);
+  CPPUNIT_TEST(IncompleteEventIsKeptBack);
+  CPPUNIT_TEST(IdIsThatOfTheLastWholeEvent);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against bytes that are lost, doubled or reordered when events arrive in odd parts.
+  void PartsDoNotChangeWhatIsPassedOn()
+  {
+    const bool holds = rc::check("any parts give the same bytes", [] {
+      std::string stream;
+      const auto events = *rc::gen::inRange(0, 12);
+      for (int id = 1; id <= events; ++id) {
+        const bool returns = *rc::gen::arbitrary<bool>();
+        const std::string end = returns ? "\r\n" : "\n";
+        stream += "id: " + std::to_string(id) + end + "data: some text" + end + end;
+      }
+      event_splitter splitter;
+      std::string passed;
+      std::size_t at = 0;
+      while (at < stream.size()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+        const auto part = stream.substr(at, size);
+        passed += splitter.Feed(part);
+        at += part.size();
+      }
+      RC_ASSERT(passed == stream);
+      RC_ASSERT(splitter.Events() == static_cast<std::size_t>(events));
+      RC_ASSERT(splitter.LastId() == (events == 0 ? "" : std::to_string(events)));
+      RC_ASSERT(splitter.Rest().empty());
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  /// Guards against a resumed stream that repeats the start of an event.
+  void IncompleteEventIsKeptBack()
+  {
+    event_splitter splitter;
+    CPPUNIT_ASSERT_EQUAL(std::string{ "id: 1\ndata: a\n\n" },
+                         std::string{ splitter.Feed("id: 1\ndata: a\n\nid: 2\nda") });
+    CPPUNIT_ASSERT_EQUAL(std::string{ "id: 2\nda" }, std::string{ splitter.Rest() });
+    splitter.DropRest();
+    CPPUNIT_ASSERT_EQUAL(std::string{ "id: 2\ndata: b\n\n" },
+                         std::string{ splitter.Feed("id: 2\ndata: b\n\n") });
+  }
+
+  void IdIsThatOfTheLastWholeEvent()
+  {
+    event_splitter splitter;
+    splitter.Feed("id:7\n\nid: 9\ndata: x");
+    CPPUNIT_ASSERT_EQUAL(std::string{ "7" }, splitter.LastId());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(event_splitter_test);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/tests/placement_test.cpp
@@ -0,0 +1,262 @@
+#include "skylarkwind/placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The figures are those of the operators' sheets: prompts of 17,000 tokens of which 13,300 are
+/// shared, first events within 600 ms, pauses up to 200 ms.
+class placement_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(placement_test);
+  CPPUNIT_TEST(PromptsGoToPrefillEnginesAndStreamsToDecodeEngines);
+  CPPUNIT_TEST(KeptPartIsUsedWhereItIs);
+  CPPUNIT_TEST(BusyHolderIsLeftAndThePartFetched);
+  CPPUNIT_TEST(NewPartIsComputedOnce);
+  CPPUNIT_TEST(LongPromptDoesNotHoldUpRunningStreams);
+  CPPUNIT_TEST(HopelessRequestIsRefusedAtOnce);
+  CPPUNIT_TEST(RetryAfterGrowsWithTheBacklog);
+  CPPUNIT_TEST(BurstSpreadsOverAllPrefillEngines);
+  CPPUNIT_TEST(NoDecodeEngineMeansNoPlacement);
+  CPPUNIT_TEST(PlainRequestsSpreadOverServers);
+  CPPUNIT_TEST(OwnDataCentreIsPreferredAtEqualLoad);
+  CPPUNIT_TEST(FailingServerIsAvoided);
+  CPPUNIT_TEST_SUITE_END();
+
+  instant mNow{ seconds{ 100 } };
+  std::vector<backend_server> mServers;
+  forward_route mRoute;
+  forward_service mService;
+  std::unique_ptr<backend_board> mBoard;
+  std::unique_ptr<placer> mPlacer;
+
+public:
+  void setUp() override
+  {
+    mServers.clear();
+    mBoard = std::make_unique<backend_board>(backend_board_settings{});
+    for (int i = 0; i < 6; ++i) {
+      AddEngine("p" + std::to_string(i), engine_role::Prefill);
+    }
+    for (int i = 0; i < 3; ++i) {
+      AddEngine("d" + std::to_string(i), engine_role::Decode);
+    }
+    mRoute.mKind = route_kind::Streaming;
+    mRoute.mTarget = milliseconds{ 600 };
+    mRoute.mMaxGap = milliseconds{ 200 };
+    mService.mName = "s";
+    mService.mEngine = engine_traits{};
+    mService.mEngine->mSlots = 64;
+    mService.mEngine->mKvTokens = 470'000;
+    mService.mEngine->mTokensEachEvent = 6;
+    mService.mEngine->mKvBytesEach = 327'680;
+    mService.mEngine->mLinkMegabits = 3'200'000;
+    placement_settings settings;
+    settings.mDataCentre = "a";
+    mPlacer = std::make_unique<placer>(settings, *mBoard);
+  }
+
+private:
+  void AddEngine(const std::string& aId, engine_role aRole)
+  {
+    backend_server server;
+    server.mId = aId;
+    server.mService = "s";
+    server.mDataCentre = "a";
+    server.mRole = aRole;
+    mServers.push_back(server);
+    mBoard->SetCapacity(aId, 470'000);
+  }
+
+  static generation_shape Shape(std::uint64_t aPart, std::uint32_t aOwn = 3'720)
+  {
+    generation_shape shape;
+    shape.mParts = { { aPart, 13'300 }, { aPart + 1'000'000, aOwn } };
+    shape.mPromptTokens = 13'300 + aOwn;
+    shape.mOutputTokens = 120;
+    return shape;
+  }
+
+  placement_result Place(const generation_shape* aShape, bool aMayWait = true)
+  {
+    std::vector<const backend_server*> usable;
+    for (const auto& server : mServers) {
+      usable.push_back(&server);
+    }
+    placement_query query;
+    query.mRoute = &mRoute;
+    query.mService = &mService;
+    query.mGeneration = aShape;
+    query.mServers = usable;
+    query.mTimeLeft = seconds{ 8 };
+    query.mMayWait = aMayWait;
+    return mPlacer->Place(query, mNow);
+  }
+
+  placement Placed(const generation_shape& aShape)
+  {
+    const auto result = Place(&aShape);
+    CPPUNIT_ASSERT(std::holds_alternative<placement>(result));
+    return std::get<placement>(result);
+  }
+
+  void PromptsGoToPrefillEnginesAndStreamsToDecodeEngines()
+  {
+    const auto placed = Placed(Shape(1));
+    CPPUNIT_ASSERT(placed.mPrefill != nullptr && placed.mPrefill->mRole == engine_role::Prefill);
+    CPPUNIT_ASSERT(placed.mTarget->mRole == engine_role::Decode);
+  }
+
+  void KeptPartIsUsedWhereItIs()
+  {
+    const auto shape = Shape(1);
+    mBoard->OnKept("p3", shape.mParts, mNow);
+    const auto placed = Placed(shape);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "p3" }, placed.mPrefill->mId);
+    CPPUNIT_ASSERT_EQUAL(3'720U, placed.mComputeTokens);
+    CPPUNIT_ASSERT(placed.mFetchFrom == nullptr);
+  }
+
+  /// Guards against a hot part that makes all its requests wait for one engine.
+  void BusyHolderIsLeftAndThePartFetched()
+  {
+    const auto shape = Shape(1);
+    mBoard->OnKept("p3", shape.mParts, mNow);
+    mBoard->Begin("p3", 40'000, seconds{ 1 }, mNow);
+    const auto placed = Placed(shape);
+    CPPUNIT_ASSERT(placed.mPrefill->mId != "p3");
+    CPPUNIT_ASSERT(placed.mFetchFrom != nullptr && placed.mFetchFrom->mId == "p3");
+    CPPUNIT_ASSERT_EQUAL(3'720U, placed.mComputeTokens);
+  }
+
+  /// Guards against a burst for a new part that reads it again on every engine.
+  void NewPartIsComputedOnce()
+  {
+    const auto shape = Shape(1);
+    const auto first = Placed(shape);
+    mBoard->OnComing(first.mPrefill->mId, shape.mParts, milliseconds{ 400 }, mNow);
+    const auto second = Place(&shape);
+    CPPUNIT_ASSERT(std::holds_alternative<await_parts>(second));
+    CPPUNIT_ASSERT(std::get<await_parts>(second).mReadyAt == mNow + milliseconds{ 400 });
+    CPPUNIT_ASSERT(std::holds_alternative<placement>(Place(&shape, false)));
+  }
+
+  /// Guards against streams whose pauses grow because a decode engine reads a long prompt.
+  void LongPromptDoesNotHoldUpRunningStreams()
+  {
+    for (const auto* id : { "d0", "d1", "d2" }) {
+      for (int i = 0; i < 10; ++i) {
+        mBoard->Begin(id, 0, {}, mNow);
+      }
+    }
+    for (const auto* id : { "p0", "p1", "p2", "p3", "p4", "p5" }) {
+      mBoard->Begin(id, 20'000, milliseconds{ 400 }, mNow);
+    }
+    CPPUNIT_ASSERT(Placed(Shape(1)).mPrefill != nullptr);
+  }
+
+  /// Guards against work that is held although its caller will have left before the first event.
+  void HopelessRequestIsRefusedAtOnce()
+  {
+    for (const auto& server : mServers) {
+      mBoard->Begin(server.mId, 200'000, seconds{ 4 }, mNow);
+    }
+    const auto shape = Shape(1);
+    const auto result = Place(&shape);
+    CPPUNIT_ASSERT(std::holds_alternative<no_placement>(result));
+    CPPUNIT_ASSERT(std::get<no_placement>(result).mRetryAfter >= milliseconds{ 200 });
+  }
+
+  void RetryAfterGrowsWithTheBacklog()
+  {
+    const auto shape = Shape(1);
+    milliseconds before{ 0 };
+    for (int round = 0; round < 2; ++round) {
+      for (const auto& server : mServers) {
+        mBoard->Begin(server.mId, 250'000, seconds{ 5 }, mNow);
+      }
+      const auto after = std::get<no_placement>(Place(&shape)).mRetryAfter;
+      CPPUNIT_ASSERT(after > before);
+      before = after;
+    }
+  }
+
+  /// A burst of different prompts: no prefill engine gets more than twice the mean.
+  void BurstSpreadsOverAllPrefillEngines()
+  {
+    std::map<std::string, int> counts;
+    for (std::uint64_t part = 1; part <= 60; ++part) {
+      const auto shape = Shape(part);
+      const auto result = Place(&shape);
+      if (const auto* placed = std::get_if<placement>(&result)) {
+        const auto& engine = placed->mPrefill != nullptr ? *placed->mPrefill : *placed->mTarget;
+        mBoard->Begin(engine.mId, placed->mComputeTokens, placed->mPrefillTime, mNow);
+        ++counts[engine.mId];
+      }
+    }
+    int sum = 0;
+    int most = 0;
+    std::set<std::string> used;
+    for (const auto& [id, count] : counts) {
+      if (id.starts_with('p')) {
+        sum += count;
+        most = std::max(most, count);
+        used.insert(id);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, used.size());
+    CPPUNIT_ASSERT(most * 6 <= 2 * sum);
+  }
+
+  void NoDecodeEngineMeansNoPlacement()
+  {
+    std::erase_if(mServers, [](const auto& aServer) { return aServer.mRole == engine_role::Decode; });
+    const auto shape = Shape(1);
+    CPPUNIT_ASSERT(std::holds_alternative<no_placement>(Place(&shape)));
+  }
+
+  void PlainRequestsSpreadOverServers()
+  {
+    mService.mEngine.reset();
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 90; ++i) {
+      const auto placed = std::get<placement>(Place(nullptr));
+      mBoard->Begin(placed.mTarget->mId, 0, {}, mNow);
+      ++counts[placed.mTarget->mId];
+    }
+    for (const auto& [id, count] : counts) {
+      CPPUNIT_ASSERT_EQUAL(10, count);
+    }
+  }
+
+  void OwnDataCentreIsPreferredAtEqualLoad()
+  {
+    mService.mEngine.reset();
+    for (auto& server : mServers) {
+      server.mDataCentre = server.mId == "d1" ? "a" : "b";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string{ "d1" }, std::get<placement>(Place(nullptr)).mTarget->mId);
+  }
+
+  /// Guards against a server that fails a part of its requests while its health check is good.
+  void FailingServerIsAvoided()
+  {
+    mService.mEngine.reset();
+    for (int i = 0; i < 2; ++i) {
+      mBoard->End(mBoard->Begin("d0", 0, {}, mNow), backend_outcome::Failed, mNow);
+    }
+    for (int i = 0; i < 30; ++i) {
+      CPPUNIT_ASSERT(std::get<placement>(Place(nullptr)).mTarget->mId != "d0");
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/core/tests/repeat_allowance_test.cpp
@@ -0,0 +1,67 @@
+#include "skylarkwind/repeat_allowance.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class repeat_allowance_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(repeat_allowance_test);
+  CPPUNIT_TEST(AllDaemonsTogetherKeepTheBound);
+  CPPUNIT_TEST(UnknownServiceGrantsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guards against a storm of repeats: in any window, over any schedule of requests and repeats
+  /// at several daemons, the sum stays within ratio x requests + floor.
+  void AllDaemonsTogetherKeepTheBound()
+  {
+    const bool holds = rc::check("repeats stay within the bound", [] {
+      const auto daemons = *rc::gen::inRange<std::size_t>(1, 8);
+      const repeat_allowance_settings settings{ 0.2, 52, seconds{ 10 } };
+      std::vector<repeat_allowance> allowances(daemons, repeat_allowance{ settings });
+      std::vector<instant> requests;
+      std::vector<instant> repeats;
+      instant now{ seconds{ 1'000 } };
+      const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        400, rc::gen::pair(rc::gen::inRange(0, 200), rc::gen::inRange(0, 100)));
+      for (const auto& [pause, choice] : steps) {
+        now += milliseconds{ pause };
+        auto& allowance = allowances[static_cast<std::size_t>(choice) % daemons];
+        if (choice < 50) {
+          allowance.OnRequest("s", now);
+          requests.push_back(now);
+        } else if (allowance.TryTake("s", static_cast<std::uint32_t>(daemons), now)) {
+          repeats.push_back(now);
+        }
+      }
+      for (const auto end : repeats) {
+        const auto within = [&](instant aTime) {
+          return aTime <= end && aTime + settings.mWindow >= end;
+        };
+        const auto taken = std::count_if(repeats.begin(), repeats.end(), within);
+        const auto asked = std::count_if(requests.begin(), requests.end(), within);
+        RC_ASSERT(static_cast<double>(taken) <=
+                  settings.mRatio * static_cast<double>(asked) + settings.mFloor);
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void UnknownServiceGrantsNothing()
+  {
+    repeat_allowance allowance{ { 0.2, 52, seconds{ 10 } } };
+    CPPUNIT_ASSERT(!allowance.TryTake("s", 1, instant{ seconds{ 1 } }));
+    allowance.OnRequest("s", instant{ seconds{ 1 } });
+    CPPUNIT_ASSERT(allowance.TryTake("s", 1, instant{ seconds{ 1 } }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(repeat_allowance_test);
+
+} // namespace skylarkwind
