--- a/packages/base/include/skylarkwind/log.h
+++ b/packages/base/include/skylarkwind/log.h
@@ -18,13 +18,22 @@
   JsonLines
 };
 
+enum class log_output
+{
+  StandardError,
+  /// Lines that the reader does not take at once, or that exceed a rate, are dropped and counted, so
+  /// that logging never holds up the program.
+  StandardOutputBounded
+};
+
 struct log_settings
 {
   log_level mLevel = log_level::Info;
   log_format mFormat = log_format::Plain;
+  log_output mOutput = log_output::StandardError;
 };
 
-/// Starts the log on standard error. Call once at start.
+/// Starts the log. Call once at start.
 void StartLog(const log_settings& aSettings);
 
 /// Writes one short sentence under the fixed prefix of the part that speaks, for example
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,11 +1,14 @@
 #include "skylarkwind/log.h"
 
+#include "skylarkwind/line_writer.h"
+
 #include <array>
 #include <atomic>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -14,6 +17,8 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <iostream>
 #include <string>
@@ -83,24 +88,48 @@
   }
 }
 
+/// Passes formatted lines to a writer that never waits.
+class bounded_backend : public blog::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  // NOLINTNEXTLINE(readability-identifier-naming): the library calls this name.
+  void consume(const blog::record_view&, const string_type& aLine)
+  {
+    mWriter.Write(aLine, mClock.Now());
+  }
+
+private:
+  system_clock_source mClock;
+  line_writer mWriter{ STDOUT_FILENO, {} };
+};
+
+template<class sink>
+void
+AddSink(const boost::shared_ptr<sink>& aSink, log_format aFormat)
+{
+  aSink->set_formatter(
+    [aFormat](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
+      FormatRecord(aFormat, aRecord, aOut);
+    });
+  blog::core::get()->add_sink(aSink);
+}
+
 } // namespace
 
 void
 StartLog(const log_settings& aSettings)
 {
+  sLeastLevel = aSettings.mLevel;
+  blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
+  if (aSettings.mOutput == log_output::StandardOutputBounded) {
+    AddSink(boost::make_shared<blog::sinks::synchronous_sink<bounded_backend>>(), aSettings.mFormat);
+    return;
+  }
   using sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
   auto backend = boost::make_shared<blog::sinks::text_ostream_backend>();
   backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
   backend->auto_flush(true);
-  auto frontend = boost::make_shared<sink>(backend);
-  const auto format = aSettings.mFormat;
-  frontend->set_formatter(
-    [format](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
-      FormatRecord(format, aRecord, aOut);
-    });
-  sLeastLevel = aSettings.mLevel;
-  blog::core::get()->add_sink(frontend);
-  blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
+  AddSink(boost::make_shared<sink>(backend), aSettings.mFormat);
 }
 
 void
--- a/packages/daemon/src/skylarkwindd_main.cpp
+++ b/packages/daemon/src/skylarkwindd_main.cpp
@@ -93,6 +93,7 @@
   auto settings = std::get<skylarkwind::gateway_settings>(std::move(parsed));
   CaptureSignals();
   RaiseDescriptorLimit();
+  settings.mLog.mOutput = skylarkwind::log_output::StandardOutputBounded;
   skylarkwind::StartLog(settings.mLog);
   const skylarkwind::system_clock_source clock;
   auto context = kj::setupAsyncIo();
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -109,7 +109,10 @@
       BeginShutdown();
     }));
     mTasks.add(IgnoreHangups());
-    Log(log_level::Info, "daemon", "started vm=" + mSettings.mVm);
+    Log(log_level::Info,
+        "daemon",
+        "started vm=" + mSettings.mVm + " data_centre=" + mSettings.mDataCentre +
+          " listening on " + mSettings.mCallerAddress);
     mEnded.promise.wait(mContext.waitScope);
     Log(log_level::Info, "daemon", "ended vm=" + mSettings.mVm);
   }
--- /dev/null
+++ b/standins/backend_double.cpp
@@ -0,0 +1,179 @@
+#include "backend_double.h"
+
+namespace skylarkwind {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kCutAfterEvents = 3;
+
+std::string
+EventText(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: token" + std::to_string(aId) + "\n\n";
+}
+
+} // namespace
+
+backend_double::backend_double(std::string aId, std::string aStage, std::int64_t aEventMs)
+  : mId(std::move(aId))
+  , mStage(std::move(aStage))
+  , mEventMs(aEventMs)
+{
+}
+
+std::string
+backend_double::HeaderLines(const standin_request& aRequest) const
+{
+  const auto id =
+    mMode == "other_id" ? std::string{ "another" } : aRequest.Header("x-skylarkwind-request-id");
+  std::string lines = "X-Skylarkwind-Request-Id: " + id + "\r\nX-Skylarkwind-Engine-Load: 1,0,8\r\n";
+  if (mMode != "unsigned") {
+    lines += "X-Skylarkwind-Response-Signature: signed." + mId + "\r\n";
+  }
+  return lines;
+}
+
+void
+backend_double::Record(const standin_request& aRequest, const std::string& aOutcome)
+{
+  mLog.push_back({ { "id", aRequest.Header("x-skylarkwind-request-id") },
+                   { "method", aRequest.mMethod },
+                   { "path", aRequest.mPath },
+                   { "body", aRequest.mBody },
+                   { "headers", aRequest.mHeaders },
+                   { "outcome", aOutcome } });
+}
+
+void
+backend_double::OnRequest(const standin_request& aRequest, standin_reply aReply)
+{
+  if (aRequest.mPath.starts_with("/standin/")) {
+    OnStandin(aRequest, aReply);
+  } else if (aRequest.mPath == "/skylarkwind/report") {
+    const json report{ { "Stage", mStage }, { "Busy", false }, { "Seq", mOrders }, { "born", 1 } };
+    aReply.Send(200, report.dump());
+  } else if (aRequest.mPath == "/skylarkwind/order") {
+    OnOrder(aRequest, aReply);
+  } else {
+    OnCaller(aRequest, aReply);
+  }
+}
+
+void
+backend_double::OnStandin(const standin_request& aRequest, const standin_reply& aReply)
+{
+  if (aRequest.mPath == "/standin/mode") {
+    mMode = json::parse(aRequest.mBody)["mode"].get<std::string>();
+    aReply.Send(200, "{}");
+    return;
+  }
+  aReply.Send(200, mLog.dump());
+}
+
+void
+backend_double::OnOrder(const standin_request& aRequest, const standin_reply& aReply)
+{
+  const auto order = json::parse(aRequest.mBody);
+  Record(aRequest, "order");
+  if (order.value("Expect", std::uint64_t{ 0 }) != mOrders) {
+    aReply.Send(409, "{}");
+    return;
+  }
+  ++mOrders;
+  mStage = order.value("Stage", mStage);
+  aReply.Send(202, "{}");
+}
+
+void
+backend_double::OnCaller(const standin_request& aRequest, const standin_reply& aReply)
+{
+  const auto expected = aRequest.Header("x-skylarkwind-expect-instance");
+  if (!expected.empty() && expected != mId) {
+    Record(aRequest, "other server");
+    aReply.Send(421, "", "text/plain", "X-Skylarkwind-Instance-Id: " + mId + "\r\n");
+    return;
+  }
+  if (mMode == "shed") {
+    Record(aRequest, "shed");
+    aReply.Send(503,
+                "",
+                "text/plain",
+                "X-Skylarkwind-Not-Executed: 1\r\nX-Skylarkwind-Request-Id: " +
+                  aRequest.Header("x-skylarkwind-request-id") + "\r\n");
+    return;
+  }
+  if (aRequest.Header("x-skylarkwind-stage") == "prefill") {
+    Record(aRequest, "prefilled");
+    const json body{ { "KvHandle", "h" + std::to_string(++mHandles) }, { "Tokens", 1 } };
+    aReply.Send(200, body.dump(), "application/json", HeaderLines(aRequest));
+    return;
+  }
+  Record(aRequest, "ran");
+  if (mMode == "mute") {
+    return;
+  }
+  if (mMode == "torn") {
+    aReply.Close();
+    return;
+  }
+  if (!aRequest.Header("x-skylarkwind-token-count").empty()) {
+    BeginEvents(aRequest, aReply);
+    return;
+  }
+  const int status = mMode == "error" ? 500 : 200;
+  aReply.Send(status, "answer of " + mId, "text/plain", HeaderLines(aRequest));
+}
+
+void
+backend_double::BeginEvents(const standin_request& aRequest, const standin_reply& aReply)
+{
+  const auto counts = aRequest.Header("x-skylarkwind-token-count");
+  const auto after = aRequest.Header("last-event-id");
+  stream opened{ aRequest.Header("x-skylarkwind-request-id"), aRequest.mConnection, aReply };
+  opened.mNext = after.empty() ? 1 : std::stoi(after) + 1;
+  opened.mLast = std::stoi(counts.substr(counts.find(',') + 1));
+  opened.mCutAfter = mMode == "cut" ? kCutAfterEvents : 0;
+  aReply.BeginStream(HeaderLines(aRequest));
+  mStreams.push_back(std::move(opened));
+}
+
+void
+backend_double::OnTick()
+{
+  const auto now = SteadyMs();
+  std::erase_if(mStreams, [&](stream& aStream) {
+    if (now < aStream.mDueMs) {
+      return false;
+    }
+    aStream.mDueMs = now + mEventMs;
+    if (aStream.mNext > aStream.mLast) {
+      aStream.mReply.EndStream();
+      return true;
+    }
+    if (aStream.mCutAfter != 0 && aStream.mNext > aStream.mCutAfter) {
+      // The stream breaks off within an event.
+      aStream.mReply.Chunk("id: " + std::to_string(aStream.mNext) + "\nda");
+      aStream.mReply.Close();
+      return true;
+    }
+    aStream.mReply.Chunk(EventText(aStream.mNext));
+    ++aStream.mNext;
+    return false;
+  });
+}
+
+void
+backend_double::OnConnectionClosed(std::uint64_t aConnection)
+{
+  std::erase_if(mStreams, [&](const stream& aStream) {
+    if (aStream.mConnection != aConnection) {
+      return false;
+    }
+    mLog.push_back({ { "id", aStream.mRequestId }, { "outcome", "cancelled" } });
+    return true;
+  });
+}
+
+} // namespace skylarkwind
--- /dev/null
+++ b/standins/backend_double.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "http_host.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+
+namespace skylarkwind {
+
+/// An engine or plain server of the users' platform. It answers any path, streams events when the
+/// request has a token count, and records every run.
+/// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
+/// "error" | "torn"}; `GET /standin/log` returns the requests that arrived with their headers.
+class backend_double : public standin_app
+{
+public:
+  backend_double(std::string aId, std::string aStage, std::int64_t aEventMs);
+
+  void OnRequest(const standin_request& aRequest, standin_reply aReply) override;
+  void OnTick() override;
+  void OnConnectionClosed(std::uint64_t aConnection) override;
+
+private:
+  struct stream
+  {
+    std::string mRequestId;
+    std::uint64_t mConnection = 0;
+    standin_reply mReply;
+    int mNext = 1;
+    int mLast = 0;
+    int mCutAfter = 0; ///< 0: never
+    std::int64_t mDueMs = 0;
+  };
+
+  void OnStandin(const standin_request& aRequest, const standin_reply& aReply);
+  void OnCaller(const standin_request& aRequest, const standin_reply& aReply);
+  void BeginEvents(const standin_request& aRequest, const standin_reply& aReply);
+  void OnOrder(const standin_request& aRequest, const standin_reply& aReply);
+  std::string HeaderLines(const standin_request& aRequest) const;
+  void Record(const standin_request& aRequest, const std::string& aOutcome);
+
+  std::string mId;
+  std::string mStage;
+  std::int64_t mEventMs;
+  std::string mMode = "ok";
+  std::list<stream> mStreams;
+  nlohmann::json mLog = nlohmann::json::array();
+  std::uint64_t mOrders = 0;
+  std::uint64_t mHandles = 0;
+};
+
+} // namespace skylarkwind
--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -226,9 +226,10 @@
 }
 
 void
-standin_reply::BeginStream() const
+standin_reply::BeginStream(std::string_view aHeaderLines) const
 {
-  Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+        std::string{ aHeaderLines } + "\r\n");
 }
 
 void
--- a/standins/http_host.h
+++ b/standins/http_host.h
@@ -44,7 +44,7 @@
             std::string_view aContentType = "application/json",
             std::string_view aHeaderLines = {}) const;
   /// Starts a chunked answer of server-sent events.
-  void BeginStream() const;
+  void BeginStream(std::string_view aHeaderLines = {}) const;
   void Chunk(std::string_view aData) const;
   void EndStream() const;
   /// Closes the connection; nothing more is sent.
--- /dev/null
+++ b/standins/store_double.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "http_host.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace skylarkwind {
+
+/// The object store of the users' platform in memory: objects by kind and name, one revision
+/// counter, conditional writes, lists and watches.
+/// `POST /standin/faults` sets {"mode": "none" | "busy" | "silent", "lose_answers": bool,
+/// "drop_history": bool}; `GET /standin/calls` counts calls.
+class store_double : public standin_app
+{
+public:
+  void OnRequest(const standin_request& aRequest, standin_reply aReply) override;
+  void OnTick() override;
+
+private:
+  struct change
+  {
+    std::uint64_t mAt = 0;
+    std::string mKind;
+    nlohmann::json mObject;
+    bool mRemoved = false;
+  };
+  struct open_watch
+  {
+    std::string mKind;
+    std::uint64_t mFrom = 0;
+    std::int64_t mUntilMs = 0;
+    standin_reply mReply;
+  };
+
+  void OnFaults(const standin_request& aRequest, const standin_reply& aReply);
+  void OnObjects(const standin_request& aRequest, const standin_reply& aReply);
+  void List(const std::string& aKind, const standin_request& aRequest, const standin_reply& aReply);
+  void Write(const std::string& aKind,
+             const std::string& aName,
+             const standin_request& aRequest,
+             const standin_reply& aReply);
+  void Record(const std::string& aKind, const nlohmann::json& aObject, bool aRemoved);
+  /// Answers the watch if there is news for it.
+  bool TryAnswer(const open_watch& aWatch) const;
+
+  std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
+  std::uint64_t mRevision = 100;
+  std::uint64_t mHistoryFrom = 100; ///< older revisions can't be watched
+  std::vector<change> mHistory;
+  std::deque<open_watch> mWatches;
+  std::string mMode = "none";
+  bool mLoseAnswers = false;
+  std::uint64_t mCalls = 0;
+};
+
+} // namespace skylarkwind
--- /dev/null
+++ b/tests/sessions/gateway_system.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "test_system.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkwind::sessions {
+
+struct backend_options
+{
+  std::string mId;
+  std::string mService = "model";
+  std::string mStage = "decode"; ///< model servers only
+  int mEventMs = 5;
+};
+
+struct gateway_options
+{
+  std::vector<backend_options> mBackends;
+  int mDaemons = 1;
+  double mPrefillShare = 0.5;
+};
+
+/// Daemons before a stand-in of the users' platform: its store, engines and plain servers.
+class gateway_system
+{
+public:
+  /// Starts everything, writes the configuration and waits until every daemon is ready.
+  explicit gateway_system(gateway_options aOptions);
+  ~gateway_system();
+
+  /// A first configuration with the routes /stream/ (resumable), /once-stream/, /order/ (once) and
+  /// /lookup/ (idempotent).
+  static nlohmann::json FirstConfiguration();
+  void Configure(const nlohmann::json& aConfiguration);
+  /// Writes a server's entry with this state.
+  void List(const std::string& aId, const std::string& aState);
+  void Unlist(const std::string& aId);
+  void StoreFaults(const nlohmann::json& aFaults);
+  /// Calls that the store has received.
+  std::uint64_t StoreCalls() const;
+  void SetMode(const std::string& aBackend, const std::string& aMode);
+
+  child_process& Daemon(int aIndex = 0) { return *mDaemons[static_cast<std::size_t>(aIndex)].mProcess; }
+  std::string CallerUrl(const std::string& aPath, int aIndex = 0) const;
+  http_reply Ready(int aIndex = 0) const;
+  /// Starts one more daemon and does not wait until it is ready.
+  void AddDaemon();
+
+  /// A request with a new id; further headers may be given.
+  http_reply Send(const std::string& aMethod,
+                  const std::string& aPath,
+                  header_lines aHeaders = {},
+                  const std::string& aBody = {}) const;
+  static header_lines StreamHeaders(const std::string& aId, int aEvents);
+
+  /// What arrived at a backend server, in order.
+  nlohmann::json Arrivals(const std::string& aBackend) const;
+  /// Requests that any backend server ran, by their outcome.
+  std::size_t Count(const std::string& aOutcome) const;
+
+private:
+  struct daemon_entry
+  {
+    std::string mName;
+    std::string mCallers;
+    std::string mReady;
+    std::string mPeers;
+    std::unique_ptr<child_process> mProcess;
+  };
+  struct backend_entry
+  {
+    backend_options mOptions;
+    std::unique_ptr<child_process> mProcess;
+  };
+
+  const backend_entry& Find(const std::string& aId) const;
+  http_reply Store(const std::string& aMethod,
+                   const std::string& aPath,
+                   const nlohmann::json& aBody) const;
+  void Put(const std::string& aKind, const std::string& aName, const nlohmann::json& aSpec) const;
+  std::string WriteSettings(const daemon_entry& aDaemon) const;
+
+  gateway_options mOptions;
+  std::string mDirectory;
+  std::unique_ptr<child_process> mStore;
+  std::vector<backend_entry> mBackends;
+  std::vector<daemon_entry> mDaemons;
+};
+
+} // namespace skylarkwind::sessions
--- a/tests/sessions/test_system.cpp
+++ b/tests/sessions/test_system.cpp
@@ -35,6 +35,14 @@
   return free;
 }
 
+std::string
+Program(const std::string& aName)
+{
+  return std::string{ SKYLARKWIND_BIN_DIR } + "/" + aName;
+}
+
+} // namespace
+
 /// A port that nothing listens on now. The ports lie below the range that the kernel gives to
 /// outgoing connections, and each process has a part of its own: a port that was only found free
 /// could be taken by a test program that runs at the same time.
@@ -54,14 +62,6 @@
   }
 }
 
-std::string
-Program(const std::string& aName)
-{
-  return std::string{ SKYLARKWIND_BIN_DIR } + "/" + aName;
-}
-
-} // namespace
-
 test_system::test_system(system_options aOptions)
   : mOptions{ std::move(aOptions) }
 {
--- a/tests/sessions/test_system.h
+++ b/tests/sessions/test_system.h
@@ -32,6 +32,9 @@
                 const std::string& aBody = {},
                 std::chrono::milliseconds aLimit = std::chrono::seconds{ 30 });
 
+/// A loopback port that nothing listens on.
+std::uint16_t FreePort();
+
 /// Waits until the condition holds; false when it does not within the limit.
 bool WaitUntil(const std::function<bool()>& aCondition,
                std::chrono::milliseconds aLimit = std::chrono::seconds{ 30 });
