Take an answer without the request's id for another request's

Cause: an engine's late second answer bore no id and was taken for the answer to the next request on the connection.

--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -24,6 +24,9 @@
   std::chrono::milliseconds mDrainWithin{ 2'000 };   ///< bound for no new work to a leaving server
   std::chrono::milliseconds mContact{ 3'000 };       ///< after it a VM counts as healthy again
   std::chrono::milliseconds mShutdownGrace{ 8'000 }; ///< from SIGTERM to SIGKILL
+  /// From the first refused readiness check until the balancer sends no new connections. It asks
+  /// once a second and acts on the second refusal.
+  std::chrono::milliseconds mBalancerNotices{ 2'600 };
   std::chrono::milliseconds mLease{ 3'000 };         ///< least time between two order holders
   repeat_allowance_settings mRepeats;
   double mPrefillTokensPerMs = 50; ///< of a prefill engine, until measured
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -204,6 +204,12 @@
   return chosen.mPrefill != nullptr ? Prefill(chosen) : Send(chosen, std::nullopt);
 }
 
+bool
+exchange::IsForeign(const answer_head& aHead) const
+{
+  return !mRequest.mId.empty() && aHead.mRequestId != mRequest.mId;
+}
+
 std::uint32_t
 exchange::AddedTokens(const placement& aPlacement) const
 {
@@ -280,6 +286,11 @@
       }
       mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
       mHead = mContext.mDialect.ReadAnswer(mAnswer->mStatus, mAnswer->mHeaders);
+      if (IsForeign(mHead)) {
+        mAnswer = nullptr;
+        Close(backend_outcome::Failed);
+        return OnNotRun("the answer to the prefill belongs to another request", true);
+      }
       return mAnswer->Body().readAllText(kMostAnswerBytes).then(
         [this, plan = kj::mv(plan), target = kj::mv(target)](
           kj::String aText) mutable -> kj::Promise<void> {
@@ -384,7 +395,7 @@
   if (mHead.mLoad) {
     mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, now);
   }
-  if (!mRequest.mId.empty() && !mHead.mRequestId.empty() && mHead.mRequestId != mRequest.mId) {
+  if (IsForeign(mHead)) {
     mMayHaveRun = true;
     mAnswer = nullptr;
     Close(backend_outcome::Failed);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -123,6 +123,9 @@
 
   std::chrono::milliseconds TimeLeft() const;
   placement_query Query(const std::vector<const backend_server*>& aServers) const;
+  /// Whether the answer is not to this request. Servers state the request's id in every answer; one
+  /// without it is a late second answer to an earlier request on the connection.
+  bool IsForeign(const answer_head& aHead) const;
   /// Tokens that come into the memory of the engine that computes the prompt.
   std::uint32_t AddedTokens(const placement& aPlacement) const;
   /// Notes the inputs of a placement for the log.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -35,8 +35,6 @@
 /// peers digests become rarer.
 constexpr std::size_t kNearDatagramsPerSecond = 400;
 constexpr std::size_t kFarDatagramsPerSecond = 80;
-/// From the balancer's second failed check on it sends no new connections.
-constexpr milliseconds kBalancerNotices{ 2'600 };
 constexpr milliseconds kShutdownMargin{ 600 };
 /// Connections without a request are closed this early when the daemon stops.
 constexpr milliseconds kIdleWhileStopping{ 300 };
@@ -261,7 +259,7 @@
     mServers.OnTick(aNow);
     const auto& configuration = mRoutes.Current();
     const auto idle = configuration ? configuration->mLimits.mIdleTime : caller_limits{}.mIdleTime;
-    const bool closing = mStoppingSince && aNow - *mStoppingSince >= kBalancerNotices;
+    const bool closing = mStoppingSince && aNow - *mStoppingSince >= mSettings.mBalancerNotices;
     mCallers.CloseIdle(closing ? std::min(idle, kIdleWhileStopping) : idle, aNow);
     SendDigests(aNow);
     if (!mStoppingSince && aNow >= mNextRoles) {
@@ -337,7 +335,7 @@
   void ShutdownFurther(instant aNow)
   {
     const auto lasted = aNow - *mStoppingSince;
-    if (lasted >= kBalancerNotices && mFrontPort.get() != nullptr) {
+    if (lasted >= mSettings.mBalancerNotices && mFrontPort.get() != nullptr) {
       // While most daemons of a data centre stop, the balancer sends connections to all of them.
       // Requests that begin now might not end before the process does.
       Log(log_level::Info, "daemon", "no longer accepts connections");
@@ -345,7 +343,7 @@
       mFrontPort = nullptr;
       mCallers.RefuseRequests();
     }
-    const bool quiet = lasted >= kBalancerNotices + kIdleWhileStopping &&
+    const bool quiet = lasted >= mSettings.mBalancerNotices + kIdleWhileStopping &&
                        mCallers.OpenRequests() == 0;
     if (quiet || lasted >= mSettings.mShutdownGrace - kShutdownMargin) {
       mEnded.fulfiller->fulfill();
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -110,6 +110,7 @@
     { "configuration_within_ms", Milliseconds(&gateway_settings::mConfigurationWithin) },
     { "drain_within_ms", Milliseconds(&gateway_settings::mDrainWithin) },
     { "contact_ms", Milliseconds(&gateway_settings::mContact) },
+    { "balancer_notices_ms", Milliseconds(&gateway_settings::mBalancerNotices) },
     { "lease_ms", Milliseconds(&gateway_settings::mLease) },
     { "shutdown_grace_s",
       Amount("seconds",
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -28,7 +28,10 @@
 {
   const auto id =
     mMode == "other_id" ? std::string{ "another" } : aRequest.Header("x-skylarkwind-request-id");
-  std::string lines = "X-Skylarkwind-Request-Id: " + id + "\r\nX-Skylarkwind-Engine-Load: 1,0,8\r\n";
+  std::string lines = "X-Skylarkwind-Engine-Load: 1,0,8\r\n";
+  if (mMode != "no_id") {
+    lines += "X-Skylarkwind-Request-Id: " + id + "\r\n";
+  }
   if (mMode != "unsigned") {
     lines += "X-Skylarkwind-Response-Signature: signed." + mId + "\r\n";
   }
