--- /dev/null
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -0,0 +1,72 @@
+#include "skylarkwind/gateway_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+
+class gateway_settings_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(gateway_settings_test);
+  CPPUNIT_TEST(GoodFileIsRead);
+  CPPUNIT_TEST(EachMistakeIsNamedWithItsLine);
+  CPPUNIT_TEST(MissingSettingsAreNamed);
+  CPPUNIT_TEST(OtherFilesAreToldApart);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string Good()
+  {
+    return "gateway:\n  vm: e1\n  data_centre: ga-a\n  callers_address: 10.0.0.1:1\n"
+           "  ready_address: 10.0.0.1:2\n  store_address: 10.0.0.2:3\n"
+           "  peer_address: 10.0.0.1:4\n  repeat_ratio: 0.2\n  shutdown_grace_s: 8\n"
+           "  lease_ms: 3000\n  log_level: debug\n";
+  }
+  static gateway_settings_problems Problems(const std::string& aText)
+  {
+    const auto parsed = ParseGatewaySettings(aText, "f.yaml");
+    const auto* problems = std::get_if<gateway_settings_problems>(&parsed);
+    return problems == nullptr ? gateway_settings_problems{} : *problems;
+  }
+
+  void GoodFileIsRead()
+  {
+    const auto parsed = ParseGatewaySettings(Good(), "f.yaml");
+    const auto* settings = std::get_if<gateway_settings>(&parsed);
+    CPPUNIT_ASSERT(settings != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "10.0.0.2:3" }, settings->mStoreAddress);
+    CPPUNIT_ASSERT(settings->mShutdownGrace == milliseconds{ 8'000 });
+    CPPUNIT_ASSERT_EQUAL(0.2, settings->mRepeats.mRatio);
+    CPPUNIT_ASSERT(settings->mLog.mLevel == log_level::Debug);
+  }
+
+  void EachMistakeIsNamedWithItsLine()
+  {
+    auto text = Good();
+    text += "  repeat_floor: -3\n  unknown: 1\n  prefill_share: 2\n";
+    const auto problems = Problems(text);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, problems.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{ "f.yaml:12: repeat_floor: expected a number of repeats" },
+                         problems[0].Text());
+    CPPUNIT_ASSERT_EQUAL(std::string{ "unknown" }, problems[1].mKey);
+    CPPUNIT_ASSERT_EQUAL(14, problems[2].mLine);
+  }
+
+  void MissingSettingsAreNamed()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, Problems("gateway: {}\n").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Problems("gateway: 7\n").size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Problems("a: [\n").size());
+  }
+
+  void OtherFilesAreToldApart()
+  {
+    CPPUNIT_ASSERT(HasGatewaySettings(Good()));
+    CPPUNIT_ASSERT(!HasGatewaySettings("callers:\n  address: 127.0.0.1:1\n"));
+    CPPUNIT_ASSERT(!HasGatewaySettings("a: ["));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_settings_test);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -0,0 +1,203 @@
+#include "store_follower_p.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <kj/async-io.h>
+
+#include <deque>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using cause = store_failure::cause;
+
+namespace {
+
+/// Answers each call with the next scripted result; calls beyond the script stay open.
+class scripted_store final : public object_store
+{
+public:
+  kj::Promise<store_result<object_page>> List(std::string, std::string aAfter, bool) override
+  {
+    mCalls.push_back("list " + aAfter);
+    return Next(mLists);
+  }
+  kj::Promise<store_result<object_changes>> Watch(std::string, std::uint64_t aFrom, milliseconds)
+    override
+  {
+    mCalls.push_back("watch " + std::to_string(aFrom));
+    return Next(mWatches);
+  }
+  kj::Promise<store_result<stored_object>> Read(std::string, std::string) override
+  {
+    return store_result<stored_object>{ store_failure{} };
+  }
+  kj::Promise<store_result<object_written>> Write(std::string,
+                                                  std::string,
+                                                  std::optional<std::uint64_t>,
+                                                  std::string) override
+  {
+    return store_result<object_written>{ store_failure{} };
+  }
+  kj::Promise<store_result<object_written>> Remove(std::string, std::string, std::uint64_t) override
+  {
+    return store_result<object_written>{ store_failure{} };
+  }
+
+  std::deque<store_result<object_page>> mLists;
+  std::deque<store_result<object_changes>> mWatches;
+  std::vector<std::string> mCalls;
+
+private:
+  template<class value>
+  static kj::Promise<store_result<value>> Next(std::deque<store_result<value>>& aScript)
+  {
+    if (aScript.empty()) {
+      return kj::NEVER_DONE;
+    }
+    auto next = std::move(aScript.front());
+    aScript.pop_front();
+    return next;
+  }
+};
+
+object_page
+Page(std::vector<std::string> aNames, std::uint64_t aAt, bool aMore = false)
+{
+  object_page page;
+  for (auto& name : aNames) {
+    page.mObjects.push_back({ std::move(name), aAt, "{}" });
+  }
+  page.mAt = aAt;
+  page.mMore = aMore;
+  return page;
+}
+
+} // namespace
+
+class store_follower_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(store_follower_test);
+  CPPUNIT_TEST(PagesAreReadAndWatchedFromTheFirst);
+  CPPUNIT_TEST(LostHistoryMeansANewList);
+  CPPUNIT_TEST(FailedWatchMeansANewList);
+  CPPUNIT_TEST(LongOutageIsReported);
+  CPPUNIT_TEST(NewsElsewhereBeginsTheCallAgainOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  ~store_follower_test() noexcept override = default;
+  // A thread has one loop at a time, and fixtures of all tests exist at once.
+  void setUp() override { mLoop = std::make_unique<kj::AsyncIoContext>(kj::setupAsyncIo()); }
+  void tearDown() override { mLoop = nullptr; }
+
+private:
+  std::unique_ptr<kj::AsyncIoContext> mLoop;
+  manual_clock_source mClock;
+  scripted_store mStore;
+  std::vector<std::string> mSeen;
+
+  std::unique_ptr<store_follower> Follower()
+  {
+    store_follower_settings settings;
+    settings.mFirstPause = milliseconds{ 4 };
+    settings.mLongestPause = milliseconds{ 4 };
+    return std::make_unique<store_follower>(
+      settings,
+      mStore,
+      mLoop->provider->getTimer(),
+      mClock,
+      [this](const auto& aObjects, bool aAfter) {
+        mSeen.push_back("list " + std::to_string(aObjects.size()) + (aAfter ? " after outage" : ""));
+      },
+      [this](const object_change& aChange, bool) { mSeen.push_back(aChange.mObject.mName); });
+  }
+
+  /// Runs the loop until that many calls were made.
+  void Until(std::size_t aCalls)
+  {
+    for (int i = 0; i < 2'000 && mStore.mCalls.size() < aCalls; ++i) {
+      mLoop->provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    }
+    CPPUNIT_ASSERT_EQUAL(aCalls, mStore.mCalls.size());
+  }
+
+  void PagesAreReadAndWatchedFromTheFirst()
+  {
+    mStore.mLists = { Page({ "a", "b" }, 10, true), Page({ "c" }, 14) };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(3);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list b" }, mStore.mCalls[1]);
+    // Changes between the pages are seen by the watch.
+    CPPUNIT_ASSERT_EQUAL(std::string{ "watch 10" }, mStore.mCalls[2]);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list 3" }, mSeen.at(0));
+  }
+
+  void LostHistoryMeansANewList()
+  {
+    mStore.mLists = { Page({ "a" }, 10), Page({}, 20) };
+    mStore.mWatches = { store_failure{ cause::HistoryGone, "" } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(4);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "watch 20" }, mStore.mCalls[3]);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list 0" }, mSeen.at(1));
+  }
+
+  /// Guards against changes that are missed when the store drops its history after a cut.
+  void FailedWatchMeansANewList()
+  {
+    mStore.mLists = { Page({ "a" }, 10), Page({ "a" }, 20) };
+    mStore.mWatches = { store_failure{ cause::NoAnswer, "" } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(4);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list " }, mStore.mCalls[2]);
+    // The failure was short: what is missing from the list is gone.
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list 1" }, mSeen.at(1));
+  }
+
+  void LongOutageIsReported()
+  {
+    mStore.mLists = { Page({ "a" }, 10) };
+    mStore.mWatches = { store_failure{ cause::Refused, "" } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(3);
+    mClock.Advance(seconds{ 4 });
+    CPPUNIT_ASSERT(follower->InOutage());
+    mStore.mLists = { Page({}, 30) };
+    // The open list call stays without an answer; news from elsewhere begins it again.
+    follower->OnNewsElsewhere(30);
+    mClock.Advance(seconds{ 2 });
+    follower->OnTick(mClock.Now());
+    Until(5);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list 0 after outage" }, mSeen.at(1));
+  }
+
+  /// Guards against a watch whose connection has gone silent, and against a call for every digest.
+  void NewsElsewhereBeginsTheCallAgainOnce()
+  {
+    mStore.mLists = { Page({ "a" }, 10), Page({ "a" }, 10) };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(2);
+    follower->OnNewsElsewhere(15);
+    follower->OnTick(mClock.Now());
+    mClock.Advance(seconds{ 2 });
+    follower->OnTick(mClock.Now());
+    Until(4);
+    for (int i = 0; i < 5; ++i) {
+      follower->OnNewsElsewhere(15);
+      mClock.Advance(seconds{ 2 });
+      follower->OnTick(mClock.Now());
+    }
+    mLoop->provider->getTimer().afterDelay(20 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, mStore.mCalls.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
+
+} // namespace skylarkwind
