Carry the added tokens in digests

The count was missing from the datagram, so that each daemon knew only its own part of the turnover (found by DigestSurvivesTheWire).

--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -27,7 +27,8 @@
 {
   json work = json::array();
   for (const auto& entry : aDigest.mWork) {
-    work.push_back({ entry.mBackendId, entry.mPrefillTokens, entry.mRunning });
+    work.push_back(
+      { entry.mBackendId, entry.mPrefillTokens, entry.mRunning, entry.mAddedTokens });
   }
   json kept = json::array();
   for (const auto& entry : aDigest.mKept) {
@@ -58,7 +59,8 @@
     for (const auto& entry : parsed.at(2)) {
       digest.mWork.push_back({ entry.at(0).get<std::string>(),
                                entry.at(1).get<std::uint32_t>(),
-                               entry.at(2).get<std::uint32_t>() });
+                               entry.at(2).get<std::uint32_t>(),
+                               entry.at(3).get<std::uint64_t>() });
     }
     for (const auto& entry : parsed.at(3)) {
       digest.mKept.push_back({ entry.at(0).get<std::uint64_t>(),
