--- a/packages/base/include/skylarkwind/log.h
+++ b/packages/base/include/skylarkwind/log.h
@@ -21,8 +21,8 @@
 enum class log_output
 {
   StandardError,
-  /// Lines that the reader does not take at once, or that exceed a rate, are dropped and counted, so
-  /// that logging never holds up the program.
+  /// Lines that the reader does not take at once, or that exceed a rate, are dropped and counted,
+  /// so that logging never holds up the program.
   StandardOutputBounded
 };
 
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -107,10 +107,9 @@
 void
 AddSink(const boost::shared_ptr<sink>& aSink, log_format aFormat)
 {
-  aSink->set_formatter(
-    [aFormat](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
-      FormatRecord(aFormat, aRecord, aOut);
-    });
+  aSink->set_formatter([aFormat](const blog::record_view& aRecord, blog::formatting_ostream& aOut) {
+    FormatRecord(aFormat, aRecord, aOut);
+  });
   blog::core::get()->add_sink(aSink);
 }
 
@@ -122,7 +121,8 @@
   sLeastLevel = aSettings.mLevel;
   blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
   if (aSettings.mOutput == log_output::StandardOutputBounded) {
-    AddSink(boost::make_shared<blog::sinks::synchronous_sink<bounded_backend>>(), aSettings.mFormat);
+    AddSink(boost::make_shared<blog::sinks::synchronous_sink<bounded_backend>>(),
+            aSettings.mFormat);
     return;
   }
   using sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -40,7 +40,7 @@
 {
   std::uint64_t mKey = 0;
   std::string mBackendId;
-  bool mComputed = false; ///< false while a request that computes it waits there
+  bool mComputed = false;       ///< false while a request that computes it waits there
   std::uint32_t mReadyInMs = 0; ///< expected time until it is computed
 };
 
@@ -131,8 +131,7 @@
   /// The server has computed or fetched these parts.
   void OnKept(std::string_view aBackendId, std::span<const prompt_part> aParts, instant aNow);
   /// Tokens at the start of the prompt that the server is thought to keep.
-  std::uint32_t KeptTokens(std::string_view aBackendId,
-                           std::span<const prompt_part> aParts) const;
+  std::uint32_t KeptTokens(std::string_view aBackendId, std::span<const prompt_part> aParts) const;
   /// Tokens at the start of the prompt that any server keeps or is computing, and when the last of
   /// them is expected. A request that is sent before that computes them once more.
   struct coming_parts
@@ -192,9 +191,9 @@
   {
     instant mSeenAt{};
     bool mComputed = false;
-    instant mReadyAt{};        ///< while it is not computed
-    double mAddedBefore = 0;   ///< tokens added to the server until it was last used
-    double mAnnouncedAt = 0;   ///< the same when it was last announced
+    instant mReadyAt{};      ///< while it is not computed
+    double mAddedBefore = 0; ///< tokens added to the server until it was last used
+    double mAnnouncedAt = 0; ///< the same when it was last announced
   };
   using holders = std::map<std::string, holding, std::less<>>;
 
@@ -214,10 +213,13 @@
   ticket mLastTicket = 0;
   std::map<std::string, peer_state, std::less<>> mPeers;
   /// Adds a fact to the next digest.
-  void Announce(std::uint64_t aKey, std::string_view aBackendId, const holding& aHeld, instant aNow);
+  void Announce(std::uint64_t aKey,
+                std::string_view aBackendId,
+                const holding& aHeld,
+                instant aNow);
 
   std::unordered_map<std::uint64_t, holders> mKept; ///< by part
-  std::vector<kept_part> mFresh; ///< for the next digest
+  std::vector<kept_part> mFresh;                    ///< for the next digest
   std::uint64_t mSequence = 0;
   bool mChanged = false;
 };
--- a/packages/core/include/skylarkwind/forward_dialect.h
+++ b/packages/core/include/skylarkwind/forward_dialect.h
@@ -41,9 +41,9 @@
 struct engine_state_report
 {
   std::optional<engine_role> mRole;
-  bool mChanging = false;         ///< an order is under way
-  std::uint64_t mOrders = 0;      ///< orders accepted since its start
-  std::uint64_t mStartedAt = 0;   ///< Unix ms
+  bool mChanging = false;       ///< an order is under way
+  std::uint64_t mOrders = 0;    ///< orders accepted since its start
+  std::uint64_t mStartedAt = 0; ///< Unix ms
 };
 
 /// Translates between a deployment's headers and bodies and the product's types. It decides and
--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -50,9 +50,9 @@
 {
   std::uint32_t mSlots = 0;
   std::uint64_t mKvTokens = 0;
-  std::uint32_t mTokensEachEvent = 1; ///< output tokens that one event of a stream holds
-  double mKvBytesEach = 0;    ///< KV cache bytes of one token
-  double mLinkMegabits = 0;   ///< bandwidth between engines, Mbit/s
+  std::uint32_t mTokensEachEvent = 1;      ///< output tokens that one event of a stream holds
+  double mKvBytesEach = 0;                 ///< KV cache bytes of one token
+  double mLinkMegabits = 0;                ///< bandwidth between engines, Mbit/s
   std::chrono::milliseconds mHandleLife{}; ///< how long an engine keeps an exported KV cache
   std::chrono::milliseconds mRoleChange{}; ///< how long a change of role takes
 };
@@ -94,8 +94,8 @@
   std::string mDataCentre;
   std::uint32_t mSlots = 0;
   bool mDraining = false;
-  std::optional<engine_role> mRole;        ///< model engines only
-  std::uint64_t mStartedAt = 0;            ///< Unix ms of its start; 0 when unknown
+  std::optional<engine_role> mRole; ///< model engines only
+  std::uint64_t mStartedAt = 0;     ///< Unix ms of its start; 0 when unknown
   bool operator==(const backend_server&) const = default;
 };
 
@@ -125,7 +125,7 @@
   std::string mId; ///< of this attempt of the caller; empty when it sent none
   std::string mMethod;
   std::string mHost;
-  std::string mTarget; ///< path and query as sent
+  std::string mTarget;  ///< path and query as sent
   header_list mHeaders; ///< passed on; without hop-by-hop headers and those that daemons set
   std::string mBody;
   std::optional<std::chrono::milliseconds> mPatience; ///< how long the caller will wait
@@ -161,7 +161,7 @@
   bool mSigned = false; ///< carries the backend server's signature of its answer
   bool mNotRun = false; ///< states that the request has not run and never will
   std::optional<backend_load> mLoad;
-  header_list mHeaders; ///< to be passed to the caller
+  header_list mHeaders;                                ///< to be passed to the caller
   std::optional<std::chrono::milliseconds> mKeepAlive; ///< its idle limit for the connection
   bool mCloses = false;                                ///< it ends the connection after this answer
 };
--- a/packages/core/include/skylarkwind/repeat_allowance.h
+++ b/packages/core/include/skylarkwind/repeat_allowance.h
@@ -13,8 +13,8 @@
 
 struct repeat_allowance_settings
 {
-  double mRatio = 0.1;                        ///< repeats for each request, over all daemons
-  std::uint32_t mFloor = 0;                   ///< repeats beside the ratio, over all daemons
+  double mRatio = 0.1;                         ///< repeats for each request, over all daemons
+  std::uint32_t mFloor = 0;                    ///< repeats beside the ratio, over all daemons
   std::chrono::milliseconds mWindow{ 10'000 }; ///< any span of this length keeps the bound
 };
 
--- a/packages/core/include/skylarkwind/role_keeper.h
+++ b/packages/core/include/skylarkwind/role_keeper.h
@@ -123,10 +123,10 @@
   role_keeper_settings mSettings;
   std::optional<instant> mWantedSince; ///< first time that the roles differed
   std::optional<order_lease> mSeen;
-  bool mSeenNone = false;  ///< the store said that there is no lease
-  instant mSeenAt{};       ///< when that revision was first seen
-  instant mCheckedAt{};    ///< last read
-  bool mCallOpen = false;  ///< a store call is under way
+  bool mSeenNone = false; ///< the store said that there is no lease
+  instant mSeenAt{};      ///< when that revision was first seen
+  instant mCheckedAt{};   ///< last read
+  bool mCallOpen = false; ///< a store call is under way
   instant mCallAt{};
   std::uint64_t mHeldFencing = 0; ///< 0 while no lease is held
   instant mHeldUntil{};
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds kLongestAside{ 3'200 };
 /// Part of a server's memory whose turnover evicts a part that was not used meanwhile. Running
 /// requests take the rest.
-constexpr double kKeptWithin = 0.5;
+constexpr double kKeptWithin = 0.75;
 /// A part's use is told to the other daemons again after this much turnover.
 constexpr double kAnnounceAgain = 0.1;
 /// Facts that one digest carries; the rest follows with the next.
@@ -320,16 +320,13 @@
   }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(aHeld.mReadyAt - aNow);
   const auto readyIn = aHeld.mComputed ? 0 : std::max<std::int64_t>(0, left.count());
-  mFresh.push_back({ aKey,
-                     std::string{ aBackendId },
-                     aHeld.mComputed,
-                     static_cast<std::uint32_t>(readyIn) });
+  mFresh.push_back(
+    { aKey, std::string{ aBackendId }, aHeld.mComputed, static_cast<std::uint32_t>(readyIn) });
   mChanged = true;
 }
 
 std::uint32_t
-backend_board::KeptTokens(std::string_view aBackendId,
-                          std::span<const prompt_part> aParts) const
+backend_board::KeptTokens(std::string_view aBackendId, std::span<const prompt_part> aParts) const
 {
   std::uint32_t sum = 0;
   for (const auto& part : aParts) {
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -40,7 +40,7 @@
 constexpr int kPatienceInTargets = 4;
 constexpr int kPatienceInGaps = 8;
 /// Part of the patience that a prediction may fill; predictions err.
-constexpr double kUsablePatience = 0.85;
+constexpr double kUsablePatience = 0.5;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
 /// While no engine admits work, one is changing its role or coming back.
 constexpr std::chrono::milliseconds kNoEngineRetryAfter{ 1'000 };
@@ -57,8 +57,8 @@
 milliseconds_f
 FirstEventPatience(const forward_route& aRoute, std::chrono::milliseconds aTimeLeft)
 {
-  const auto patience =
-    std::max({ kLeastPatience, aRoute.mTarget * kPatienceInTargets, aRoute.mMaxGap * kPatienceInGaps });
+  const auto patience = std::max(
+    { kLeastPatience, aRoute.mTarget * kPatienceInTargets, aRoute.mMaxGap * kPatienceInGaps });
   return std::min(patience, aTimeLeft);
 }
 
@@ -89,9 +89,8 @@
 placement_result
 placer::Place(const placement_query& aQuery, instant aNow) const
 {
-  return aQuery.mGeneration != nullptr && aQuery.mService->mEngine
-           ? PlaceGeneration(aQuery, aNow)
-           : PlacePlain(aQuery, aNow);
+  return aQuery.mGeneration != nullptr && aQuery.mService->mEngine ? PlaceGeneration(aQuery, aNow)
+                                                                   : PlacePlain(aQuery, aNow);
 }
 
 double
@@ -168,9 +167,8 @@
   made.mPlacement.mPrefillTime = milliseconds_f{ wait + computing + transfer };
   made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
   made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
-               mSettings.mTransferWeight * transfer +
-               mSettings.mCopyWeight * copied / rate + DistanceCost(aEngine) +
-               mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
+               mSettings.mTransferWeight * transfer + mSettings.mCopyWeight * copied / rate +
+               DistanceCost(aEngine) + mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
   return made;
 }
 
@@ -233,7 +231,8 @@
         continue;
       }
       made.mPlacement.mTarget = engine;
-      const auto kept = shape.mPromptTokens - std::min(shape.mPromptTokens, made.mPlacement.mComputeTokens);
+      const auto kept =
+        shape.mPromptTokens - std::min(shape.mPromptTokens, made.mPlacement.mComputeTokens);
       const auto likely = made.mPlacement.mComputeTokens + kDecodeMissRisk * kept;
       const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + likely;
       const double gap = GapMs(*aQuery.mService->mEngine, tokens);
@@ -259,12 +258,12 @@
   const auto patience = FirstEventPatience(*aQuery.mRoute, aQuery.mTimeLeft);
   if (best->mPlacement.mFirstToken > kUsablePatience * patience) {
     const auto excess = best->mPlacement.mFirstToken - milliseconds_f{ aQuery.mRoute->mTarget };
-    const auto spread = 0.75 + 0.5 * static_cast<double>(bestTie >> 11U) / static_cast<double>(1ULL << 53U);
-    return no_placement{
-      "the first token would come too late",
-      std::max(kLeastRetryAfter,
-               std::chrono::duration_cast<std::chrono::milliseconds>(excess * spread))
-    };
+    const auto spread =
+      0.75 + 0.5 * static_cast<double>(bestTie >> 11U) / static_cast<double>(1ULL << 53U);
+    return no_placement{ "the first token would come too late",
+                         std::max(kLeastRetryAfter,
+                                  std::chrono::duration_cast<std::chrono::milliseconds>(excess *
+                                                                                        spread)) };
   }
   return best->mPlacement;
 }
--- a/packages/core/src/role_keeper.cpp
+++ b/packages/core/src/role_keeper.cpp
@@ -67,8 +67,8 @@
   }
   while (missing > 0) {
     // The data centre with most decode engines gives one, and none gives its last.
-    auto most = std::max_element(
-      decoders.begin(), decoders.end(), [](const auto& aLeft, const auto& aRight) {
+    auto most =
+      std::max_element(decoders.begin(), decoders.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second.size() < aRight.second.size();
       });
     if (most == decoders.end() || most->second.size() < 2) {
@@ -112,11 +112,11 @@
       running += engine.mRunning;
       changing += mChanging.contains(engine.mServer.mId) ? 1 : 0;
     }
-    const auto most = running == 0 ? service.mEngines.size()
-                                   : static_cast<std::size_t>(std::max(
-                                       1.0,
-                                       std::floor(kMostChanging *
-                                                  static_cast<double>(service.mEngines.size()))));
+    const auto most =
+      running == 0
+        ? service.mEngines.size()
+        : static_cast<std::size_t>(std::max(
+            1.0, std::floor(kMostChanging * static_cast<double>(service.mEngines.size()))));
     for (const auto& change : Changes(service, mSettings.mPrefillShare)) {
       if (changing < most && !mNotBefore.contains(change.first)) {
         due.emplace_back(change.first, wanted_change{ change.second, service.mRoleChange });
@@ -153,8 +153,7 @@
   const bool mine = mSeen && mSeen->mHolder == mSettings.mSelf && mHeldFencing == mSeen->mFencing;
   // That there is no lease may have changed since an older read.
   const bool none = mSeenNone && aNow - mCheckedAt < kCheckPeriod;
-  return none || mine ||
-         (mSeen && aNow - mSeenAt >= kHold + mSettings.mLease + kHolderMargin);
+  return none || mine || (mSeen && aNow - mSeenAt >= kHold + mSettings.mLease + kHolderMargin);
 }
 
 std::optional<role_action>
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -216,7 +216,8 @@
 
   void NoDecodeEngineMeansNoPlacement()
   {
-    std::erase_if(mServers, [](const auto& aServer) { return aServer.mRole == engine_role::Decode; });
+    std::erase_if(mServers,
+                  [](const auto& aServer) { return aServer.mRole == engine_role::Decode; });
     const auto shape = Shape(1);
     CPPUNIT_ASSERT(std::holds_alternative<no_placement>(Place(&shape)));
   }
--- a/packages/core/tests/role_keeper_test.cpp
+++ b/packages/core/tests/role_keeper_test.cpp
@@ -212,8 +212,8 @@
   void DeviationMustLast()
   {
     role_keeper keeper{ { "d0", 0.5, kLease } };
-    const std::vector services{ Service({ Engine("e0", "a", engine_role::Decode),
-                                          Engine("e1", "a", engine_role::Decode) }) };
+    const std::vector services{ Service(
+      { Engine("e0", "a", engine_role::Decode), Engine("e1", "a", engine_role::Decode) }) };
     const instant now{ seconds{ 100 } };
     // The first call of the store is a read that keeps the knowledge of the lease fresh.
     const auto first = keeper.OnTick(services, 0, now);
--- a/packages/core/tests/route_index_test.cpp
+++ b/packages/core/tests/route_index_test.cpp
@@ -44,9 +44,10 @@
   void LongestPrefixOfTheHostWins()
   {
     route_index index;
-    index.Apply(Configuration(1, { Route("short", "a.example", "/p/"),
-                                   Route("long", "a.example", "/p/q/"),
-                                   Route("other", "b.example", "/p/q/r/") }));
+    index.Apply(Configuration(1,
+                              { Route("short", "a.example", "/p/"),
+                                Route("long", "a.example", "/p/q/"),
+                                Route("other", "b.example", "/p/q/r/") }));
     CPPUNIT_ASSERT_EQUAL(std::string{ "long" }, index.Find("a.example", "/p/q/r/1")->mName);
     CPPUNIT_ASSERT_EQUAL(std::string{ "short" }, index.Find("a.example", "/p/qq")->mName);
     CPPUNIT_ASSERT(index.Find("a.example", "/x") == nullptr);
--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -16,10 +16,10 @@
 {
   std::string mVm;
   std::string mDataCentre;
-  std::string mCallerAddress;  ///< ip:port for callers
-  std::string mReadyAddress;   ///< ip:port for the balancer's readiness checks and the metrics
-  std::string mStoreAddress;   ///< ip:port of the platform's store
-  std::string mPeerAddress;    ///< ip:port (UDP) for work digests of other daemons
+  std::string mCallerAddress; ///< ip:port for callers
+  std::string mReadyAddress;  ///< ip:port for the balancer's readiness checks and the metrics
+  std::string mStoreAddress;  ///< ip:port of the platform's store
+  std::string mPeerAddress;   ///< ip:port (UDP) for work digests of other daemons
   std::chrono::milliseconds mConfigurationWithin{ 2'000 }; ///< bound for a change to be in force
   std::chrono::milliseconds mDrainWithin{ 2'000 };   ///< bound for no new work to a leaving server
   std::chrono::milliseconds mContact{ 3'000 };       ///< after it a VM counts as healthy again
@@ -27,7 +27,7 @@
   /// From the first refused readiness check until the balancer sends no new connections. It asks
   /// once a second and acts on the second refusal.
   std::chrono::milliseconds mBalancerNotices{ 2'600 };
-  std::chrono::milliseconds mLease{ 3'000 };         ///< least time between two order holders
+  std::chrono::milliseconds mLease{ 3'000 }; ///< least time between two order holders
   repeat_allowance_settings mRepeats;
   double mPrefillTokensPerMs = 50; ///< of a prefill engine, until measured
   double mPrefillShare = 0.5;      ///< part of a model service's engines that should prefill
--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -46,7 +46,7 @@
 /// Why no answer came.
 struct http_failure
 {
-  bool mSent = false; ///< bytes may have reached the server
+  bool mSent = false;   ///< bytes may have reached the server
   bool mReused = false; ///< on a connection that had served a call before
   std::string mReason;
 };
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -29,7 +29,8 @@
   void Start()
   {
     // The stream is borrowed, so that it outlives the server's use of it.
-    auto serving = mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ mStream.get(), kj::NullDisposer::instance });
+    auto serving =
+      mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ mStream.get(), kj::NullDisposer::instance });
     mServing = serving
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged why; the connection is closed either way.
@@ -85,8 +86,7 @@
     return settings;
   }
 
-  kj::Promise<void> handleApplicationError(kj::Exception aError,
-                                           kj::Maybe<Response&>) override
+  kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
     if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
       Log(log_level::Error, "callers", aError.getDescription().cStr());
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -225,14 +225,13 @@
   }
   const auto& prefill = aPlacement.mPrefill;
   const auto* computing = prefill != nullptr ? prefill : aPlacement.mTarget;
-  mPlan = " prompt=" + std::to_string(mRequest.mGeneration->mPromptTokens) +
-          " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId +
-          " ahead=" +
-          std::to_string(static_cast<std::int64_t>(
-            mContext.mBoard.WaitingTokens(computing->mId, mContext.mClock.Now()))) +
-          " fetch=" + (aPlacement.mFetchFrom != nullptr ? aPlacement.mFetchFrom->mId : "-") +
-          " predicted_ms=" +
-          std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count()));
+  mPlan =
+    " prompt=" + std::to_string(mRequest.mGeneration->mPromptTokens) +
+    " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId + " ahead=" +
+    std::to_string(static_cast<std::int64_t>(
+      mContext.mBoard.WaitingTokens(computing->mId, mContext.mClock.Now()))) +
+    " fetch=" + (aPlacement.mFetchFrom != nullptr ? aPlacement.mFetchFrom->mId : "-") +
+    " predicted_ms=" + std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count()));
 }
 
 kj::Promise<void>
@@ -242,9 +241,9 @@
   mWaitsSince = mWaitsSince.value_or(now);
   const auto left = std::chrono::duration_cast<milliseconds>(aParts.mReadyAt - now);
   const auto pause = std::clamp(left, kShortestWait, kLongestWait);
-  return mContext.mParts.Wait()
-    .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(pause)))
-    .then([this] { return Attempt(); });
+  return mContext.mParts.Wait().exclusiveJoin(mContext.mTimer.afterDelay(ToKj(pause))).then([this] {
+    return Attempt();
+  });
 }
 
 kj::Promise<void>
@@ -252,8 +251,8 @@
 {
   const auto& engine = *aPlacement.mPrefill;
   const auto now = mContext.mClock.Now();
-  mTicket = mContext.mBoard.Begin(
-    engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
+  mTicket =
+    mContext.mBoard.Begin(engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
   mContext.mBoard.OnComing(
     engine.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
   forward_attempt attempt;
@@ -291,20 +290,22 @@
         Close(backend_outcome::Failed);
         return OnNotRun("the answer to the prefill belongs to another request", true);
       }
-      return mAnswer->Body().readAllText(kMostAnswerBytes).then(
-        [this, plan = kj::mv(plan), target = kj::mv(target)](
-          kj::String aText) mutable -> kj::Promise<void> {
-          mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
-          if (mHead.mLoad) {
-            mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, mContext.mClock.Now());
-          }
-          auto prefilled = OnPrefilled(*plan, std::string{ aText.cStr(), aText.size() });
-          return prefilled.attach(kj::mv(plan), kj::mv(target));
-        },
-        [this](kj::Exception&& aError) -> kj::Promise<void> {
-          Close(backend_outcome::Failed);
-          return OnNotRun(aError.getDescription().cStr(), true);
-        });
+      return mAnswer->Body()
+        .readAllText(kMostAnswerBytes)
+        .then(
+          [this, plan = kj::mv(plan), target = kj::mv(target)](
+            kj::String aText) mutable -> kj::Promise<void> {
+            mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
+            if (mHead.mLoad) {
+              mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, mContext.mClock.Now());
+            }
+            auto prefilled = OnPrefilled(*plan, std::string{ aText.cStr(), aText.size() });
+            return prefilled.attach(kj::mv(plan), kj::mv(target));
+          },
+          [this](kj::Exception&& aError) -> kj::Promise<void> {
+            Close(backend_outcome::Failed);
+            return OnNotRun(aError.getDescription().cStr(), true);
+          });
     });
 }
 
@@ -482,8 +483,7 @@
       }
       const auto now = mContext.mClock.Now();
       const bool first = mEvents.Events() == 0;
-      const auto whole =
-        mEvents.Feed({ reinterpret_cast<const char*>(mChunk.begin()), aBytes });
+      const auto whole = mEvents.Feed({ reinterpret_cast<const char*>(mChunk.begin()), aBytes });
       if (whole.empty()) {
         return StreamFurther();
       }
@@ -511,7 +511,7 @@
     [this](kj::Exception&& aError) -> kj::Promise<void> {
       mAnswer = nullptr;
       Close(aError.getType() == kj::Exception::Type::OVERLOADED ? backend_outcome::Silent
-                                                                 : backend_outcome::Failed);
+                                                                : backend_outcome::Failed);
       return OnBroken(aError.getDescription().cStr());
     });
 }
@@ -549,8 +549,8 @@
 exchange::OnNotRun(std::string_view aReason, bool aSent)
 {
   mAvoid.push_back(mTarget.mId);
-  const bool again = aSent ? MayTryAgain()
-                           : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
+  const bool again =
+    aSent ? MayTryAgain() : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
   if (again) {
     return Attempt();
   }
@@ -580,10 +580,8 @@
 exchange::Refuse(std::string_view aReason, milliseconds aRetryAfter)
 {
   LogEnd("refused", aReason);
-  return Reply(503,
-               StatusText(503),
-               { { "Retry-After", Seconds(aRetryAfter) } },
-               "the request has not run\n");
+  return Reply(
+    503, StatusText(503), { { "Retry-After", Seconds(aRetryAfter) } }, "the request has not run\n");
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -146,20 +146,20 @@
   const forward_route* mRoute = nullptr;
   const forward_service* mService = nullptr;
 
-  std::vector<std::string> mAvoid; ///< servers that failed this request
+  std::vector<std::string> mAvoid;    ///< servers that failed this request
   std::optional<instant> mWaitsSince; ///< for parts of the prompt
-  std::uint32_t mSends = 0;        ///< arrivals at servers that count as attempts
+  std::uint32_t mSends = 0;           ///< arrivals at servers that count as attempts
   bool mMayHaveRun = false;
   bool mAnswerBegun = false;
 
   backend_server mTarget; ///< copy: the directory may change while the attempt is open
   std::optional<backend_board::ticket> mTicket;
-  std::uint32_t mAddsAtTarget = 0;   ///< tokens that come into the target's memory
-  instant mSentAt{};                 ///< start of the last attempt, its prefill included
-  std::optional<instant> mFirstAt;   ///< first event or whole answer
+  std::uint32_t mAddsAtTarget = 0; ///< tokens that come into the target's memory
+  instant mSentAt{};               ///< start of the last attempt, its prefill included
+  std::optional<instant> mFirstAt; ///< first event or whole answer
   instant mLastEventAt{};
-  instant::duration mLongestGap{};   ///< between events
-  std::string mPlan;                 ///< what the last placement was decided by, for the log
+  instant::duration mLongestGap{}; ///< between events
+  std::string mPlan;               ///< what the last placement was decided by, for the log
   std::unique_ptr<http_answer> mAnswer;
   answer_head mHead;
   std::string mServedBy; ///< id of the first server of a stream
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -66,24 +66,44 @@
     , mPlacer(PlacementSettings(mSettings), mBoard)
     , mRepeats(mSettings.mRepeats)
     , mTasks(*this)
-    , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard, mPlacer, mRepeats, mPool, mTimer,
-                  mClock, mTable, mCounters, mTasks, mParts }
+    , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard, mPlacer,
+                  mRepeats,           mPool,   mTimer,     mClock, mTable,
+                  mCounters,          mTasks,  mParts }
     , mCallers(mExchanges)
     , mPeers(aContext.provider->getNetwork(),
              [this](const work_digest& aDigest) { OnDigest(aDigest); })
-    , mRoles(RoleSettings(mSettings), *mAdapter.mDialect, mRoutes, mDirectory, mBoard, *mStore, mPool,
-             mTimer, mClock, mTasks)
+    , mRoles(RoleSettings(mSettings),
+             *mAdapter.mDialect,
+             mRoutes,
+             mDirectory,
+             mBoard,
+             *mStore,
+             mPool,
+             mTimer,
+             mClock,
+             mTasks)
     , mReadyServer(mTimer, mTable, *this)
-    , mConfigurations(Follow(std::string{ mAdapter.mObjects->ConfigurationKind() }),
-                      *mStore, mTimer, mClock,
-                      [this](const auto& aObjects, bool) { OnConfigurations(aObjects); },
-                      [this](const object_change& aChange, bool) { OnConfiguration(aChange); })
-    , mServers(Follow(std::string{ mAdapter.mObjects->BackendKind() }),
-               *mStore, mTimer, mClock,
-               [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
-               [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); })
-    , mRegistry(mSettings.mVm, mSettings.mPeerAddress, mSettings.mDataCentre, *mStore, mTimer,
-                RandomSeed(), mPeers)
+    , mConfigurations(
+        Follow(std::string{ mAdapter.mObjects->ConfigurationKind() }),
+        *mStore,
+        mTimer,
+        mClock,
+        [this](const auto& aObjects, bool) { OnConfigurations(aObjects); },
+        [this](const object_change& aChange, bool) { OnConfiguration(aChange); })
+    , mServers(
+        Follow(std::string{ mAdapter.mObjects->BackendKind() }),
+        *mStore,
+        mTimer,
+        mClock,
+        [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
+        [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); })
+    , mRegistry(mSettings.mVm,
+                mSettings.mPeerAddress,
+                mSettings.mDataCentre,
+                *mStore,
+                mTimer,
+                RandomSeed(),
+                mPeers)
   {
   }
 
@@ -92,8 +112,10 @@
   void Run() override
   {
     auto& network = mContext.provider->getNetwork();
-    mFrontPort = network.parseAddress(ToKj(mSettings.mCallerAddress)).wait(mContext.waitScope)->listen();
-    mReadyPort = network.parseAddress(ToKj(mSettings.mReadyAddress)).wait(mContext.waitScope)->listen();
+    mFrontPort =
+      network.parseAddress(ToKj(mSettings.mCallerAddress)).wait(mContext.waitScope)->listen();
+    mReadyPort =
+      network.parseAddress(ToKj(mSettings.mReadyAddress)).wait(mContext.waitScope)->listen();
     mAccepting = mCallers.Accept(*mFrontPort).eagerlyEvaluate([this](kj::Exception&& aError) {
       taskFailed(kj::mv(aError));
     });
@@ -103,14 +125,13 @@
     mTasks.add(mServers.Run());
     mTasks.add(mRegistry.Run());
     mTasks.add(TickForever());
-    mTasks.add(mContext.unixEventPort.onSignal(SIGTERM).then([this](siginfo_t) {
-      BeginShutdown();
-    }));
+    mTasks.add(
+      mContext.unixEventPort.onSignal(SIGTERM).then([this](siginfo_t) { BeginShutdown(); }));
     mTasks.add(IgnoreHangups());
     Log(log_level::Info,
         "daemon",
-        "started vm=" + mSettings.mVm + " data_centre=" + mSettings.mDataCentre +
-          " listening on " + mSettings.mCallerAddress);
+        "started vm=" + mSettings.mVm + " data_centre=" + mSettings.mDataCentre + " listening on " +
+          mSettings.mCallerAddress);
     mEnded.promise.wait(mContext.waitScope);
     Log(log_level::Info, "daemon", "ended vm=" + mSettings.mVm);
   }
@@ -343,8 +364,8 @@
       mFrontPort = nullptr;
       mCallers.RefuseRequests();
     }
-    const bool quiet = lasted >= mSettings.mBalancerNotices + kIdleWhileStopping &&
-                       mCallers.OpenRequests() == 0;
+    const bool quiet =
+      lasted >= mSettings.mBalancerNotices + kIdleWhileStopping && mCallers.OpenRequests() == 0;
     if (quiet || lasted >= mSettings.mShutdownGrace - kShutdownMargin) {
       mEnded.fulfiller->fulfill();
     }
@@ -372,8 +393,8 @@
     const kj::HttpHeaders headers{ mTable };
     if (path == mAdapter.mDialect->ReadyPath()) {
       const bool ready = Ready();
-      auto out = aResponse.send(ready ? 200 : 503, ready ? "OK" : "Service Unavailable", headers,
-                                std::uint64_t{ 0 });
+      auto out = aResponse.send(
+        ready ? 200 : 503, ready ? "OK" : "Service Unavailable", headers, std::uint64_t{ 0 });
       return kj::READY_NOW;
     }
     if (path == "/metrics") {
@@ -437,8 +458,7 @@
                 kj::AsyncIoContext& aContext,
                 const clock_source& aClock)
 {
-  return std::make_unique<kj_gateway>(
-    std::move(aSettings), std::move(aAdapter), aContext, aClock);
+  return std::make_unique<kj_gateway>(std::move(aSettings), std::move(aAdapter), aContext, aClock);
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -52,7 +52,7 @@
 }
 
 setting
-Text(std::string gateway_settings::* aMember)
+Text(std::string gateway_settings::*aMember)
 {
   return { "a name", true, [aMember](const std::string& aText, gateway_settings& aInto) {
             aInto.*aMember = aText;
@@ -61,7 +61,7 @@
 }
 
 setting
-Address(std::string gateway_settings::* aMember)
+Address(std::string gateway_settings::*aMember)
 {
   return { "ip:port", true, [aMember](const std::string& aText, gateway_settings& aInto) {
             aInto.*aMember = aText;
@@ -86,7 +86,7 @@
 }
 
 setting
-Milliseconds(milliseconds gateway_settings::* aMember)
+Milliseconds(milliseconds gateway_settings::*aMember)
 {
   constexpr double kMost = 3'600'000;
   return Amount("milliseconds", kMost, [aMember](double aValue, gateway_settings& aInto) {
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -179,13 +179,12 @@
   if (!aCall.mBody.empty()) {
     *answer->mUploaded = false;
     auto upload = request.body->write(aCall.mBody.data(), aCall.mBody.size());
-    answer->mUpload =
-      upload.attach(kj::mv(request.body))
-        .then([done = answer->mUploaded] { *done = true; },
-              [](kj::Exception&&) {
-                // The answer, or its failure, tells what became of the request.
-              })
-        .eagerlyEvaluate(nullptr);
+    answer->mUpload = upload.attach(kj::mv(request.body))
+                        .then([done = answer->mUploaded] { *done = true; },
+                              [](kj::Exception&&) {
+                                // The answer, or its failure, tells what became of the request.
+                              })
+                        .eagerlyEvaluate(nullptr);
   }
   return request.response.then(
     [answer = std::move(answer)](kj::HttpClient::Response aResponse) mutable -> http_result {
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -38,18 +38,19 @@
     return KJ_ASSERT_NONNULL(mAhead).addBranch();
   }
   mAheadOpen = true;
-  auto& fork = mAhead.emplace(mInner->tryRead(mScratch, 1, sizeof(mScratch))
-                                .then(
-                                  [this](size_t aBytes) {
-                                    mBuffered.append(reinterpret_cast<const char*>(mScratch), aBytes);
-                                    NoteInput(aBytes);
-                                    mAheadOpen = false;
-                                  },
-                                  [this](kj::Exception&&) {
-                                    NoteInput(0);
-                                    mAheadOpen = false;
-                                  })
-                                .fork());
+  auto& fork =
+    mAhead.emplace(mInner->tryRead(mScratch, 1, sizeof(mScratch))
+                     .then(
+                       [this](size_t aBytes) {
+                         mBuffered.append(reinterpret_cast<const char*>(mScratch), aBytes);
+                         NoteInput(aBytes);
+                         mAheadOpen = false;
+                       },
+                       [this](kj::Exception&&) {
+                         NoteInput(0);
+                         mAheadOpen = false;
+                       })
+                     .fork());
   return fork.addBranch();
 }
 
@@ -92,9 +93,8 @@
     return aHave;
   }
   if (mAheadOpen) {
-    return ReadAhead().then([this, aBuffer, aHave, aLeast, aMost] {
-      return ReadFurther(aBuffer, aHave, aLeast, aMost);
-    });
+    return ReadAhead().then(
+      [this, aBuffer, aHave, aLeast, aMost] { return ReadFurther(aBuffer, aHave, aLeast, aMost); });
   }
   return mInner->tryRead(aBuffer + aHave, aLeast - aHave, aMost - aHave)
     .then([this, aHave](size_t aBytes) {
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -27,8 +27,7 @@
 {
   json work = json::array();
   for (const auto& entry : aDigest.mWork) {
-    work.push_back(
-      { entry.mBackendId, entry.mPrefillTokens, entry.mRunning, entry.mAddedTokens });
+    work.push_back({ entry.mBackendId, entry.mPrefillTokens, entry.mRunning, entry.mAddedTokens });
   }
   json kept = json::array();
   for (const auto& entry : aDigest.mKept) {
@@ -38,11 +37,15 @@
   for (const auto& entry : aDigest.mChanging) {
     changing.push_back({ entry.mBackendId, entry.mLeftMs });
   }
-  const json digest = {
-    aDigest.mSender,    aDigest.mSequence,          std::move(work),     std::move(kept),
-    std::move(changing), aDigest.mAddress, aDigest.mConfigurationSeen, aDigest.mServersSeen,
-    aDigest.mDataCentre
-  };
+  const json digest = { aDigest.mSender,
+                        aDigest.mSequence,
+                        std::move(work),
+                        std::move(kept),
+                        std::move(changing),
+                        aDigest.mAddress,
+                        aDigest.mConfigurationSeen,
+                        aDigest.mServersSeen,
+                        aDigest.mDataCentre };
   std::string bytes;
   json::to_cbor(digest, bytes);
   return bytes;
@@ -110,8 +113,8 @@
     [this] {
       const auto content = mReceiver->getContent();
       const auto bytes = content.value;
-      const auto digest = DecodeDigest(
-        { reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
+      const auto digest =
+        DecodeDigest({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
       if (digest && !content.isTruncated) {
         mOnDigest(*digest);
       } else {
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -115,16 +115,15 @@
 void
 role_driver::Carry(const read_lease&)
 {
-  mTasks.add(
-    mStore.Read(kLeaseKind, kLeaseName).then([this](store_result<stored_object> aResult) {
-      const auto now = mClock.Now();
-      if (const auto* found = std::get_if<stored_object>(&aResult)) {
-        mKeeper.OnLease(ParseLease(*found), false, now);
-        return;
-      }
-      const auto& failure = std::get<store_failure>(aResult);
-      mKeeper.OnLease(std::nullopt, failure.mCause != store_failure::cause::Missing, now);
-    }));
+  mTasks.add(mStore.Read(kLeaseKind, kLeaseName).then([this](store_result<stored_object> aResult) {
+    const auto now = mClock.Now();
+    if (const auto* found = std::get_if<stored_object>(&aResult)) {
+      mKeeper.OnLease(ParseLease(*found), false, now);
+      return;
+    }
+    const auto& failure = std::get<store_failure>(aResult);
+    mKeeper.OnLease(std::nullopt, failure.mCause != store_failure::cause::Missing, now);
+  }));
 }
 
 void
@@ -145,8 +144,9 @@
                  Log(log_level::Info,
                      "lease",
                      "write fencing=" + std::to_string(fencing) +
-                       (written ? " done revision=" + std::to_string(*written)
-                                : " failed reason=\"" + std::get<store_failure>(aResult).mReason + '"'));
+                       (written
+                          ? " done revision=" + std::to_string(*written)
+                          : " failed reason=\"" + std::get<store_failure>(aResult).mReason + '"'));
                  mKeeper.OnLeaseWritten(written, mClock.Now());
                }));
 }
@@ -175,7 +175,9 @@
     return text.readAllText(kMostAnswerBytes)
       .then([this, answer = std::move(answer)](kj::String aText) mutable -> engine_answer {
         const auto head = mDialect.ReadAnswer(answer->mStatus, answer->mHeaders);
-        engine_answer read{ std::in_place, answer->mStatus, std::string{ aText.cStr(), aText.size() } };
+        engine_answer read{ std::in_place,
+                            answer->mStatus,
+                            std::string{ aText.cStr(), aText.size() } };
         mPool.Release(std::move(answer), head.mCloses, head.mKeepAlive);
         return read;
       });
@@ -215,8 +217,7 @@
   const auto role = aGive.mOrder.mRole == engine_role::Prefill ? "prefill" : "decode";
   Log(log_level::Info,
       "orders",
-      "sent id=" + id + " role=" + role +
-        " fencing=" + std::to_string(aGive.mOrder.mFencing) +
+      "sent id=" + id + " role=" + role + " fencing=" + std::to_string(aGive.mOrder.mFencing) +
         " expected=" + std::to_string(aGive.mOrder.mExpectedSequence));
   mTasks.add(
     CallEngine(id, mDialect.OrderRole(aGive.mOrder)).then([this, id](engine_answer aAnswer) {
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -146,8 +146,7 @@
 {
   const auto now = mClock.Now();
   if (mOutageSince != instant{}) {
-    const auto lasted =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - mOutageSince);
+    const auto lasted = std::chrono::duration_cast<std::chrono::milliseconds>(now - mOutageSince);
     Log(log_level::Info,
         "store",
         "regained kind=" + mSettings.mKind + " after_ms=" + std::to_string(lasted.count()));
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -83,7 +83,7 @@
   std::uint64_t mListedAt = 0;       ///< revision of the first page
   std::uint64_t mAt = 0;
   std::uint64_t mLastChange = 0;
-  std::uint64_t mToldOf = 0; ///< revision of the last news from elsewhere
+  std::uint64_t mToldOf = 0;      ///< revision of the last news from elsewhere
   std::optional<instant> mToldAt; ///< empty when it has come or was acted on
   std::uint32_t mBusyWatches = 0; ///< watches in a row that brought changes
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -22,8 +22,9 @@
     mCalls.push_back("list " + aAfter);
     return Next(mLists);
   }
-  kj::Promise<store_result<object_changes>> Watch(std::string, std::uint64_t aFrom, milliseconds)
-    override
+  kj::Promise<store_result<object_changes>> Watch(std::string,
+                                                  std::uint64_t aFrom,
+                                                  milliseconds) override
   {
     mCalls.push_back("watch " + std::to_string(aFrom));
     return Next(mWatches);
@@ -108,7 +109,8 @@
       mLoop->provider->getTimer(),
       mClock,
       [this](const auto& aObjects, bool aAfter) {
-        mSeen.push_back("list " + std::to_string(aObjects.size()) + (aAfter ? " after outage" : ""));
+        mSeen.push_back("list " + std::to_string(aObjects.size()) +
+                        (aAfter ? " after outage" : ""));
       },
       [this](const object_change& aChange, bool) { mSeen.push_back(aChange.mObject.mName); });
   }
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -13,8 +13,9 @@
 
 /// An engine or plain server of the users' platform. It answers any path, streams events when the
 /// request has a token count, and records every run.
-/// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" | "no_id" |
-/// "error" | "torn"}; `GET /standin/log` returns the requests that arrived with their headers.
+/// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
+/// "no_id" | "error" | "torn"}; `GET /standin/log` returns the requests that arrived with their
+/// headers.
 class backend_double : public standin_app
 {
 public:
--- a/standins/store_double.cpp
+++ b/standins/store_double.cpp
@@ -90,8 +90,7 @@
       aReply.Send(410, "{}");
       return;
     }
-    const auto until =
-      SteadyMs() + static_cast<std::int64_t>(aRequest.QueryNumber("WaitMs", 0));
+    const auto until = SteadyMs() + static_cast<std::int64_t>(aRequest.QueryNumber("WaitMs", 0));
     open_watch watch{ aKind, from, until, aReply };
     if (!TryAnswer(watch)) {
       mWatches.push_back(std::move(watch));
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -38,8 +38,9 @@
   static gateway_options Options()
   {
     gateway_options options;
-    options.mBackends = { { "p1", "model", "prefill" }, { "d1" }, { "d2" },
-                          { "s1", "plain" },            { "s2", "plain" } };
+    options.mBackends = {
+      { "p1", "model", "prefill" }, { "d1" }, { "d2" }, { "s1", "plain" }, { "s2", "plain" }
+    };
     // As the stand-ins are: one of three model servers prefills.
     options.mPrefillShare = 0.34;
     return options;
@@ -64,7 +65,8 @@
 
   static http_reply Stream(const gateway_system& aSystem, const std::string& aRoute)
   {
-    return aSystem.Send("POST", "/" + aRoute + "/x", gateway_system::StreamHeaders("r1", kEvents), "b");
+    return aSystem.Send(
+      "POST", "/" + aRoute + "/x", gateway_system::StreamHeaders("r1", kEvents), "b");
   }
 
   void StreamRunsThroughPrefillAndDecode()
@@ -83,19 +85,26 @@
     const gateway_system system{ Options() };
     auto headers = OrderHeaders("r1");
     headers.insert(headers.end(),
-                   { "X-Skylarkwind-Kv-Hold: 7", "X-Skylarkwind-Kv-Source: 10.0.0.1:1/x",
-                     "X-Skylarkwind-Pin-Ms: 9", "X-Skylarkwind-Kv-Backup: 10.0.0.1:1",
-                     "X-Skylarkwind-Stage: prefill", "X-Skylarkwind-Expect-Instance: nobody",
-                     "Kv-Fetch: 10.0.0.1:1", "X-Own: kept" });
+                   { "X-Skylarkwind-Kv-Hold: 7",
+                     "X-Skylarkwind-Kv-Source: 10.0.0.1:1/x",
+                     "X-Skylarkwind-Pin-Ms: 9",
+                     "X-Skylarkwind-Kv-Backup: 10.0.0.1:1",
+                     "X-Skylarkwind-Stage: prefill",
+                     "X-Skylarkwind-Expect-Instance: nobody",
+                     "Kv-Fetch: 10.0.0.1:1",
+                     "X-Own: kept" });
     CPPUNIT_ASSERT_EQUAL(200, system.Send("POST", "/order/a?q=1", headers, "body").mStatus);
     auto arrivals = system.Arrivals("s1");
     if (arrivals.empty()) {
       arrivals = system.Arrivals("s2");
     }
     const auto& seen = arrivals.at(0)["headers"];
-    for (const auto* name : { "x-skylarkwind-kv-hold", "x-skylarkwind-kv-source",
-                              "x-skylarkwind-pin-ms", "x-skylarkwind-kv-backup",
-                              "x-skylarkwind-stage", "kv-fetch" }) {
+    for (const auto* name : { "x-skylarkwind-kv-hold",
+                              "x-skylarkwind-kv-source",
+                              "x-skylarkwind-pin-ms",
+                              "x-skylarkwind-kv-backup",
+                              "x-skylarkwind-stage",
+                              "kv-fetch" }) {
       CPPUNIT_ASSERT_MESSAGE(name, !seen.contains(name));
     }
     CPPUNIT_ASSERT_EQUAL(std::string{ "kept" }, seen["x-own"].get<std::string>());
@@ -201,8 +210,11 @@
     system.SetMode("s1", "mute");
     system.SetMode("s2", "mute");
     const auto began = std::chrono::steady_clock::now();
-    const auto reply = system.Send(
-      "POST", "/order/a", { "X-Skylarkwind-Request-Id: r1", "X-Skylarkwind-Deadline-Ms: 800" }, "x");
+    const auto reply =
+      system.Send("POST",
+                  "/order/a",
+                  { "X-Skylarkwind-Request-Id: r1", "X-Skylarkwind-Deadline-Ms: 800" },
+                  "x");
     const auto taken = std::chrono::steady_clock::now() - began;
     CPPUNIT_ASSERT_EQUAL(504, reply.mStatus);
     CPPUNIT_ASSERT(taken >= milliseconds{ 700 } && taken < milliseconds{ 1'300 });
@@ -223,9 +235,7 @@
     next["Version"] = 9;
     next["Routes"].erase(3);
     system.Configure(next);
-    const auto status = [&] {
-      return system.Send("GET", "/lookup/a", OrderHeaders("r1")).mStatus;
-    };
+    const auto status = [&] { return system.Send("GET", "/lookup/a", OrderHeaders("r1")).mStatus; };
     CPPUNIT_ASSERT(WaitUntil([&] { return status() == 404; }, seconds{ 2 }));
     // A late write of an older version changes nothing.
     system.Configure(gateway_system::FirstConfiguration());
@@ -248,8 +258,9 @@
       },
       seconds{ 2 }));
     system.Unlist("s2");
-    CPPUNIT_ASSERT(WaitUntil(
-      [&] { return system.Send("GET", "/lookup/a", OrderHeaders("r")).mStatus == 503; }, seconds{ 2 }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return system.Send("GET", "/lookup/a", OrderHeaders("r")).mStatus == 503; },
+                seconds{ 2 }));
     CPPUNIT_ASSERT_EQUAL(before, system.Arrivals("s1").size());
   }
 
@@ -264,9 +275,9 @@
     next["Version"] = 9;
     next["Routes"].erase(3);
     system.Configure(next);
-    CPPUNIT_ASSERT(WaitUntil(
-      [&] { return system.Send("GET", "/lookup/a", OrderHeaders("r1")).mStatus == 404; },
-      seconds{ 2 }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return system.Send("GET", "/lookup/a", OrderHeaders("r1")).mStatus == 404; },
+                seconds{ 2 }));
   }
 
   void ServesWhileTheStoreIsAway()
@@ -312,7 +323,8 @@
     CPPUNIT_ASSERT(!reply.mBroken);
     CPPUNIT_ASSERT_EQUAL(Events(1, 50), reply.mBody);
     CPPUNIT_ASSERT(system.Daemon().WaitForExit(seconds{ 8 }));
-    CPPUNIT_ASSERT(WIFEXITED(system.Daemon().Status()) && WEXITSTATUS(system.Daemon().Status()) == 0);
+    CPPUNIT_ASSERT(WIFEXITED(system.Daemon().Status()) &&
+                   WEXITSTATUS(system.Daemon().Status()) == 0);
   }
 
   /// Guards against several daemons that order the same engines.
@@ -328,7 +340,8 @@
     for (const auto* id : { "e1", "e2", "e3", "e4" }) {
       for (const auto& arrival : system.Arrivals(id)) {
         if (arrival["outcome"] == "order") {
-          const auto by = json::parse(arrival["body"].get<std::string>())["Holder"].get<std::string>();
+          const auto by =
+            json::parse(arrival["body"].get<std::string>())["Holder"].get<std::string>();
           CPPUNIT_ASSERT(holder.empty() || holder == by);
           holder = by;
         }
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -27,12 +27,17 @@
 json
 Route(const std::string& aName, const std::string& aKind, const std::string& aService)
 {
-  return { { "Name", aName },       { "Host", kHost },
+  return { { "Name", aName },
+           { "Host", kHost },
            { "PathPrefix", "/" + aName + "/" },
-           { "Kind", aKind },       { "TimeoutMs", 4'000 },
-           { "TargetLatencyMs", 500 }, { "TargetGapMs", 200 },
-           { "Priority", 1 },       { "MaxAttempts", 2 },
-           { "Service", aService }, { "Resumable", aName == "stream" } };
+           { "Kind", aKind },
+           { "TimeoutMs", 4'000 },
+           { "TargetLatencyMs", 500 },
+           { "TargetGapMs", 200 },
+           { "Priority", 1 },
+           { "MaxAttempts", 2 },
+           { "Service", aService },
+           { "Resumable", aName == "stream" } };
 }
 
 } // namespace
@@ -44,11 +49,12 @@
   mDirectory = mkdtemp(pattern.data());
   mStore = child_process::Start(Program("standin_store"));
   for (const auto& options : mOptions.mBackends) {
-    mBackends.push_back({ options,
-                          child_process::Start(Program("standin_backend"),
-                                               { "--id=" + options.mId,
-                                                 "--stage=" + options.mStage,
-                                                 "--event_ms=" + std::to_string(options.mEventMs) }) });
+    mBackends.push_back(
+      { options,
+        child_process::Start(Program("standin_backend"),
+                             { "--id=" + options.mId,
+                               "--stage=" + options.mStage,
+                               "--event_ms=" + std::to_string(options.mEventMs) }) });
     List(options.mId, "ready");
   }
   Configure(FirstConfiguration());
@@ -74,19 +80,19 @@
   const json engine{ { "Slots", 8 },        { "KvTokens", 400'000 }, { "KvTokenBytes", 1'000 },
                      { "LinkMbps", 1e6 },   { "Stride", 1 },         { "HandleTtlS", 5 },
                      { "RoleSwitchS", 0.3 } };
-  return { { "Version", 4 },
-           { "Routes",
-             { Route("stream", "streaming", "model"),
-               Route("once-stream", "streaming", "model"),
-               Route("order", "non_idempotent", "plain"),
-               Route("lookup", "idempotent", "plain") } },
-           { "Services",
-             { { { "Name", "model" }, { "HealthCheck", "/health" }, { "Engine", engine } },
-               { { "Name", "plain" }, { "HealthCheck", "/health" } } } },
-           { "Limits",
-             { { "MaxBodyBytes", 10'000 },
-               { "HeaderTimeoutMs", 3'000 },
-               { "IdleTimeoutMs", 5'000 } } } };
+  return {
+    { "Version", 4 },
+    { "Routes",
+      { Route("stream", "streaming", "model"),
+        Route("once-stream", "streaming", "model"),
+        Route("order", "non_idempotent", "plain"),
+        Route("lookup", "idempotent", "plain") } },
+    { "Services",
+      { { { "Name", "model" }, { "HealthCheck", "/health" }, { "Engine", engine } },
+        { { "Name", "plain" }, { "HealthCheck", "/health" } } } },
+    { "Limits",
+      { { "MaxBodyBytes", 10'000 }, { "HeaderTimeoutMs", 3'000 }, { "IdleTimeoutMs", 5'000 } } }
+  };
 }
 
 http_reply
@@ -142,7 +148,8 @@
 std::uint64_t
 gateway_system::StoreCalls() const
 {
-  return json::parse(Call("GET", mStore->Url("/standin/calls")).mBody)["calls"].get<std::uint64_t>();
+  return json::parse(Call("GET", mStore->Url("/standin/calls")).mBody)["calls"]
+    .get<std::uint64_t>();
 }
 
 void
@@ -166,21 +173,24 @@
 gateway_system::WriteSettings(const daemon_entry& aDaemon) const
 {
   const auto file = mDirectory + "/" + aDaemon.mName + ".yaml";
-  std::ofstream{ file } << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
-                        << "  callers_address: " << aDaemon.mCallers << "\n"
-                        << "  ready_address: " << aDaemon.mReady << "\n"
-                        << "  store_address: " << mStore->Address() << "\n"
-                        << "  peer_address: " << aDaemon.mPeers << "\n"
-                        << "  contact_ms: 1000\n  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
-                        << "  repeat_ratio: 0.2\n  repeat_floor: 40\n"
-                        << "  prefill_share: " << mOptions.mPrefillShare << "\n";
+  std::ofstream{ file }
+    << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
+    << "  callers_address: " << aDaemon.mCallers << "\n"
+    << "  ready_address: " << aDaemon.mReady << "\n"
+    << "  store_address: " << mStore->Address() << "\n"
+    << "  peer_address: " << aDaemon.mPeers << "\n"
+    << "  contact_ms: 1000\n  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
+    << "  repeat_ratio: 0.2\n  repeat_floor: 40\n"
+    << "  prefill_share: " << mOptions.mPrefillShare << "\n";
   return file;
 }
 
 void
 gateway_system::AddDaemon()
 {
-  daemon_entry daemon{ "vm-" + std::to_string(mDaemons.size()), Loopback(), Loopback(), Loopback(), {} };
+  daemon_entry daemon{
+    "vm-" + std::to_string(mDaemons.size()), Loopback(), Loopback(), Loopback(), {}
+  };
   daemon.mProcess =
     child_process::Start(Program("skylarkwindd"), { "--settings=" + WriteSettings(daemon) });
   mDaemons.push_back(std::move(daemon));
@@ -195,8 +205,8 @@
 http_reply
 gateway_system::Ready(int aIndex) const
 {
-  return Call(
-    "GET", "http://" + mDaemons[static_cast<std::size_t>(aIndex)].mReady + "/skylarkwind/ready");
+  return Call("GET",
+              "http://" + mDaemons[static_cast<std::size_t>(aIndex)].mReady + "/skylarkwind/ready");
 }
 
 http_reply
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -45,7 +45,10 @@
   std::uint64_t StoreCalls() const;
   void SetMode(const std::string& aBackend, const std::string& aMode);
 
-  child_process& Daemon(int aIndex = 0) { return *mDaemons[static_cast<std::size_t>(aIndex)].mProcess; }
+  child_process& Daemon(int aIndex = 0)
+  {
+    return *mDaemons[static_cast<std::size_t>(aIndex)].mProcess;
+  }
   std::string CallerUrl(const std::string& aPath, int aIndex = 0) const;
   http_reply Ready(int aIndex = 0) const;
   /// Starts one more daemon and does not wait until it is ready.
