--- a/packages/core/tests/event_splitter_test.cpp
+++ b/packages/core/tests/event_splitter_test.cpp
@@ -22,7 +22,10 @@
       for (int id = 1; id <= events; ++id) {
         const bool returns = *rc::gen::arbitrary<bool>();
         const std::string end = returns ? "\r\n" : "\n";
-        stream += "id: " + std::to_string(id) + end + "data: some text" + end + end;
+        for (const auto& piece :
+             { "id: " + std::to_string(id), end, std::string{ "data: text" }, end, end }) {
+          stream += piece;
+        }
       }
       event_splitter splitter;
       std::string passed;
--- a/packages/daemon/include/skylarkwind/settings.h
+++ b/packages/daemon/include/skylarkwind/settings.h
@@ -58,7 +58,7 @@
 std::variant<daemon_settings, settings_problems> ParseSettings(std::string_view aText,
                                                                const std::string& aFile);
 
-/// One key of the settings file, for the reference in docs/operating.md.
+/// One key of the settings file, for the reference in docs/OPERATIONS.md.
 struct setting_description
 {
   std::string mKey;
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -478,7 +478,7 @@
       return aKnown.mDescription.mKey.starts_with(aKey + ".");
     };
     if (!std::any_of(AllSettings().begin(), AllSettings().end(), isSection)) {
-      Add(line, aKey, "a known key (see docs/operating.md)");
+      Add(line, aKey, "a known key (see docs/OPERATIONS.md)");
     } else if (!aValue.IsMap()) {
       Add(line, aKey, "a map of keys");
     } else {
--- a/packages/daemon/tests/operating_page_test.cpp
+++ b/packages/daemon/tests/operations_page_test.cpp
@@ -10,7 +10,7 @@
 
 namespace skylarkwind {
 
-/// Compares docs/operating.md with the program.
+/// Compares docs/OPERATIONS.md with the program.
 class operating_page_test : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(operating_page_test);
@@ -36,7 +36,7 @@
   /// The text between a heading of the page and the next heading of any level.
   static std::string Section(const std::string& aHeading)
   {
-    const auto page = Read(Source("docs/operating.md"));
+    const auto page = Read(Source("docs/OPERATIONS.md"));
     const auto start = page.find("\n" + aHeading + "\n");
     CPPUNIT_ASSERT_MESSAGE(aHeading, start != std::string::npos);
     const auto text = page.substr(start + aHeading.size() + 2);
--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -120,7 +120,7 @@
   std::uint64_t Opened() const { return mOpened; }
 
 private:
-  kj::Promise<kj::Own<pooled_connection>> Connect(std::string aAddress);
+  kj::Promise<kj::Own<pooled_connection>> Connect(const std::string& aAddress);
   kj::Maybe<kj::Own<pooled_connection>> TakeIdle(const http_call& aCall);
   kj::Promise<http_result> Send(kj::Own<pooled_connection> aConnection, http_call aCall);
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -25,12 +25,18 @@
 constexpr int kSilenceInGaps = 4;
 /// Servers that say that they did not run a request may be asked one after the other; the bound
 /// ends a round over a service that refuses everywhere.
-constexpr std::size_t kMostServersTried = 4;
+constexpr std::size_t kMostServersTried = 6;
 constexpr milliseconds kRetryAfterRefusal{ 400 };
 /// Requests that may run only once use kept connections only within this time, because a server
 /// may have closed its end.
 constexpr milliseconds kOnceReuseWithin{ 1'000 };
 constexpr milliseconds kReuseWithin{ 60'000 };
+/// Upper bounds of the latency histogram.
+constexpr std::array kLatencyBounds{ milliseconds{ 50 },    milliseconds{ 100 },
+                                     milliseconds{ 200 },   milliseconds{ 300 },
+                                     milliseconds{ 500 },   milliseconds{ 800 },
+                                     milliseconds{ 1'500 }, milliseconds{ 3'000 },
+                                     milliseconds{ 8'000 } };
 /// Bounds of one wait for news of a prompt's parts.
 constexpr milliseconds kShortestWait{ 10 };
 constexpr milliseconds kLongestWait{ 300 };
@@ -194,14 +200,17 @@
   const auto servers = mContext.mDirectory.Usable(mService->mName);
   const auto result = mContext.mPlacer.Place(Query(servers), mContext.mClock.Now());
   if (const auto* none = std::get_if<no_placement>(&result)) {
-    return mMayHaveRun ? Fail(502, none->mReason) : Refuse(none->mReason, none->mRetryAfter);
+    return GiveUp(none->mReason, none->mRetryAfter);
   }
   if (const auto* parts = std::get_if<await_parts>(&result)) {
     return AwaitParts(*parts);
   }
   const auto& chosen = std::get<placement>(result);
   NotePlan(chosen);
-  return chosen.mPrefill != nullptr ? Prefill(chosen) : Send(chosen, std::nullopt);
+  if (chosen.mPrefill != nullptr) {
+    return Prefill(chosen);
+  }
+  return Send(chosen, std::nullopt);
 }
 
 bool
@@ -299,7 +308,7 @@
             if (mHead.mLoad) {
               mContext.mBoard.OnLoad(mTarget.mId, *mHead.mLoad, mContext.mClock.Now());
             }
-            auto prefilled = OnPrefilled(*plan, std::string{ aText.cStr(), aText.size() });
+            auto prefilled = OnPrefilled(*plan, { aText.cStr(), aText.size() });
             return prefilled.attach(kj::mv(plan), kj::mv(target));
           },
           [this](kj::Exception&& aError) -> kj::Promise<void> {
@@ -310,7 +319,7 @@
 }
 
 kj::Promise<void>
-exchange::OnPrefilled(const placement& aPlacement, std::string aBody)
+exchange::OnPrefilled(const placement& aPlacement, std::string_view aBody)
 {
   const auto now = mContext.mClock.Now();
   auto handle = mContext.mDialect.ReadPrefillHandle(aBody);
@@ -424,7 +433,7 @@
       [this](kj::Array<kj::byte> aBody) {
         mContext.mBoard.OnFirst(*mTicket, mContext.mClock.Now());
         mContext.mPool.Release(std::move(mAnswer), mHead.mCloses, mHead.mKeepAlive);
-        return OnWholeAnswer(std::move(mHead), kj::mv(aBody));
+        return OnWholeAnswer(mHead, kj::mv(aBody));
       },
       [this](kj::Exception&& aError) -> kj::Promise<void> {
         mAnswer = nullptr;
@@ -437,7 +446,7 @@
 }
 
 kj::Promise<void>
-exchange::OnWholeAnswer(answer_head aHead, kj::Array<kj::byte> aBody)
+exchange::OnWholeAnswer(const answer_head& aHead, kj::Array<kj::byte> aBody)
 {
   if (aHead.mNotRun) {
     Close(backend_outcome::Refused);
@@ -557,7 +566,16 @@
   if (mAnswerBegun) {
     return OnBroken(aReason);
   }
-  return mMayHaveRun ? Fail(502, aReason) : Refuse(aReason, kRetryAfterRefusal);
+  return GiveUp(aReason, kRetryAfterRefusal);
+}
+
+kj::Promise<void>
+exchange::GiveUp(std::string_view aReason, milliseconds aRetryAfter)
+{
+  if (mMayHaveRun) {
+    return Fail(502, aReason);
+  }
+  return Refuse(aReason, aRetryAfter);
 }
 
 kj::Promise<void>
@@ -629,9 +647,32 @@
   }
 }
 
+void
+exchange::CountEnd(std::string_view aOutcome)
+{
+  auto& counters = mContext.mCounters;
+  const auto outcome = "outcome=\"" + std::string{ aOutcome } + '"';
+  counters.Get("skylarkwind_requests_total", "Requests by how they ended.", outcome).Add();
+  if (aOutcome != "answered") {
+    return;
+  }
+  const auto first = mFirstAt.value_or(mContext.mClock.Now()) - mArrived;
+  for (const auto bound : kLatencyBounds) {
+    if (first <= bound) {
+      counters
+        .Get("skylarkwind_first_answer_ms_bucket",
+             "Time from a request's arrival to its first event or its answer.",
+             "le=\"" + std::to_string(bound.count()) + '"')
+        .Add();
+    }
+  }
+  counters.Get("skylarkwind_first_answer_ms_count", "Answered requests.").Add();
+}
+
 void
 exchange::LogEnd(std::string_view aOutcome, std::string_view aReason)
 {
+  CountEnd(aOutcome);
   const auto taken =
     std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mArrived).count();
   std::string text{ "id=" };
@@ -652,7 +693,7 @@
   }
   text += mPlan;
   if (mFirstAt) {
-    text += " first_ms=" + since(mSentAt, *mFirstAt);
+    text += " first_ms=" + since(mArrived, *mFirstAt);
     text += " gap_ms=" + since(instant{}, instant{} + mLongestGap);
   }
   text += " reason=\"";
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -100,10 +100,10 @@
   /// Waits for news of the prompt's parts, then places the request again.
   kj::Promise<void> AwaitParts(const await_parts& aParts);
   kj::Promise<void> Prefill(const placement& aPlacement);
-  kj::Promise<void> OnPrefilled(const placement& aPlacement, std::string aBody);
+  kj::Promise<void> OnPrefilled(const placement& aPlacement, std::string_view aBody);
   kj::Promise<void> Send(const placement& aPlacement, std::optional<kv_source> aKv);
   kj::Promise<void> OnAnswer(http_result aResult);
-  kj::Promise<void> OnWholeAnswer(answer_head aHead, kj::Array<kj::byte> aBody);
+  kj::Promise<void> OnWholeAnswer(const answer_head& aHead, kj::Array<kj::byte> aBody);
   kj::Promise<void> Stream();
   kj::Promise<void> StreamFurther();
   kj::Promise<void> OnStreamEnd();
@@ -113,6 +113,8 @@
   /// The attempt may have run.
   kj::Promise<void> OnBroken(std::string_view aReason);
   bool MayTryAgain();
+  /// Refuses the request if it has not run, else fails it.
+  kj::Promise<void> GiveUp(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   kj::Promise<void> Refuse(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   kj::Promise<void> Fail(unsigned int aStatus, std::string_view aReason);
   kj::Promise<void> OnTimeLimit();
@@ -133,6 +135,8 @@
   /// Ends the accounting of the open attempt.
   void Close(backend_outcome aOutcome);
   void LogEnd(std::string_view aOutcome, std::string_view aReason);
+  /// Counts the end and the time to the first event or answer.
+  void CountEnd(std::string_view aOutcome);
   std::uint32_t Daemons() const;
 
   exchange_context& mContext;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/gateway.h"
 
 #include "caller_listener_p.h"
+#include "counting_store_p.h"
 #include "daemon_registry_p.h"
 #include "peer_digests_p.h"
 #include "role_driver_p.h"
@@ -27,6 +28,9 @@
 /// others learn from their digests that they have missed a change.
 constexpr std::size_t kShortWatchers = 3;
 constexpr milliseconds kLongWatch{ 25'000 };
+/// Longest pauses between calls while the store is away. The others are told when it is back.
+constexpr milliseconds kShortPause{ 1'000 };
+constexpr milliseconds kLongPause{ 4'000 };
 /// Digests are sent at most this often, and at least this often without news.
 constexpr milliseconds kNearPeriod{ 50 };
 constexpr milliseconds kDigestAtLeast{ 500 };
@@ -60,7 +64,7 @@
     , mClock(aClock)
     , mPool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
     , mStorePool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
-    , mStore(mAdapter.mMakeStore(mStorePool, mTimer))
+    , mStore(std::make_unique<counting_store>(mAdapter.mMakeStore(mStorePool, mTimer), mCounters))
     , mDirectory(DirectorySettings(mSettings))
     , mBoard(BoardSettings(mSettings))
     , mPlacer(PlacementSettings(mSettings), mBoard)
@@ -287,8 +291,10 @@
       mNextRoles = aNow + kRolePeriod;
       mRoles.OnTick(aNow);
       const bool shortWatch = mBoard.Rank(mSettings.mVm, aNow) < kShortWatchers;
-      mConfigurations.SetWatch(shortWatch ? mSettings.mContact : kLongWatch);
-      mServers.SetWatch(shortWatch ? mSettings.mContact : kLongWatch);
+      const auto watch = shortWatch ? mSettings.mContact : kLongWatch;
+      const auto pause = shortWatch ? kShortPause : kLongPause;
+      mConfigurations.SetPace(watch, pause);
+      mServers.SetPace(watch, pause);
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
       mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -96,7 +96,7 @@
 http_pool::~http_pool() = default;
 
 kj::Promise<kj::Own<pooled_connection>>
-http_pool::Connect(std::string aAddress)
+http_pool::Connect(const std::string& aAddress)
 {
   return mNetwork.parseAddress(ToKj(aAddress))
     .then([](kj::Own<kj::NetworkAddress> aParsed) {
@@ -141,8 +141,7 @@
   KJ_IF_MAYBE (idle, TakeIdle(aCall)) {
     return Send(kj::mv(*idle), std::move(aCall));
   }
-  auto connecting =
-    mTimer.timeoutAfter(ToKj(mSettings.mConnectLimit), Connect(std::string{ aCall.mAddress }));
+  auto connecting = mTimer.timeoutAfter(ToKj(mSettings.mConnectLimit), Connect(aCall.mAddress));
   return connecting.then(
     [this, call = std::move(aCall)](kj::Own<pooled_connection> aConnection) mutable {
       return Send(kj::mv(aConnection), std::move(call));
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -95,7 +95,10 @@
 kj::Promise<void>
 peer_digests::Run(std::string aAddress)
 {
-  return mNetwork.parseAddress(ToKj(aAddress))
+  // The text outlives the parsing of it.
+  auto text = kj::heap<std::string>(std::move(aAddress));
+  auto parsing = mNetwork.parseAddress(ToKj(*text));
+  return parsing
     .then([this](kj::Own<kj::NetworkAddress> aParsed) {
       mPort = aParsed->bindDatagramPort();
       kj::DatagramReceiver::Capacity capacity;
@@ -103,7 +106,7 @@
       mReceiver = mPort->makeReceiver(capacity);
       return Receive();
     })
-    .attach(kj::heap<std::string>(std::move(aAddress)));
+    .attach(kj::mv(text));
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -47,7 +47,7 @@
 void
 store_follower::OnNewsElsewhere(std::uint64_t aRevision)
 {
-  if (aRevision <= mAt || aRevision <= mToldOf) {
+  if (aRevision <= mLastChange || aRevision <= mToldOf) {
     return;
   }
   mToldOf = aRevision;
@@ -60,7 +60,7 @@
   if (!mToldAt) {
     return;
   }
-  if (mAt >= mToldOf) {
+  if (mLastChange >= mToldOf) {
     mToldAt.reset();
     return;
   }
@@ -103,7 +103,9 @@
     return List();
   }
   mAt = mListedAt;
-  mLastChange = std::max(mLastChange, mListedAt);
+  for (const auto& object : mItems) {
+    NoteRevision(object);
+  }
   mNeedList = false;
   mListed = true;
   mOnList(mItems, AfterOutage());
@@ -131,8 +133,8 @@
         mBusyWatches = 0;
         return kj::READY_NOW;
       }
-      mLastChange = mAt;
       for (const auto& change : changes.mChanges) {
+        NoteRevision(change.mObject);
         mOnChange(change, AfterOutage());
       }
       const auto doublings = std::min<std::uint32_t>(mBusyWatches++, 4);
@@ -141,6 +143,12 @@
     });
 }
 
+void
+store_follower::NoteRevision(const stored_object& aObject)
+{
+  mLastChange = std::max(mLastChange, aObject.mRevision);
+}
+
 void
 store_follower::OnSuccess()
 {
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -52,9 +52,14 @@
   /// Runs until it is dropped.
   kj::Promise<void> Run();
   bool Listed() const { return mListed; }
-  /// For the watches from the next one on.
-  void SetWatch(std::chrono::milliseconds aWatch) { mSettings.mWatch = aWatch; }
-  /// The store's revision with the last change that was seen.
+  /// For the next watch and the next pause on.
+  void SetPace(std::chrono::milliseconds aWatch, std::chrono::milliseconds aLongestPause)
+  {
+    mSettings.mWatch = aWatch;
+    mSettings.mLongestPause = aLongestPause;
+  }
+  /// Revision of the newest object that was seen. It is the same in all daemons that have seen the
+  /// same changes.
   std::uint64_t LastChange() const { return mLastChange; }
   /// Another daemon has seen a change at this revision.
   void OnNewsElsewhere(std::uint64_t aRevision);
@@ -71,6 +76,7 @@
   kj::Promise<void> Watch();
   kj::Promise<void> OnFailure(const store_failure& aFailure);
   void OnSuccess();
+  void NoteRevision(const stored_object& aObject);
   bool AfterOutage() const;
 
   store_follower_settings mSettings;
--- a/tests/sessions/commands_session_test.cpp
+++ b/tests/sessions/commands_session_test.cpp
@@ -75,7 +75,7 @@
 std::vector<shown_command>
 CommandsOfThePage()
 {
-  std::ifstream page{ std::string{ SKYLARKWIND_SOURCE_DIR } + "/docs/operating.md" };
+  std::ifstream page{ std::string{ SKYLARKWIND_SOURCE_DIR } + "/docs/OPERATIONS.md" };
   std::vector<shown_command> commands;
   bool inBlock = false;
   const std::regex exitCode{ R"(\(exit code (\d+)\))" };
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -172,7 +172,7 @@
 std::string
 gateway_system::WriteSettings(const daemon_entry& aDaemon) const
 {
-  const auto file = mDirectory + "/" + aDaemon.mName + ".yaml";
+  auto file = mDirectory + "/" + aDaemon.mName + ".yaml";
   std::ofstream{ file }
     << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
     << "  callers_address: " << aDaemon.mCallers << "\n"
