--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -109,9 +109,6 @@
   /// False while the server is set aside because of failures. After that time one request may try
   /// it again.
   bool Admits(std::string_view aBackendId, instant aNow) const;
-  /// Whether this server has answered nothing for `aFor` while requests of this daemon wait.
-  bool SilentFor(std::string_view aBackendId, std::chrono::milliseconds aFor, instant aNow) const;
-
   /// The server refuses work until then, because it changes its role.
   void OnChanging(std::string_view aBackendId, instant aUntil);
 
@@ -173,8 +170,6 @@
     std::uint32_t mFailuresInARow = 0;
     instant mSetAsideUntil{};
     bool mTrialOpen = false; ///< the one request after a time set aside is under way
-    instant mLastSign{};     ///< of life
-    instant mWaitingSince{}; ///< start of the oldest wait since the last sign
     instant mChangingUntil{};
     backend_load mLoad;
     instant mLoadAt{};
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -67,9 +67,6 @@
                      instant aNow)
 {
   auto& state = StateOf(aBackendId);
-  if (state.mOwnRunning == 0) {
-    state.mWaitingSince = aNow;
-  }
   state.mOwnTokens += aPrefillTokens;
   state.mOwnRunning += 1;
   state.mTrialOpen = true;
@@ -87,8 +84,6 @@
   }
   auto& work = found->second;
   auto& state = StateOf(work.mBackendId);
-  state.mLastSign = aNow;
-  state.mWaitingSince = aNow;
   if (work.mFirst) {
     return;
   }
@@ -122,8 +117,6 @@
     return;
   }
   if (aOutcome == backend_outcome::Answered || aOutcome == backend_outcome::Refused) {
-    state.mLastSign = aNow;
-    state.mWaitingSince = aNow;
     state.mTrialOpen = false;
     if (aOutcome == backend_outcome::Answered) {
       state.mFailuresInARow = 0;
@@ -224,15 +217,6 @@
   return state->mSetAsideUntil == instant{} || !state->mTrialOpen;
 }
 
-bool
-backend_board::SilentFor(std::string_view aBackendId,
-                         std::chrono::milliseconds aFor,
-                         instant aNow) const
-{
-  const auto* state = FindState(aBackendId);
-  return state != nullptr && state->mOwnRunning > 0 && aNow - state->mWaitingSince >= aFor;
-}
-
 void
 backend_board::OnChanging(std::string_view aBackendId, instant aUntil)
 {
--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -46,8 +46,7 @@
 /// Why no answer came.
 struct http_failure
 {
-  bool mSent = false;   ///< bytes may have reached the server
-  bool mReused = false; ///< on a connection that had served a call before
+  bool mSent = false; ///< bytes may have reached the server
   std::string mReason;
 };
 
@@ -67,7 +66,6 @@
   kj::Own<kj::HttpClient> mClient;
   instant mIdleSince{};
   instant mUsableUntil{};
-  bool mReused = false;
 };
 
 /// Head of an answer and its body. Dropping it before the end closes the connection, which cancels
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -105,7 +105,6 @@
 
 caller_listener::caller_listener(exchange_context& aContext)
   : mContext(aContext)
-  , mTasks(*this)
 {
 }
 
@@ -129,10 +128,4 @@
   });
 }
 
-void
-caller_listener::taskFailed(kj::Exception&& aError)
-{
-  Log(log_level::Error, "callers", aError.getDescription().cStr());
-}
-
 } // namespace skylarkwind
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -14,9 +14,7 @@
 namespace skylarkwind {
 
 /// Accepts callers' connections and starts an exchange for each request.
-class caller_listener final
-  : private kj::TaskSet::ErrorHandler
-  , private kj::HttpServerCallbacks
+class caller_listener final : private kj::HttpServerCallbacks
 {
 public:
   explicit caller_listener(exchange_context& aContext);
@@ -37,14 +35,12 @@
   class connection;
 
   bool shouldClose() override { return mClosing; }
-  void taskFailed(kj::Exception&& aError) override;
 
   exchange_context& mContext;
   bool mClosing = false;
   bool mRefusing = false;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
-  kj::TaskSet mTasks;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,6 +23,8 @@
 /// than four times the route's longest pause.
 constexpr milliseconds kSilenceFloor{ 700 };
 constexpr int kSilenceInGaps = 4;
+/// A prefill that takes this many times as long as predicted is given up.
+constexpr double kPrefillLimit = 4;
 /// Servers that say that they did not run a request may be asked one after the other; the bound
 /// ends a round over a service that refuses everywhere.
 constexpr std::size_t kMostServersTried = 6;
@@ -93,6 +95,7 @@
 exchange::~exchange()
 {
   Close(backend_outcome::Cancelled);
+  ReleaseUntaken();
   if (mOut.get() != nullptr) {
     mConnection.Abort();
   }
@@ -285,11 +288,18 @@
   auto target = kj::heap<backend_server>(*aPlacement.mTarget);
   plan->mTarget = target.get();
   plan->mPrefill = &mTarget;
-  return mContext.mPool.Call(std::move(call))
+  const auto limit =
+    std::max(kSilenceFloor,
+             std::chrono::duration_cast<milliseconds>(kPrefillLimit * aPlacement.mPrefillTime));
+  return mContext.mTimer.timeoutAfter(ToKj(limit), mContext.mPool.Call(std::move(call)))
+    .then([](http_result aResult) { return aResult; },
+          [](kj::Exception&&) -> http_result {
+            return http_failure{ true, "the engine was silent" };
+          })
     .then([this, plan = kj::mv(plan), target = kj::mv(target)](
             http_result aResult) mutable -> kj::Promise<void> {
       if (const auto* failure = std::get_if<http_failure>(&aResult)) {
-        Close(failure->mSent ? backend_outcome::Failed : backend_outcome::Unreachable);
+        Close(failure->mSent ? backend_outcome::Silent : backend_outcome::Unreachable);
         return OnNotRun(failure->mReason, failure->mSent);
       }
       mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
@@ -333,6 +343,7 @@
   mContext.mBoard.OnAdded(mTarget.mId, AddedTokens(aPlacement));
   const kv_source source{ mTarget.mAddress, *handle };
   Close(backend_outcome::Answered);
+  mUntaken = source;
   return Send(aPlacement, source);
 }
 
@@ -420,6 +431,7 @@
   }
   if (success && mRoute->mKind == route_kind::Streaming) {
     mMayHaveRun = true;
+    mUntaken.reset();
     if (!resumed) {
       mServedBy = mTarget.mId;
     }
@@ -554,10 +566,33 @@
          mContext.mRepeats.TryTake(mService->mName, Daemons(), mContext.mClock.Now());
 }
 
+void
+exchange::ReleaseUntaken()
+{
+  if (!mUntaken) {
+    return;
+  }
+  auto release = mContext.mDialect.ReleaseHandle(mUntaken->mHandle);
+  http_call call;
+  call.mAddress = mUntaken->mAddress;
+  call.mHost = mUntaken->mAddress;
+  call.mMethod = std::move(release.mMethod);
+  call.mTarget = std::move(release.mPath);
+  mUntaken.reset();
+  auto calling = mContext.mPool.Call(std::move(call)).then([](const http_result&) {
+    // Whatever the answer, the engine drops the cache by itself at the end of the handle's life.
+  });
+  mContext.mTasks.add(
+    mContext.mTimer.timeoutAfter(ToKj(kSilenceFloor), kj::mv(calling)).catch_([](kj::Exception&&) {
+      // The same holds when no answer comes.
+    }));
+}
+
 kj::Promise<void>
 exchange::OnNotRun(std::string_view aReason, bool aSent)
 {
   mAvoid.push_back(mTarget.mId);
+  ReleaseUntaken();
   const bool again =
     aSent ? MayTryAgain() : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
   if (again) {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -113,6 +113,8 @@
   /// The attempt may have run.
   kj::Promise<void> OnBroken(std::string_view aReason);
   bool MayTryAgain();
+  /// Frees the KV cache of a prefill that no engine will take.
+  void ReleaseUntaken();
   /// Refuses the request if it has not run, else fails it.
   kj::Promise<void> GiveUp(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   kj::Promise<void> Refuse(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
@@ -156,7 +158,8 @@
   bool mMayHaveRun = false;
   bool mAnswerBegun = false;
 
-  backend_server mTarget; ///< copy: the directory may change while the attempt is open
+  std::optional<kv_source> mUntaken; ///< KV cache that no engine has taken yet
+  backend_server mTarget;            ///< copy: the directory may change while the attempt is open
   std::optional<backend_board::ticket> mTicket;
   std::uint32_t mAddsAtTarget = 0; ///< tokens that come into the target's memory
   instant mSentAt{};               ///< start of the last attempt, its prefill included
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -44,8 +44,6 @@
 constexpr milliseconds kIdleWhileStopping{ 300 };
 /// How often the roles of engines are compared with the wanted ones.
 constexpr milliseconds kRolePeriod{ 200 };
-/// A server that is silent for this long while requests wait is checked.
-constexpr milliseconds kSilenceChecked{ 1'200 };
 
 class kj_gateway final
   : public gateway
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -36,9 +36,9 @@
 }
 
 http_failure
-FailureOf(const kj::Exception& aError, bool aSent, bool aReused)
+FailureOf(const kj::Exception& aError, bool aSent)
 {
-  return { aSent, aReused, ToStd(aError.getDescription()) };
+  return { aSent, ToStd(aError.getDescription()) };
 }
 
 } // namespace
@@ -147,14 +147,13 @@
       return Send(kj::mv(aConnection), std::move(call));
     },
     [](kj::Exception&& aError) -> kj::Promise<http_result> {
-      return http_result{ FailureOf(aError, false, false) };
+      return http_result{ FailureOf(aError, false) };
     });
 }
 
 kj::Promise<http_result>
 http_pool::Send(kj::Own<pooled_connection> aConnection, http_call aCall)
 {
-  const bool reused = aConnection->mReused;
   auto answer = std::make_unique<http_answer>();
   answer->mConnection = kj::mv(aConnection);
   answer->mUploaded = std::make_shared<bool>(true);
@@ -172,7 +171,7 @@
   });
   KJ_IF_MAYBE (error, refused) {
     // The client throws before it writes when the server has closed the connection.
-    return http_result{ FailureOf(*error, false, reused) };
+    return http_result{ FailureOf(*error, false) };
   }
   auto& request = KJ_ASSERT_NONNULL(made);
   if (!aCall.mBody.empty()) {
@@ -193,7 +192,7 @@
       answer->mBody = kj::mv(aResponse.body);
       return std::move(answer);
     },
-    [reused](kj::Exception&& aError) -> http_result { return FailureOf(aError, true, reused); });
+    [](kj::Exception&& aError) -> http_result { return FailureOf(aError, true); });
 }
 
 void
@@ -212,7 +211,6 @@
   const auto now = mClock.Now();
   connection->mIdleSince = now;
   connection->mUsableUntil = now + std::min(limit, mSettings.mIdleMost);
-  connection->mReused = true;
   connection->mStream->SetIdle(true);
   mIdle[connection->mAddress].push_back(kj::mv(connection));
 }
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -59,6 +59,9 @@
     aReply.Send(200, report.dump());
   } else if (aRequest.mPath == "/skylarkwind/order") {
     OnOrder(aRequest, aReply);
+  } else if (aRequest.mPath.starts_with("/skylarkwind/kv-handle/")) {
+    Record(aRequest, "released");
+    aReply.Send(200, "");
   } else {
     OnCaller(aRequest, aReply);
   }
@@ -108,6 +111,10 @@
     return;
   }
   if (aRequest.Header("x-skylarkwind-stage") == "prefill") {
+    if (mMode == "mute") {
+      Record(aRequest, "muted");
+      return;
+    }
     Record(aRequest, "prefilled");
     const json body{ { "KvHandle", "h" + std::to_string(++mHandles) }, { "Tokens", 1 } };
     aReply.Send(200, body.dump(), "application/json", HeaderLines(aRequest));
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(CallerThatLeavesEndsTheWork);
   CPPUNIT_TEST(TimeLimitIsKept);
   CPPUNIT_TEST(LargeBodyIsRefused);
+  CPPUNIT_TEST(SilentPrefillEngineIsLeft);
+  CPPUNIT_TEST(UntakenCacheIsReleased);
   CPPUNIT_TEST(NewConfigurationComesIntoForceAndStays);
   CPPUNIT_TEST(DrainingServerGetsNothingNew);
   CPPUNIT_TEST(ChangeInALostHistoryIsSeen);
@@ -228,6 +230,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, system.Count("ran"));
   }
 
+  /// Guards against prompts that wait for a dark engine until their callers leave.
+  void SilentPrefillEngineIsLeft()
+  {
+    gateway_system system{ Options() };
+    system.SetMode("p1", "mute");
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply = Stream(system, "stream");
+    CPPUNIT_ASSERT_EQUAL(Events(1, kEvents), reply.mBody);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < milliseconds{ 2'000 });
+  }
+
+  /// Guards against KV caches that stay in an engine's memory although nobody will take them.
+  void UntakenCacheIsReleased()
+  {
+    gateway_system system{ Options() };
+    system.SetMode("d1", "shed");
+    system.SetMode("d2", "shed");
+    CPPUNIT_ASSERT_EQUAL(503, Stream(system, "stream").mStatus);
+    CPPUNIT_ASSERT(system.Count("prefilled") > 0);
+    CPPUNIT_ASSERT(WaitUntil([&] { return system.Count("released") == system.Count("prefilled"); },
+                             seconds{ 3 }));
+  }
+
   void NewConfigurationComesIntoForceAndStays()
   {
     gateway_system system{ Options() };
