--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -23,8 +23,10 @@
 /// than four times the route's longest pause.
 constexpr milliseconds kSilenceFloor{ 700 };
 constexpr int kSilenceInGaps = 4;
-/// A prefill that takes this many times as long as predicted is given up.
+/// A prefill is given up after this many times its predicted time and this time. Work that is given
+/// up too early is done twice.
 constexpr double kPrefillLimit = 4;
+constexpr milliseconds kPrefillFloor{ 1'300 };
 /// Servers that say that they did not run a request may be asked one after the other; the bound
 /// ends a round over a service that refuses everywhere.
 constexpr std::size_t kMostServersTried = 6;
@@ -289,7 +291,7 @@
   plan->mTarget = target.get();
   plan->mPrefill = &mTarget;
   const auto limit =
-    std::max(kSilenceFloor,
+    std::max(kPrefillFloor,
              std::chrono::duration_cast<milliseconds>(kPrefillLimit * aPlacement.mPrefillTime));
   return mContext.mTimer.timeoutAfter(ToKj(limit), mContext.mPool.Call(std::move(call)))
     .then([](http_result aResult) { return aResult; },
