Count each prefill and run beyond the first against the allowance

Cause: one repeat was taken for an attempt that is two arrivals, a prefill and a run. The property of the allowance now takes one or two at once. TurnoverEvictsKeptParts assumed that half of the memory evicts; it now turns over the whole memory, which evicts whatever part is trusted.

--- a/packages/core/include/skylarkwind/repeat_allowance.h
+++ b/packages/core/include/skylarkwind/repeat_allowance.h
@@ -27,9 +27,16 @@
   explicit repeat_allowance(repeat_allowance_settings aSettings);
 
   void OnRequest(std::string_view aService, instant aNow);
-  /// Takes one repeat; false when it would exceed this daemon's part. `aDaemons` is the number of
-  /// daemons that share the floor.
-  bool TryTake(std::string_view aService, std::uint32_t aDaemons, instant aNow);
+  /// Whether so many repeats are left of this daemon's part. `aDaemons` is the number of daemons
+  /// that share the floor.
+  bool Has(std::string_view aService, std::uint32_t aCount, std::uint32_t aDaemons, instant aNow);
+  /// Takes repeats, all or none.
+  bool TryTake(std::string_view aService,
+               std::uint32_t aCount,
+               std::uint32_t aDaemons,
+               instant aNow);
+  /// Counts an arrival that turned out to be a repeat after it was sent.
+  void Note(std::string_view aService, instant aNow);
 
 private:
   struct service_counts
--- a/packages/core/src/repeat_allowance.cpp
+++ b/packages/core/src/repeat_allowance.cpp
@@ -29,24 +29,47 @@
 }
 
 bool
-repeat_allowance::TryTake(std::string_view aService, std::uint32_t aDaemons, instant aNow)
+repeat_allowance::Has(std::string_view aService,
+                      std::uint32_t aCount,
+                      std::uint32_t aDaemons,
+                      instant aNow)
 {
   const auto found = mServices.find(aService);
   if (found == mServices.end()) {
-    return false;
+    return aCount == 0;
   }
   auto& counts = found->second;
   Trim(counts, aNow);
   const double bound =
     kUsedPart * (mSettings.mRatio * static_cast<double>(counts.mRequests.size()) +
                  static_cast<double>(mSettings.mFloor) / std::max<std::uint32_t>(1, aDaemons));
-  if (static_cast<double>(counts.mRepeats.size()) + 1 > bound) {
+  return static_cast<double>(counts.mRepeats.size() + aCount) <= bound;
+}
+
+bool
+repeat_allowance::TryTake(std::string_view aService,
+                          std::uint32_t aCount,
+                          std::uint32_t aDaemons,
+                          instant aNow)
+{
+  if (!Has(aService, aCount, aDaemons, aNow)) {
     return false;
   }
-  counts.mRepeats.push_back(aNow);
+  for (std::uint32_t taken = 0; taken < aCount; ++taken) {
+    Note(aService, aNow);
+  }
   return true;
 }
 
+void
+repeat_allowance::Note(std::string_view aService, instant aNow)
+{
+  const auto found = mServices.find(aService);
+  if (found != mServices.end()) {
+    found->second.mRepeats.push_back(aNow);
+  }
+}
+
 void
 repeat_allowance::Trim(service_counts& aCounts, instant aNow) const
 {
--- a/packages/core/tests/backend_board_test.cpp
+++ b/packages/core/tests/backend_board_test.cpp
@@ -129,7 +129,7 @@
     board.OnAdded("e1", 30'000);
     CPPUNIT_ASSERT_EQUAL(10'000U, board.KeptTokens("e1", mParts));
     auto digest = Digest(1, 0);
-    digest.mWork[0].mAddedTokens = 30'000;
+    digest.mWork[0].mAddedTokens = 70'000;
     board.OnDigest(digest, mNow);
     CPPUNIT_ASSERT_EQUAL(0U, board.KeptTokens("e1", mParts));
   }
--- a/packages/core/tests/repeat_allowance_test.cpp
+++ b/packages/core/tests/repeat_allowance_test.cpp
@@ -36,8 +36,12 @@
         if (choice < 50) {
           allowance.OnRequest("s", now);
           requests.push_back(now);
-        } else if (allowance.TryTake("s", static_cast<std::uint32_t>(daemons), now)) {
-          repeats.push_back(now);
+        } else {
+          // A repeat of a generation may be two arrivals: its prefill and its run.
+          const auto count = static_cast<std::uint32_t>(1 + choice % 2);
+          if (allowance.TryTake("s", count, static_cast<std::uint32_t>(daemons), now)) {
+            repeats.insert(repeats.end(), count, now);
+          }
         }
       }
       for (const auto end : repeats) {
@@ -56,9 +60,9 @@
   void UnknownServiceGrantsNothing()
   {
     repeat_allowance allowance{ { 0.2, 52, seconds{ 10 } } };
-    CPPUNIT_ASSERT(!allowance.TryTake("s", 1, instant{ seconds{ 1 } }));
+    CPPUNIT_ASSERT(!allowance.TryTake("s", 1, 1, instant{ seconds{ 1 } }));
     allowance.OnRequest("s", instant{ seconds{ 1 } });
-    CPPUNIT_ASSERT(allowance.TryTake("s", 1, instant{ seconds{ 1 } }));
+    CPPUNIT_ASSERT(allowance.TryTake("s", 1, 1, instant{ seconds{ 1 } }));
   }
 };
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -211,6 +211,12 @@
     return AwaitParts(*parts);
   }
   const auto& chosen = std::get<placement>(result);
+  if (!TakeRepeats(chosen)) {
+    if (mAnswerBegun) {
+      return BreakOff("no repeats are left");
+    }
+    return GiveUp("no repeats are left", kRetryAfterRefusal);
+  }
   NotePlan(chosen);
   if (chosen.mPrefill != nullptr) {
     return Prefill(chosen);
@@ -267,6 +273,7 @@
   const auto now = mContext.mClock.Now();
   mTicket =
     mContext.mBoard.Begin(engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
+  ++mPrefills;
   mContext.mBoard.OnComing(
     engine.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
   forward_attempt attempt;
@@ -337,6 +344,10 @@
   auto handle = mContext.mDialect.ReadPrefillHandle(aBody);
   if (mHead.mStatus != 200 || !handle.ok()) {
     Close(mHead.mNotRun ? backend_outcome::Refused : backend_outcome::Failed);
+    if (mPrefills == 1) {
+      // Only an accepted first prefill is free.
+      mContext.mRepeats.Note(mService->mName, now);
+    }
     return OnNotRun("the prefill was refused with status " + std::to_string(mHead.mStatus), true);
   }
   mContext.mBoard.OnFirst(*mTicket, now);
@@ -565,7 +576,16 @@
 {
   return mSends < mRoute->mMaxBackends && mAvoid.size() < kMostServersTried &&
          TimeLeft() >= kLeastTimeLeft &&
-         mContext.mRepeats.TryTake(mService->mName, Daemons(), mContext.mClock.Now());
+         mContext.mRepeats.Has(mService->mName, 1, Daemons(), mContext.mClock.Now());
+}
+
+bool
+exchange::TakeRepeats(const placement& aPlacement)
+{
+  const std::uint32_t prefills = aPlacement.mPrefill != nullptr && mPrefills > 0 ? 1 : 0;
+  const std::uint32_t runs = mSends > 0 ? 1 : 0;
+  return mContext.mRepeats.TryTake(
+    mService->mName, prefills + runs, Daemons(), mContext.mClock.Now());
 }
 
 void
@@ -627,8 +647,14 @@
   if (!mAnswerBegun) {
     return Fail(502, aReason);
   }
+  return BreakOff(aReason);
+}
+
+kj::Promise<void>
+exchange::BreakOff(std::string_view aReason)
+{
   LogEnd("broken", aReason);
-  return KJ_EXCEPTION(DISCONNECTED, "the stream broke off at its engine");
+  return KJ_EXCEPTION(DISCONNECTED, "the stream broke off");
 }
 
 kj::Promise<void>
@@ -652,8 +678,7 @@
   mAnswer = nullptr;
   Close(backend_outcome::Cancelled);
   if (mAnswerBegun) {
-    LogEnd("broken", "time limit");
-    return KJ_EXCEPTION(DISCONNECTED, "the stream reached its time limit");
+    return BreakOff("time limit");
   }
   if (mSends == 0) {
     return Refuse("the time limit passed before a server was found", kRetryAfterRefusal);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -113,6 +113,9 @@
   /// The attempt may have run.
   kj::Promise<void> OnBroken(std::string_view aReason);
   bool MayTryAgain();
+  /// Takes what the next attempt adds to the arrivals beyond the first: each prefill and each run
+  /// after the first one.
+  bool TakeRepeats(const placement& aPlacement);
   /// Frees the KV cache of a prefill that no engine will take.
   void ReleaseUntaken();
   /// Refuses the request if it has not run, else fails it.
@@ -120,6 +123,8 @@
   kj::Promise<void> Refuse(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   kj::Promise<void> Fail(unsigned int aStatus, std::string_view aReason);
   kj::Promise<void> OnTimeLimit();
+  /// Ends an answer that has begun as incomplete.
+  kj::Promise<void> BreakOff(std::string_view aReason);
   kj::Promise<void> Reply(unsigned int aStatus,
                           std::string_view aStatusText,
                           const header_list& aHeaders,
@@ -154,6 +159,7 @@
 
   std::vector<std::string> mAvoid;    ///< servers that failed this request
   std::optional<instant> mWaitsSince; ///< for parts of the prompt
+  std::uint32_t mPrefills = 0;        ///< calls that only have the prompt read
   std::uint32_t mSends = 0;           ///< arrivals at servers that count as attempts
   bool mMayHaveRun = false;
   bool mAnswerBegun = false;
