Build a request's call in one place; remove members that nothing reads

Prefill and Send filled the same call line by line. Removed: the first server of a stream, the length of an answer, the pool's count and its Forget, the follower's last answer, a declaration without a body. The weight of a part's home has a name.

--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -44,6 +44,9 @@
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
 /// While no engine admits work, one is changing its role or coming back.
 constexpr std::chrono::milliseconds kNoEngineRetryAfter{ 1'000 };
+/// Cost of the engine that is farthest from being a part's home. Larger differences between engines
+/// go before homes.
+constexpr double kHomeWeightMs = 30;
 /// Shorter parts are computed in less time than a wait for news of them takes.
 constexpr std::uint32_t kWorthWaitingTokens = 1'000;
 
@@ -245,8 +248,9 @@
     }
     // Nearly equal engines are told apart by the part's home, so that parts gather there.
     const auto tie = RendezvousScore(std::to_string(home), engine->mId);
-    made.mCost += 30.0 * (1 - static_cast<double>(tie) /
-                                static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
+    made.mCost +=
+      kHomeWeightMs * (1 - static_cast<double>(tie) /
+                             static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
     if (!best || made.mCost < best->mCost) {
       best = made;
       bestTie = tie;
--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -79,7 +79,6 @@
 
   /// The body; bytes end with 0, a connection that breaks off with an exception.
   kj::AsyncInputStream& Body() { return *mBody; }
-  std::optional<std::uint64_t> Length();
 
 private:
   friend class http_pool;
@@ -110,13 +109,9 @@
   void Release(std::unique_ptr<http_answer> aAnswer,
                bool aServerCloses,
                std::optional<std::chrono::milliseconds> aIdleLimit);
-  /// Closes idle connections to an address.
-  void Forget(std::string_view aAddress);
   /// Closes connections that were idle for too long.
   void OnTick(instant aNow);
 
-  std::uint64_t Opened() const { return mOpened; }
-
 private:
   kj::Promise<kj::Own<pooled_connection>> Connect(const std::string& aAddress);
   kj::Maybe<kj::Own<pooled_connection>> TakeIdle(const http_call& aCall);
@@ -128,7 +123,6 @@
   const kj::HttpHeaderTable& mTable;
   http_pool_settings mSettings;
   std::map<std::string, std::vector<kj::Own<pooled_connection>>, std::less<>> mIdle;
-  std::uint64_t mOpened = 0;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -266,6 +266,19 @@
   });
 }
 
+http_call
+exchange::CallTo(const backend_server& aServer, const forward_attempt& aAttempt) const
+{
+  http_call call;
+  call.mAddress = aServer.mAddress;
+  call.mMethod = mRequest.mMethod;
+  call.mTarget = mRequest.mTarget;
+  call.mHost = mRequest.mHost;
+  call.mHeaders = mContext.mDialect.AttemptHeaders(mRequest, aAttempt);
+  call.mBody = mRequest.mBody;
+  return call;
+}
+
 kj::Promise<void>
 exchange::Prefill(const placement& aPlacement)
 {
@@ -284,13 +297,7 @@
   if (aPlacement.mFetchFrom != nullptr) {
     attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
   }
-  http_call call;
-  call.mAddress = engine.mAddress;
-  call.mMethod = mRequest.mMethod;
-  call.mTarget = mRequest.mTarget;
-  call.mHost = mRequest.mHost;
-  call.mHeaders = mContext.mDialect.AttemptHeaders(mRequest, attempt);
-  call.mBody = mRequest.mBody;
+  auto call = CallTo(engine, attempt);
   auto plan = kj::heap<placement>(aPlacement);
   mTarget = engine;
   // The target is kept by value: the directory may change before the prefill ends.
@@ -394,13 +401,7 @@
       attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
     }
   }
-  http_call call;
-  call.mAddress = mTarget.mAddress;
-  call.mMethod = mRequest.mMethod;
-  call.mTarget = mRequest.mTarget;
-  call.mHost = mRequest.mHost;
-  call.mHeaders = mContext.mDialect.AttemptHeaders(mRequest, attempt);
-  call.mBody = mRequest.mBody;
+  auto call = CallTo(mTarget, attempt);
   call.mReuseWithin = mRoute->MayRepeat() ? kReuseWithin : kOnceReuseWithin;
   ++mSends;
   auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
@@ -423,7 +424,6 @@
     return OnBroken(failure->mReason);
   }
   mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
-  const bool resumed = mAnswerBegun;
   mHead = mContext.mDialect.ReadAnswer(mAnswer->mStatus, mAnswer->mHeaders);
   const auto now = mContext.mClock.Now();
   if (mHead.mLoad) {
@@ -445,9 +445,6 @@
   if (success && mRoute->mKind == route_kind::Streaming) {
     mMayHaveRun = true;
     mUntaken.reset();
-    if (!resumed) {
-      mServedBy = mTarget.mId;
-    }
     mChunk = kj::heapArray<kj::byte>(kChunkBytes);
     return StreamFurther();
   }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -104,7 +104,6 @@
   kj::Promise<void> Send(const placement& aPlacement, std::optional<kv_source> aKv);
   kj::Promise<void> OnAnswer(http_result aResult);
   kj::Promise<void> OnWholeAnswer(const answer_head& aHead, kj::Array<kj::byte> aBody);
-  kj::Promise<void> Stream();
   kj::Promise<void> StreamFurther();
   kj::Promise<void> OnStreamEnd();
 
@@ -139,6 +138,8 @@
   std::uint32_t AddedTokens(const placement& aPlacement) const;
   /// Notes the inputs of a placement for the log.
   void NotePlan(const placement& aPlacement);
+  /// The request as it goes to a server; its body is a view of this exchange's.
+  http_call CallTo(const backend_server& aServer, const forward_attempt& aAttempt) const;
   /// Ends the accounting of the open attempt.
   void Close(backend_outcome aOutcome);
   void LogEnd(std::string_view aOutcome, std::string_view aReason);
@@ -175,7 +176,6 @@
   std::string mPlan;               ///< what the last placement was decided by, for the log
   std::unique_ptr<http_answer> mAnswer;
   answer_head mHead;
-  std::string mServedBy; ///< id of the first server of a stream
   event_splitter mEvents;
   kj::Own<kj::AsyncOutputStream> mOut;
   kj::Array<kj::byte> mChunk;
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -71,15 +71,6 @@
   return aTime.count() * kj::MILLISECONDS;
 }
 
-std::optional<std::uint64_t>
-http_answer::Length()
-{
-  KJ_IF_MAYBE (length, mBody->tryGetLength()) {
-    return *length;
-  }
-  return std::nullopt;
-}
-
 http_pool::http_pool(kj::Network& aNetwork,
                      kj::Timer& aTimer,
                      const clock_source& aClock,
@@ -104,7 +95,6 @@
       return parsed.connect().attach(kj::mv(aParsed));
     })
     .then([this, aAddress](kj::Own<kj::AsyncIoStream> aStream) {
-      ++mOpened;
       auto connection = kj::heap<pooled_connection>();
       connection->mAddress = aAddress;
       connection->mStream = kj::heap<monitored_stream>(kj::mv(aStream));
@@ -215,14 +205,6 @@
   mIdle[connection->mAddress].push_back(kj::mv(connection));
 }
 
-void
-http_pool::Forget(std::string_view aAddress)
-{
-  if (const auto found = mIdle.find(aAddress); found != mIdle.end()) {
-    mIdle.erase(found);
-  }
-}
-
 void
 http_pool::OnTick(instant aNow)
 {
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -164,7 +164,6 @@
     mOutageSince = {};
   }
   mFailures = 0;
-  mLastAnswer = now;
 }
 
 bool
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -65,8 +65,6 @@
   void OnNewsElsewhere(std::uint64_t aRevision);
   /// Begins the open call again, once for each news elsewhere that did not come here in time.
   void OnTick(instant aNow);
-  /// Last time that the store answered.
-  instant LastAnswer() const { return mLastAnswer; }
   bool InOutage() const { return mOutageSince != instant{}; }
 
 private:
@@ -95,7 +93,6 @@
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
   bool mNeedList = true;
   bool mListed = false;
-  instant mLastAnswer{};
   instant mOutageSince{};
   instant mOutageEndedAt{};
   std::uint32_t mFailures = 0;
