Pass the store's changes on within a data centre

Every change of a server entry ended the open watch of each of 77 daemons, and every daemon began a new one. Change: the first three daemons of a data centre by name that are alive and reach the store watch it and pass each batch on as datagrams, each to a third of the others. A receiver applies a batch only where it joins what it has; after a gap, or news in a digest that did not arrive, it makes one call, and lists when that shows nothing. Alone, cut off or with an older view a daemon watches for itself. Registration reads a stale list first and replaces without a read.

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -64,6 +64,7 @@
   std::string mDataCentre;              ///< of the sender
   std::uint64_t mConfigurationSeen = 0; ///< store revision of its last news of the configuration
   std::uint64_t mServersSeen = 0;       ///< the same of the backend servers
+  bool mReachesStore = false;           ///< false while calls of the sender to the store fail
 };
 
 /// How a request ended at a backend server, as far as the server's health is concerned.
@@ -148,6 +149,8 @@
   std::size_t Peers(instant aNow) const;
   /// How many of the daemons that are alive come before `aSelf` by name.
   std::size_t Rank(std::string_view aSelf, instant aNow) const;
+  /// The daemons of a data centre that are alive and reach the store, by name.
+  std::vector<std::string> PeersWithStore(std::string_view aDataCentre, instant aNow) const;
 
 private:
   struct open_work
@@ -178,6 +181,8 @@
   {
     std::uint64_t mSequence = 0;
     instant mHeardAt{};
+    std::string mDataCentre;
+    bool mReachesStore = false;
     std::unordered_map<std::string, backend_work> mWork;
     std::unordered_map<std::string, std::uint64_t> mAdded; ///< newest counts
   };
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -419,6 +419,8 @@
   }
   peer.mSequence = aDigest.mSequence;
   peer.mHeardAt = aNow;
+  peer.mDataCentre = aDigest.mDataCentre;
+  peer.mReachesStore = aDigest.mReachesStore;
   peer.mWork.clear();
   for (const auto& work : aDigest.mWork) {
     peer.mWork.insert_or_assign(work.mBackendId, work);
@@ -439,6 +441,19 @@
     }));
 }
 
+std::vector<std::string>
+backend_board::PeersWithStore(std::string_view aDataCentre, instant aNow) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mReachesStore && peer.mDataCentre == aDataCentre &&
+        peer.mHeardAt + mSettings.mPeerSilence >= aNow) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 std::size_t
 backend_board::Rank(std::string_view aSelf, instant aNow) const
 {
--- a/packages/gateway/include/skylarkwind/object_store.h
+++ b/packages/gateway/include/skylarkwind/object_store.h
@@ -74,6 +74,10 @@
                                                           std::string aName,
                                                           std::optional<std::uint64_t> aRevision,
                                                           std::string aValue) = 0;
+  /// Replaces an object whatever its revision is.
+  virtual kj::Promise<store_result<object_written>> Replace(std::string aKind,
+                                                            std::string aName,
+                                                            std::string aValue) = 0;
   virtual kj::Promise<store_result<object_written>> Remove(std::string aKind,
                                                            std::string aName,
                                                            std::uint64_t aRevision) = 0;
--- a/packages/gateway/src/counting_store_p.h
+++ b/packages/gateway/src/counting_store_p.h
@@ -44,6 +44,13 @@
     Count("write", aKind);
     return mInner->Write(std::move(aKind), std::move(aName), aRevision, std::move(aValue));
   }
+  kj::Promise<store_result<object_written>> Replace(std::string aKind,
+                                                    std::string aName,
+                                                    std::string aValue) override
+  {
+    Count("write", aKind);
+    return mInner->Replace(std::move(aKind), std::move(aName), std::move(aValue));
+  }
   kj::Promise<store_result<object_written>> Remove(std::string aKind,
                                                    std::string aName,
                                                    std::uint64_t aRevision) override
--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -20,7 +20,7 @@
 constexpr std::array kListPauses{ milliseconds{ 300 },
                                   milliseconds{ 1'000 },
                                   milliseconds{ 3'000 } };
-constexpr milliseconds kListPeriod{ 15'000 };
+constexpr milliseconds kListPeriod{ 30'000 };
 
 } // namespace
 
@@ -44,41 +44,47 @@
 kj::Promise<void>
 daemon_registry::Run()
 {
-  return Register().then([this] { return ListForever(); });
+  // The object of an earlier process of this VM is mostly right already, which a list shows at less
+  // cost than a write.
+  return ListPage({}).then([this] { return Register(); }).then([this] { return ListForever(); });
 }
 
 kj::Promise<void>
 daemon_registry::Register()
 {
-  return Write(std::nullopt);
+  if (mRevision) {
+    return kj::READY_NOW;
+  }
+  return Write(false).then([this](std::optional<store_failure> aFailure) -> kj::Promise<void> {
+    if (aFailure && aFailure->mCause == store_failure::cause::Conflict) {
+      // An earlier process of this VM left its object, with another address.
+      return Write(true).then([this](std::optional<store_failure> aSecond) {
+        return aSecond ? RegisterLater(*aSecond) : kj::Promise<void>{ kj::READY_NOW };
+      });
+    }
+    return aFailure ? RegisterLater(*aFailure) : kj::Promise<void>{ kj::READY_NOW };
+  });
 }
 
 kj::Promise<void>
-daemon_registry::Write(std::optional<std::uint64_t> aRevision)
+daemon_registry::RegisterLater(const store_failure& aFailure)
 {
-  const nlohmann::json value{ { "address", mAddress }, { "data_centre", mDataCentre } };
-  return mStore.Write(kKind, mSelf, aRevision, value.dump())
-    .then([this](store_result<object_written> aResult) { return OnWritten(std::move(aResult)); });
+  Log(log_level::Warning, "peers", "registration failed reason=\"" + aFailure.mReason + '"');
+  return Pause(kRegisterAgain).then([this] { return Register(); });
 }
 
-kj::Promise<void>
-daemon_registry::OnWritten(store_result<object_written> aResult)
+kj::Promise<std::optional<store_failure>>
+daemon_registry::Write(bool aReplace)
 {
-  if (const auto* written = std::get_if<object_written>(&aResult)) {
-    mRevision = written->mRevision;
-    return kj::READY_NOW;
-  }
-  const auto& failure = std::get<store_failure>(aResult);
-  if (failure.mCause != store_failure::cause::Conflict) {
-    Log(log_level::Warning, "peers", "registration failed reason=\"" + failure.mReason + '"');
-    return Pause(kRegisterAgain).then([this] { return Register(); });
-  }
-  // An earlier process of this VM left its object.
-  return mStore.Read(kKind, mSelf).then([this](store_result<stored_object> aRead) {
-    if (const auto* found = std::get_if<stored_object>(&aRead)) {
-      return Write(found->mRevision);
+  const nlohmann::json value{ { "address", mAddress }, { "data_centre", mDataCentre } };
+  auto writing = aReplace ? mStore.Replace(kKind, mSelf, value.dump())
+                          : mStore.Write(kKind, mSelf, std::nullopt, value.dump());
+  return writing.then([this](store_result<object_written> aResult) {
+    if (const auto* written = std::get_if<object_written>(&aResult)) {
+      mRevision = written->mRevision;
+      return std::optional<store_failure>{};
     }
-    return Pause(kRegisterAgain).then([this] { return Register(); });
+    return std::optional{ std::get<store_failure>(aResult) };
   });
 }
 
@@ -122,12 +128,7 @@
         return kj::READY_NOW;
       }
       for (const auto& object : page->mObjects) {
-        const auto value = nlohmann::json::parse(object.mValue, nullptr, false);
-        if (object.mName != mSelf && value.is_object() && value.contains("address") &&
-            value["address"].is_string()) {
-          const bool near = value.value("data_centre", nlohmann::json{}) == mDataCentre;
-          mPeers.SetPeer(object.mName, value["address"].get<std::string>(), near);
-        }
+        OnListed(object);
       }
       if (!page->mMore || page->mObjects.empty()) {
         return kj::READY_NOW;
@@ -136,6 +137,23 @@
     });
 }
 
+void
+daemon_registry::OnListed(const stored_object& aObject)
+{
+  const auto value = nlohmann::json::parse(aObject.mValue, nullptr, false);
+  if (!value.is_object() || !value.contains("address") || !value["address"].is_string()) {
+    Log(log_level::Debug, "peers", "unreadable entry of daemon " + aObject.mName);
+    return;
+  }
+  const auto address = value["address"].get<std::string>();
+  const bool near = value.value("data_centre", nlohmann::json{}) == mDataCentre;
+  if (aObject.mName != mSelf) {
+    mPeers.SetPeer(aObject.mName, address, near);
+  } else if (address == mAddress && near) {
+    mRevision = aObject.mRevision;
+  }
+}
+
 void
 daemon_registry::OnDigest(const work_digest& aDigest)
 {
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -14,9 +14,10 @@
 
 namespace skylarkwind {
 
-/// Lets daemons find one another. Each writes one object to the store at its start and lists the
-/// others then and now and again. Beyond that a daemon learns of another from its first digest, so
-/// that the calls do not grow with the square of their number.
+/// Lets daemons find one another. Each has one object in the store, which it writes at its start
+/// unless an earlier process left it, and lists the others then and now and again. Beyond that a
+/// daemon learns of another from its first digest, so that the calls do not grow with the square of
+/// their number.
 class daemon_registry
 {
 public:
@@ -36,8 +37,10 @@
 
 private:
   kj::Promise<void> Register();
-  kj::Promise<void> Write(std::optional<std::uint64_t> aRevision);
-  kj::Promise<void> OnWritten(store_result<object_written> aResult);
+  kj::Promise<void> RegisterLater(const store_failure& aFailure);
+  /// Creates or replaces this daemon's object; the failure, if any.
+  kj::Promise<std::optional<store_failure>> Write(bool aReplace);
+  void OnListed(const stored_object& aObject);
   kj::Promise<void> ListForever();
   kj::Promise<void> ListPage(std::string aAfter);
   kj::Promise<void> Pause(std::chrono::milliseconds aTime);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "skylarkwind/hash.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/store_watchers.h"
 
 #include <kj/async-unix.h>
 #include <kj/debug.h>
@@ -24,8 +25,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{ 25 };
-/// Daemons that use short watches, so that they notice connections that have gone silent. The
-/// others learn from their digests that they have missed a change.
+/// Daemons that use short watches, so that they notice connections that have gone silent. Other
+/// watchers learn from their digests that they have missed a change.
 constexpr std::size_t kShortWatchers = 3;
 constexpr milliseconds kLongWatch{ 25'000 };
 /// Longest pauses between calls while the store is away. The others are told when it is back.
@@ -72,8 +73,10 @@
                   mRepeats,           mPool,   mTimer,     mClock, mTable,
                   mCounters,          mTasks,  mParts }
     , mCallers(mExchanges)
-    , mPeers(aContext.provider->getNetwork(),
-             [this](const work_digest& aDigest) { OnDigest(aDigest); })
+    , mPeers(
+        aContext.provider->getNetwork(),
+        [this](const work_digest& aDigest) { OnDigest(aDigest); },
+        [this](const change_batch& aBatch) { OnBatch(aBatch); })
     , mRoles(RoleSettings(mSettings),
              *mAdapter.mDialect,
              mRoutes,
@@ -91,14 +94,16 @@
         mTimer,
         mClock,
         [this](const auto& aObjects, bool) { OnConfigurations(aObjects); },
-        [this](const object_change& aChange, bool) { OnConfiguration(aChange); })
+        [this](const object_change& aChange, bool) { OnConfiguration(aChange); },
+        [this](const change_batch& aBatch) { PassOn(aBatch); })
     , mServers(
         Follow(std::string{ mAdapter.mObjects->BackendKind() }),
         *mStore,
         mTimer,
         mClock,
         [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
-        [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); })
+        [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); },
+        [this](const change_batch& aBatch) { PassOn(aBatch); })
     , mRegistry(mSettings.mVm,
                 mSettings.mPeerAddress,
                 mSettings.mDataCentre,
@@ -288,11 +293,7 @@
     if (!mStoppingSince && aNow >= mNextRoles) {
       mNextRoles = aNow + kRolePeriod;
       mRoles.OnTick(aNow);
-      const bool shortWatch = mBoard.Rank(mSettings.mVm, aNow) < kShortWatchers;
-      const auto watch = shortWatch ? mSettings.mContact : kLongWatch;
-      const auto pause = shortWatch ? kShortPause : kLongPause;
-      mConfigurations.SetPace(watch, pause);
-      mServers.SetPace(watch, pause);
+      FollowStore(aNow);
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
       mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
@@ -303,6 +304,44 @@
     }
   }
 
+  /// Some daemons of each data centre follow the store and pass changes on to the others of it.
+  void FollowStore(instant aNow)
+  {
+    const bool shortWatch = mBoard.Rank(mSettings.mVm, aNow) < kShortWatchers;
+    const auto watch = shortWatch ? mSettings.mContact : kLongWatch;
+    const auto pause = shortWatch ? kShortPause : kLongPause;
+    const bool watched = mWatchers.SelfWatches();
+    mWatchers =
+      store_watchers::Choose(mSettings.mVm, mBoard.PeersWithStore(mSettings.mDataCentre, aNow));
+    if (mWatchers.SelfWatches() != watched) {
+      Log(log_level::Info,
+          "store",
+          watched ? "changes come from other daemons" : "follows the store itself");
+    }
+    for (auto* follower : { &mConfigurations, &mServers }) {
+      follower->SetPace(watch, pause);
+      follower->SetPassedOn(!mWatchers.SelfWatches());
+    }
+  }
+
+  void PassOn(const change_batch& aBatch)
+  {
+    mPeers.Send(
+      aBatch,
+      mSettings.mVm,
+      [this](std::string_view aPeer) { return mWatchers.Serves(aPeer); },
+      mTasks);
+  }
+
+  void OnBatch(const change_batch& aBatch)
+  {
+    for (auto* follower : { &mConfigurations, &mServers }) {
+      if (follower->Kind() == aBatch.mKind) {
+        follower->OnBatch(aBatch);
+      }
+    }
+  }
+
   void OnDigest(const work_digest& aDigest)
   {
     mBoard.OnDigest(aDigest, mClock.Now());
@@ -346,6 +385,7 @@
     digest.mDataCentre = mSettings.mDataCentre;
     digest.mConfigurationSeen = mConfigurations.LastChange();
     digest.mServersSeen = mServers.LastChange();
+    digest.mReachesStore = mServers.Listed() && !mServers.InOutage() && !mConfigurations.InOutage();
     return digest;
   }
 
@@ -441,6 +481,7 @@
   store_follower mConfigurations;
   store_follower mServers;
   daemon_registry mRegistry;
+  store_watchers mWatchers;
   kj::Own<kj::ConnectionReceiver> mFrontPort;
   kj::Own<kj::ConnectionReceiver> mReadyPort;
   kj::Promise<void> mAccepting = nullptr;
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -17,8 +17,9 @@
 
 using nlohmann::json;
 
-/// A datagram that fits one Ethernet frame is not fragmented.
 constexpr std::size_t kMostBytes = 8 * 1'024;
+/// A larger batch would fill the link of a VM with 10 Mbit/s for longer than a list takes.
+constexpr std::size_t kMostBatchBytes = 32 * 1'024;
 
 } // namespace
 
@@ -45,7 +46,8 @@
                         aDigest.mAddress,
                         aDigest.mConfigurationSeen,
                         aDigest.mServersSeen,
-                        aDigest.mDataCentre };
+                        aDigest.mDataCentre,
+                        aDigest.mReachesStore };
   std::string bytes;
   json::to_cbor(digest, bytes);
   return bytes;
@@ -79,6 +81,7 @@
     digest.mConfigurationSeen = parsed.at(6).get<std::uint64_t>();
     digest.mServersSeen = parsed.at(7).get<std::uint64_t>();
     digest.mDataCentre = parsed.at(8).get<std::string>();
+    digest.mReachesStore = parsed.at(9).get<bool>();
     return digest;
   } catch (const json::exception&) {
     // Datagrams of other programs may reach the port; the receiver counts and drops them.
@@ -86,9 +89,10 @@
   }
 }
 
-peer_digests::peer_digests(kj::Network& aNetwork, std::function<void(const work_digest&)> aOnDigest)
+peer_digests::peer_digests(kj::Network& aNetwork, on_digest aOnDigest, on_batch aOnBatch)
   : mNetwork(aNetwork)
   , mOnDigest(std::move(aOnDigest))
+  , mOnBatch(std::move(aOnBatch))
 {
 }
 
@@ -116,12 +120,8 @@
     [this] {
       const auto content = mReceiver->getContent();
       const auto bytes = content.value;
-      const auto digest =
-        DecodeDigest({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
-      if (digest && !content.isTruncated) {
-        mOnDigest(*digest);
-      } else {
-        Log(log_level::Debug, "peers", "dropped a datagram that is no digest");
+      if (!content.isTruncated) {
+        OnDatagram({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
       }
       return Receive();
     },
@@ -132,6 +132,24 @@
     });
 }
 
+void
+peer_digests::OnDatagram(std::string_view aBytes)
+{
+  if (fragment_collector::IsFragment(aBytes)) {
+    const auto message = mFragments.Add(aBytes);
+    const auto batch = message ? DecodeBatch(*message) : std::nullopt;
+    if (batch) {
+      mOnBatch(*batch);
+    }
+    return;
+  }
+  if (const auto digest = DecodeDigest(aBytes)) {
+    mOnDigest(*digest);
+  } else {
+    Log(log_level::Debug, "peers", "dropped a datagram that is no digest");
+  }
+}
+
 void
 peer_digests::SetPeer(const std::string& aName, const std::string& aAddress, bool aNear)
 {
@@ -164,29 +182,56 @@
   }
   const auto bytes = EncodeDigest(aDigest);
   for (auto& [name, entry] : mPeers) {
-    if (entry.mNear != aNear) {
+    if (entry.mNear == aNear) {
+      SendTo(entry, bytes, aTasks);
+    }
+  }
+}
+
+void
+peer_digests::Send(const change_batch& aBatch,
+                   std::string_view aSender,
+                   const std::function<bool(std::string_view)>& aServes,
+                   kj::TaskSet& aTasks)
+{
+  const auto message = EncodeBatch(aBatch);
+  if (mPort.get() == nullptr || message.size() > kMostBatchBytes) {
+    return;
+  }
+  const auto fragments = Fragments(message, aSender, ++mLastBatch);
+  for (auto& [name, entry] : mPeers) {
+    if (!entry.mNear || !aServes(name)) {
       continue;
     }
-    if (entry.mParsed.get() == nullptr) {
-      const auto colon = entry.mAddress.rfind(':');
-      sockaddr_in address{};
-      address.sin_family = AF_INET;
-      address.sin_port = htons(
-        static_cast<std::uint16_t>(std::strtoul(entry.mAddress.c_str() + colon + 1, nullptr, 10)));
-      if (inet_pton(AF_INET, entry.mAddress.substr(0, colon).c_str(), &address.sin_addr) != 1) {
-        continue;
-      }
-      entry.mParsed = mNetwork.getSockaddr(&address, sizeof(address));
+    for (const auto& fragment : fragments) {
+      SendTo(entry, fragment, aTasks);
+    }
+  }
+}
+
+void
+peer_digests::SendTo(peer& aPeer, const std::string& aBytes, kj::TaskSet& aTasks)
+{
+  if (aPeer.mParsed.get() == nullptr) {
+    const auto colon = aPeer.mAddress.rfind(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(
+      static_cast<std::uint16_t>(std::strtoul(aPeer.mAddress.c_str() + colon + 1, nullptr, 10)));
+    if (inet_pton(AF_INET, aPeer.mAddress.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+      Log(log_level::Debug, "peers", "unusable address " + aPeer.mAddress);
+      return;
     }
-    auto copy = kj::heap<std::string>(bytes);
-    auto target = entry.mParsed->clone();
-    auto sending = mPort->send(copy->data(), copy->size(), *target);
-    aTasks.add(sending.ignoreResult()
-                 .catch_([](kj::Exception&&) {
-                   // A lost digest is made good by the next one.
-                 })
-                 .attach(kj::mv(copy), kj::mv(target)));
+    aPeer.mParsed = mNetwork.getSockaddr(&address, sizeof(address));
   }
+  auto copy = kj::heap<std::string>(aBytes);
+  auto target = aPeer.mParsed->clone();
+  auto sending = mPort->send(copy->data(), copy->size(), *target);
+  aTasks.add(sending.ignoreResult()
+               .catch_([](kj::Exception&&) {
+                 // A lost digest is made good by the next one, a lost batch by a list.
+               })
+               .attach(kj::mv(copy), kj::mv(target)));
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -11,6 +11,8 @@
 
 /// Removals within this time after an outage may be lapses of entries whose servers live.
 constexpr std::chrono::milliseconds kLapsesSeenFor{ 2'000 };
+/// The change is in the store already when a daemon that was told of it asks for it.
+constexpr std::chrono::milliseconds kCatchUpWait{ 300 };
 
 } // namespace
 
@@ -19,13 +21,15 @@
                                kj::Timer& aTimer,
                                const clock_source& aClock,
                                on_list aOnList,
-                               on_change aOnChange)
+                               on_change aOnChange,
+                               on_read aOnRead)
   : mSettings(std::move(aSettings))
   , mStore(aStore)
   , mTimer(aTimer)
   , mClock(aClock)
   , mOnList(std::move(aOnList))
   , mOnChange(std::move(aOnChange))
+  , mOnRead(std::move(aOnRead))
   , mRandom(mSettings.mRandomSeed)
 {
 }
@@ -41,7 +45,79 @@
 kj::Promise<void>
 store_follower::Step()
 {
-  return mNeedList ? List() : Watch();
+  if (mNeedList) {
+    return List();
+  }
+  if (!mPassedOn) {
+    return Watch(mSettings.mWatch);
+  }
+  return mCatchUp ? CatchUp() : kj::Promise<void>{ kj::NEVER_DONE };
+}
+
+kj::Promise<void>
+store_follower::CatchUp()
+{
+  mCatchUp = false;
+  const auto before = mLastChange;
+  return Watch(kCatchUpWait).then([this, before] {
+    // The store may drop its history without a word to open watches; a list is right in any case.
+    mNeedList = mNeedList || mLastChange == before;
+  });
+}
+
+void
+store_follower::Interrupt()
+{
+  KJ_IF_MAYBE (interrupt, mInterrupt) {
+    (*interrupt)->fulfill();
+  }
+}
+
+void
+store_follower::ListAgain()
+{
+  mItems.clear();
+  mNeedList = true;
+  Interrupt();
+}
+
+void
+store_follower::SetPassedOn(bool aPassedOn)
+{
+  if (mPassedOn == aPassedOn || (aPassedOn && (mNeedList || InOutage()))) {
+    return;
+  }
+  mPassedOn = aPassedOn;
+  if (!mNeedList) {
+    Interrupt();
+  }
+}
+
+void
+store_follower::OnBatch(const change_batch& aBatch)
+{
+  if (!mPassedOn || mNeedList || aBatch.mTo <= mAt) {
+    return;
+  }
+  if (!aBatch.mWhole && mAt < aBatch.mFrom) {
+    // A batch before this one was lost.
+    mToldOf = std::max(mToldOf, mLastChange + 1);
+    mToldAt = mToldAt.value_or(mClock.Now());
+    return;
+  }
+  mAt = mChangedAt = aBatch.mTo;
+  std::vector<stored_object> objects;
+  for (const auto& change : aBatch.mChanges) {
+    NoteRevision(change.mObject);
+    if (aBatch.mWhole) {
+      objects.push_back(change.mObject);
+    } else {
+      mOnChange(change, aBatch.mAfterOutage);
+    }
+  }
+  if (aBatch.mWhole) {
+    mOnList(objects, aBatch.mAfterOutage);
+  }
 }
 
 void
@@ -68,11 +144,12 @@
     return;
   }
   mToldAt.reset();
-  mItems.clear();
-  mNeedList = true;
-  KJ_IF_MAYBE (interrupt, mInterrupt) {
-    (*interrupt)->fulfill();
+  if (mPassedOn && !mNeedList) {
+    mCatchUp = true;
+    Interrupt();
+    return;
   }
+  ListAgain();
 }
 
 kj::Promise<void>
@@ -106,18 +183,30 @@
   for (const auto& object : mItems) {
     NoteRevision(object);
   }
+  mChangedAt = mAt;
   mNeedList = false;
   mListed = true;
   mOnList(mItems, AfterOutage());
+  PassOnList(mItems);
   mItems.clear();
   return kj::READY_NOW;
 }
 
+void
+store_follower::PassOnList(const std::vector<stored_object>& aObjects) const
+{
+  change_batch batch{ mSettings.mKind, 0, mAt, true, AfterOutage(), {} };
+  for (const auto& object : aObjects) {
+    batch.mChanges.push_back({ object, false });
+  }
+  mOnRead(batch);
+}
+
 kj::Promise<void>
-store_follower::Watch()
+store_follower::Watch(std::chrono::milliseconds aWait)
 {
-  return mStore.Watch(mSettings.mKind, mAt, mSettings.mWatch)
-    .then([this](store_result<object_changes> aResult) -> kj::Promise<void> {
+  return mStore.Watch(mSettings.mKind, mAt, aWait)
+    .then([this](store_result<object_changes> aResult) mutable -> kj::Promise<void> {
       if (const auto* failure = std::get_if<store_failure>(&aResult)) {
         if (failure->mCause == store_failure::cause::HistoryGone) {
           Log(log_level::Info, "store", "the history of " + mSettings.mKind + " is gone; listing");
@@ -126,7 +215,7 @@
         }
         return OnFailure(*failure);
       }
-      const auto& changes = std::get<object_changes>(aResult);
+      auto& changes = std::get<object_changes>(aResult);
       OnSuccess();
       mAt = std::max(mAt, changes.mAt);
       if (changes.mChanges.empty()) {
@@ -137,6 +226,10 @@
         NoteRevision(change.mObject);
         mOnChange(change, AfterOutage());
       }
+      // Nothing changed between the end of the last batch and the begin of this watch.
+      mOnRead(
+        { mSettings.mKind, mChangedAt, mAt, false, AfterOutage(), std::move(changes.mChanges) });
+      mChangedAt = mAt;
       const auto doublings = std::min<std::uint32_t>(mBusyWatches++, 4);
       return mTimer.afterDelay(
         ToKj(std::min(mSettings.mCoalesceMost, mSettings.mCoalesce * (1U << doublings))));
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "change_batch_p.h"
+
 #include "skylarkwind/clock.h"
 #include "skylarkwind/object_store.h"
 
@@ -34,20 +36,23 @@
   std::uint64_t mRandomSeed = 1;
 };
 
-/// Follows all objects of one kind: a list, then watches. Failed calls are repeated after a pause
-/// with full jitter that doubles up to a limit.
+/// Follows all objects of one kind: a list, then watches, or batches that another daemon passes on.
+/// Failed calls are repeated after a pause with full jitter that doubles up to a limit.
 class store_follower
 {
 public:
   using on_list = std::function<void(const std::vector<stored_object>&, bool aAfterOutage)>;
   using on_change = std::function<void(const object_change&, bool aAfterOutage)>;
+  /// What this daemon has read itself, to be passed on.
+  using on_read = std::function<void(const change_batch&)>;
 
   store_follower(store_follower_settings aSettings,
                  object_store& aStore,
                  kj::Timer& aTimer,
                  const clock_source& aClock,
                  on_list aOnList,
-                 on_change aOnChange);
+                 on_change aOnChange,
+                 on_read aOnRead);
 
   /// Runs until it is dropped.
   kj::Promise<void> Run();
@@ -63,7 +68,14 @@
   std::uint64_t LastChange() const { return mLastChange; }
   /// Another daemon has seen a change at this revision.
   void OnNewsElsewhere(std::uint64_t aRevision);
-  /// Begins the open call again, once for each news elsewhere that did not come here in time.
+  /// Whether other daemons pass the changes on, so that no watch is open. Takes effect once the
+  /// objects have been listed and the store is reached.
+  void SetPassedOn(bool aPassedOn);
+  /// What another daemon passes on. Only used while no call to the store is open.
+  void OnBatch(const change_batch& aBatch);
+  const std::string& Kind() const { return mSettings.mKind; }
+  /// Begins the open call again, once for each news elsewhere that did not come here in time. A
+  /// daemon without a watch makes one call instead.
   void OnTick(instant aNow);
   bool InOutage() const { return mOutageSince != instant{}; }
 
@@ -71,7 +83,12 @@
   kj::Promise<void> Step();
   kj::Promise<void> List();
   kj::Promise<void> OnPage(store_result<object_page> aResult);
-  kj::Promise<void> Watch();
+  kj::Promise<void> Watch(std::chrono::milliseconds aWait);
+  /// One call for what was not passed on.
+  kj::Promise<void> CatchUp();
+  void Interrupt();
+  void ListAgain();
+  void PassOnList(const std::vector<stored_object>& aObjects) const;
   kj::Promise<void> OnFailure(const store_failure& aFailure);
   void OnSuccess();
   void NoteRevision(const stored_object& aObject);
@@ -83,16 +100,20 @@
   const clock_source& mClock;
   on_list mOnList;
   on_change mOnChange;
+  on_read mOnRead;
   std::vector<stored_object> mItems; ///< of a list that is not complete
   std::uint64_t mListedAt = 0;       ///< revision of the first page
   std::uint64_t mAt = 0;
   std::uint64_t mLastChange = 0;
+  std::uint64_t mChangedAt = 0;   ///< end of the last list or batch with changes
   std::uint64_t mToldOf = 0;      ///< revision of the last news from elsewhere
   std::optional<instant> mToldAt; ///< empty when it has come or was acted on
   std::uint32_t mBusyWatches = 0; ///< watches in a row that brought changes
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
   bool mNeedList = true;
   bool mListed = false;
+  bool mPassedOn = false; ///< no watch is open; others pass changes on
+  bool mCatchUp = false;  ///< something that was passed on did not arrive
   instant mOutageSince{};
   instant mOutageEndedAt{};
   std::uint32_t mFailures = 0;
--- a/packages/gateway/tests/peer_digests_test.cpp
+++ b/packages/gateway/tests/peer_digests_test.cpp
@@ -24,6 +24,7 @@
     digest.mDataCentre = "z";
     digest.mConfigurationSeen = 11;
     digest.mServersSeen = 12;
+    digest.mReachesStore = true;
     return digest;
   }
 
@@ -39,6 +40,7 @@
     CPPUNIT_ASSERT_EQUAL(1'200U, read->mChanging.at(0).mLeftMs);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 12 }, read->mServersSeen);
     CPPUNIT_ASSERT_EQUAL(std::string{ "z" }, read->mDataCentre);
+    CPPUNIT_ASSERT(read->mReachesStore);
   }
 
   /// Guards against a daemon that ends because of a datagram that another program sent.
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -40,6 +40,10 @@
   {
     return store_result<object_written>{ store_failure{} };
   }
+  kj::Promise<store_result<object_written>> Replace(std::string, std::string, std::string) override
+  {
+    return store_result<object_written>{ store_failure{} };
+  }
   kj::Promise<store_result<object_written>> Remove(std::string, std::string, std::uint64_t) override
   {
     return store_result<object_written>{ store_failure{} };
@@ -84,6 +88,13 @@
   CPPUNIT_TEST(FailedWatchMeansANewList);
   CPPUNIT_TEST(LongOutageIsReported);
   CPPUNIT_TEST(NewsElsewhereBeginsTheCallAgainOnce);
+  CPPUNIT_TEST(WhatIsReadIsPassedOnWithoutAGap);
+  CPPUNIT_TEST(PassedOnBatchesReplaceTheWatch);
+  CPPUNIT_TEST(OldAndRepeatedBatchesChangeNothing);
+  CPPUNIT_TEST(LostBatchMeansOneCall);
+  CPPUNIT_TEST(NewsThatNoWatchShowsMeansAList);
+  CPPUNIT_TEST(WatchGoesOnFromTheLastBatch);
+  CPPUNIT_TEST(BatchesAreNotMixedWithOwnCalls);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,6 +108,7 @@
   manual_clock_source mClock;
   scripted_store mStore;
   std::vector<std::string> mSeen;
+  std::vector<change_batch> mPassedOn;
 
   std::unique_ptr<store_follower> Follower()
   {
@@ -112,7 +124,27 @@
         mSeen.push_back("list " + std::to_string(aObjects.size()) +
                         (aAfter ? " after outage" : ""));
       },
-      [this](const object_change& aChange, bool) { mSeen.push_back(aChange.mObject.mName); });
+      [this](const object_change& aChange, bool) { mSeen.push_back(aChange.mObject.mName); },
+      [this](const change_batch& aBatch) { mPassedOn.push_back(aBatch); });
+  }
+
+  static change_batch Batch(std::uint64_t aFrom, std::uint64_t aTo, const std::string& aName)
+  {
+    return { "", aFrom, aTo, false, false, { { { aName, aTo, "{}" }, false } } };
+  }
+
+  /// A follower at revision 10 whose changes come from other daemons.
+  std::unique_ptr<store_follower> Receiver(kj::Promise<void>& aRunning)
+  {
+    mStore.mLists = { Page({ "a" }, 10) };
+    auto follower = Follower();
+    aRunning = follower->Run();
+    Until(2);
+    follower->SetPassedOn(true);
+    // Lets the interrupted watch end.
+    mLoop->provider->getTimer().afterDelay(2 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    mSeen.clear();
+    return follower;
   }
 
   /// Runs the loop until that many calls were made.
@@ -198,6 +230,104 @@
     mLoop->provider->getTimer().afterDelay(20 * kj::MILLISECONDS).wait(mLoop->waitScope);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, mStore.mCalls.size());
   }
+
+  /// A watch that ended without changes moves the revision on; the next batch still begins where
+  /// the one before it ended, because receivers have not heard of that watch.
+  void WhatIsReadIsPassedOnWithoutAGap()
+  {
+    mStore.mLists = { Page({ "a" }, 10) };
+    mStore.mWatches = { object_changes{ {}, 14 },
+                        object_changes{ { { { "b", 16, "{}" }, false } }, 17 } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mPassedOn.size());
+    CPPUNIT_ASSERT(mPassedOn[0].mWhole);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 10 }, mPassedOn[0].mTo);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 10 }, mPassedOn[1].mFrom);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 17 }, mPassedOn[1].mTo);
+  }
+
+  void PassedOnBatchesReplaceTheWatch()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    follower->OnBatch(Batch(10, 12, "b"));
+    follower->OnBatch(Batch(11, 15, "c"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mSeen.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 15 }, follower->LastChange());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mStore.mCalls.size());
+  }
+
+  /// Guards against a daemon that goes back to an older state when datagrams overtake one another.
+  void OldAndRepeatedBatchesChangeNothing()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    follower->OnBatch(Batch(10, 15, "c"));
+    follower->OnBatch(Batch(10, 15, "c"));
+    follower->OnBatch(Batch(10, 12, "b"));
+    follower->OnBatch({ "", 0, 14, true, false, {} });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mSeen.size());
+  }
+
+  void LostBatchMeansOneCall()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    mStore.mWatches = { object_changes{
+      { { { "b", 12, "{}" }, false }, { { "c", 15, "{}" }, false } }, 16 } };
+    follower->OnBatch(Batch(12, 15, "c"));
+    CPPUNIT_ASSERT(mSeen.empty());
+    mClock.Advance(seconds{ 2 });
+    follower->OnTick(mClock.Now());
+    Until(3);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "watch 10" }, mStore.mCalls[2]);
+    // The pause after a change and the next step.
+    mLoop->provider->getTimer().afterDelay(150 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mSeen.size());
+    follower->OnBatch(Batch(15, 22, "d"));
+    CPPUNIT_ASSERT_EQUAL(std::string{ "d" }, mSeen.at(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, mStore.mCalls.size());
+  }
+
+  /// A store that drops its history may leave open watches without the changes before that.
+  void NewsThatNoWatchShowsMeansAList()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    mStore.mWatches = { object_changes{ {}, 18 } };
+    mStore.mLists = { Page({ "a", "b", "c" }, 20) };
+    follower->OnNewsElsewhere(15);
+    follower->OnTick(mClock.Now());
+    mClock.Advance(seconds{ 2 });
+    follower->OnTick(mClock.Now());
+    Until(4);
+    mLoop->provider->getTimer().afterDelay(2 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list 3" }, mSeen.at(0));
+  }
+
+  void WatchGoesOnFromTheLastBatch()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    follower->OnBatch(Batch(10, 15, "b"));
+    follower->SetPassedOn(false);
+    Until(3);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "watch 15" }, mStore.mCalls[2]);
+  }
+
+  /// A watch that is open could otherwise bring changes that are older than a batch.
+  void BatchesAreNotMixedWithOwnCalls()
+  {
+    mStore.mLists = { Page({ "a" }, 10) };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    Until(2);
+    mSeen.clear();
+    follower->OnBatch(Batch(10, 15, "b"));
+    CPPUNIT_ASSERT(mSeen.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
