--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -16,11 +16,17 @@
 
 } // namespace
 
-backend_double::backend_double(std::string aId, std::string aStage, std::int64_t aEventMs)
+backend_double::backend_double(std::string aId,
+                               std::string aStage,
+                               std::int64_t aEventMs,
+                               const std::string& aLogFile)
   : mId(std::move(aId))
   , mStage(std::move(aStage))
   , mEventMs(aEventMs)
 {
+  if (!aLogFile.empty()) {
+    mLogFile.open(aLogFile, std::ios::app);
+  }
 }
 
 std::string
@@ -41,12 +47,27 @@
 void
 backend_double::Record(const standin_request& aRequest, const std::string& aOutcome)
 {
-  mLog.push_back({ { "id", aRequest.Header("x-skylarkwind-request-id") },
-                   { "method", aRequest.mMethod },
-                   { "path", aRequest.mPath },
-                   { "body", aRequest.mBody },
-                   { "headers", aRequest.mHeaders },
-                   { "outcome", aOutcome } });
+  Append({ { "id", aRequest.Header("x-skylarkwind-request-id") },
+           { "method", aRequest.mMethod },
+           { "path", aRequest.mPath },
+           { "body", aRequest.mBody },
+           { "headers", aRequest.mHeaders },
+           { "outcome", aOutcome } });
+}
+
+void
+backend_double::Append(json aRecord)
+{
+  if (mLogFile.is_open()) {
+    mLogFile << json{
+      { "at_ms", SteadyMs() },
+      { "backend", mId },
+      { "id", aRecord["id"] },
+      { "path", aRecord.value("path", "") },
+      { "outcome", aRecord["outcome"] }
+    }.dump() << std::endl;
+  }
+  mLog.push_back(std::move(aRecord));
 }
 
 void
@@ -181,7 +202,7 @@
     if (aStream.mConnection != aConnection) {
       return false;
     }
-    mLog.push_back({ { "id", aStream.mRequestId }, { "outcome", "cancelled" } });
+    Append({ { "id", aStream.mRequestId }, { "outcome", "cancelled" } });
     return true;
   });
 }
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <fstream>
 #include <list>
 #include <map>
 #include <string>
@@ -19,7 +20,12 @@
 class backend_double : public standin_app
 {
 public:
-  backend_double(std::string aId, std::string aStage, std::int64_t aEventMs);
+  /// With a log file each record is also a line of JSON there, with the time, which outlives the
+  /// process.
+  backend_double(std::string aId,
+                 std::string aStage,
+                 std::int64_t aEventMs,
+                 const std::string& aLogFile = {});
 
   void OnRequest(const standin_request& aRequest, standin_reply aReply) override;
   void OnTick() override;
@@ -43,6 +49,7 @@
   void OnOrder(const standin_request& aRequest, const standin_reply& aReply);
   std::string HeaderLines(const standin_request& aRequest) const;
   void Record(const standin_request& aRequest, const std::string& aOutcome);
+  void Append(nlohmann::json aRecord);
 
   std::string mId;
   std::string mStage;
@@ -50,6 +57,7 @@
   std::string mMode = "ok";
   std::list<stream> mStreams;
   nlohmann::json mLog = nlohmann::json::array();
+  std::ofstream mLogFile;
   std::uint64_t mOrders = 0;
   std::uint64_t mHandles = 0;
 };
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -45,6 +45,9 @@
       Signal(SIGKILL);
       WaitForExit(kGrace);
     }
+    if (mCopying.joinable()) {
+      mCopying.join();
+    }
     close(mOutput);
   }
   child_process(const child_process&) = delete;
@@ -61,6 +64,23 @@
     }
   }
 
+  /// Appends to a file what the process prints from now on.
+  void KeepOutput(const std::string& aFile)
+  {
+    mCopying = std::thread{ [output = mOutput, aFile] {
+      const int file =
+        open(aFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+      char part[4'096];
+      for (;;) {
+        const auto count = read(output, part, sizeof(part));
+        if (count <= 0 || write(file, part, static_cast<std::size_t>(count)) < 0) {
+          break;
+        }
+      }
+      close(file);
+    } };
+  }
+
   /// False when the process still runs at the end of the limit.
   bool WaitForExit(std::chrono::milliseconds aLimit)
   {
@@ -156,6 +176,7 @@
   int mOutput;
   int mStatus = 0;
   std::string mAddress;
+  std::thread mCopying;
 };
 
 } // namespace skylarkwind
--- a/standins/standin_relay_main.cpp
+++ b/standins/standin_relay_main.cpp
@@ -18,8 +18,9 @@
 
 using nlohmann::json;
 
-/// POST /standin/faults {"cut":bool,"delay_ms":n,"silence_open":bool,"silence_all":bool}, and
-/// GET /standin/state.
+/// POST /standin/faults
+/// {"cut":bool,"reset":bool,"delay_ms":n,"silence_open":bool,"silence_all":bool,
+/// "silence_up":bool,"silence_down":bool}, and GET /standin/state.
 class relay_control : public standin_app
 {
 public:
@@ -36,6 +37,9 @@
       faults.mCut = body.value("cut", faults.mCut);
       faults.mDelayMs = body.value("delay_ms", faults.mDelayMs);
       faults.mSilenceAll = body.value("silence_all", faults.mSilenceAll);
+      faults.mSilenceUp = body.value("silence_up", faults.mSilenceUp);
+      faults.mSilenceDown = body.value("silence_down", faults.mSilenceDown);
+      faults.mReset = body.value("reset", faults.mReset);
       mRelay.SetFaults(faults);
       if (body.contains("silence_open")) {
         mRelay.SilenceOpen(body["silence_open"].get<bool>());
--- a/standins/tcp_relay.cpp
+++ b/standins/tcp_relay.cpp
@@ -115,9 +115,10 @@
 }
 
 bool
-tcp_relay::Silent(const connection& aConnection) const
+tcp_relay::Silent(const connection& aConnection, const direction& aDirection) const
 {
-  return mActive.mSilenceAll || aConnection.mNumber <= mSilentUpTo;
+  const bool oneWay = &aDirection == &aConnection.mUp ? mActive.mSilenceUp : mActive.mSilenceDown;
+  return oneWay || mActive.mSilenceAll || aConnection.mNumber <= mSilentUpTo;
 }
 
 /// One round: what was read is written when its delay has passed.
@@ -138,7 +139,7 @@
   std::vector<pollfd> ready{ { mListener, POLLIN, 0 } };
   for (const auto& connection : mConnections) {
     for (const auto* way : { &connection.mUp, &connection.mDown }) {
-      bool reads = !way->mEnded && way->mQueued < kMaxQueued && !Silent(connection);
+      bool reads = !way->mEnded && way->mQueued < kMaxQueued && !Silent(connection, *way);
       ready.push_back({ reads ? way->mFrom : -1, POLLIN, 0 });
     }
   }
@@ -150,7 +151,7 @@
       if (ready[at++].revents != 0) {
         Read(*way, connection);
       }
-      if (!Silent(connection)) {
+      if (!Silent(connection, *way)) {
         Write(*way, connection, now);
       }
     }
@@ -233,8 +234,13 @@
 }
 
 void
-tcp_relay::Close(const connection& aConnection)
+tcp_relay::Close(const connection& aConnection) const
 {
+  if (mActive.mReset) {
+    const linger abort{ 1, 0 };
+    setsockopt(aConnection.mUp.mFrom, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    setsockopt(aConnection.mUp.mTo, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  }
   close(aConnection.mUp.mFrom);
   close(aConnection.mUp.mTo);
 }
--- a/standins/tcp_relay.h
+++ b/standins/tcp_relay.h
@@ -20,6 +20,9 @@
   bool mCut = false;         ///< connections are closed, new ones are refused
   std::int64_t mDelayMs = 0; ///< each byte arrives this much later
   bool mSilenceAll = false;  ///< nothing passes; connections stay open
+  bool mSilenceUp = false;   ///< nothing passes to the target; its answers do
+  bool mSilenceDown = false; ///< nothing passes from the target; requests to it do
+  bool mReset = false;       ///< closed connections end with a reset
 };
 
 struct relay_state
@@ -75,9 +78,9 @@
   void Accept();
   void Read(direction& aDirection, connection& aConnection);
   void Write(direction& aDirection, connection& aConnection, std::int64_t aNowMs);
-  bool Silent(const connection& aConnection) const;
+  bool Silent(const connection& aConnection, const direction& aDirection) const;
   void Listen();
-  static void Close(const connection& aConnection);
+  void Close(const connection& aConnection) const;
 
   sockaddr_in mOwn{};
   sockaddr_in mTarget{};
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -40,6 +40,24 @@
            { "Resumable", aName == "stream" } };
 }
 
+std::unique_ptr<child_process>
+StartRelay(const std::string& aTarget)
+{
+  return child_process::Start(Program("standin_relay"), { "--target=" + aTarget });
+}
+
+std::string
+RelayAddress(const child_process& aRelay)
+{
+  return json::parse(Call("GET", aRelay.Url("/standin/state")).mBody)["address"].get<std::string>();
+}
+
+void
+SetFaults(const child_process& aRelay, const json& aFaults)
+{
+  Call("POST", aRelay.Url("/standin/faults"), {}, aFaults.dump());
+}
+
 } // namespace
 
 gateway_system::gateway_system(gateway_options aOptions)
@@ -49,12 +67,14 @@
   mDirectory = mkdtemp(pattern.data());
   mStore = child_process::Start(Program("standin_store"));
   for (const auto& options : mOptions.mBackends) {
-    mBackends.push_back(
-      { options,
-        child_process::Start(Program("standin_backend"),
-                             { "--id=" + options.mId,
-                               "--stage=" + options.mStage,
-                               "--event_ms=" + std::to_string(options.mEventMs) }) });
+    backend_entry entry{ options, Loopback(), {}, {}, {} };
+    entry.mProcess = StartBackend(entry);
+    entry.mAddress = entry.mProcess->Address();
+    if (mOptions.mRelays) {
+      entry.mRelay = StartRelay(entry.mAddress);
+      entry.mAddress = RelayAddress(*entry.mRelay);
+    }
+    mBackends.push_back(std::move(entry));
     List(options.mId, "ready");
   }
   Configure(FirstConfiguration());
@@ -71,7 +91,9 @@
 gateway_system::~gateway_system()
 {
   mDaemons.clear();
-  std::filesystem::remove_all(mDirectory);
+  if (!mKeepsFiles) {
+    std::filesystem::remove_all(mDirectory);
+  }
 }
 
 json
@@ -122,7 +144,7 @@
 {
   const auto& entry = Find(aId);
   json spec{ { "Service", entry.mOptions.mService },
-             { "Address", entry.mProcess->Address() },
+             { "Address", entry.mAddress },
              { "Zone", "z" },
              { "Slots", 8 },
              { "State", aState },
@@ -158,6 +180,81 @@
   Call("POST", Find(aBackend).mProcess->Url("/standin/mode"), {}, json{ { "mode", aMode } }.dump());
 }
 
+std::unique_ptr<child_process>
+gateway_system::StartBackend(const backend_entry& aBackend) const
+{
+  std::vector<std::string> arguments{ "--id=" + aBackend.mOptions.mId,
+                                      "--stage=" + aBackend.mOptions.mStage,
+                                      "--event_ms=" + std::to_string(aBackend.mOptions.mEventMs),
+                                      "--listen=" + aBackend.mListen };
+  if (mOptions.mRelays) {
+    arguments.push_back("--log_file=" + LogFile(aBackend.mOptions.mId));
+  }
+  return child_process::Start(Program("standin_backend"), arguments);
+}
+
+void
+gateway_system::RestartBackend(const std::string& aId)
+{
+  auto& entry = Find(aId);
+  entry.mProcess->Signal(SIGKILL);
+  entry.mProcess = nullptr;
+  entry.mProcess = StartBackend(entry);
+}
+
+void
+gateway_system::RestartDaemon(int aIndex)
+{
+  auto& daemon = mDaemons[static_cast<std::size_t>(aIndex)];
+  daemon.mProcess->Signal(SIGKILL);
+  daemon.mProcess = nullptr;
+  StartDaemon(daemon);
+}
+
+void
+gateway_system::StartDaemon(daemon_entry& aDaemon) const
+{
+  aDaemon.mProcess =
+    child_process::Start(Program("skylarkwindd"), { "--settings=" + WriteSettings(aDaemon) });
+  if (mOptions.mRelays) {
+    aDaemon.mProcess->KeepOutput(mDirectory + "/" + aDaemon.mName + ".out");
+  }
+}
+
+void
+gateway_system::DisturbBackend(const std::string& aId, const json& aFaults)
+{
+  SetFaults(*Find(aId).mRelay, aFaults);
+}
+
+void
+gateway_system::DisturbStore(int aDaemon, const json& aFaults)
+{
+  SetFaults(*mDaemons[static_cast<std::size_t>(aDaemon)].mStoreRelay, aFaults);
+}
+
+std::vector<json>
+gateway_system::Records() const
+{
+  std::vector<json> records;
+  for (const auto& backend : mBackends) {
+    std::ifstream file{ LogFile(backend.mOptions.mId) };
+    for (std::string line; std::getline(file, line);) {
+      // A killed server may leave an unfinished last line.
+      if (auto record = json::parse(line, nullptr, false); record.is_object()) {
+        records.push_back(std::move(record));
+      }
+    }
+  }
+  return records;
+}
+
+gateway_system::backend_entry&
+gateway_system::Find(const std::string& aId)
+{
+  return const_cast<backend_entry&>(std::as_const(*this).Find(aId));
+}
+
 const gateway_system::backend_entry&
 gateway_system::Find(const std::string& aId) const
 {
@@ -177,7 +274,7 @@
     << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
     << "  callers_address: " << aDaemon.mCallers << "\n"
     << "  ready_address: " << aDaemon.mReady << "\n"
-    << "  store_address: " << mStore->Address() << "\n"
+    << "  store_address: " << aDaemon.mStore << "\n"
     << "  peer_address: " << aDaemon.mPeers << "\n"
     << "  contact_ms: 1000\n  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
     << "  repeat_ratio: 0.2\n  repeat_floor: 40\n"
@@ -189,10 +286,14 @@
 gateway_system::AddDaemon()
 {
   daemon_entry daemon{
-    "vm-" + std::to_string(mDaemons.size()), Loopback(), Loopback(), Loopback(), {}
+    "vm-" + std::to_string(mDaemons.size()), Loopback(), Loopback(), Loopback(), {}, {}, {}
   };
-  daemon.mProcess =
-    child_process::Start(Program("skylarkwindd"), { "--settings=" + WriteSettings(daemon) });
+  daemon.mStore = mStore->Address();
+  if (mOptions.mRelays) {
+    daemon.mStoreRelay = StartRelay(daemon.mStore);
+    daemon.mStore = RelayAddress(*daemon.mStoreRelay);
+  }
+  StartDaemon(daemon);
   mDaemons.push_back(std::move(daemon));
 }
 
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -23,6 +23,9 @@
   std::vector<backend_options> mBackends;
   int mDaemons = 1;
   double mPrefillShare = 0.5;
+  /// Daemons reach the store and the backend servers through relays, and backend servers keep
+  /// their records in files.
+  bool mRelays = false;
 };
 
 /// Daemons before a stand-in of the users' platform: its store, engines and plain servers.
@@ -53,6 +56,22 @@
   http_reply Ready(int aIndex = 0) const;
   /// Starts one more daemon and does not wait until it is ready.
   void AddDaemon();
+  /// Ends what runs of this daemon or server with SIGKILL and starts it anew at its addresses.
+  void RestartDaemon(int aIndex);
+  void RestartBackend(const std::string& aId);
+  child_process& Backend(const std::string& aId) { return *Find(aId).mProcess; }
+  /// Faults of the relay before a backend server, or between a daemon and the store.
+  void DisturbBackend(const std::string& aId, const nlohmann::json& aFaults);
+  void DisturbStore(int aDaemon, const nlohmann::json& aFaults);
+  const std::string& CallersAddress(int aIndex) const
+  {
+    return mDaemons[static_cast<std::size_t>(aIndex)].mCallers;
+  }
+  /// Where logs and records are; removed at the end unless KeepFiles was called.
+  const std::string& Directory() const { return mDirectory; }
+  void KeepFiles() { mKeepsFiles = true; }
+  /// With relays: everything that backend servers recorded, also before they were killed.
+  std::vector<nlohmann::json> Records() const;
 
   /// A request with a new id; further headers may be given.
   http_reply Send(const std::string& aMethod,
@@ -73,23 +92,34 @@
     std::string mCallers;
     std::string mReady;
     std::string mPeers;
+    std::unique_ptr<child_process> mStoreRelay;
+    std::string mStore;
     std::unique_ptr<child_process> mProcess;
   };
   struct backend_entry
   {
     backend_options mOptions;
+    std::string mListen;
     std::unique_ptr<child_process> mProcess;
+    std::unique_ptr<child_process> mRelay;
+    std::string mAddress; ///< as listed
   };
 
+  std::unique_ptr<child_process> StartBackend(const backend_entry& aBackend) const;
+  std::string LogFile(const std::string& aId) const { return mDirectory + "/" + aId + ".log"; }
+  backend_entry& Find(const std::string& aId);
+
   const backend_entry& Find(const std::string& aId) const;
   http_reply Store(const std::string& aMethod,
                    const std::string& aPath,
                    const nlohmann::json& aBody) const;
   void Put(const std::string& aKind, const std::string& aName, const nlohmann::json& aSpec) const;
   std::string WriteSettings(const daemon_entry& aDaemon) const;
+  void StartDaemon(daemon_entry& aDaemon) const;
 
   gateway_options mOptions;
   std::string mDirectory;
+  bool mKeepsFiles = false;
   std::unique_ptr<child_process> mStore;
   std::vector<backend_entry> mBackends;
   std::vector<daemon_entry> mDaemons;
