Count no repeat for a prefill that was never sent

Cause: a prefill whose connection was refused was not taken back from the count of prefills, so that the next try needed a repeat of the allowance. RefusedConnectionIsNoRepeat guards it.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -316,6 +316,9 @@
             http_result aResult) mutable -> kj::Promise<void> {
       if (const auto* failure = std::get_if<http_failure>(&aResult)) {
         Close(failure->mSent ? backend_outcome::Silent : backend_outcome::Unreachable);
+        if (!failure->mSent) {
+          --mPrefills;
+        }
         return OnNotRun(failure->mReason, failure->mSent);
       }
       mAnswer = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
@@ -615,6 +618,7 @@
   const bool again =
     aSent ? MayTryAgain() : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
   if (again) {
+    LogEnd("retry", aReason);
     return Attempt();
   }
   if (mAnswerBegun) {
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TimeLimitIsKept);
   CPPUNIT_TEST(LargeBodyIsRefused);
   CPPUNIT_TEST(SilentPrefillEngineIsLeft);
+  CPPUNIT_TEST(RefusedConnectionIsNoRepeat);
   CPPUNIT_TEST(UntakenCacheIsReleased);
   CPPUNIT_TEST(NewConfigurationComesIntoForceAndStays);
   CPPUNIT_TEST(DrainingServerGetsNothingNew);
@@ -231,6 +232,28 @@
   }
 
   /// Guards against prompts that wait for a dark engine until their callers leave.
+  /// Guards against requests that are refused although no server has seen them: connections to
+  /// engines that have crashed are no repeats.
+  void RefusedConnectionIsNoRepeat()
+  {
+    auto options = Options();
+    options.mBackends.push_back({ "p2", "model", "prefill" });
+    options.mBackends.push_back({ "p3", "model", "prefill" });
+    options.mPrefillShare = 0.6;
+    options.mRepeatRatio = 0;
+    options.mRepeatFloor = 0;
+    gateway_system system{ options };
+    for (const auto* crashed : { "p1", "p2" }) {
+      system.Backend(crashed).Signal(SIGKILL);
+      CPPUNIT_ASSERT(system.Backend(crashed).WaitForExit(seconds{ 5 }));
+    }
+    for (int i = 0; i < 6; ++i) {
+      const auto reply = system.Send(
+        "POST", "/stream/x", gateway_system::StreamHeaders("r" + std::to_string(i), kEvents), "b");
+      CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+    }
+  }
+
   void SilentPrefillEngineIsLeft()
   {
     gateway_system system{ Options() };
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -23,6 +23,8 @@
   std::vector<backend_options> mBackends;
   int mDaemons = 1;
   double mPrefillShare = 0.5;
+  double mRepeatRatio = 0.2;
+  int mRepeatFloor = 40;
   /// Daemons reach the store and the backend servers through relays, and backend servers keep
   /// their records in files.
   bool mRelays = false;
