--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -51,13 +51,6 @@
   std::uint32_t mLeftMs = 0;
 };
 
-/// A backend server that its sender has set aside because it failed requests.
-struct failing_backend
-{
-  std::string mBackendId;
-  std::uint32_t mLeftMs = 0;
-};
-
 /// What one daemon tells the others: its own work as absolute values, so that a lost message is
 /// made good by the next.
 struct work_digest
@@ -67,7 +60,6 @@
   std::vector<backend_work> mWork;
   std::vector<kept_part> mKept; ///< learnt lately
   std::vector<changing_backend> mChanging;
-  std::vector<failing_backend> mFailing;
   std::string mAddress;                 ///< where the sender receives digests
   std::string mDataCentre;              ///< of the sender
   std::uint64_t mConfigurationSeen = 0; ///< store revision of its last news of the configuration
@@ -113,9 +105,8 @@
   std::uint32_t Running(std::string_view aBackendId, instant aNow) const;
   /// How many times slower than expected the server is, 1 before any measurement.
   double Slowdown(std::string_view aBackendId) const;
-  /// Part of the recent requests that failed there, 0 to 1. Where this daemon has no fresh
-  /// experience of its own, that of others counts.
-  double FailedPart(std::string_view aBackendId, instant aNow) const;
+  /// Part of the recent requests that failed there, 0 to 1.
+  double FailedPart(std::string_view aBackendId) const;
   /// False while the server is set aside because of failures. After that time one request may try
   /// it again.
   bool Admits(std::string_view aBackendId, instant aNow) const;
@@ -181,7 +172,6 @@
     double mFailedPart = 0;
     std::uint32_t mFailuresInARow = 0;
     instant mSetAsideUntil{};
-    instant mAnsweredAt{};   ///< last answer to this daemon
     bool mTrialOpen = false; ///< the one request after a time set aside is under way
     instant mChangingUntil{};
     backend_load mLoad;
@@ -195,7 +185,6 @@
     bool mReachesStore = false;
     std::unordered_map<std::string, backend_work> mWork;
     std::unordered_map<std::string, std::uint64_t> mAdded; ///< newest counts
-    std::map<std::string, instant, std::less<>> mFailing;  ///< set aside there until then
   };
 
   struct holding
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -19,12 +19,6 @@
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr std::chrono::milliseconds kFirstAside{ 400 };
 constexpr std::chrono::milliseconds kLongestAside{ 3'200 };
-/// An answer to this daemon says more of a server than the failures that others report, for this
-/// long.
-constexpr std::chrono::milliseconds kOwnWord{ 500 };
-/// Reports of other daemons that count as much as failures of all own requests. One alone may be
-/// due to its own network.
-constexpr double kReportsOfFailure = 3;
 /// Part of a server's memory whose turnover evicts a part that was not used meanwhile. Running
 /// requests take the rest.
 constexpr double kKeptWithin = 0.75;
@@ -125,7 +119,6 @@
   if (aOutcome == backend_outcome::Answered || aOutcome == backend_outcome::Refused) {
     state.mTrialOpen = false;
     if (aOutcome == backend_outcome::Answered) {
-      state.mAnsweredAt = aNow;
       state.mFailuresInARow = 0;
       state.mFailedPart -= kFailureStep * state.mFailedPart;
     }
@@ -201,19 +194,10 @@
 }
 
 double
-backend_board::FailedPart(std::string_view aBackendId, instant aNow) const
+backend_board::FailedPart(std::string_view aBackendId) const
 {
   const auto* state = FindState(aBackendId);
-  const double own = state == nullptr ? 0 : state->mFailedPart;
-  if (state != nullptr && state->mAnsweredAt != instant{} && aNow - state->mAnsweredAt < kOwnWord) {
-    return own;
-  }
-  double reports = 0;
-  for (const auto& [name, peer] : mPeers) {
-    const auto found = peer.mFailing.find(aBackendId);
-    reports += found != peer.mFailing.end() && aNow < found->second ? 1 : 0;
-  }
-  return std::max(own, std::min(1.0, reports / kReportsOfFailure));
+  return state == nullptr ? 0 : state->mFailedPart;
 }
 
 bool
@@ -378,9 +362,6 @@
     state->second.mFailedPart = 0;
     state->second.mSlowdown = 1;
     state->second.mSetAsideUntil = {};
-    for (auto& [name, peer] : mPeers) {
-      peer.mFailing.erase(state->first);
-    }
   }
   for (auto& [key, known] : mKept) {
     if (const auto held = known.find(aBackendId); held != known.end()) {
@@ -407,11 +388,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(state.mChangingUntil - aNow);
       digest.mChanging.push_back({ id, static_cast<std::uint32_t>(left.count()) });
     }
-    if (aNow < state.mSetAsideUntil) {
-      const auto left =
-        std::chrono::duration_cast<std::chrono::milliseconds>(state.mSetAsideUntil - aNow);
-      digest.mFailing.push_back({ id, static_cast<std::uint32_t>(left.count()) });
-    }
   }
   if (aTakeFacts) {
     digest.mKept = std::move(mFresh);
@@ -445,10 +421,6 @@
   peer.mHeardAt = aNow;
   peer.mDataCentre = aDigest.mDataCentre;
   peer.mReachesStore = aDigest.mReachesStore;
-  peer.mFailing.clear();
-  for (const auto& failing : aDigest.mFailing) {
-    peer.mFailing[failing.mBackendId] = aNow + std::chrono::milliseconds{ failing.mLeftMs };
-  }
   peer.mWork.clear();
   for (const auto& work : aDigest.mWork) {
     peer.mWork.insert_or_assign(work.mBackendId, work);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -127,7 +127,7 @@
     const double over = running - std::max<double>(1, server->mSlots);
     const double cost = running * kPlainRequestMs / std::max<double>(1, server->mSlots) +
                         std::max(0.0, over) * kPlainRequestMs + DistanceCost(*server) +
-                        mBoard.FailedPart(server->mId, aNow) * kFailureCostMs;
+                        mBoard.FailedPart(server->mId) * kFailureCostMs;
     if (cost < bestCost) {
       best = server;
       bestCost = cost;
@@ -171,7 +171,7 @@
   made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
   made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
                mSettings.mTransferWeight * transfer + mSettings.mCopyWeight * copied / rate +
-               DistanceCost(aEngine) + mBoard.FailedPart(aEngine.mId, aNow) * kFailureCostMs;
+               DistanceCost(aEngine) + mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
   return made;
 }
 
@@ -203,8 +203,7 @@
     }
     const double busy = mBoard.WaitingTokens(engine->mId, aNow) > 0 ? kSharedStepMs : 0;
     const double cost = busy + mBoard.Running(engine->mId, aNow) * mBoard.Slowdown(engine->mId) +
-                        DistanceCost(*engine) +
-                        mBoard.FailedPart(engine->mId, aNow) * kFailureCostMs;
+                        DistanceCost(*engine) + mBoard.FailedPart(engine->mId) * kFailureCostMs;
     if (cost < decodeCost) {
       decode = engine;
       decodeCost = cost;
--- a/packages/core/tests/backend_board_test.cpp
+++ b/packages/core/tests/backend_board_test.cpp
@@ -21,8 +21,6 @@
   CPPUNIT_TEST(PartsOnTheWayAreKnown);
   CPPUNIT_TEST(RestartForgetsWhatWasKept);
   CPPUNIT_TEST(ChangingServerAdmitsNothing);
-  CPPUNIT_TEST(FailuresThatOthersReportCount);
-  CPPUNIT_TEST(OwnAnswersOutweighReports);
   CPPUNIT_TEST(RankFollowsTheNamesOfLiveDaemons);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,7 +104,7 @@
     auto board = Board();
     board.End(board.Begin("e1", 0, {}, mNow), backend_outcome::Failed, mNow);
     CPPUNIT_ASSERT(board.Admits("e1", mNow));
-    CPPUNIT_ASSERT(board.FailedPart("e1", mNow) > 0);
+    CPPUNIT_ASSERT(board.FailedPart("e1") > 0);
   }
 
   void SlowServerIsLearnt()
@@ -171,43 +169,6 @@
     CPPUNIT_ASSERT(!other.Admits("e1", mNow + seconds{ 2 }));
   }
 
-  /// Digest of a daemon that has set e1 aside.
-  static work_digest Report(const std::string& aSender, instant aNow)
-  {
-    auto reporter = Board();
-    reporter.End(reporter.Begin("e1", 0, {}, aNow), backend_outcome::Unreachable, aNow);
-    return reporter.Digest(aSender, true, aNow);
-  }
-
-  /// Guards against every daemon of a large deployment losing requests to the same dead engine.
-  void FailuresThatOthersReportCount()
-  {
-    auto board = Board();
-    board.OnDigest(Report("d1", mNow), mNow);
-    const double one = board.FailedPart("e1", mNow);
-    CPPUNIT_ASSERT(one > 0 && one < 0.5);
-    board.OnDigest(Report("d2", mNow), mNow);
-    board.OnDigest(Report("d3", mNow), mNow);
-    CPPUNIT_ASSERT_EQUAL(1.0, board.FailedPart("e1", mNow));
-    CPPUNIT_ASSERT_EQUAL(0.0, board.FailedPart("e2", mNow));
-    // Reports end with the time for which the engine was set aside.
-    CPPUNIT_ASSERT_EQUAL(0.0, board.FailedPart("e1", mNow + seconds{ 1 }));
-    // A new start of the engine has nothing to do with them.
-    board.Forget("e1");
-    CPPUNIT_ASSERT_EQUAL(0.0, board.FailedPart("e1", mNow));
-  }
-
-  /// Guards against an engine that is left unused because some daemons can't reach it.
-  void OwnAnswersOutweighReports()
-  {
-    auto board = Board();
-    for (const auto* sender : { "d1", "d2", "d3" }) {
-      board.OnDigest(Report(sender, mNow), mNow);
-    }
-    board.End(board.Begin("e1", 0, {}, mNow), backend_outcome::Answered, mNow);
-    CPPUNIT_ASSERT_EQUAL(0.0, board.FailedPart("e1", mNow + milliseconds{ 100 }));
-  }
-
   void RankFollowsTheNamesOfLiveDaemons()
   {
     auto board = Board();
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -38,10 +38,6 @@
   for (const auto& entry : aDigest.mChanging) {
     changing.push_back({ entry.mBackendId, entry.mLeftMs });
   }
-  json failing = json::array();
-  for (const auto& entry : aDigest.mFailing) {
-    failing.push_back({ entry.mBackendId, entry.mLeftMs });
-  }
   const json digest = { aDigest.mSender,
                         aDigest.mSequence,
                         std::move(work),
@@ -51,8 +47,7 @@
                         aDigest.mConfigurationSeen,
                         aDigest.mServersSeen,
                         aDigest.mDataCentre,
-                        aDigest.mReachesStore,
-                        std::move(failing) };
+                        aDigest.mReachesStore };
   std::string bytes;
   json::to_cbor(digest, bytes);
   return bytes;
@@ -87,10 +82,6 @@
     digest.mServersSeen = parsed.at(7).get<std::uint64_t>();
     digest.mDataCentre = parsed.at(8).get<std::string>();
     digest.mReachesStore = parsed.at(9).get<bool>();
-    for (const auto& entry : parsed.at(10)) {
-      digest.mFailing.push_back(
-        { entry.at(0).get<std::string>(), entry.at(1).get<std::uint32_t>() });
-    }
     return digest;
   } catch (const json::exception&) {
     // Datagrams of other programs may reach the port; the receiver counts and drops them.
--- a/packages/gateway/tests/peer_digests_test.cpp
+++ b/packages/gateway/tests/peer_digests_test.cpp
@@ -25,7 +25,6 @@
     digest.mConfigurationSeen = 11;
     digest.mServersSeen = 12;
     digest.mReachesStore = true;
-    digest.mFailing = { { "e4", 800 } };
     return digest;
   }
 
@@ -42,7 +41,6 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 12 }, read->mServersSeen);
     CPPUNIT_ASSERT_EQUAL(std::string{ "z" }, read->mDataCentre);
     CPPUNIT_ASSERT(read->mReachesStore);
-    CPPUNIT_ASSERT_EQUAL(800U, read->mFailing.at(0).mLeftMs);
   }
 
   /// Guards against a daemon that ends because of a datagram that another program sent.
