--- a/packages/daemon/tests/operations_page_test.cpp
+++ b/packages/daemon/tests/operations_page_test.cpp
@@ -11,9 +11,9 @@
 namespace skylarkwind {
 
 /// Compares docs/OPERATIONS.md with the program.
-class operating_page_test : public CppUnit::TestFixture
+class operations_page_test : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(operating_page_test);
+  CPPUNIT_TEST_SUITE(operations_page_test);
   CPPUNIT_TEST(ListsEverySetting);
   CPPUNIT_TEST(ListsEveryMemberOfTheTable);
   CPPUNIT_TEST(ListsEveryCounter);
@@ -121,6 +121,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(operating_page_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(operations_page_test);
 
 } // namespace skylarkwind
