--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/settings.h"
 
-#include <arpa/inet.h>
+#include "skylarkwind/net_address.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
@@ -52,24 +53,6 @@
   return value;
 }
 
-bool
-IsAddress(std::string_view aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
-  }
-  const std::string ip{ aText.substr(0, colon) };
-  in_addr parsed{};
-  if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1) {
-    return false;
-  }
-  const auto port = aText.substr(colon + 1);
-  std::uint16_t number = 0;
-  const auto [rest, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-  return error == std::errc{} && rest == port.data() + port.size();
-}
-
 /// The member that a setting is read into.
 template<class value>
 using member = std::function<value&(daemon_settings&)>;
@@ -98,7 +81,7 @@
 reader
 ReadAddress(const member<std::string>& aInto)
 {
-  return ReadText(aInto, IsAddress);
+  return ReadText(aInto, IsIpPort);
 }
 
 reader
@@ -230,7 +213,7 @@
   aOut.push_back(
     { { "peers", "a list of ip:port", "Addresses of other daemons, to join at the start.", false },
       ReadList(
-        [](auto& aIn) -> auto& { return aIn.mNode.mMembership.mSeeds; }, IsAddress) });
+        [](auto& aIn) -> auto& { return aIn.mNode.mMembership.mSeeds; }, IsIpPort) });
   aOut.push_back(
     { { "links.address", kAddressText, "Where this daemon listens for other daemons.", true },
       ReadAddress([](auto& aIn) -> auto& { return aIn.mLinkAddress; }) });
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/gateway_settings.h"
 
-#include <arpa/inet.h>
+#include "skylarkwind/net_address.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
@@ -22,23 +23,6 @@
   std::function<bool(const std::string&, gateway_settings&)> mRead;
 };
 
-bool
-IsAddress(const std::string& aText)
-{
-  const auto colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  in_addr parsed{};
-  const auto ip = aText.substr(0, colon);
-  std::uint16_t port = 0;
-  const auto* first = aText.data() + colon + 1;
-  const auto* last = aText.data() + aText.size();
-  const auto [rest, error] = std::from_chars(first, last, port);
-  return inet_pton(AF_INET, ip.c_str(), &parsed) == 1 && error == std::errc{} && rest == last &&
-         first != last;
-}
-
 std::optional<double>
 Number(const std::string& aText)
 {
@@ -65,7 +49,7 @@
 {
   return { "ip:port", true, [aMember](const std::string& aText, gateway_settings& aInto) {
             aInto.*aMember = aText;
-            return IsAddress(aText);
+            return IsIpPort(aText);
           } };
 }
 
