Drop an answer of the store that is older than a batch

Found by reading: while a daemon catches up with one call, a batch may arrive first; the call's answer then brought older changes after newer ones, so that a draining server could be used again. LateAnswerDoesNotUndoABatch failed before the change. A daemon that stops now says at once that it no longer follows the store, so that its successor begins before it is gone.

--- a/packages/gateway/src/change_batch.cpp
+++ b/packages/gateway/src/change_batch.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kPartBytes = 7 * 1'024;
 /// Bounds the memory that a damaged or foreign datagram can claim.
 constexpr std::size_t kMostParts = 64;
+/// Senders with an incomplete message, above the daemons of the largest deployment aimed at (350).
+constexpr std::size_t kMostSenders = 512;
 
 json
 ParseCbor(std::string_view aBytes)
@@ -106,6 +108,9 @@
     if (count == 0 || count > kMostParts || index >= count || bytes.empty()) {
       return std::nullopt;
     }
+    if (mOpen.size() >= kMostSenders) {
+      mOpen.clear();
+    }
     auto& message = mOpen[sender];
     if (message.mNumber != number || message.mParts.size() != count) {
       message = { number, count, std::vector<std::string>(count) };
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -385,7 +385,9 @@
     digest.mDataCentre = mSettings.mDataCentre;
     digest.mConfigurationSeen = mConfigurations.LastChange();
     digest.mServersSeen = mServers.LastChange();
-    digest.mReachesStore = mServers.Listed() && !mServers.InOutage() && !mConfigurations.InOutage();
+    // A daemon that stops is replaced as a watcher before it is gone.
+    digest.mReachesStore =
+      !mStoppingSince && mServers.Listed() && !mServers.InOutage() && !mConfigurations.InOutage();
     return digest;
   }
 
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -206,7 +206,7 @@
 store_follower::Watch(std::chrono::milliseconds aWait)
 {
   return mStore.Watch(mSettings.mKind, mAt, aWait)
-    .then([this](store_result<object_changes> aResult) mutable -> kj::Promise<void> {
+    .then([this](store_result<object_changes> aResult) -> kj::Promise<void> {
       if (const auto* failure = std::get_if<store_failure>(&aResult)) {
         if (failure->mCause == store_failure::cause::HistoryGone) {
           Log(log_level::Info, "store", "the history of " + mSettings.mKind + " is gone; listing");
@@ -217,6 +217,10 @@
       }
       auto& changes = std::get<object_changes>(aResult);
       OnSuccess();
+      if (!changes.mChanges.empty() && changes.mAt <= mAt) {
+        // A batch that came meanwhile holds these changes and newer ones.
+        return kj::READY_NOW;
+      }
       mAt = std::max(mAt, changes.mAt);
       if (changes.mChanges.empty()) {
         mBusyWatches = 0;
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -17,6 +17,7 @@
 class scripted_store final : public object_store
 {
 public:
+  ~scripted_store() noexcept override = default;
   kj::Promise<store_result<object_page>> List(std::string, std::string aAfter, bool) override
   {
     mCalls.push_back("list " + aAfter);
@@ -27,6 +28,11 @@
                                                   milliseconds) override
   {
     mCalls.push_back("watch " + std::to_string(aFrom));
+    if (mWatches.empty()) {
+      auto open = kj::newPromiseAndFulfiller<store_result<object_changes>>();
+      mOpenWatch = kj::mv(open.fulfiller);
+      return kj::mv(open.promise);
+    }
     return Next(mWatches);
   }
   kj::Promise<store_result<stored_object>> Read(std::string, std::string) override
@@ -51,6 +57,7 @@
 
   std::deque<store_result<object_page>> mLists;
   std::deque<store_result<object_changes>> mWatches;
+  kj::Own<kj::PromiseFulfiller<store_result<object_changes>>> mOpenWatch;
   std::vector<std::string> mCalls;
 
 private:
@@ -93,6 +100,7 @@
   CPPUNIT_TEST(OldAndRepeatedBatchesChangeNothing);
   CPPUNIT_TEST(LostBatchMeansOneCall);
   CPPUNIT_TEST(NewsThatNoWatchShowsMeansAList);
+  CPPUNIT_TEST(LateAnswerDoesNotUndoABatch);
   CPPUNIT_TEST(WatchGoesOnFromTheLastBatch);
   CPPUNIT_TEST(BatchesAreNotMixedWithOwnCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -307,6 +315,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string{ "list 3" }, mSeen.at(0));
   }
 
+  /// Guards against a draining server that is used again because an older answer came last.
+  void LateAnswerDoesNotUndoABatch()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = Receiver(running);
+    follower->OnNewsElsewhere(15);
+    follower->OnTick(mClock.Now());
+    mClock.Advance(seconds{ 2 });
+    follower->OnTick(mClock.Now());
+    Until(3);
+    follower->OnBatch(Batch(10, 30, "newer"));
+    mStore.mOpenWatch->fulfill(object_changes{ { { { "older", 15, "{}" }, false } }, 20 });
+    mLoop->provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(mLoop->waitScope);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, mSeen.size());
+    CPPUNIT_ASSERT_EQUAL(std::string{ "newer" }, mSeen[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, mStore.mCalls.size());
+  }
+
   void WatchGoesOnFromTheLastBatch()
   {
     kj::Promise<void> running = nullptr;
