Encode a batch only for receivers; log each dropped datagram

Found by reading the change: a batch was encoded although nobody was served (daemons that don't watch, small data centres); datagrams that are too long and messages that are no batch were dropped without a log line; an unused alias; a comment that had come to stand above the wrong test.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using milliseconds_f = std::chrono::duration<double, std::milli>;
 
 /// An attempt with less time than this left cannot end well.
 constexpr milliseconds kLeastTimeLeft{ 20 };
--- a/packages/gateway/src/peer_digests.cpp
+++ b/packages/gateway/src/peer_digests.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace skylarkwind {
 
@@ -17,6 +18,7 @@
 
 using nlohmann::json;
 
+/// Longest datagram that is received; fragments of batches stay below it.
 constexpr std::size_t kMostBytes = 8 * 1'024;
 /// A larger batch would fill the link of a VM with 10 Mbit/s for longer than a list takes.
 constexpr std::size_t kMostBatchBytes = 32 * 1'024;
@@ -120,7 +122,9 @@
     [this] {
       const auto content = mReceiver->getContent();
       const auto bytes = content.value;
-      if (!content.isTruncated) {
+      if (content.isTruncated) {
+        Log(log_level::Debug, "peers", "dropped a datagram that is too long");
+      } else {
         OnDatagram({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
       }
       return Receive();
@@ -137,9 +141,13 @@
 {
   if (fragment_collector::IsFragment(aBytes)) {
     const auto message = mFragments.Add(aBytes);
-    const auto batch = message ? DecodeBatch(*message) : std::nullopt;
-    if (batch) {
+    if (!message) {
+      return;
+    }
+    if (const auto batch = DecodeBatch(*message)) {
       mOnBatch(*batch);
+    } else {
+      Log(log_level::Debug, "peers", "dropped a message that is no batch");
     }
     return;
   }
@@ -194,17 +202,23 @@
                    const std::function<bool(std::string_view)>& aServes,
                    kj::TaskSet& aTasks)
 {
+  std::vector<peer*> receivers;
+  for (auto& [name, entry] : mPeers) {
+    if (entry.mNear && aServes(name)) {
+      receivers.push_back(&entry);
+    }
+  }
+  if (mPort.get() == nullptr || receivers.empty()) {
+    return;
+  }
   const auto message = EncodeBatch(aBatch);
-  if (mPort.get() == nullptr || message.size() > kMostBatchBytes) {
+  if (message.size() > kMostBatchBytes) {
+    Log(log_level::Debug, "peers", "a batch is too large for datagrams; receivers will list");
     return;
   }
-  const auto fragments = Fragments(message, aSender, ++mLastBatch);
-  for (auto& [name, entry] : mPeers) {
-    if (!entry.mNear || !aServes(name)) {
-      continue;
-    }
-    for (const auto& fragment : fragments) {
-      SendTo(entry, fragment, aTasks);
+  for (const auto& fragment : Fragments(message, aSender, ++mLastBatch)) {
+    for (auto* receiver : receivers) {
+      SendTo(*receiver, fragment, aTasks);
     }
   }
 }
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -231,7 +231,6 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, system.Count("ran"));
   }
 
-  /// Guards against prompts that wait for a dark engine until their callers leave.
   /// Guards against requests that are refused although no server has seen them: connections to
   /// engines that have crashed are no repeats.
   void RefusedConnectionIsNoRepeat()
@@ -254,6 +253,7 @@
     }
   }
 
+  /// Guards against prompts that wait for a dark engine until their callers leave.
   void SilentPrefillEngineIsLeft()
   {
     gateway_system system{ Options() };
