--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -157,8 +157,8 @@
 {
   int mStatus = 0;
   std::string mRequestId;
-  bool mSigned = false; ///< carries the backend server's signature of its answer
-  bool mNotRun = false; ///< states that the request has not run and never will
+  bool mSigned = false;  ///< carries the backend server's signature of its answer
+  bool mNotRun = false;  ///< states that the request has not run and never will
   bool mLeaving = false; ///< the server leaves; it takes requests only for the drain time
   /// With status 503: how long the server wants no request from this daemon.
   std::optional<std::chrono::milliseconds> mQuietFor;
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/backend_board.h"
 #include "skylarkwind/forward_types.h"
+#include "skylarkwind/part_holders.h"
 
 #include <chrono>
 #include <optional>
@@ -22,6 +23,7 @@
   const backend_server* mFetchFrom = nullptr;
   std::uint32_t mComputeTokens = 0; ///< left to compute after what is kept or fetched
   std::uint32_t mFetchTokens = 0;   ///< fetched from another engine
+  std::uint32_t mAheadTokens = 0;   ///< wait at the computing engine before it
   std::chrono::duration<double, std::milli> mPrefillTime{}; ///< until the prompt is computed
   std::chrono::duration<double, std::milli> mFirstToken{};  ///< predicted, from now
 };
@@ -72,7 +74,7 @@
 class placer
 {
 public:
-  placer(placement_settings aSettings, const backend_board& aBoard);
+  placer(placement_settings aSettings, const backend_board& aBoard, const part_holders& aParts);
 
   placement_result Place(const placement_query& aQuery, instant aNow) const;
 
@@ -82,6 +84,14 @@
     placement mPlacement;
     double mCost = 0;
   };
+  /// A server that may take the request, and what is known of it.
+  struct candidate
+  {
+    const backend_server* mServer = nullptr;
+    backend_board::view mSeen;
+    std::uint32_t mKept = 0; ///< tokens at the start of the prompt
+  };
+  std::vector<candidate> Candidates(const placement_query& aQuery, instant aNow) const;
 
   /// The refusal when no server may take the request. Where all of them asked for a time without
   /// requests, the caller may come back at the end of the first such time.
@@ -93,15 +103,14 @@
   placement_result PlaceGeneration(const placement_query& aQuery, instant aNow) const;
   /// Computing the prompt at one engine, with what it keeps and what it can fetch.
   option Compute(const placement_query& aQuery,
-                 const backend_server& aEngine,
-                 const backend_server* aHolder,
-                 std::uint32_t aHolderTokens,
-                 instant aNow) const;
+                 const candidate& aEngine,
+                 const candidate* aHolder) const;
   double DistanceCost(const backend_server& aServer) const;
   double TransferMs(const forward_service& aService, double aTokens, bool aNear) const;
 
   placement_settings mSettings;
   const backend_board& mBoard;
+  const part_holders& mParts;
 };
 
 } // namespace skylarkwind
--- a/packages/core/include/skylarkwind/store_watchers.h
+++ b/packages/core/include/skylarkwind/store_watchers.h
@@ -1,21 +1,20 @@
 #pragma once
 
+#include "skylarkwind/clock.h"
+#include "skylarkwind/fleet_members.h"
+
 #include <cstddef>
-#include <span>
-#include <string>
 #include <string_view>
 
 namespace skylarkwind {
 
-/// The daemons of one data centre that follow the store for all of it. The first ones by name are
-/// chosen, so that daemons with the same view agree without a message. A daemon whose view is
-/// wrong follows the store itself, or is told late by a digest and then lists.
+/// The daemons of one data centre that follow the store for all of it: the best ones that reach it,
+/// so that daemons with the same view agree without a message. A daemon whose view is wrong follows
+/// the store itself, or is told late by a summary and then lists.
 class store_watchers
 {
 public:
-  /// `aPeers` are the other daemons of the data centre that are alive and reach the store, in the
-  /// order of their names.
-  static store_watchers Choose(std::string_view aSelf, std::span<const std::string> aPeers);
+  static store_watchers Choose(const fleet_members& aMembers, instant aNow);
 
   bool SelfWatches() const { return mSelfWatches; }
   /// Whether this daemon is the watcher that passes changes on to `aPeer`.
--- a/packages/core/src/backend_directory.cpp
+++ b/packages/core/src/backend_directory.cpp
@@ -62,7 +62,8 @@
 backend_directory::OnLeaving(std::string_view aId, std::uint64_t aStartedAt)
 {
   if (mLeaving.size() >= kMostLeaving) {
-    std::erase_if(mLeaving, [this](const auto& aEntry) { return !mServers.contains(aEntry.first); });
+    std::erase_if(mLeaving,
+                  [this](const auto& aEntry) { return !mServers.contains(aEntry.first); });
   }
   auto& marked = mLeaving[std::string{ aId }];
   marked = std::max(marked, aStartedAt);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -83,12 +83,36 @@
 
 } // namespace
 
-placer::placer(placement_settings aSettings, const backend_board& aBoard)
+placer::placer(placement_settings aSettings,
+               const backend_board& aBoard,
+               const part_holders& aParts)
   : mSettings(std::move(aSettings))
   , mBoard(aBoard)
+  , mParts(aParts)
 {
 }
 
+std::vector<placer::candidate>
+placer::Candidates(const placement_query& aQuery, instant aNow) const
+{
+  kept_starts kept;
+  if (aQuery.mGeneration != nullptr) {
+    kept = mParts.Kept(aQuery.mGeneration->mParts);
+  }
+  std::vector<candidate> candidates;
+  candidates.reserve(aQuery.mServers.size());
+  for (const auto* server : aQuery.mServers) {
+    if (Contains(aQuery.mAvoid, server->mId)) {
+      continue;
+    }
+    auto seen = mBoard.Look(server->mId, aNow);
+    if (seen.mAdmits) {
+      candidates.push_back({ server, seen, kept.At(BackendKey(server->mId)) });
+    }
+  }
+  return candidates;
+}
+
 placement_result
 placer::Place(const placement_query& aQuery, instant aNow) const
 {
@@ -140,15 +164,12 @@
 {
   const backend_server* best = nullptr;
   double bestCost = std::numeric_limits<double>::infinity();
-  for (const auto* server : aQuery.mServers) {
-    if (Contains(aQuery.mAvoid, server->mId) || !mBoard.Admits(server->mId, aNow)) {
-      continue;
-    }
-    const double running = mBoard.Running(server->mId, aNow);
-    const double over = running - std::max<double>(1, server->mSlots);
-    const double cost = running * kPlainRequestMs / std::max<double>(1, server->mSlots) +
+  for (const auto& [server, seen, kept] : Candidates(aQuery, aNow)) {
+    const double slots = std::max<double>(1, server->mSlots);
+    const double over = seen.mRunning - slots;
+    const double cost = seen.mRunning * kPlainRequestMs / slots +
                         std::max(0.0, over) * kPlainRequestMs + DistanceCost(*server) +
-                        mBoard.FailedPart(server->mId) * kFailureCostMs;
+                        seen.mFailedPart * kFailureCostMs;
     if (cost < bestCost) {
       best = server;
       bestCost = cost;
@@ -164,35 +185,33 @@
 
 placer::option
 placer::Compute(const placement_query& aQuery,
-                const backend_server& aEngine,
-                const backend_server* aHolder,
-                std::uint32_t aHolderTokens,
-                instant aNow) const
+                const candidate& aEngine,
+                const candidate* aHolder) const
 {
   const auto& shape = *aQuery.mGeneration;
-  const auto kept = mBoard.KeptTokens(aEngine.mId, shape.mParts);
-  std::uint32_t have = kept;
+  std::uint32_t have = aEngine.mKept;
   option made;
   double transfer = 0;
   double copied = 0;
-  if (aHolder != nullptr && aHolder != &aEngine && aHolderTokens > kept) {
-    transfer = TransferMs(
-      *aQuery.mService, aHolderTokens - kept, aHolder->mDataCentre == aEngine.mDataCentre);
-    made.mPlacement.mFetchFrom = aHolder;
-    copied = aHolderTokens - kept;
-    made.mPlacement.mFetchTokens = aHolderTokens - kept;
-    have = aHolderTokens;
+  if (aHolder != nullptr && aHolder != &aEngine && aHolder->mKept > aEngine.mKept) {
+    const bool near = aHolder->mServer->mDataCentre == aEngine.mServer->mDataCentre;
+    transfer = TransferMs(*aQuery.mService, aHolder->mKept - aEngine.mKept, near);
+    made.mPlacement.mFetchFrom = aHolder->mServer;
+    made.mPlacement.mFetchTokens = aHolder->mKept - aEngine.mKept;
+    copied = made.mPlacement.mFetchTokens;
+    have = aHolder->mKept;
   }
-  const double rate = mBoard.Rate(aEngine.mRole, aEngine.mId);
+  const double rate = mBoard.Rate(aEngine.mServer->mRole, aEngine.mSeen.mSlowdown);
   const auto compute = shape.mPromptTokens > have ? shape.mPromptTokens - have : 1;
-  const double wait = mBoard.WaitingTokens(aEngine.mId, aNow) / rate;
+  const double wait = aEngine.mSeen.mWaitingTokens / rate;
   const double computing = compute / rate;
   made.mPlacement.mComputeTokens = compute;
+  made.mPlacement.mAheadTokens = static_cast<std::uint32_t>(aEngine.mSeen.mWaitingTokens);
   made.mPlacement.mPrefillTime = milliseconds_f{ wait + computing + transfer };
   made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
   made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
                mSettings.mTransferWeight * transfer + mSettings.mCopyWeight * copied / rate +
-               DistanceCost(aEngine) + mBoard.FailedPart(aEngine.mId) * kFailureCostMs;
+               DistanceCost(*aEngine.mServer) + aEngine.mSeen.mFailedPart * kFailureCostMs;
   return made;
 }
 
@@ -200,67 +219,61 @@
 placer::PlaceGeneration(const placement_query& aQuery, instant aNow) const
 {
   const auto& shape = *aQuery.mGeneration;
-  const auto home = HomeKey(shape);
+  const auto& traits = *aQuery.mService->mEngine;
+  const auto home = std::to_string(HomeKey(shape));
+  const auto candidates = Candidates(aQuery, aNow);
   // The engine that keeps most of the prompt; where none is known, the part's home by hashing, so
   // that all daemons have a new part computed at the same engine.
-  const backend_server* holder = nullptr;
-  std::uint32_t holderTokens = 0;
-  const backend_server* decode = nullptr;
+  const candidate* holder = nullptr;
+  const candidate* decode = nullptr;
   double decodeCost = std::numeric_limits<double>::infinity();
-  std::vector<const backend_server*> usable;
-  for (const auto* engine : aQuery.mServers) {
-    if (Contains(aQuery.mAvoid, engine->mId) || !mBoard.Admits(engine->mId, aNow)) {
-      continue;
-    }
-    usable.push_back(engine);
-    const auto kept = mBoard.KeptTokens(engine->mId, shape.mParts);
-    if (kept > holderTokens) {
-      holder = engine;
-      holderTokens = kept;
+  for (const auto& engine : candidates) {
+    if (engine.mKept > 0 && (holder == nullptr || engine.mKept > holder->mKept)) {
+      holder = &engine;
     }
-    if (engine->mRole == engine_role::Prefill ||
-        mBoard.Running(engine->mId, aNow) >= aQuery.mService->mEngine->mSlots) {
+    const auto& seen = engine.mSeen;
+    if (engine.mServer->mRole == engine_role::Prefill || seen.mRunning >= traits.mSlots) {
       continue;
     }
-    const double busy = mBoard.WaitingTokens(engine->mId, aNow) > 0 ? kSharedStepMs : 0;
-    const double cost = busy + mBoard.Running(engine->mId, aNow) * mBoard.Slowdown(engine->mId) +
-                        DistanceCost(*engine) + mBoard.FailedPart(engine->mId) * kFailureCostMs;
+    const double busy = seen.mWaitingTokens > 0 ? kSharedStepMs : 0;
+    const double cost = busy + seen.mRunning * seen.mSlowdown + DistanceCost(*engine.mServer) +
+                        seen.mFailedPart * kFailureCostMs;
     if (cost < decodeCost) {
-      decode = engine;
+      decode = &engine;
       decodeCost = cost;
     }
   }
   if (aQuery.mMayWait) {
-    const auto coming = mBoard.Coming(shape.mParts, aNow);
+    const auto holderTokens = holder == nullptr ? 0 : holder->mKept;
+    const auto coming = mParts.Coming(shape.mParts, aNow);
     if (coming.mTokens >= holderTokens + kWorthWaitingTokens && coming.mReadyAt > aNow) {
       return await_parts{ coming.mReadyAt };
     }
   }
   std::optional<option> best;
   std::uint64_t bestTie = 0;
-  for (const auto* engine : usable) {
-    auto made = Compute(aQuery, *engine, holder, holderTokens, aNow);
-    if (engine->mRole == engine_role::Prefill) {
+  for (const auto& engine : candidates) {
+    auto made = Compute(aQuery, engine, holder);
+    if (engine.mServer->mRole == engine_role::Prefill) {
       if (decode == nullptr) {
         continue;
       }
-      const double transfer = TransferMs(
-        *aQuery.mService, shape.mPromptTokens, decode->mDataCentre == engine->mDataCentre);
-      made.mPlacement.mPrefill = engine;
-      made.mPlacement.mTarget = decode;
+      const bool near = decode->mServer->mDataCentre == engine.mServer->mDataCentre;
+      const double transfer = TransferMs(*aQuery.mService, shape.mPromptTokens, near);
+      made.mPlacement.mPrefill = engine.mServer;
+      made.mPlacement.mTarget = decode->mServer;
       made.mPlacement.mFirstToken += milliseconds_f{ transfer + decodeCost };
       made.mCost += transfer * (1 + mSettings.mTransferWeight) + decodeCost;
     } else {
-      if (mBoard.Running(engine->mId, aNow) >= aQuery.mService->mEngine->mSlots) {
+      const auto running = engine.mSeen.mRunning;
+      if (running >= traits.mSlots) {
         continue;
       }
-      made.mPlacement.mTarget = engine;
+      made.mPlacement.mTarget = engine.mServer;
       const auto kept =
         shape.mPromptTokens - std::min(shape.mPromptTokens, made.mPlacement.mComputeTokens);
       const auto likely = made.mPlacement.mComputeTokens + kDecodeMissRisk * kept;
-      const auto tokens = mBoard.WaitingTokens(engine->mId, aNow) + likely;
-      const double gap = GapMs(*aQuery.mService->mEngine, tokens);
-      const auto running = mBoard.Running(engine->mId, aNow);
+      const double gap = GapMs(traits, engine.mSeen.mWaitingTokens + likely);
       const double shared = std::ceil(likely / kSharedStepTokens);
       made.mCost += kSharedStepWeight * shared * kSharedStepMs * running;
       if (gap > kUsableGap * static_cast<double>(aQuery.mRoute->mMaxGap.count())) {
@@ -268,7 +281,7 @@
       }
     }
     // Nearly equal engines are told apart by the part's home, so that parts gather there.
-    const auto tie = RendezvousScore(std::to_string(home), engine->mId);
+    const auto tie = RendezvousScore(home, engine.mServer->mId);
     made.mCost +=
       kHomeWeightMs * (1 - static_cast<double>(tie) /
                              static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
--- /dev/null
+++ b/packages/core/tests/part_holders_test.cpp
@@ -0,0 +1,113 @@
+#include "skylarkwind/part_holders.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class part_holders_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(part_holders_test);
+  CPPUNIT_TEST(TurnoverEvictsKeptParts);
+  CPPUNIT_TEST(PartsOnTheWayAreKnown);
+  CPPUNIT_TEST(RestartForgetsWhatWasKept);
+  CPPUNIT_TEST(PartCountsOnlyBehindThePartsBeforeIt);
+  CPPUNIT_TEST(RepeatedUseIsNotToldAgainAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  instant mNow{ seconds{ 100 } };
+  const std::vector<prompt_part> mParts{ { 1, 10'000 }, { 2, 500 } };
+
+  static part_holders Holders()
+  {
+    part_holders holders;
+    for (const auto* id : { "e1", "e2" }) {
+      holders.SetCapacity(id, 100'000);
+    }
+    return holders;
+  }
+  static std::uint32_t Kept(const part_holders& aHolders,
+                            const std::string& aId,
+                            const std::vector<prompt_part>& aParts)
+  {
+    return aHolders.Kept(aParts).At(BackendKey(aId));
+  }
+
+  /// Guards against placements that rely on parts which newer prompts have pushed out.
+  void TurnoverEvictsKeptParts()
+  {
+    auto holders = Holders();
+    holders.OnKept("e1", mParts, mNow);
+    CPPUNIT_ASSERT_EQUAL(10'000U, Kept(holders, "e1", mParts));
+    CPPUNIT_ASSERT_EQUAL(0U, Kept(holders, "e2", mParts));
+    holders.OnAdded("e1", 30'000);
+    CPPUNIT_ASSERT_EQUAL(10'000U, Kept(holders, "e1", mParts));
+    holders.OnOthersAdded(BackendKey("e1"), 70'000);
+    CPPUNIT_ASSERT_EQUAL(0U, Kept(holders, "e1", mParts));
+  }
+
+  /// Guards against many requests that compute the same new part at once.
+  void PartsOnTheWayAreKnown()
+  {
+    auto holders = Holders();
+    holders.OnComing("e1", mParts, milliseconds{ 200 }, mNow);
+    const auto coming = holders.Coming(mParts, mNow);
+    CPPUNIT_ASSERT_EQUAL(10'000U, coming.mTokens);
+    CPPUNIT_ASSERT(coming.mReadyAt == mNow + milliseconds{ 200 });
+    CPPUNIT_ASSERT_EQUAL(0U, Kept(holders, "e1", mParts));
+    CPPUNIT_ASSERT_EQUAL(0U, holders.Coming(mParts, mNow + milliseconds{ 300 }).mTokens);
+    // The other daemons learn of it too.
+    auto other = Holders();
+    other.OnTold(holders.TakeFresh(), mNow);
+    CPPUNIT_ASSERT_EQUAL(10'000U, other.Coming(mParts, mNow).mTokens);
+  }
+
+  void RestartForgetsWhatWasKept()
+  {
+    auto holders = Holders();
+    holders.OnKept("e1", mParts, mNow);
+    holders.Forget("e1");
+    CPPUNIT_ASSERT_EQUAL(0U, Kept(holders, "e1", mParts));
+  }
+
+  /// Guards against a count of tokens that an engine cannot reuse, because it lost what is before.
+  void PartCountsOnlyBehindThePartsBeforeIt()
+  {
+    auto holders = Holders();
+    const std::vector<prompt_part> parts{ { 1, 10'000 }, { 2, 500 }, { 3, 70 } };
+    const std::vector<prompt_part> first{ { 1, 10'000 }, { 9, 70 } };
+    holders.OnKept("e1", parts, mNow);
+    holders.OnKept("e2", first, mNow);
+    CPPUNIT_ASSERT_EQUAL(10'500U, Kept(holders, "e1", parts));
+    CPPUNIT_ASSERT_EQUAL(10'000U, Kept(holders, "e2", parts));
+    holders.OnTold(std::vector<kept_part>{ { 5, BackendKey("e2"), true, 0 } }, mNow);
+    const std::vector<prompt_part> behind{ { 4, 100 }, { 5, 300 }, { 6, 1 } };
+    CPPUNIT_ASSERT_EQUAL(0U, Kept(holders, "e2", behind));
+  }
+
+  /// Guards against messages that grow with the requests for a part instead of with the parts.
+  void RepeatedUseIsNotToldAgainAtOnce()
+  {
+    auto holders = Holders();
+    holders.OnKept("e1", mParts, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, holders.TakeFresh().size());
+    for (int i = 0; i < 5; ++i) {
+      holders.OnKept("e1", mParts, mNow);
+    }
+    CPPUNIT_ASSERT(!holders.HasFresh());
+    holders.OnAdded("e1", 20'000);
+    holders.OnKept("e1", mParts, mNow);
+    CPPUNIT_ASSERT(holders.HasFresh());
+    // A daemon that was told need not tell it on.
+    auto other = Holders();
+    other.OnTold(holders.TakeFresh(), mNow);
+    other.OnKept("e1", mParts, mNow);
+    CPPUNIT_ASSERT(!other.HasFresh());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(part_holders_test);
+
+} // namespace skylarkwind
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -35,6 +35,7 @@
   forward_route mRoute;
   forward_service mService;
   std::unique_ptr<backend_board> mBoard;
+  std::unique_ptr<part_holders> mHolders;
   std::unique_ptr<placer> mPlacer;
 
 public:
@@ -42,6 +43,7 @@
   {
     mServers.clear();
     mBoard = std::make_unique<backend_board>(backend_board_settings{});
+    mHolders = std::make_unique<part_holders>();
     for (int i = 0; i < 6; ++i) {
       AddEngine("p" + std::to_string(i), engine_role::Prefill);
     }
@@ -60,7 +62,7 @@
     mService.mEngine->mLinkMegabits = 3'200'000;
     placement_settings settings;
     settings.mDataCentre = "a";
-    mPlacer = std::make_unique<placer>(settings, *mBoard);
+    mPlacer = std::make_unique<placer>(settings, *mBoard, *mHolders);
   }
 
 private:
@@ -72,7 +74,7 @@
     server.mDataCentre = "a";
     server.mRole = aRole;
     mServers.push_back(server);
-    mBoard->SetCapacity(aId, 470'000);
+    mHolders->SetCapacity(aId, 470'000);
   }
 
   static generation_shape Shape(std::uint64_t aPart, std::uint32_t aOwn = 3'720)
@@ -117,7 +119,7 @@
   void KeptPartIsUsedWhereItIs()
   {
     const auto shape = Shape(1);
-    mBoard->OnKept("p3", shape.mParts, mNow);
+    mHolders->OnKept("p3", shape.mParts, mNow);
     const auto placed = Placed(shape);
     CPPUNIT_ASSERT_EQUAL(std::string{ "p3" }, placed.mPrefill->mId);
     CPPUNIT_ASSERT_EQUAL(3'720U, placed.mComputeTokens);
@@ -128,7 +130,7 @@
   void BusyHolderIsLeftAndThePartFetched()
   {
     const auto shape = Shape(1);
-    mBoard->OnKept("p3", shape.mParts, mNow);
+    mHolders->OnKept("p3", shape.mParts, mNow);
     mBoard->Begin("p3", 40'000, seconds{ 1 }, mNow);
     const auto placed = Placed(shape);
     CPPUNIT_ASSERT(placed.mPrefill->mId != "p3");
@@ -141,7 +143,7 @@
   {
     const auto shape = Shape(1);
     const auto first = Placed(shape);
-    mBoard->OnComing(first.mPrefill->mId, shape.mParts, milliseconds{ 400 }, mNow);
+    mHolders->OnComing(first.mPrefill->mId, shape.mParts, milliseconds{ 400 }, mNow);
     const auto second = Place(&shape);
     CPPUNIT_ASSERT(std::holds_alternative<await_parts>(second));
     CPPUNIT_ASSERT(std::get<await_parts>(second).mReadyAt == mNow + milliseconds{ 400 });
--- a/packages/core/tests/store_watchers_test.cpp
+++ b/packages/core/tests/store_watchers_test.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -16,16 +15,34 @@
   CPPUNIT_TEST(WatchersAreReplaced);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::vector<std::string> Others(std::vector<std::string> aAll, const std::string& aSelf)
+  instant mNow{ std::chrono::seconds{ 100 } };
+
+  static fleet_member Member(const std::string& aName, std::uint32_t aStrength = 100)
+  {
+    return { aName, aName + ":1", "z", aStrength, true, 1 };
+  }
+  /// The daemon `aSelf` with this view of the others.
+  fleet_members View(const std::string& aSelf, const std::vector<std::string>& aOthers) const
+  {
+    fleet_members members{ Member(aSelf) };
+    for (const auto& other : aOthers) {
+      members.OnHeard(Member(other), mNow);
+    }
+    return members;
+  }
+  store_watchers Choose(const fleet_members& aMembers) const
   {
-    std::erase(aAll, aSelf);
-    return aAll;
+    return store_watchers::Choose(aMembers, mNow);
   }
 
   void AloneADaemonWatches()
   {
-    CPPUNIT_ASSERT(store_watchers::Choose("a", {}).SelfWatches());
+    CPPUNIT_ASSERT(Choose(View("a", {})).SelfWatches());
     CPPUNIT_ASSERT(store_watchers{}.SelfWatches());
+    // Nobody else reaches the store, and whether this daemon does is not known yet.
+    auto starting = View("a", {});
+    starting.SetReachesStore(false);
+    CPPUNIT_ASSERT(Choose(starting).SelfWatches());
   }
 
   void EveryOtherDaemonIsServedByExactlyOneWatcher()
@@ -38,7 +55,7 @@
       int watchers = 0;
       int servers = 0;
       for (const auto& daemon : all) {
-        const auto view = store_watchers::Choose(daemon, Others(all, daemon));
+        const auto view = Choose(View(daemon, all));
         watchers += view.SelfWatches() ? 1 : 0;
         servers += view.Serves(receiver) ? 1 : 0;
       }
@@ -47,12 +64,30 @@
     }
   }
 
-  /// The fourth daemon takes over when one of the first three is gone or has lost the store.
+  /// Another daemon takes over when a watcher has lost the store or says that it stops.
   void WatchersAreReplaced()
   {
-    const std::vector<std::string> all{ "a", "b", "c" };
-    CPPUNIT_ASSERT(!store_watchers::Choose("d", all).SelfWatches());
-    CPPUNIT_ASSERT(store_watchers::Choose("d", Others(all, "b")).SelfWatches());
+    const std::vector<std::string> all{ "a", "b", "c", "d" };
+    std::vector<std::string> watching;
+    std::string other;
+    for (const auto& name : all) {
+      if (Choose(View(name, all)).SelfWatches()) {
+        watching.push_back(name);
+      } else {
+        other = name;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, watching.size());
+    auto cutOff = View(other, all);
+    auto lost = Member(watching[1]);
+    lost.mReachesStore = false;
+    cutOff.OnHeard(lost, mNow);
+    CPPUNIT_ASSERT(Choose(cutOff).SelfWatches());
+    auto stopping = View(other, all);
+    auto ending = Member(watching[0]);
+    ending.mStops = true;
+    stopping.OnHeard(ending, mNow);
+    CPPUNIT_ASSERT(Choose(stopping).SelfWatches());
   }
 };
 
--- /dev/null
+++ b/packages/core/tests/work_exchange_test.cpp
@@ -0,0 +1,452 @@
+#include "skylarkwind/work_exchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <random>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Daemons that exchange messages over a simulated network of datagrams.
+class exchange_fleet
+{
+public:
+  struct daemon
+  {
+    fleet_member mMember;
+    backend_board mBoard{ {} };
+    part_holders mHolders;
+    std::unique_ptr<work_exchange> mExchange;
+    bool mUp = true;
+    bool mPaused = false;
+    std::uint64_t mSent = 0;
+    std::uint64_t mReceived = 0;
+  };
+
+  exchange_fleet(int aDataCentres, int aEach, std::uint32_t aSeed = 7)
+    : mRandom(aSeed)
+  {
+    for (int dc = 0; dc < aDataCentres; ++dc) {
+      for (int i = 0; i < aEach; ++i) {
+        const auto name = "dc" + std::to_string(dc) + "-vm-" + std::to_string(i);
+        auto made = std::make_unique<daemon>();
+        made->mMember = { name, name, "dc" + std::to_string(dc), i < 3 ? 500U : 120U, true, 1 };
+        mDaemons.push_back(std::move(made));
+      }
+    }
+    for (auto& daemon : mDaemons) {
+      Start(*daemon);
+    }
+  }
+
+  void Start(daemon& aDaemon)
+  {
+    aDaemon.mExchange =
+      std::make_unique<work_exchange>(aDaemon.mMember, aDaemon.mBoard, aDaemon.mHolders);
+    aDaemon.mExchange->SetOwn({}, true, false);
+    for (const auto& other : mDaemons) {
+      aDaemon.mExchange->OnListed(other->mMember, mNow);
+    }
+  }
+
+  /// Lets the time pass in steps of 5 ms; daemons tick every 25 ms, not all in the same step.
+  void Run(milliseconds aTime)
+  {
+    const auto until = mNow + aTime;
+    while (mNow < until) {
+      mNow += milliseconds{ 5 };
+      ++mStep;
+      auto due = mFlights.begin();
+      while (due != mFlights.end() && due->first <= mNow) {
+        Deliver(due->second);
+        due = mFlights.erase(due);
+      }
+      for (std::size_t i = 0; i < mDaemons.size(); ++i) {
+        auto& daemon = *mDaemons[i];
+        if (daemon.mUp && !daemon.mPaused && (mStep + i) % 5 == 0) {
+          Send(daemon, daemon.mExchange->OnTick(mNow));
+        }
+      }
+    }
+  }
+
+  daemon& At(const std::string& aName)
+  {
+    return **std::find_if(mDaemons.begin(), mDaemons.end(), [&](const auto& aDaemon) {
+      return aDaemon->mMember.mName == aName;
+    });
+  }
+
+  /// Requests at a server as a daemon sees them.
+  std::uint32_t Seen(daemon& aDaemon, const std::string& aBackend) const
+  {
+    return aDaemon.mBoard.Look(aBackend, mNow).mRunning;
+  }
+
+  /// Collectors of a data centre as this daemon chooses them.
+  std::vector<std::string> Collectors(daemon& aDaemon)
+  {
+    std::vector<std::string> names;
+    for (const auto* member :
+         aDaemon.mExchange->Members().Best(aDaemon.mMember.mDataCentre, 2, mNow)) {
+      names.push_back(member->mName);
+    }
+    return names;
+  }
+
+  /// Time until every daemon that runs sees the expected count; 10 s when one does not.
+  milliseconds UntilSeen(const std::string& aBackend, std::uint32_t aCount)
+  {
+    const auto began = mNow;
+    const auto all = [&] {
+      return std::all_of(mDaemons.begin(), mDaemons.end(), [&](const auto& aDaemon) {
+        return !aDaemon->mUp || aDaemon->mPaused || Seen(*aDaemon, aBackend) == aCount;
+      });
+    };
+    while (!all() && mNow - began < seconds{ 10 }) {
+      Run(milliseconds{ 5 });
+    }
+    return std::chrono::duration_cast<milliseconds>(mNow - began);
+  }
+
+  instant mNow{ seconds{ 100 } };
+  std::vector<std::unique_ptr<daemon>> mDaemons;
+  double mLoss = 0;
+  std::function<bool(const std::string&, const std::string&)> mCut =
+    [](const std::string&, const std::string&) { return false; };
+
+private:
+  struct flight
+  {
+    std::string mTo;
+    std::variant<work_report, work_summary> mMessage;
+  };
+
+  void Send(daemon& aFrom, const std::vector<outgoing_message>& aMessages)
+  {
+    std::uniform_real_distribution<double> chance{ 0, 1 };
+    for (const auto& message : aMessages) {
+      for (const auto& receiver : message.mReceivers) {
+        ++aFrom.mSent;
+        if (chance(mRandom) < mLoss || mCut(aFrom.mMember.mName, receiver.mAddress)) {
+          continue;
+        }
+        auto content = message.mMessage;
+        if (auto* summary = std::get_if<work_summary>(&content)) {
+          summary->mIncludes = receiver.mIncludes;
+        }
+        mFlights.emplace(mNow + milliseconds{ 1 }, flight{ receiver.mAddress, std::move(content) });
+      }
+    }
+  }
+
+  void Deliver(const flight& aFlight)
+  {
+    auto& daemon = At(aFlight.mTo);
+    if (!daemon.mUp || daemon.mPaused) {
+      return;
+    }
+    ++daemon.mReceived;
+    if (const auto* report = std::get_if<work_report>(&aFlight.mMessage)) {
+      daemon.mExchange->OnReport(*report, mNow);
+    } else {
+      daemon.mExchange->OnSummary(std::get<work_summary>(aFlight.mMessage), mNow);
+    }
+  }
+
+  std::mt19937 mRandom;
+  std::uint64_t mStep = 0;
+  std::multimap<instant, flight> mFlights;
+};
+
+} // namespace
+
+class work_exchange_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(work_exchange_test);
+  CPPUNIT_TEST(EveryDaemonLearnsOfWorkAndOfItsEnd);
+  CPPUNIT_TEST(SumsAgreeAfterRandomWork);
+  CPPUNIT_TEST(OwnWorkIsNeverCountedTwice);
+  CPPUNIT_TEST(CostOfADaemonDoesNotGrowWithTheFleet);
+  CPPUNIT_TEST(CollectorsThatEndAreReplaced);
+  CPPUNIT_TEST(PausedCollectorDoesNotBlindTheOthers);
+  CPPUNIT_TEST(StoppingCollectorHandsOverAtOnce);
+  CPPUNIT_TEST(DataCentreThatIsCutOffGoesOn);
+  CPPUNIT_TEST(FactsReachEveryDaemonInSpiteOfLoss);
+  CPPUNIT_TEST(DeathsDoNotEnlargeTheSharesOfTheOthers);
+  CPPUNIT_TEST(AdditionsOfOthersAreCountedOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  void EveryDaemonLearnsOfWorkAndOfItsEnd()
+  {
+    exchange_fleet fleet{ 3, 4 };
+    fleet.Run(seconds{ 2 });
+    auto& worker = fleet.At("dc1-vm-3");
+    const auto ticket = worker.mBoard.Begin("e1", 9'000, milliseconds{ 200 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 1) < milliseconds{ 200 });
+    for (const auto& daemon : fleet.mDaemons) {
+      CPPUNIT_ASSERT_EQUAL(9'000.0, daemon->mBoard.Look("e1", fleet.mNow).mWaitingTokens);
+    }
+    worker.mBoard.End(ticket, backend_outcome::Answered, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 0) < milliseconds{ 200 });
+  }
+
+  /// Any work, with a tenth of the messages lost: a second after the last change all see the same.
+  void SumsAgreeAfterRandomWork()
+  {
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+      exchange_fleet fleet{ 3, 5, seed };
+      fleet.mLoss = 0.1;
+      std::mt19937 random{ seed };
+      std::vector<std::pair<std::size_t, backend_board::ticket>> open;
+      std::map<std::size_t, std::string> at;
+      for (int i = 0; i < 400; ++i) {
+        fleet.Run(milliseconds{ 10 });
+        if (open.size() > 20 || (!open.empty() && random() % 2 == 0)) {
+          const auto which = random() % open.size();
+          fleet.mDaemons[open[which].first]->mBoard.End(
+            open[which].second, backend_outcome::Answered, fleet.mNow);
+          open.erase(open.begin() + static_cast<std::ptrdiff_t>(which));
+        } else {
+          const auto who = random() % fleet.mDaemons.size();
+          // Each daemon works at a server of its own or at the common one.
+          const auto backend = random() % 3 == 0 ? "own" + std::to_string(who) : "common";
+          open.emplace_back(
+            who, fleet.mDaemons[who]->mBoard.Begin(backend, 100, milliseconds{ 9 }, fleet.mNow));
+          at[open.back().second * 100 + who] = backend;
+        }
+      }
+      fleet.mLoss = 0;
+      fleet.Run(seconds{ 1 });
+      std::map<std::string, std::uint32_t> truth{ { "common", 0 } };
+      for (const auto& [who, ticket] : open) {
+        ++truth[at[ticket * 100 + who]];
+      }
+      for (const auto& [backend, count] : truth) {
+        for (const auto& daemon : fleet.mDaemons) {
+          CPPUNIT_ASSERT_EQUAL(count, fleet.Seen(*daemon, backend));
+        }
+      }
+    }
+  }
+
+  /// Guards against a daemon that sees its own requests in the sums and goes elsewhere.
+  void OwnWorkIsNeverCountedTwice()
+  {
+    exchange_fleet fleet{ 2, 6 };
+    fleet.Run(seconds{ 2 });
+    auto& worker = fleet.At("dc0-vm-5");
+    std::vector<backend_board::ticket> open;
+    for (int i = 0; i < 200; ++i) {
+      if (i % 3 == 2) {
+        worker.mBoard.End(open.back(), backend_outcome::Answered, fleet.mNow);
+        open.pop_back();
+      } else {
+        open.push_back(worker.mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow));
+      }
+      fleet.Run(milliseconds{ 15 });
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(open.size()), fleet.Seen(worker, "e1"));
+    }
+  }
+
+  /// Ten changes a second in each daemon at 30, 100 and 300 daemons: what a daemon sends and
+  /// receives stays the same, what a collector sends is bounded, and knowledge stays fresh.
+  void CostOfADaemonDoesNotGrowWithTheFleet()
+  {
+    for (const int each : { 6, 20, 60 }) {
+      exchange_fleet fleet{ 5, each };
+      fleet.Run(seconds{ 2 });
+      for (auto& daemon : fleet.mDaemons) {
+        daemon->mSent = daemon->mReceived = 0;
+      }
+      for (int round = 0; round < 20; ++round) {
+        for (std::size_t i = 0; i < fleet.mDaemons.size(); ++i) {
+          auto& board = fleet.mDaemons[i]->mBoard;
+          board.End(board.Begin("e" + std::to_string(i % 160), 100, milliseconds{ 9 }, fleet.mNow),
+                    backend_outcome::Answered,
+                    fleet.mNow);
+        }
+        fleet.Run(milliseconds{ 100 });
+      }
+      std::vector<std::uint64_t> totals;
+      std::uint64_t most = 0;
+      for (const auto& daemon : fleet.mDaemons) {
+        totals.push_back(daemon->mSent + daemon->mReceived);
+        most = std::max(most, daemon->mSent);
+      }
+      std::sort(totals.begin(), totals.end());
+      // Two seconds; 25 reports at most, and two collectors with forty summaries a second at most.
+      const auto median = totals[totals.size() / 2] / 2;
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(each) + ": " + std::to_string(median), median <= 130);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most / 2 <= 1'000);
+      auto& worker = fleet.At("dc1-vm-5");
+      worker.mBoard.Begin("fresh", 10, milliseconds{ 9 }, fleet.mNow);
+      const auto age = fleet.UntilSeen("fresh", 1);
+      std::cout << "work_exchange: daemons=" << 5 * each << " datagrams_per_s median=" << median
+                << " most_sent=" << most / 2 << " known_by_all_ms=" << age.count() << std::endl;
+      CPPUNIT_ASSERT(age <= milliseconds{ 450 });
+    }
+  }
+
+  /// Guards against daemons that place on old work because those who told them are gone.
+  void CollectorsThatEndAreReplaced()
+  {
+    exchange_fleet fleet{ 3, 8 };
+    fleet.Run(seconds{ 2 });
+    for (const auto& name : fleet.Collectors(fleet.At("dc1-vm-5"))) {
+      fleet.At(name).mUp = false;
+    }
+    fleet.At("dc0-vm-7").mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 1) < milliseconds{ 2'000 });
+    fleet.Run(seconds{ 1 });
+    fleet.At("dc1-vm-6").mBoard.Begin("e2", 10, milliseconds{ 9 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e2", 1) < milliseconds{ 600 });
+  }
+
+  void PausedCollectorDoesNotBlindTheOthers()
+  {
+    exchange_fleet fleet{ 2, 8 };
+    fleet.Run(seconds{ 2 });
+    auto& paused = fleet.At(fleet.Collectors(fleet.At("dc1-vm-5")).at(0));
+    paused.mPaused = true;
+    fleet.At("dc1-vm-5").mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 1) < milliseconds{ 300 });
+    fleet.Run(seconds{ 3 });
+    // Its old sums say nothing of the work since.
+    paused.mPaused = false;
+    fleet.At("dc1-vm-6").mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 2) < milliseconds{ 1'500 });
+    fleet.Run(seconds{ 1 });
+    for (int i = 0; i < 20; ++i) {
+      fleet.Run(milliseconds{ 25 });
+      for (const auto& daemon : fleet.mDaemons) {
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.Seen(*daemon, "e1"));
+      }
+    }
+  }
+
+  void StoppingCollectorHandsOverAtOnce()
+  {
+    exchange_fleet fleet{ 2, 8 };
+    fleet.Run(seconds{ 2 });
+    const auto collectors = fleet.Collectors(fleet.At("dc1-vm-5"));
+    for (const auto& name : collectors) {
+      fleet.At(name).mExchange->SetOwn({}, false, true);
+    }
+    fleet.Run(milliseconds{ 800 });
+    for (const auto& name : fleet.Collectors(fleet.At("dc1-vm-5"))) {
+      CPPUNIT_ASSERT(name != collectors[0] && name != collectors[1]);
+    }
+    for (const auto& name : collectors) {
+      fleet.At(name).mUp = false;
+    }
+    fleet.At("dc1-vm-6").mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow);
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 1) < milliseconds{ 400 });
+  }
+
+  void DataCentreThatIsCutOffGoesOn()
+  {
+    exchange_fleet fleet{ 3, 5 };
+    fleet.Run(seconds{ 2 });
+    fleet.mCut = [](const std::string& aFrom, const std::string& aTo) {
+      return aFrom.starts_with("dc2") != aTo.starts_with("dc2");
+    };
+    fleet.Run(seconds{ 4 });
+    fleet.At("dc2-vm-4").mBoard.Begin("e1", 10, milliseconds{ 9 }, fleet.mNow);
+    fleet.Run(milliseconds{ 300 });
+    CPPUNIT_ASSERT_EQUAL(1U, fleet.Seen(fleet.At("dc2-vm-0"), "e1"));
+    CPPUNIT_ASSERT_EQUAL(0U, fleet.Seen(fleet.At("dc0-vm-0"), "e1"));
+    fleet.mCut = [](const std::string&, const std::string&) { return false; };
+    // As a list of the store does after a while without the other data centre.
+    for (auto& daemon : fleet.mDaemons) {
+      for (const auto& other : fleet.mDaemons) {
+        daemon->mExchange->OnListed(other->mMember, fleet.mNow);
+      }
+    }
+    CPPUNIT_ASSERT(fleet.UntilSeen("e1", 1) < milliseconds{ 1'000 });
+  }
+
+  void FactsReachEveryDaemonInSpiteOfLoss()
+  {
+    exchange_fleet fleet{ 3, 6 };
+    fleet.Run(seconds{ 2 });
+    fleet.mLoss = 0.05;
+    const std::vector<prompt_part> parts{ { 77, 10'000 }, { 78, 10 } };
+    for (const auto& daemon : fleet.mDaemons) {
+      daemon->mHolders.SetCapacity("e1", 100'000);
+    }
+    auto& worker = fleet.At("dc0-vm-5");
+    worker.mHolders.OnKept("e1", parts, fleet.mNow);
+    worker.mExchange->OnLeaving({ "e9", 5 }, fleet.mNow);
+    worker.mExchange->OnChanging(BackendKey("e7"), fleet.mNow + seconds{ 3 });
+    fleet.Run(milliseconds{ 600 });
+    for (auto& daemon : fleet.mDaemons) {
+      CPPUNIT_ASSERT_EQUAL(10'000U, daemon->mHolders.Kept(parts).At(BackendKey("e1")));
+      CPPUNIT_ASSERT(!daemon->mBoard.Look("e7", fleet.mNow).mAdmits);
+      if (daemon.get() != &worker) {
+        CPPUNIT_ASSERT(!daemon->mExchange->TakeLeaving().empty());
+      }
+    }
+  }
+
+  /// Guards against a fleet whose survivors share the allowance of the dead while the arrivals that
+  /// these have caused still count.
+  void DeathsDoNotEnlargeTheSharesOfTheOthers()
+  {
+    exchange_fleet fleet{ 2, 10 };
+    fleet.Run(seconds{ 2 });
+    auto& survivor = fleet.At("dc0-vm-9");
+    CPPUNIT_ASSERT_EQUAL(20U, survivor.mExchange->Daemons());
+    for (const auto& daemon : fleet.mDaemons) {
+      daemon->mUp = daemon.get() == &survivor;
+    }
+    fleet.Run(seconds{ 9 });
+    CPPUNIT_ASSERT_EQUAL(20U, survivor.mExchange->Daemons());
+  }
+
+  /// Guards against parts that count as evicted because what one daemon adds is told by several.
+  void AdditionsOfOthersAreCountedOnce()
+  {
+    exchange_fleet fleet{ 2, 6 };
+    fleet.Run(seconds{ 2 });
+    for (const auto& daemon : fleet.mDaemons) {
+      daemon->mHolders.SetCapacity("e1", 1'000'000);
+    }
+    const std::vector<prompt_part> parts{ { 77, 10'000 }, { 78, 10 } };
+    auto& keeper = fleet.At("dc0-vm-5");
+    keeper.mHolders.OnKept("e1", parts, fleet.mNow);
+    fleet.Run(milliseconds{ 500 });
+    // Together 0.6 of the memory; parts count as kept up to 0.75 of it.
+    for (int i = 0; i < 60; ++i) {
+      auto& worker = *fleet.mDaemons[static_cast<std::size_t>(i) % fleet.mDaemons.size()];
+      worker.mBoard.End(worker.mBoard.Begin("e1", 100, milliseconds{ 9 }, fleet.mNow),
+                        backend_outcome::Answered,
+                        fleet.mNow);
+      worker.mHolders.OnAdded("e1", 10'048);
+      fleet.Run(milliseconds{ 30 });
+    }
+    fleet.Run(milliseconds{ 500 });
+    CPPUNIT_ASSERT_EQUAL(10'000U, keeper.mHolders.Kept(parts).At(BackendKey("e1")));
+    for (int i = 0; i < 20; ++i) {
+      auto& worker = *fleet.mDaemons[static_cast<std::size_t>(i) % fleet.mDaemons.size()];
+      worker.mBoard.End(worker.mBoard.Begin("e1", 100, milliseconds{ 9 }, fleet.mNow),
+                        backend_outcome::Answered,
+                        fleet.mNow);
+      worker.mHolders.OnAdded("e1", 10'048);
+      fleet.Run(milliseconds{ 30 });
+    }
+    fleet.Run(milliseconds{ 500 });
+    CPPUNIT_ASSERT_EQUAL(0U, keeper.mHolders.Kept(parts).At(BackendKey("e1")));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(work_exchange_test);
+
+} // namespace skylarkwind
--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -19,7 +19,9 @@
   std::string mCallerAddress; ///< ip:port for callers
   std::string mReadyAddress;  ///< ip:port for the balancer's readiness checks and the metrics
   std::string mStoreAddress;  ///< ip:port of the platform's store
-  std::string mPeerAddress;   ///< ip:port (UDP) for work digests of other daemons
+  std::string mPeerAddress;   ///< ip:port (UDP) for messages of other daemons
+  /// Processor share of the VM in thousandths of a core; strong VMs collect the reports of others.
+  std::uint32_t mStrength = 0;
   std::chrono::milliseconds mConfigurationWithin{ 2'000 }; ///< bound for a change to be in force
   std::chrono::milliseconds mDrainWithin{ 2'000 };   ///< bound for no new work to a leaving server
   std::chrono::milliseconds mContact{ 3'000 };       ///< after it a VM counts as healthy again
--- /dev/null
+++ b/packages/gateway/schema/work.capnp
@@ -0,0 +1,78 @@
+@0xa2b1c0923f6edd3d;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("skylarkwind::work_wire");
+
+# Datagrams between the daemons of a gateway deployment. The types of work_messages.h say what the
+# fields hold.
+
+struct Member {
+  name @0 :Text;
+  address @1 :Text;
+  dataCentre @2 :Text;
+  strength @3 :UInt32;
+  reachesStore @4 :Bool;
+  start @5 :UInt64;
+  stops @6 :Bool;
+}
+
+struct Work {
+  backend @0 :UInt32;
+  prefillTokens @1 :UInt32;
+  addedUnits @2 :UInt32;    # of 64 tokens
+  running @3 :UInt16;
+}
+
+struct KeptPart {
+  key @0 :UInt64;
+  backend @1 :UInt32;
+  readyInMs @2 :UInt16;
+  computed @3 :Bool;
+}
+
+struct Changing {
+  backend @0 :UInt32;
+  leftMs @1 :UInt32;
+}
+
+struct Leaving {
+  backendId @0 :Text;
+  startedAt @1 :UInt64;
+}
+
+struct Facts {
+  kept @0 :List(KeptPart);
+  changing @1 :List(Changing);
+  leaving @2 :List(Leaving);
+}
+
+struct News {
+  configuration @0 :UInt64;
+  servers @1 :UInt64;
+}
+
+struct Report {
+  sender @0 :Member;
+  sequence @1 :UInt64;
+  news @2 :News;
+  work @3 :List(Work);
+  facts @4 :Facts;
+}
+
+struct Summary {
+  sender @0 :Member;
+  sequence @1 :UInt64;
+  wholeFleet @2 :Bool;
+  daemons @3 :UInt32;
+  news @4 :News;
+  work @5 :List(Work);
+  facts @6 :Facts;
+  members @7 :List(Member);
+}
+
+struct Message {
+  union {
+    report @0 :Report;
+    summary @1 :Summary;
+  }
+}
--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -16,28 +16,32 @@
 
 constexpr const char* kKind = "skylarkwind-daemons";
 constexpr milliseconds kRegisterAgain{ 1'000 };
-/// Lists come quickly at first, because daemons start at about the same time, and rarely later.
+/// Lists come quickly at first, because daemons start at about the same time.
 constexpr std::array kListPauses{ milliseconds{ 300 },
                                   milliseconds{ 1'000 },
                                   milliseconds{ 3'000 } };
-constexpr milliseconds kListPeriod{ 30'000 };
+/// Pause between lists while no other daemon is heard of; the second value after many of them.
+constexpr milliseconds kListAgain{ 3'000 };
+constexpr milliseconds kListRarely{ 30'000 };
+/// How often a daemon looks whether it is connected.
+constexpr milliseconds kLookAgain{ 1'000 };
+/// Lists without an answer from any daemon after which a daemon takes itself for the only one.
+constexpr std::uint32_t kManyLists = 8;
 
 } // namespace
 
-daemon_registry::daemon_registry(std::string aSelf,
-                                 std::string aAddress,
-                                 std::string aDataCentre,
+daemon_registry::daemon_registry(fleet_member aSelf,
                                  object_store& aStore,
                                  kj::Timer& aTimer,
+                                 const clock_source& aClock,
                                  std::uint64_t aRandomSeed,
-                                 peer_digests& aPeers)
+                                 work_exchange& aExchange)
   : mSelf(std::move(aSelf))
-  , mAddress(std::move(aAddress))
-  , mDataCentre(std::move(aDataCentre))
   , mStore(aStore)
   , mTimer(aTimer)
+  , mClock(aClock)
   , mRandom(aRandomSeed)
-  , mPeers(aPeers)
+  , mExchange(aExchange)
 {
 }
 
@@ -76,9 +80,11 @@
 kj::Promise<std::optional<store_failure>>
 daemon_registry::Write(bool aReplace)
 {
-  const nlohmann::json value{ { "address", mAddress }, { "data_centre", mDataCentre } };
-  auto writing = aReplace ? mStore.Replace(kKind, mSelf, value.dump())
-                          : mStore.Write(kKind, mSelf, std::nullopt, value.dump());
+  const nlohmann::json value{ { "address", mSelf.mAddress },
+                              { "data_centre", mSelf.mDataCentre },
+                              { "strength", mSelf.mStrength } };
+  auto writing = aReplace ? mStore.Replace(kKind, mSelf.mName, value.dump())
+                          : mStore.Write(kKind, mSelf.mName, std::nullopt, value.dump());
   return writing.then([this](store_result<object_written> aResult) {
     if (const auto* written = std::get_if<object_written>(&aResult)) {
       mRevision = written->mRevision;
@@ -94,11 +100,13 @@
   if (!mRevision) {
     return kj::READY_NOW;
   }
-  return mStore.Remove(kKind, mSelf, *mRevision).then([](store_result<object_written> aResult) {
-    if (const auto* failure = std::get_if<store_failure>(&aResult)) {
-      Log(log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
-    }
-  });
+  return mStore.Remove(kKind, mSelf.mName, *mRevision)
+    .then([](store_result<object_written> aResult) {
+      if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+        Log(
+          log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
+      }
+    });
 }
 
 kj::Promise<void>
@@ -112,9 +120,19 @@
 kj::Promise<void>
 daemon_registry::ListForever()
 {
-  const auto pause = mLists < kListPauses.size() ? kListPauses[mLists] : kListPeriod;
+  if (mExchange.Connected(mClock.Now())) {
+    mLists = 0;
+    return Pause(kLookAgain).then([this] { return ListForever(); });
+  }
+  const auto later = mLists < kManyLists ? kListAgain : kListRarely;
+  const auto pause = mLists < kListPauses.size() ? kListPauses[mLists] : later;
   ++mLists;
-  return Pause(pause).then([this] { return ListPage({}); }).then([this] { return ListForever(); });
+  return Pause(pause).then([this]() -> kj::Promise<void> {
+    if (mExchange.Connected(mClock.Now())) {
+      return ListForever();
+    }
+    return ListPage({}).then([this] { return ListForever(); });
+  });
 }
 
 kj::Promise<void>
@@ -141,25 +159,25 @@
 daemon_registry::OnListed(const stored_object& aObject)
 {
   const auto value = nlohmann::json::parse(aObject.mValue, nullptr, false);
-  if (!value.is_object() || !value.contains("address") || !value["address"].is_string()) {
+  const auto text = [&](const char* aName) {
+    return value.contains(aName) && value[aName].is_string() ? value[aName].get<std::string>()
+                                                             : std::string{};
+  };
+  if (!value.is_object() || text("address").empty()) {
     Log(log_level::Debug, "peers", "unreadable entry of daemon " + aObject.mName);
     return;
   }
-  const auto address = value["address"].get<std::string>();
-  const bool near = value.value("data_centre", nlohmann::json{}) == mDataCentre;
-  if (aObject.mName != mSelf) {
-    mPeers.SetPeer(aObject.mName, address, near);
-  } else if (address == mAddress && near) {
+  fleet_member member{ aObject.mName, text("address"), text("data_centre") };
+  const auto strength = value.value("strength", nlohmann::json{});
+  member.mStrength = strength.is_number_unsigned() ? strength.get<std::uint32_t>() : 0;
+  // Whether it reaches the store now is heard from its messages.
+  member.mReachesStore = true;
+  if (member.mName != mSelf.mName) {
+    mExchange.OnListed(member, mClock.Now());
+  } else if (member.mAddress == mSelf.mAddress && member.mDataCentre == mSelf.mDataCentre &&
+             member.mStrength == mSelf.mStrength) {
     mRevision = aObject.mRevision;
   }
 }
 
-void
-daemon_registry::OnDigest(const work_digest& aDigest)
-{
-  if (aDigest.mSender != mSelf && !aDigest.mAddress.empty()) {
-    mPeers.SetPeer(aDigest.mSender, aDigest.mAddress, aDigest.mDataCentre == mDataCentre);
-  }
-}
-
 } // namespace skylarkwind
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "peer_digests_p.h"
-
 #include "skylarkwind/clock.h"
 #include "skylarkwind/object_store.h"
+#include "skylarkwind/work_exchange.h"
 
 #include <kj/async.h>
 #include <kj/timer.h>
@@ -14,26 +13,24 @@
 
 namespace skylarkwind {
 
-/// Lets daemons find one another. Each has one object in the store, which it writes at its start
-/// unless an earlier process left it, and lists the others then and now and again. Beyond that a
-/// daemon learns of another from its first digest, so that the calls do not grow with the square of
-/// their number.
+/// Lets daemons find one another when they start. Each has one object in the store, which it writes
+/// at its start unless an earlier process left it. A daemon lists the others until it is connected
+/// with them, and again when it has lost all of them; what it needs to know beyond that comes with
+/// their messages.
 class daemon_registry
 {
 public:
-  daemon_registry(std::string aSelf,
-                  std::string aAddress,
-                  std::string aDataCentre,
+  daemon_registry(fleet_member aSelf,
                   object_store& aStore,
                   kj::Timer& aTimer,
+                  const clock_source& aClock,
                   std::uint64_t aRandomSeed,
-                  peer_digests& aPeers);
+                  work_exchange& aExchange);
 
-  /// Registers this daemon and keeps the list of the others until it is dropped.
+  /// Registers this daemon and lists the others when that is needed, until it is dropped.
   kj::Promise<void> Run();
   /// Takes this daemon's object back before it stops.
   kj::Promise<void> Leave();
-  void OnDigest(const work_digest& aDigest);
 
 private:
   kj::Promise<void> Register();
@@ -45,13 +42,12 @@
   kj::Promise<void> ListPage(std::string aAfter);
   kj::Promise<void> Pause(std::chrono::milliseconds aTime);
 
-  std::string mSelf;
-  std::string mAddress;
-  std::string mDataCentre;
+  fleet_member mSelf;
   object_store& mStore;
   kj::Timer& mTimer;
+  const clock_source& mClock;
   std::mt19937_64 mRandom;
-  peer_digests& mPeers;
+  work_exchange& mExchange;
   std::optional<std::uint64_t> mRevision; ///< of this daemon's object
   std::uint32_t mLists = 0;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -219,9 +219,8 @@
   const auto* computing = prefill != nullptr ? prefill : aPlacement.mTarget;
   mPlan =
     " prompt=" + std::to_string(mRequest.mGeneration->mPromptTokens) +
-    " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId + " ahead=" +
-    std::to_string(static_cast<std::int64_t>(
-      mContext.mBoard.WaitingTokens(computing->mId, mContext.mClock.Now()))) +
+    " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId +
+    " ahead=" + std::to_string(aPlacement.mAheadTokens) +
     " fetch=" + (aPlacement.mFetchFrom != nullptr ? aPlacement.mFetchFrom->mId : "-") +
     " predicted_ms=" + std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count()));
 }
@@ -241,7 +240,7 @@
 std::uint32_t
 exchange::Daemons() const
 {
-  return static_cast<std::uint32_t>(mContext.mBoard.Peers(mContext.mClock.Now())) + 1;
+  return mContext.mWork.Daemons();
 }
 
 bool
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -56,7 +56,8 @@
 exchange::NoteHead()
 {
   mHead = mContext.mDialect.ReadAnswer(mAnswer->mStatus, mAnswer->mHeaders);
-  NoteStatements(mHead, mTarget, mContext.mDirectory, mContext.mBoard, mContext.mClock.Now());
+  NoteStatements(
+    mHead, mTarget, mContext.mDirectory, mContext.mBoard, mContext.mWork, mContext.mClock.Now());
 }
 
 http_call
@@ -80,7 +81,7 @@
   mTicket =
     mContext.mBoard.Begin(engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
   ++mPrefills;
-  mContext.mBoard.OnComing(
+  mContext.mHolders.OnComing(
     engine.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
   forward_attempt attempt;
   attempt.mBackendId = engine.mId;
@@ -150,9 +151,9 @@
     return OnNotRun("the prefill was refused with status " + std::to_string(mHead.mStatus), true);
   }
   mContext.mBoard.OnFirst(*mTicket, now);
-  mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+  mContext.mHolders.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
   mContext.mParts.Fire();
-  mContext.mBoard.OnAdded(mTarget.mId, AddedTokens(aPlacement));
+  mContext.mHolders.OnAdded(mTarget.mId, AddedTokens(aPlacement));
   const kv_source source{ mTarget.mAddress, *handle };
   Close(backend_outcome::Answered);
   mUntaken = source;
@@ -189,7 +190,7 @@
   attempt.mKv = std::move(aKv);
   if (mRequest.mGeneration) {
     if (!prefilled) {
-      mContext.mBoard.OnComing(
+      mContext.mHolders.OnComing(
         mTarget.mId, mRequest.mGeneration->mParts, kComingMargin * aPlacement.mPrefillTime, now);
     }
     attempt.mUrgency = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
@@ -282,8 +283,7 @@
     return Fail(502, "the server refused without saying that it did not run the request");
   }
   LogEnd("answered", "status " + std::to_string(aHead.mStatus));
-  return Reply(
-    static_cast<unsigned int>(aHead.mStatus), {}, aHead.mHeaders, std::move(aBody));
+  return Reply(static_cast<unsigned int>(aHead.mStatus), {}, aHead.mHeaders, std::move(aBody));
 }
 
 kj::Promise<void>
@@ -349,8 +349,8 @@
   mFirstAt = mFirstAt.value_or(now);
   mLastEventAt = now;
   if (aFirst && mRequest.mGeneration) {
-    mContext.mBoard.OnAdded(mTarget.mId, mAddsAtTarget);
-    mContext.mBoard.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
+    mContext.mHolders.OnAdded(mTarget.mId, mAddsAtTarget);
+    mContext.mHolders.OnKept(mTarget.mId, mRequest.mGeneration->mParts, now);
     mContext.mParts.Fire();
   }
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -14,6 +14,7 @@
 #include "skylarkwind/placement.h"
 #include "skylarkwind/repeat_allowance.h"
 #include "skylarkwind/route_index.h"
+#include "skylarkwind/work_exchange.h"
 
 #include <kj/async.h>
 #include <kj/compat/http.h>
@@ -60,8 +61,10 @@
   const route_index& mRoutes;
   backend_directory& mDirectory;
   backend_board& mBoard;
+  part_holders& mHolders;
   const placer& mPlacer;
   repeat_allowance& mRepeats;
+  work_exchange& mWork;
   http_pool& mPool;
   kj::Timer& mTimer;
   const clock_source& mClock;
@@ -183,10 +186,10 @@
   std::uint32_t mAddsAtTarget = 0; ///< tokens that come into the target's memory
   instant mSentAt{};               ///< start of the last attempt, its prefill included
   std::optional<instant> mFirstAt; ///< first event or whole answer
-  instant mLastEventAt{}; ///< or the begin of the stream
+  instant mLastEventAt{};          ///< or the begin of the stream
   instant::duration mLongestGap{}; ///< between events
   std::size_t mBytesWithoutEvent = 0;
-  std::string mPlan;               ///< what the last placement was decided by, for the log
+  std::string mPlan; ///< what the last placement was decided by, for the log
   std::unique_ptr<http_answer> mAnswer;
   answer_head mHead;
   event_splitter mEvents;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,7 +3,7 @@
 #include "caller_listener_p.h"
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
-#include "peer_digests_p.h"
+#include "peer_link_p.h"
 #include "role_driver_p.h"
 #include "store_follower_p.h"
 
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 
 namespace skylarkwind {
 
@@ -32,14 +33,6 @@
 /// Longest pauses between calls while the store is away. The others are told when it is back.
 constexpr milliseconds kShortPause{ 1'000 };
 constexpr milliseconds kLongPause{ 4'000 };
-/// Digests are sent at most this often, and at least this often without news.
-constexpr milliseconds kNearPeriod{ 50 };
-constexpr milliseconds kDigestAtLeast{ 500 };
-constexpr milliseconds kFarPeriod{ 100 };
-/// Datagrams that a daemon sends in a second at most, in its data centre and to others; with more
-/// peers digests become rarer.
-constexpr std::size_t kNearDatagramsPerSecond = 400;
-constexpr std::size_t kFarDatagramsPerSecond = 80;
 constexpr milliseconds kShutdownMargin{ 600 };
 /// Connections without a request are closed this early when the daemon stops.
 constexpr milliseconds kIdleWhileStopping{ 300 };
@@ -69,22 +62,25 @@
     , mStore(std::make_unique<counting_store>(mAdapter.mMakeStore(mStorePool, mTimer), mCounters))
     , mDirectory(DirectorySettings(mSettings))
     , mBoard(BoardSettings(mSettings))
-    , mPlacer(PlacementSettings(mSettings), mBoard)
+    , mPlacer(PlacementSettings(mSettings), mBoard, mHolders)
     , mRepeats(mSettings.mRepeats)
+    , mWork(Self(mSettings), mBoard, mHolders)
     , mTasks(*this)
-    , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard, mPlacer,
-                  mRepeats,           mPool,   mTimer,     mClock, mTable,
-                  mCounters,          mTasks,  mParts,  mAnswerBodies, mCallerBodies }
+    , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard,        mHolders,     mPlacer,
+                  mRepeats,           mWork,   mPool,      mTimer,        mClock,       mTable,
+                  mCounters,          mTasks,  mParts,     mAnswerBodies, mCallerBodies }
     , mCallers(mExchanges)
     , mPeers(
         aContext.provider->getNetwork(),
-        [this](const work_digest& aDigest) { OnDigest(aDigest); },
+        mTasks,
+        [this](const work_message& aMessage) { OnWork(aMessage); },
         [this](const change_batch& aBatch) { OnBatch(aBatch); })
     , mRoles(RoleSettings(mSettings),
              *mAdapter.mDialect,
              mRoutes,
              mDirectory,
              mBoard,
+             mWork,
              *mStore,
              mPool,
              mAnswerBodies,
@@ -108,13 +104,7 @@
         [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
         [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); },
         [this](const change_batch& aBatch) { PassOn(aBatch); })
-    , mRegistry(mSettings.mVm,
-                mSettings.mPeerAddress,
-                mSettings.mDataCentre,
-                *mStore,
-                mTimer,
-                RandomSeed(),
-                mPeers)
+    , mRegistry(Self(mSettings), *mStore, mTimer, mClock, RandomSeed(), mWork)
   {
   }
 
@@ -148,6 +138,17 @@
   }
 
 private:
+  static fleet_member Self(const gateway_settings& aSettings)
+  {
+    fleet_member self;
+    self.mName = aSettings.mVm;
+    self.mAddress = aSettings.mPeerAddress;
+    self.mDataCentre = aSettings.mDataCentre;
+    self.mStrength = aSettings.mStrength;
+    std::random_device random;
+    self.mStart = std::uint64_t{ random() } << 32U | random();
+    return self;
+  }
   static directory_settings DirectorySettings(const gateway_settings& aSettings)
   {
     directory_settings settings;
@@ -261,7 +262,7 @@
     const auto& configuration = mRoutes.Current();
     const auto* service = configuration ? configuration->FindService(aServer.mService) : nullptr;
     if (service != nullptr && service->mEngine) {
-      mBoard.SetCapacity(aServer.mId, service->mEngine->mKvTokens);
+      mHolders.SetCapacity(aServer.mId, service->mEngine->mKvTokens);
     }
   }
 
@@ -271,6 +272,7 @@
     const auto* known = mDirectory.Find(aServer.mId);
     if (known != nullptr && known->mStartedAt != aServer.mStartedAt) {
       mBoard.Forget(aServer.mId);
+      mHolders.Forget(aServer.mId);
     }
   }
 
@@ -293,7 +295,7 @@
     const auto idle = configuration ? configuration->mLimits.mIdleTime : caller_limits{}.mIdleTime;
     const bool closing = mStoppingSince && aNow - *mStoppingSince >= mSettings.mBalancerNotices;
     mCallers.CloseIdle(closing ? std::min(idle, kIdleWhileStopping) : idle, aNow);
-    SendDigests(aNow);
+    ExchangeWork(aNow);
     if (!mStoppingSince && aNow >= mNextRoles) {
       mNextRoles = aNow + kRolePeriod;
       mRoles.OnTick(aNow);
@@ -311,12 +313,12 @@
   /// Some daemons of each data centre follow the store and pass changes on to the others of it.
   void FollowStore(instant aNow)
   {
-    const bool shortWatch = mBoard.Rank(mSettings.mVm, aNow) < kShortWatchers;
+    const auto& members = mWork.Members();
+    const bool shortWatch = members.DutyRank(aNow) < kShortWatchers;
     const auto watch = shortWatch ? mSettings.mContact : kLongWatch;
     const auto pause = shortWatch ? kShortPause : kLongPause;
     const bool watched = mWatchers.SelfWatches();
-    mWatchers =
-      store_watchers::Choose(mSettings.mVm, mBoard.PeersWithStore(mSettings.mDataCentre, aNow));
+    mWatchers = store_watchers::Choose(members, aNow);
     if (mWatchers.SelfWatches() != watched) {
       Log(log_level::Info,
           "store",
@@ -330,11 +332,13 @@
 
   void PassOn(const change_batch& aBatch)
   {
-    mPeers.Send(
-      aBatch,
-      mSettings.mVm,
-      [this](std::string_view aPeer) { return mWatchers.Serves(aPeer); },
-      mTasks);
+    std::vector<std::string> addresses;
+    for (const auto* neighbour : mWork.Members().Neighbours()) {
+      if (mWatchers.Serves(neighbour->mName)) {
+        addresses.push_back(neighbour->mAddress);
+      }
+    }
+    mPeers.Send(aBatch, mSettings.mVm, addresses);
   }
 
   void OnBatch(const change_batch& aBatch)
@@ -346,53 +350,36 @@
     }
   }
 
-  void OnDigest(const work_digest& aDigest)
-  {
-    mBoard.OnDigest(aDigest, mClock.Now());
-    mRegistry.OnDigest(aDigest);
-    mConfigurations.OnNewsElsewhere(aDigest.mConfigurationSeen);
-    mServers.OnNewsElsewhere(aDigest.mServersSeen);
-    if (!aDigest.mKept.empty()) {
-      mParts.Fire();
-    }
-  }
-
-  /// Daemons of the same data centre share most engines and hear often of one another; traffic
-  /// between data centres is paid for.
-  void SendDigests(instant aNow)
+  void OnWork(const work_message& aMessage)
   {
-    const auto near = PeriodOf(true, kNearPeriod, kNearDatagramsPerSecond);
-    if (aNow - mNearAt >= (mBoard.DigestDue() ? near : std::max(near, kDigestAtLeast))) {
-      mNearAt = aNow;
-      auto digest = MakeDigest(true, aNow);
-      mPeers.Send(digest, true, mTasks);
-      std::move(digest.mKept.begin(), digest.mKept.end(), std::back_inserter(mFarKept));
+    const auto now = mClock.Now();
+    if (const auto* report = std::get_if<work_report>(&aMessage)) {
+      mWork.OnReport(*report, now);
+      return;
     }
-    if (aNow - mFarAt >= PeriodOf(false, kFarPeriod, kFarDatagramsPerSecond)) {
-      mFarAt = aNow;
-      auto digest = MakeDigest(false, aNow);
-      digest.mKept = std::move(mFarKept);
-      mFarKept.clear();
-      mPeers.Send(digest, false, mTasks);
+    const auto& summary = std::get<work_summary>(aMessage);
+    mWork.OnSummary(summary, now);
+    mConfigurations.OnNewsElsewhere(mWork.News().mConfiguration);
+    mServers.OnNewsElsewhere(mWork.News().mServers);
+    if (!summary.mFacts.mKept.empty()) {
+      mParts.Fire();
     }
   }
 
-  milliseconds PeriodOf(bool aNear, milliseconds aLeast, std::size_t aDatagramsPerSecond) const
-  {
-    return std::max(aLeast, milliseconds{ mPeers.Peers(aNear) * 1'000 / aDatagramsPerSecond });
-  }
-
-  work_digest MakeDigest(bool aTakeFacts, instant aNow)
+  void ExchangeWork(instant aNow)
   {
-    auto digest = mBoard.Digest(mSettings.mVm, aTakeFacts, aNow);
-    digest.mAddress = mSettings.mPeerAddress;
-    digest.mDataCentre = mSettings.mDataCentre;
-    digest.mConfigurationSeen = mConfigurations.LastChange();
-    digest.mServersSeen = mServers.LastChange();
     // A daemon that stops is replaced as a watcher before it is gone.
-    digest.mReachesStore =
+    const bool reachesStore =
       !mStoppingSince && mServers.Listed() && !mServers.InOutage() && !mConfigurations.InOutage();
-    return digest;
+    mWork.SetOwn({ mConfigurations.LastChange(), mServers.LastChange() },
+                 reachesStore,
+                 mStoppingSince.has_value());
+    for (const auto& message : mWork.OnTick(aNow)) {
+      mPeers.Send(message);
+    }
+    for (const auto& leaving : mWork.TakeLeaving()) {
+      mDirectory.OnLeaving(leaving.mBackendId, leaving.mStartedAt);
+    }
   }
 
   void BeginShutdown()
@@ -475,15 +462,17 @@
   route_index mRoutes;
   backend_directory mDirectory;
   backend_board mBoard;
+  part_holders mHolders;
   placer mPlacer;
   repeat_allowance mRepeats;
+  work_exchange mWork;
   kj::TaskSet mTasks;
   part_signal mParts;
   byte_budget mAnswerBodies{ kMostBodyBytes };
   byte_budget mCallerBodies{ kMostBodyBytes };
   exchange_context mExchanges;
   caller_listener mCallers;
-  peer_digests mPeers;
+  peer_link mPeers;
   role_driver mRoles;
   kj::HttpServer mReadyServer;
   store_follower mConfigurations;
@@ -495,9 +484,6 @@
   kj::Promise<void> mAccepting = nullptr;
   kj::PromiseFulfillerPair<void> mEnded = kj::newPromiseAndFulfiller<void>();
   std::optional<instant> mStoppingSince;
-  instant mNearAt{};
-  instant mFarAt{};
-  std::vector<kept_part> mFarKept; ///< facts for the next digest to other data centres
   instant mNextRoles{};
   /// Versions of the configuration and the directory from which the capacities were read.
   std::pair<std::uint64_t, std::uint64_t> mCapacitiesOf{};
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -84,6 +84,7 @@
   constexpr double kMostSeconds = 3'600;
   constexpr double kMostRepeats = 1e9;
   constexpr double kMostRate = 1e6;
+  constexpr double kMostCores = 1'024;
   static const std::map<std::string, setting> kSettings{
     { "vm", Text(&gateway_settings::mVm) },
     { "data_centre", Text(&gateway_settings::mDataCentre) },
@@ -118,6 +119,12 @@
              [](double aValue, gateway_settings& aInto) {
                aInto.mRepeats.mWindow = milliseconds{ static_cast<std::int64_t>(aValue * 1'000) };
              }) },
+    { "processor_share",
+      Amount("cores",
+             kMostCores,
+             [](double aValue, gateway_settings& aInto) {
+               aInto.mStrength = static_cast<std::uint32_t>(aValue * 1'000);
+             }) },
     { "prefill_tokens_per_ms",
       Amount("tokens a ms",
              kMostRate,
--- a/packages/gateway/src/peer_link_p.h
+++ b/packages/gateway/src/peer_link_p.h
@@ -1,67 +1,55 @@
 #pragma once
 
 #include "change_batch_p.h"
+#include "work_codec_p.h"
 
-#include "skylarkwind/backend_board.h"
+#include "skylarkwind/work_exchange.h"
 
 #include <kj/async-io.h>
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace skylarkwind {
 
-/// A digest as the bytes of one datagram, and back; empty when the bytes are no digest.
-std::string EncodeDigest(const work_digest& aDigest);
-std::optional<work_digest> DecodeDigest(std::string_view aBytes);
-
-/// Sends and receives work digests and changes of stored objects as datagrams between daemons.
-class peer_digests
+/// Carries work messages and changes of stored objects between daemons as datagrams. A lost work
+/// message is made good by the next one, a lost change by a call to the store.
+class peer_link
 {
 public:
-  using on_digest = std::function<void(const work_digest&)>;
+  using on_work = std::function<void(const work_message&)>;
   using on_batch = std::function<void(const change_batch&)>;
 
-  peer_digests(kj::Network& aNetwork, on_digest aOnDigest, on_batch aOnBatch);
+  peer_link(kj::Network& aNetwork, kj::TaskSet& aTasks, on_work aOnWork, on_batch aOnBatch);
 
   /// Binds the address and receives until it is dropped.
   kj::Promise<void> Run(std::string aAddress);
-  /// A daemon to send to: name, ip:port and whether it is in the same data centre.
-  void SetPeer(const std::string& aName, const std::string& aAddress, bool aNear);
-  void RemovePeer(const std::string& aName);
-  std::size_t Peers(bool aNear) const;
-  /// Sends to the daemons of the same data centre, or to all others.
-  void Send(const work_digest& aDigest, bool aNear, kj::TaskSet& aTasks);
-  /// Sends to those daemons of the same data centre that `aServes` holds for. Batches that are too
-  /// large for datagrams are not sent; the receivers list when digests tell them of the news.
+  void Send(const outgoing_message& aMessage);
+  /// Batches that are too large for datagrams are not sent; the receivers list when they are told
+  /// of the news.
   void Send(const change_batch& aBatch,
             std::string_view aSender,
-            const std::function<bool(std::string_view)>& aServes,
-            kj::TaskSet& aTasks);
+            std::span<const std::string> aAddresses);
 
 private:
   kj::Promise<void> Receive();
   void OnDatagram(std::string_view aBytes);
-
-  struct peer
-  {
-    std::string mAddress;
-    bool mNear = false;
-    kj::Own<kj::NetworkAddress> mParsed; ///< null until it is first used
-  };
-
-  void SendTo(peer& aPeer, const std::string& aBytes, kj::TaskSet& aTasks);
+  void SendTo(const std::string& aAddress, std::string_view aBytes);
+  /// The parsed address; null for text that is none.
+  kj::NetworkAddress* Parsed(const std::string& aAddress);
 
   kj::Network& mNetwork;
-  on_digest mOnDigest;
+  kj::TaskSet& mTasks;
+  on_work mOnWork;
   on_batch mOnBatch;
   fragment_collector mFragments;
   std::uint64_t mLastBatch = 0;
   kj::Own<kj::DatagramPort> mPort;
   kj::Own<kj::DatagramReceiver> mReceiver;
-  std::map<std::string, peer> mPeers;
+  std::map<std::string, kj::Own<kj::NetworkAddress>> mParsed;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -59,6 +59,7 @@
                          const route_index& aRoutes,
                          backend_directory& aDirectory,
                          backend_board& aBoard,
+                         work_exchange& aExchange,
                          object_store& aStore,
                          http_pool& aPool,
                          byte_budget& aBodies,
@@ -71,6 +72,7 @@
   , mRoutes(aRoutes)
   , mDirectory(aDirectory)
   , mBoard(aBoard)
+  , mExchange(aExchange)
   , mStore(aStore)
   , mPool(aPool)
   , mBodies(aBodies)
@@ -94,7 +96,7 @@
     }
     role_keeper::service_view view{ service.mName, service.mEngine->mRoleChange, {} };
     for (const auto* server : mDirectory.Usable(service.mName)) {
-      view.mEngines.push_back({ *server, mBoard.Running(server->mId, aNow) });
+      view.mEngines.push_back({ *server, mBoard.Look(server->mId, aNow).mRunning });
     }
     views.push_back(std::move(view));
   }
@@ -105,7 +107,7 @@
 role_driver::OnTick(instant aNow)
 {
   const auto views = Views(aNow);
-  Carry(mKeeper.OnTick(views, mBoard.Rank(mSelf, aNow), aNow));
+  Carry(mKeeper.OnTick(views, mExchange.Members().DutyRank(aNow), aNow));
 }
 
 void
@@ -180,7 +182,7 @@
     return ReadWholeBody(text, kMostAnswerBytes, mBodies)
       .then([this, &asked, answer = std::move(answer)](held_body aText) mutable -> engine_answer {
         const auto head = mDialect.ReadAnswer(answer->mStatus, answer->mHeaders);
-        NoteStatements(head, asked, mDirectory, mBoard, mClock.Now());
+        NoteStatements(head, asked, mDirectory, mBoard, mExchange, mClock.Now());
         engine_answer read{ std::in_place, answer->mStatus, aText.Text() };
         mPool.Release(std::move(answer), head.mCloses, head.mKeepAlive);
         return read;
@@ -231,7 +233,7 @@
       Log(log_level::Info, "orders", "id=" + id + " answer=" + std::string{ AnswerText(answer) });
       mKeeper.OnOrdered(id, answer, now);
       if (const auto changing = mKeeper.Changing().find(id); changing != mKeeper.Changing().end()) {
-        mBoard.OnChanging(id, changing->second);
+        mExchange.OnChanging(BackendKey(id), changing->second);
       }
     }));
 }
--- a/packages/gateway/src/role_driver_p.h
+++ b/packages/gateway/src/role_driver_p.h
@@ -8,6 +8,7 @@
 #include "skylarkwind/object_store.h"
 #include "skylarkwind/role_keeper.h"
 #include "skylarkwind/route_index.h"
+#include "skylarkwind/work_exchange.h"
 
 #include <kj/async.h>
 #include <kj/timer.h>
@@ -25,6 +26,7 @@
               const route_index& aRoutes,
               backend_directory& aDirectory,
               backend_board& aBoard,
+              work_exchange& aExchange,
               object_store& aStore,
               http_pool& aPool,
               byte_budget& aBodies,
@@ -51,6 +53,7 @@
   const route_index& mRoutes;
   backend_directory& mDirectory;
   backend_board& mBoard;
+  work_exchange& mExchange;
   object_store& mStore;
   http_pool& mPool;
   byte_budget& mBodies;
--- a/packages/gateway/src/server_statements.cpp
+++ b/packages/gateway/src/server_statements.cpp
@@ -9,6 +9,7 @@
                const backend_server& aServer,
                backend_directory& aDirectory,
                backend_board& aBoard,
+               work_exchange& aExchange,
                instant aNow)
 {
   if (aHead.mLoad) {
@@ -20,6 +21,7 @@
       Log(log_level::Info, "servers", "id=" + aServer.mId + " draining=1 said in an answer");
     }
     aDirectory.OnLeaving(aServer.mId, aServer.mStartedAt);
+    aExchange.OnLeaving({ aServer.mId, aServer.mStartedAt }, aNow);
   }
   if (aHead.mQuietFor) {
     Log(log_level::Info,
--- /dev/null
+++ b/packages/gateway/src/work_codec.cpp
@@ -0,0 +1,255 @@
+#include "work_codec_p.h"
+
+#include "work.capnp.h"
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace skylarkwind {
+
+namespace {
+
+/// First byte of a work message.
+constexpr char kMark = 'W';
+/// Behind the mark follow the receiver's part of the message, 8 bytes, and the message itself.
+constexpr std::size_t kIncludesAt = 1;
+constexpr std::size_t kHeadBytes = kIncludesAt + sizeof(std::uint64_t);
+/// Counts of added tokens are sent in units of this many.
+constexpr std::uint64_t kAddedUnit = 64;
+/// Bounds what a damaged message can make a reader do: words that it may visit, and its depth.
+constexpr std::uint64_t kMostWords = 64 * 1'024;
+constexpr int kMostDepth = 8;
+
+template<class narrow, class wide>
+narrow
+Clamp(wide aValue)
+{
+  return static_cast<narrow>(std::min<wide>(aValue, std::numeric_limits<narrow>::max()));
+}
+
+std::string
+ToStd(capnp::Text::Reader aText)
+{
+  return { aText.cStr(), aText.size() };
+}
+
+void
+Write(const fleet_member& aMember, work_wire::Member::Builder aOut)
+{
+  aOut.setName(aMember.mName.c_str());
+  aOut.setAddress(aMember.mAddress.c_str());
+  aOut.setDataCentre(aMember.mDataCentre.c_str());
+  aOut.setStrength(aMember.mStrength);
+  aOut.setReachesStore(aMember.mReachesStore);
+  aOut.setStart(aMember.mStart);
+  aOut.setStops(aMember.mStops);
+}
+
+fleet_member
+Read(work_wire::Member::Reader aIn)
+{
+  return { ToStd(aIn.getName()), ToStd(aIn.getAddress()), ToStd(aIn.getDataCentre()),
+           aIn.getStrength(),    aIn.getReachesStore(),   aIn.getStart(),
+           aIn.getStops() };
+}
+
+void
+Write(const std::vector<backend_work>& aWork, capnp::List<work_wire::Work>::Builder aOut)
+{
+  for (unsigned int i = 0; i < aOut.size(); ++i) {
+    const auto& work = aWork[i];
+    aOut[i].setBackend(work.mBackend);
+    aOut[i].setPrefillTokens(work.mPrefillTokens);
+    aOut[i].setRunning(Clamp<std::uint16_t>(work.mRunning));
+    // The count wraps around after 270 thousand million tokens; receivers take a smaller one as no
+    // growth.
+    aOut[i].setAddedUnits(static_cast<std::uint32_t>(work.mAddedTokens / kAddedUnit));
+  }
+}
+
+std::vector<backend_work>
+Read(capnp::List<work_wire::Work>::Reader aIn)
+{
+  std::vector<backend_work> work;
+  work.reserve(aIn.size());
+  for (const auto entry : aIn) {
+    work.push_back({ entry.getBackend(),
+                     entry.getPrefillTokens(),
+                     entry.getRunning(),
+                     entry.getAddedUnits() * kAddedUnit });
+  }
+  return work;
+}
+
+void
+Write(const backend_facts& aFacts, work_wire::Facts::Builder aOut)
+{
+  auto kept = aOut.initKept(static_cast<unsigned int>(aFacts.mKept.size()));
+  for (unsigned int i = 0; i < kept.size(); ++i) {
+    const auto& part = aFacts.mKept[i];
+    kept[i].setKey(part.mKey);
+    kept[i].setBackend(part.mBackend);
+    kept[i].setComputed(part.mComputed);
+    kept[i].setReadyInMs(Clamp<std::uint16_t>(part.mReadyInMs));
+  }
+  auto changing = aOut.initChanging(static_cast<unsigned int>(aFacts.mChanging.size()));
+  for (unsigned int i = 0; i < changing.size(); ++i) {
+    changing[i].setBackend(aFacts.mChanging[i].mBackend);
+    changing[i].setLeftMs(aFacts.mChanging[i].mLeftMs);
+  }
+  auto leaving = aOut.initLeaving(static_cast<unsigned int>(aFacts.mLeaving.size()));
+  for (unsigned int i = 0; i < leaving.size(); ++i) {
+    leaving[i].setBackendId(aFacts.mLeaving[i].mBackendId.c_str());
+    leaving[i].setStartedAt(aFacts.mLeaving[i].mStartedAt);
+  }
+}
+
+backend_facts
+Read(work_wire::Facts::Reader aIn)
+{
+  backend_facts facts;
+  for (const auto part : aIn.getKept()) {
+    facts.mKept.push_back(
+      { part.getKey(), part.getBackend(), part.getComputed(), part.getReadyInMs() });
+  }
+  for (const auto changing : aIn.getChanging()) {
+    facts.mChanging.push_back({ changing.getBackend(), changing.getLeftMs() });
+  }
+  for (const auto leaving : aIn.getLeaving()) {
+    facts.mLeaving.push_back({ ToStd(leaving.getBackendId()), leaving.getStartedAt() });
+  }
+  return facts;
+}
+
+void
+Write(const store_news& aNews, work_wire::News::Builder aOut)
+{
+  aOut.setConfiguration(aNews.mConfiguration);
+  aOut.setServers(aNews.mServers);
+}
+
+store_news
+Read(work_wire::News::Reader aIn)
+{
+  return { aIn.getConfiguration(), aIn.getServers() };
+}
+
+void
+Write(const work_report& aReport, work_wire::Message::Builder aMessage)
+{
+  auto out = aMessage.initReport();
+  Write(aReport.mSender, out.initSender());
+  out.setSequence(aReport.mSequence);
+  Write(aReport.mNews, out.initNews());
+  Write(aReport.mWork, out.initWork(static_cast<unsigned int>(aReport.mWork.size())));
+  Write(aReport.mFacts, out.initFacts());
+}
+
+work_report
+Read(work_wire::Report::Reader aIn)
+{
+  work_report report;
+  report.mSender = Read(aIn.getSender());
+  report.mSequence = aIn.getSequence();
+  report.mNews = Read(aIn.getNews());
+  report.mWork = Read(aIn.getWork());
+  report.mFacts = Read(aIn.getFacts());
+  return report;
+}
+
+void
+Write(const work_summary& aSummary, work_wire::Message::Builder aMessage)
+{
+  auto out = aMessage.initSummary();
+  Write(aSummary.mSender, out.initSender());
+  out.setSequence(aSummary.mSequence);
+  out.setWholeFleet(aSummary.mWholeFleet);
+  out.setDaemons(aSummary.mDaemons);
+  Write(aSummary.mNews, out.initNews());
+  Write(aSummary.mWork, out.initWork(static_cast<unsigned int>(aSummary.mWork.size())));
+  Write(aSummary.mFacts, out.initFacts());
+  auto members = out.initMembers(static_cast<unsigned int>(aSummary.mMembers.size()));
+  for (unsigned int i = 0; i < members.size(); ++i) {
+    Write(aSummary.mMembers[i], members[i]);
+  }
+}
+
+work_summary
+Read(work_wire::Summary::Reader aIn)
+{
+  work_summary summary;
+  summary.mSender = Read(aIn.getSender());
+  summary.mSequence = aIn.getSequence();
+  summary.mWholeFleet = aIn.getWholeFleet();
+  summary.mDaemons = aIn.getDaemons();
+  summary.mNews = Read(aIn.getNews());
+  summary.mWork = Read(aIn.getWork());
+  summary.mFacts = Read(aIn.getFacts());
+  for (const auto member : aIn.getMembers()) {
+    summary.mMembers.push_back(Read(member));
+  }
+  return summary;
+}
+
+} // namespace
+
+bool
+IsWorkMessage(std::string_view aBytes)
+{
+  return !aBytes.empty() && aBytes.front() == kMark;
+}
+
+std::string
+EncodeWork(const work_message& aMessage)
+{
+  capnp::MallocMessageBuilder builder;
+  auto root = builder.initRoot<work_wire::Message>();
+  std::visit([&root](const auto& aContent) { Write(aContent, root); }, aMessage);
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asChars();
+  std::string encoded(kHeadBytes, '\0');
+  encoded.front() = kMark;
+  encoded.append(bytes.begin(), bytes.size());
+  return encoded;
+}
+
+void
+SetIncludes(std::string& aSummary, std::uint64_t aIncludes)
+{
+  std::memcpy(aSummary.data() + kIncludesAt, &aIncludes, sizeof(aIncludes));
+}
+
+std::optional<work_message>
+DecodeWork(std::string_view aBytes)
+{
+  if (!IsWorkMessage(aBytes) || aBytes.size() < kHeadBytes + sizeof(capnp::word)) {
+    return std::nullopt;
+  }
+  const auto content = aBytes.substr(kHeadBytes);
+  auto words = kj::heapArray<capnp::word>(content.size() / sizeof(capnp::word));
+  std::memcpy(words.begin(), content.data(), words.size() * sizeof(capnp::word));
+  std::optional<work_message> message;
+  const auto damaged = kj::runCatchingExceptions([&] {
+    capnp::FlatArrayMessageReader reader{ words, { kMostWords, kMostDepth } };
+    const auto root = reader.getRoot<work_wire::Message>();
+    switch (root.which()) {
+      case work_wire::Message::REPORT:
+        message = Read(root.getReport());
+        break;
+      case work_wire::Message::SUMMARY: {
+        auto summary = Read(root.getSummary());
+        std::memcpy(&summary.mIncludes, aBytes.data() + kIncludesAt, sizeof(summary.mIncludes));
+        message = std::move(summary);
+        break;
+      }
+    }
+  });
+  // The receiver logs and drops what is no message.
+  return damaged == nullptr ? message : std::nullopt;
+}
+
+} // namespace skylarkwind
--- a/packages/gateway/tests/work_codec_test.cpp
+++ b/packages/gateway/tests/work_codec_test.cpp
@@ -1,68 +1,100 @@
-#include "peer_digests_p.h"
+#include "work_codec_p.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
 namespace skylarkwind {
 
-class peer_digests_test : public CppUnit::TestFixture
+class work_codec_test : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(peer_digests_test);
-  CPPUNIT_TEST(DigestSurvivesTheWire);
-  CPPUNIT_TEST(OtherBytesAreNoDigest);
+  CPPUNIT_TEST_SUITE(work_codec_test);
+  CPPUNIT_TEST(ReportSurvivesTheWire);
+  CPPUNIT_TEST(SummarySurvivesTheWire);
+  CPPUNIT_TEST(LargestSummaryFitsIntoADatagram);
+  CPPUNIT_TEST(OtherBytesAreNoMessage);
   CPPUNIT_TEST_SUITE_END();
 
-  static work_digest Digest()
+  static fleet_member Member(const std::string& aName)
   {
-    work_digest digest;
-    digest.mSender = "vm-1";
-    digest.mSequence = 9;
-    digest.mWork = { { "e1", 3'000, 2, 70'000 } };
-    digest.mKept = { { 0xffff'ffff'ffff'ffffULL, "e1", true, 0 }, { 5, "e2", false, 250 } };
-    digest.mChanging = { { "e3", 1'200 } };
-    digest.mAddress = "10.0.0.1:4";
-    digest.mDataCentre = "z";
-    digest.mConfigurationSeen = 11;
-    digest.mServersSeen = 12;
-    digest.mReachesStore = true;
-    return digest;
+    return { aName, "10.0.0.1:4", "z", 500, true, 0xffff'ffff'ffff'fff0ULL, true };
+  }
+  static backend_facts Facts()
+  {
+    return { { { 0xffff'ffff'ffff'ffffULL, 1, true, 0 }, { 5, 2, false, 250 } },
+             { { 3, 1'200 } },
+             { { "e9", 1'700'000'000'000 } } };
+  }
+  static work_report Report()
+  {
+    return { Member("vm-1"), 9, { 11, 12 }, { { 0xffff'ffff, 3'000, 2, 70'016 } }, Facts() };
+  }
+  static work_summary Summary()
+  {
+    work_summary summary;
+    summary.mSender = Member("vm-2");
+    summary.mSequence = 8;
+    summary.mWholeFleet = true;
+    summary.mDaemons = 300;
+    summary.mNews = { 11, 12 };
+    summary.mWork = { { 4, 3'000, 2, 70'016 }, { 5, 0, 0, 0 } };
+    summary.mFacts = Facts();
+    summary.mMembers = { Member("vm-3"), Member("vm-4") };
+    return summary;
+  }
+
+  void ReportSurvivesTheWire()
+  {
+    const auto read = DecodeWork(EncodeWork(Report()));
+    CPPUNIT_ASSERT(read && std::get<work_report>(*read) == Report());
+  }
+
+  void SummarySurvivesTheWire()
+  {
+    auto bytes = EncodeWork(Summary());
+    auto expected = Summary();
+    for (const std::uint64_t includes : { 0ULL, 77ULL }) {
+      SetIncludes(bytes, includes);
+      expected.mIncludes = includes;
+      const auto read = DecodeWork(bytes);
+      CPPUNIT_ASSERT(read && std::get<work_summary>(*read) == expected);
+    }
   }
 
-  void DigestSurvivesTheWire()
+  /// As large as the exchange makes one: 200 servers, 120 parts, 8 members, and the collectors of 8
+  /// other data centres.
+  void LargestSummaryFitsIntoADatagram()
   {
-    const auto read = DecodeDigest(EncodeDigest(Digest()));
-    CPPUNIT_ASSERT(read);
-    CPPUNIT_ASSERT_EQUAL(std::string{ "vm-1" }, read->mSender);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 70'000 }, read->mWork.at(0).mAddedTokens);
-    CPPUNIT_ASSERT_EQUAL(0xffff'ffff'ffff'ffffULL,
-                         static_cast<unsigned long long>(read->mKept.at(0).mKey));
-    CPPUNIT_ASSERT_EQUAL(250U, read->mKept.at(1).mReadyInMs);
-    CPPUNIT_ASSERT_EQUAL(1'200U, read->mChanging.at(0).mLeftMs);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 12 }, read->mServersSeen);
-    CPPUNIT_ASSERT_EQUAL(std::string{ "z" }, read->mDataCentre);
-    CPPUNIT_ASSERT(read->mReachesStore);
+    auto summary = Summary();
+    summary.mWork.assign(200, { 4, 3'000, 2, 70'016 });
+    summary.mFacts.mKept.assign(120, { 7, 7, true, 9 });
+    summary.mMembers.assign(24, Member("edge-some-data-centre-123"));
+    const auto bytes = EncodeWork(summary);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(bytes.size()), bytes.size() <= 8 * 1'024);
   }
 
   /// Guards against a daemon that ends because of a datagram that another program sent.
-  void OtherBytesAreNoDigest()
+  void OtherBytesAreNoMessage()
   {
-    const auto good = EncodeDigest(Digest());
-    const bool holds = rc::check("damaged digests are dropped", [&good] {
+    CPPUNIT_ASSERT(!DecodeWork(""));
+    CPPUNIT_ASSERT(!DecodeWork("W"));
+    CPPUNIT_ASSERT(!DecodeWork(std::string(200, 'x')));
+    const auto good = EncodeWork(Summary());
+    const bool holds = rc::check("damaged messages do no harm", [&good] {
       auto bytes = good;
       const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
       if (*rc::gen::arbitrary<bool>()) {
         bytes.resize(at);
-        RC_ASSERT(!DecodeDigest(bytes));
+        RC_ASSERT(!DecodeWork(bytes));
       } else {
-        // A changed byte may give another digest or none; it must not throw.
+        // A changed byte may give another message or none; it must not throw.
         bytes[at] = *rc::gen::arbitrary<char>();
-        DecodeDigest(bytes);
+        DecodeWork(bytes);
       }
     });
     CPPUNIT_ASSERT(holds);
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(peer_digests_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(work_codec_test);
 
 } // namespace skylarkwind
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -234,8 +234,7 @@
 void
 backend_double::OnConnectionClosed(std::uint64_t aConnection)
 {
-  std::erase_if(mFloods,
-                [&](const flood& aFlood) { return aFlood.mConnection == aConnection; });
+  std::erase_if(mFloods, [&](const flood& aFlood) { return aFlood.mConnection == aConnection; });
   std::erase_if(mStreams, [&](const stream& aStream) {
     if (aStream.mConnection != aConnection) {
       return false;
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -16,8 +16,8 @@
 /// request has a token count, and records every run.
 /// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
 /// "no_id" | "error" | "torn" | "leaving" | "quiet" | "twice" | "twice_late" | "trickle" |
-/// "slow"} or one of the names in backend_floods.h; `GET /standin/log` returns the requests that arrived with their
-/// headers.
+/// "slow"} or one of the names in backend_floods.h; `GET /standin/log` returns the requests that
+/// arrived with their headers.
 class backend_double : public standin_app
 {
 public:
@@ -55,7 +55,7 @@
     standin_reply mReply;
     int mNext = 1;
     int mLast = 0;
-    int mCutAfter = 0;  ///< 0: never
+    int mCutAfter = 0;      ///< 0: never
     int mCommentsAfter = 0; ///< events before only comments come; 0: never
     std::int64_t mDueMs = 0;
   };
--- a/standins/backend_floods.cpp
+++ b/standins/backend_floods.cpp
@@ -32,8 +32,8 @@
 FloodOf(std::string_view aName, const std::string& aHeaderLines)
 {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const auto chunked = ok + aHeaderLines +
-                       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const auto chunked =
+    ok + aHeaderLines + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::map<std::string_view, endless_answer> answers{
     { "endless_head", { ok, Repeated("X-More: value\r\n") } },
     { "endless_line", { ok + "X-Long: ", Repeated("x") } },
--- a/standins/http_host.cpp
+++ b/standins/http_host.cpp
@@ -229,7 +229,7 @@
 standin_reply::BeginStream(std::string_view aHeaderLines) const
 {
   Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
-        std::string{ aHeaderLines } + "\r\n");
+      std::string{ aHeaderLines } + "\r\n");
 }
 
 void
--- a/tests/sessions/gateway_misbehaviour_test.cpp
+++ b/tests/sessions/gateway_misbehaviour_test.cpp
@@ -234,8 +234,7 @@
           const auto id = std::to_string(i);
           auto headers = Headers("o" + id);
           headers.emplace_back("Host: a.example");
-          calls.push_back(
-            std::make_unique<open_call>(system.CallerUrl("/order/a"), headers, "x"));
+          calls.push_back(std::make_unique<open_call>(system.CallerUrl("/order/a"), headers, "x"));
           calls.push_back(std::make_unique<open_call>(
             system.CallerUrl("/stream/x"), gateway_system::StreamHeaders("s" + id, 3), "b"));
         }
