--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -59,6 +59,8 @@
   void OnQuiet(std::string_view aBackendId, std::chrono::milliseconds aFor, instant aNow);
   /// The server refuses work until then, because it changes its role.
   void OnChanging(backend_key aBackend, instant aUntil);
+  /// The server is listed with its new role.
+  void OnChanged(std::string_view aBackendId, instant aNow);
   /// The server has left or started again; what was learnt of it is void.
   void Forget(std::string_view aBackendId);
 
--- a/packages/core/include/skylarkwind/fleet_members.h
+++ b/packages/core/include/skylarkwind/fleet_members.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
@@ -20,6 +21,11 @@
 class fleet_members
 {
 public:
+  /// Daemons of each data centre that collect reports and pass changes on.
+  static constexpr std::size_t kCollectors = 2;
+
+  static constexpr std::size_t kNoDuty = std::numeric_limits<std::size_t>::max();
+
   explicit fleet_members(fleet_member aSelf);
 
   const fleet_member& Self() const { return mSelf; }
@@ -39,19 +45,23 @@
   std::vector<const fleet_member*> Best(std::string_view aDataCentre,
                                         std::size_t aMost,
                                         instant aNow) const;
-  /// The same among those that reach the store.
-  std::vector<const fleet_member*> BestWithStore(std::string_view aDataCentre,
-                                                 std::size_t aMost,
-                                                 instant aNow) const;
+  /// Whether this daemon is among the best `aMost` of its data centre.
+  bool IsBest(std::size_t aMost, instant aNow) const;
+  /// Daemons for duties of the whole fleet, the first for it first: the best one of each data
+  /// centre, then the second of each, among those that reach the store. If none does, among all.
+  std::vector<const fleet_member*> ForDuties(instant aNow) const;
+  /// How many daemons come before this one in that order; `kNoDuty` if it is not among them.
+  std::size_t DutyRank(instant aNow) const;
   /// All live daemons of this data centre but this one, by name.
   std::vector<const fleet_member*> Neighbours() const;
+  /// Daemons of another data centre that were last known there, whether or not they still live.
+  std::vector<const fleet_member*> Remembered(std::string_view aDataCentre,
+                                              std::size_t aMost) const;
+  /// Data centres that any daemon is known or remembered of, this one's included.
   std::vector<std::string> DataCentres() const;
   const fleet_member* Find(std::string_view aName) const;
   /// Other daemons that live or may live.
-  std::size_t Known() const { return mOthers.size(); }
-  /// How many daemons come before this one in the order in which they take on duties of the whole
-  /// fleet: the best two of each data centre that reach the store, then nobody.
-  std::size_t DutyRank(instant aNow) const;
+  std::size_t Known() const;
 
 private:
   struct entry
@@ -60,6 +70,7 @@
     instant mKnownAt{};
     bool mHeard = false;
     instant mSilentUntil{};
+    bool mLives = true; ///< false once nobody tells of it any more
   };
   std::vector<const fleet_member*> Choose(std::string_view aDataCentre,
                                           std::size_t aMost,
--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -157,9 +157,10 @@
 {
   int mStatus = 0;
   std::string mRequestId;
-  bool mSigned = false;  ///< carries the backend server's signature of its answer
-  bool mNotRun = false;  ///< states that the request has not run and never will
-  bool mLeaving = false; ///< the server leaves; it takes requests only for the drain time
+  bool mSigned = false;      ///< carries the backend server's signature of its answer
+  bool mNotRun = false;      ///< states that the request has not run and never will
+  bool mMisdirected = false; ///< it is another server than was meant, or has another role
+  bool mLeaving = false;     ///< the server leaves; it takes requests only for the drain time
   /// With status 503: how long the server wants no request from this daemon.
   std::optional<std::chrono::milliseconds> mQuietFor;
   std::optional<backend_load> mLoad;
--- a/packages/core/include/skylarkwind/store_watchers.h
+++ b/packages/core/include/skylarkwind/store_watchers.h
@@ -4,26 +4,34 @@
 #include "skylarkwind/fleet_members.h"
 
 #include <cstddef>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace skylarkwind {
 
-/// The daemons of one data centre that follow the store for all of it: the best ones that reach it,
-/// so that daemons with the same view agree without a message. A daemon whose view is wrong follows
-/// the store itself, or is told late by a summary and then lists.
+/// The daemons that follow the store for the whole fleet, and the way by which changes reach the
+/// others: from each watcher to the collectors of all data centres, and from these to the daemons
+/// of theirs. Daemons with the same view agree without a message. A daemon whose view is wrong
+/// follows the store itself, or learns from a summary that it has missed something and asks a
+/// neighbour.
 class store_watchers
 {
 public:
   static store_watchers Choose(const fleet_members& aMembers, instant aNow);
 
   bool SelfWatches() const { return mSelfWatches; }
-  /// Whether this daemon is the watcher that passes changes on to `aPeer`.
-  bool Serves(std::string_view aPeer) const;
+  /// Whether this daemon, as a collector, passes changes on to a neighbour.
+  bool Serves(std::string_view aNeighbour) const;
+  /// Addresses of the collectors of all data centres but this daemon.
+  const std::vector<std::string>& Collectors() const { return mCollectors; }
 
 private:
-  std::size_t mIndex = 0; ///< of this daemon among the watchers
+  std::size_t mIndex = 0; ///< of this daemon among the collectors of its data centre
   std::size_t mCount = 1;
+  bool mCollects = true;
   bool mSelfWatches = true;
+  std::vector<std::string> mCollectors;
 };
 
 } // namespace skylarkwind
--- a/packages/core/include/skylarkwind/work_exchange.h
+++ b/packages/core/include/skylarkwind/work_exchange.h
@@ -45,7 +45,12 @@
 class work_exchange
 {
 public:
-  work_exchange(fleet_member aSelf, backend_board& aBoard, part_holders& aParts);
+  /// `aSeeds` are addresses of daemons that may run; reports go there too until the daemon is
+  /// connected. A seed tells who collects in the data centre of the sender.
+  work_exchange(fleet_member aSelf,
+                std::vector<std::string> aSeeds,
+                backend_board& aBoard,
+                part_holders& aParts);
 
   /// State of this daemon that others are told.
   void SetOwn(const store_news& aNews, bool aReachesStore, bool aStops);
@@ -62,6 +67,8 @@
 
   /// Whether a summary of the fleet has come lately, or this daemon makes them.
   bool Connected(instant aNow) const;
+  /// Whether nothing has come lately from a data centre that daemons were known of.
+  bool MissesDataCentre(instant aNow) const;
   const fleet_members& Members() const { return mMembers; }
   /// Daemons that share the fleet's work: the most that were known within the last ten seconds or
   /// so, this one included.
@@ -97,7 +104,11 @@
   void SendFleetSummary(std::vector<outgoing_message>& aOut, instant aNow);
   void SendAcross(std::vector<outgoing_message>& aOut, instant aNow);
   work_summary Summary(bool aWholeFleet, instant aSince, instant aNow);
-  /// Collectors of another data centre: those that were heard of directly first.
+  /// Collectors of another data centre that have sent to this daemon lately.
+  std::vector<const fleet_member*> HeardCollectors(std::string_view aDataCentre,
+                                                   instant aNow) const;
+  /// Daemons of another data centre to send to: those that have sent to this one, else the best
+  /// that are known, else those that were known before a cut.
   std::vector<const fleet_member*> CollectorsOf(std::string_view aDataCentre, instant aNow) const;
   /// Reports to collectors that do not answer go to others.
   void NoteSilentCollectors(instant aNow);
@@ -111,6 +122,7 @@
                  instant aNow);
   void NoteDaemons(std::uint32_t aDaemons, instant aNow);
 
+  std::vector<std::string> mSeeds;
   backend_board& mBoard;
   part_holders& mParts;
   fleet_members mMembers;
@@ -138,6 +150,7 @@
   instant mAcrossAt{};
   std::size_t mNextMember = 0;                              ///< whose turn it is to be named
   std::map<std::string, instant, std::less<>> mAcrossHeard; ///< collectors of other data centres
+  std::map<std::string, std::string> mJoining; ///< addresses of daemons to be answered, by name
 
   std::map<std::pair<std::uint64_t, backend_key>, std::pair<kept_part, told_fact>> mKept;
   std::map<backend_key, std::pair<instant, told_fact>> mChanging; ///< until when
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -142,6 +142,13 @@
   state.mChangingUntil = std::max(state.mChangingUntil, aUntil);
 }
 
+void
+backend_board::OnChanged(std::string_view aBackendId, instant aNow)
+{
+  auto& state = StateOf(aBackendId);
+  state.mChangingUntil = std::min(state.mChangingUntil, aNow);
+}
+
 void
 backend_board::Forget(std::string_view aBackendId)
 {
--- a/packages/core/src/fleet_members.cpp
+++ b/packages/core/src/fleet_members.cpp
@@ -11,8 +11,13 @@
 
 using std::chrono::milliseconds;
 
-/// A daemon that no summary has named for this long is gone. Summaries name all by turns.
+/// A daemon of this data centre that no summary has named for this long is gone. Summaries name all
+/// by turns.
 constexpr milliseconds kHeardLife{ 3'000 };
+/// The same for daemons of other data centres; each summary names those that are heard of.
+constexpr milliseconds kOtherHeardLife{ 1'000 };
+/// Daemons of other data centres are remembered this long, to find them again after a cut.
+constexpr milliseconds kRememberedFor{ 600'000 };
 /// The same for a daemon that was only listed: its process may have ended long ago.
 constexpr milliseconds kListedLife{ 20'000 };
 /// A collector that was silent is not chosen again for this long.
@@ -20,7 +25,7 @@
 /// Strengths that differ by less than this, in thousandths of a core, count as equal.
 constexpr std::uint32_t kStrengthStep = 100;
 /// Daemons of each data centre that may take on duties of the whole fleet.
-constexpr std::size_t kDutiesEach = 2;
+constexpr std::size_t kDutiesEach = 4;
 
 } // namespace
 
@@ -47,6 +52,7 @@
   }
   known.mMember = aMember;
   known.mKnownAt = aNow;
+  known.mLives = true;
 }
 
 void
@@ -62,6 +68,7 @@
   known.mMember.mStops = aMember.mStops || stops;
   known.mKnownAt = aNow;
   known.mHeard = true;
+  known.mLives = true;
 }
 
 void
@@ -75,9 +82,18 @@
 void
 fleet_members::OnTick(instant aNow)
 {
+  for (auto& [name, known] : mOthers) {
+    const bool own = known.mMember.mDataCentre == mSelf.mDataCentre;
+    const auto heard = own ? kHeardLife : kOtherHeardLife;
+    if (aNow - known.mKnownAt >= (known.mHeard ? heard : kListedLife)) {
+      known.mLives = false;
+      known.mHeard = false;
+    }
+  }
   std::erase_if(mOthers, [&](const auto& aEntry) {
     const auto& known = aEntry.second;
-    return aNow - known.mKnownAt >= (known.mHeard ? kHeardLife : kListedLife);
+    const bool own = known.mMember.mDataCentre == mSelf.mDataCentre;
+    return !known.mLives && (own || aNow - known.mKnownAt >= kRememberedFor);
   });
 }
 
@@ -104,7 +120,7 @@
   };
   consider(mSelf);
   for (const auto& [name, known] : mOthers) {
-    if (aNow >= known.mSilentUntil) {
+    if (known.mLives && aNow >= known.mSilentUntil) {
       consider(known.mMember);
     }
   }
@@ -129,10 +145,53 @@
   return Choose(aDataCentre, aMost, false, aNow);
 }
 
+bool
+fleet_members::IsBest(std::size_t aMost, instant aNow) const
+{
+  const auto best = Best(mSelf.mDataCentre, aMost, aNow);
+  return std::find(best.begin(), best.end(), &mSelf) != best.end();
+}
+
 std::vector<const fleet_member*>
-fleet_members::BestWithStore(std::string_view aDataCentre, std::size_t aMost, instant aNow) const
+fleet_members::ForDuties(instant aNow) const
 {
-  return Choose(aDataCentre, aMost, true, aNow);
+  const auto dataCentres = DataCentres();
+  for (const bool withStore : { true, false }) {
+    std::vector<const fleet_member*> chosen;
+    for (std::size_t place = 0; place < kDutiesEach; ++place) {
+      for (const auto& dataCentre : dataCentres) {
+        const auto best = Choose(dataCentre, place + 1, withStore, aNow);
+        if (best.size() > place) {
+          chosen.push_back(best[place]);
+        }
+      }
+    }
+    if (!chosen.empty()) {
+      return chosen;
+    }
+  }
+  return {};
+}
+
+std::vector<const fleet_member*>
+fleet_members::Remembered(std::string_view aDataCentre, std::size_t aMost) const
+{
+  std::vector<const entry*> known;
+  for (const auto& [name, other] : mOthers) {
+    if (other.mMember.mDataCentre == aDataCentre) {
+      known.push_back(&other);
+    }
+  }
+  std::sort(known.begin(), known.end(), [](const auto* aLeft, const auto* aRight) {
+    return aLeft->mKnownAt > aRight->mKnownAt;
+  });
+  std::vector<const fleet_member*> members;
+  for (const auto* other : known) {
+    if (members.size() < aMost) {
+      members.push_back(&other->mMember);
+    }
+  }
+  return members;
 }
 
 std::vector<const fleet_member*>
@@ -140,7 +199,7 @@
 {
   std::vector<const fleet_member*> neighbours;
   for (const auto& [name, known] : mOthers) {
-    if (known.mMember.mDataCentre == mSelf.mDataCentre) {
+    if (known.mLives && known.mMember.mDataCentre == mSelf.mDataCentre) {
       neighbours.push_back(&known.mMember);
     }
   }
@@ -167,18 +226,19 @@
   return found == mOthers.end() ? nullptr : &found->second.mMember;
 }
 
+std::size_t
+fleet_members::Known() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mOthers.begin(), mOthers.end(), [](const auto& aEntry) { return aEntry.second.mLives; }));
+}
+
 std::size_t
 fleet_members::DutyRank(instant aNow) const
 {
-  std::vector<std::string_view> names;
-  for (const auto& dataCentre : DataCentres()) {
-    for (const auto* member : BestWithStore(dataCentre, kDutiesEach, aNow)) {
-      names.push_back(member->mName);
-    }
-  }
-  std::sort(names.begin(), names.end());
-  const auto own = std::find(names.begin(), names.end(), std::string_view{ mSelf.mName });
-  return own == names.end() ? mOthers.size() + 1 : static_cast<std::size_t>(own - names.begin());
+  const auto chosen = ForDuties(aNow);
+  const auto own = std::find(chosen.begin(), chosen.end(), &mSelf);
+  return own == chosen.end() ? kNoDuty : static_cast<std::size_t>(own - chosen.begin());
 }
 
 } // namespace skylarkwind
--- a/packages/core/src/store_watchers.cpp
+++ b/packages/core/src/store_watchers.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Watchers of a data centre. With a third of the daemons cut off from the store, all three are cut
-/// off in one of 27 cases; the others then learn of changes from other data centres.
-constexpr std::size_t kMostWatchers = 3;
+/// Each change in the store costs a call of every watcher. With a third of the daemons cut off from
+/// the store without a word, all four are cut off in one of 81 cases.
+constexpr std::size_t kMostWatchers = 4;
 
 } // namespace
 
@@ -18,20 +18,27 @@
 store_watchers::Choose(const fleet_members& aMembers, instant aNow)
 {
   const auto& self = aMembers.Self();
-  const auto chosen = aMembers.BestWithStore(self.mDataCentre, kMostWatchers, aNow);
-  const auto own = std::find(chosen.begin(), chosen.end(), &self);
   store_watchers watchers;
-  watchers.mIndex = static_cast<std::size_t>(own - chosen.begin());
-  // A daemon that has not reached the store yet watches for itself as long as it knows of no other.
-  watchers.mSelfWatches = own != chosen.end() || chosen.empty();
-  watchers.mCount = std::max<std::size_t>(1, chosen.size());
+  watchers.mSelfWatches = aMembers.DutyRank(aNow) < kMostWatchers;
+  const auto own = aMembers.Best(self.mDataCentre, fleet_members::kCollectors, aNow);
+  const auto place = std::find(own.begin(), own.end(), &self);
+  watchers.mIndex = static_cast<std::size_t>(place - own.begin());
+  watchers.mCollects = place != own.end();
+  watchers.mCount = std::max<std::size_t>(1, own.size());
+  for (const auto& dataCentre : aMembers.DataCentres()) {
+    for (const auto* member : aMembers.Best(dataCentre, fleet_members::kCollectors, aNow)) {
+      if (member != &self) {
+        watchers.mCollectors.push_back(member->mAddress);
+      }
+    }
+  }
   return watchers;
 }
 
 bool
-store_watchers::Serves(std::string_view aPeer) const
+store_watchers::Serves(std::string_view aNeighbour) const
 {
-  return mSelfWatches && Hash64(aPeer) % mCount == mIndex;
+  return mCollects && Hash64(aNeighbour) % mCount == mIndex;
 }
 
 } // namespace skylarkwind
--- a/packages/core/src/work_exchange.cpp
+++ b/packages/core/src/work_exchange.cpp
@@ -13,8 +13,7 @@
 constexpr milliseconds kReportPause{ 20 };
 /// Without a change a report follows after this long.
 constexpr milliseconds kReportAtLeast{ 400 };
-/// Collectors that a daemon reports to, and how many while none of them answers.
-constexpr std::size_t kCollectors = 2;
+/// Collectors that a daemon reports to while none of them answers.
 constexpr std::size_t kCollectorsTried = 4;
 /// A collector that has not sent a summary for this long after a report is replaced.
 constexpr milliseconds kCollectorAnswers{ 700 };
@@ -32,8 +31,9 @@
 constexpr std::size_t kMostKept = 120;
 /// Members that one message names.
 constexpr std::size_t kMostMembers = 8;
-/// Members of a data centre that collectors of others are told of.
-constexpr std::size_t kMembersAcross = 4;
+/// Daemons of other data centres that are answered at once, above those of the largest deployment
+/// aimed at (350).
+constexpr std::size_t kMostJoining = 512;
 /// Servers that one message tells of. With the most parts and members it has some 7 KB.
 constexpr std::size_t kMostWork = 200;
 /// A source of summaries that was not heard of for this long is not compared with others.
@@ -87,8 +87,12 @@
 
 } // namespace
 
-work_exchange::work_exchange(fleet_member aSelf, backend_board& aBoard, part_holders& aParts)
-  : mBoard(aBoard)
+work_exchange::work_exchange(fleet_member aSelf,
+                             std::vector<std::string> aSeeds,
+                             backend_board& aBoard,
+                             part_holders& aParts)
+  : mSeeds(std::move(aSeeds))
+  , mBoard(aBoard)
   , mParts(aParts)
   , mMembers(aSelf)
   , mSums(aSelf.mDataCentre)
@@ -119,11 +123,16 @@
 void
 work_exchange::OnReport(const work_report& aReport, instant aNow)
 {
-  if (aReport.mSender.mDataCentre != mMembers.Self().mDataCentre ||
-      !mSums.OnReport(aReport, aNow)) {
+  mMembers.OnHeard(aReport.mSender, aNow);
+  if (aReport.mSender.mDataCentre != mMembers.Self().mDataCentre) {
+    if (mJoining.size() < kMostJoining) {
+      mJoining[aReport.mSender.mName] = aReport.mSender.mAddress;
+    }
+    return;
+  }
+  if (!mSums.OnReport(aReport, aNow)) {
     return;
   }
-  mMembers.OnHeard(aReport.mSender, aNow);
   TakeFacts(aReport.mFacts, true, aNow);
   ApplyFacts(aReport.mFacts, aNow);
 }
@@ -299,7 +308,7 @@
   }
   auto report = MakeReport(aNow);
   const auto& self = mMembers.Self();
-  const auto most = Connected(aNow) ? kCollectors : kCollectorsTried;
+  const auto most = Connected(aNow) ? fleet_members::kCollectors : kCollectorsTried;
   std::set<std::string_view> chosen;
   outgoing_message out;
   for (const auto* collector : mMembers.Best(self.mDataCentre, most, aNow)) {
@@ -310,6 +319,17 @@
     }
   }
   std::erase_if(mReportsTo, [&](const auto& aEntry) { return !chosen.contains(aEntry.first); });
+  if (!Connected(aNow)) {
+    for (const auto& seed : mSeeds) {
+      const bool reported =
+        std::any_of(out.mReceivers.begin(), out.mReceivers.end(), [&](const auto& aReceiver) {
+          return aReceiver.mAddress == seed;
+        });
+      if (!reported && seed != self.mAddress) {
+        out.mReceivers.push_back({ seed, 0 });
+      }
+    }
+  }
   // The own report is part of the sums that this daemon would send.
   mSums.OnReport(report, aNow);
   TakeFacts(report.mFacts, true, aNow);
@@ -374,9 +394,13 @@
     for (std::size_t i = 0; i < std::min(kMostMembers, reporters.size()); ++i) {
       summary.mMembers.push_back(*reporters[mNextMember++ % reporters.size()]);
     }
+    // The reporters may know of other collectors than those that they should report to.
+    for (const auto* member : mMembers.Best(self.mDataCentre, fleet_members::kCollectors, aNow)) {
+      summary.mMembers.push_back(*member);
+    }
     for (const auto& dataCentre : mMembers.DataCentres()) {
       if (dataCentre != self.mDataCentre) {
-        for (const auto* collector : CollectorsOf(dataCentre, aNow)) {
+        for (const auto* collector : HeardCollectors(dataCentre, aNow)) {
           summary.mMembers.push_back(*collector);
         }
       }
@@ -406,21 +430,34 @@
 }
 
 std::vector<const fleet_member*>
-work_exchange::CollectorsOf(std::string_view aDataCentre, instant aNow) const
+work_exchange::HeardCollectors(std::string_view aDataCentre, instant aNow) const
 {
   std::vector<const fleet_member*> collectors;
   for (const auto& [name, heardAt] : mAcrossHeard) {
     const auto* member = mMembers.Find(name);
     if (member != nullptr && member->mDataCentre == aDataCentre &&
-        aNow - heardAt < kCollectorAnswers && collectors.size() < kCollectors) {
+        aNow - heardAt < kCollectorAnswers && collectors.size() < fleet_members::kCollectors) {
       collectors.push_back(member);
     }
   }
-  for (const auto* member : mMembers.Best(aDataCentre, kCollectors, aNow)) {
-    if (collectors.size() < kCollectors &&
-        std::find(collectors.begin(), collectors.end(), member) == collectors.end()) {
-      collectors.push_back(member);
+  return collectors;
+}
+
+std::vector<const fleet_member*>
+work_exchange::CollectorsOf(std::string_view aDataCentre, instant aNow) const
+{
+  auto collectors = HeardCollectors(aDataCentre, aNow);
+  const auto add = [&](const std::vector<const fleet_member*>& aMembers) {
+    for (const auto* member : aMembers) {
+      if (collectors.size() < fleet_members::kCollectors &&
+          std::find(collectors.begin(), collectors.end(), member) == collectors.end()) {
+        collectors.push_back(member);
+      }
     }
+  };
+  add(mMembers.Best(aDataCentre, fleet_members::kCollectors, aNow));
+  if (collectors.empty()) {
+    add(mMembers.Remembered(aDataCentre, fleet_members::kCollectors));
   }
   return collectors;
 }
@@ -429,34 +466,43 @@
 work_exchange::SendAcross(std::vector<outgoing_message>& aOut, instant aNow)
 {
   const auto& self = mMembers.Self();
-  const auto best = mMembers.Best(self.mDataCentre, kCollectors, aNow);
-  const bool collects = std::any_of(
-    best.begin(), best.end(), [&](const auto* aMember) { return aMember->mName == self.mName; });
-  if (!collects) {
-    return;
-  }
-  outgoing_message out;
-  for (const auto& dataCentre : mMembers.DataCentres()) {
-    if (dataCentre != self.mDataCentre) {
-      for (const auto* collector : CollectorsOf(dataCentre, aNow)) {
-        out.mReceivers.push_back({ collector->mAddress, 0 });
+  std::vector<outgoing_message::receiver> receivers;
+  if (mMembers.IsBest(fleet_members::kCollectors, aNow)) {
+    for (const auto& dataCentre : mMembers.DataCentres()) {
+      if (dataCentre != self.mDataCentre) {
+        for (const auto* collector : CollectorsOf(dataCentre, aNow)) {
+          receivers.push_back({ collector->mAddress, 0 });
+        }
       }
     }
   }
-  const auto pause = Pause(kAcrossPause, out.mReceivers.size(), kAcrossPerSecond);
+  const auto pause = Pause(kAcrossPause, receivers.size(), kAcrossPerSecond);
   const bool news = mSums.Changes() != mAcrossChanges;
-  if (out.mReceivers.empty() ||
-      aNow - mAcrossAt < (news ? pause : std::max(pause, kSummaryAtLeast))) {
+  const bool due = aNow - mAcrossAt >= (news ? pause : std::max(pause, kSummaryAtLeast));
+  if (!due && mJoining.empty()) {
+    return;
+  }
+  if (!due) {
+    receivers.clear();
+  }
+  // Daemons that report here from other data centres look for collectors of their own.
+  for (auto& [name, address] : std::exchange(mJoining, {})) {
+    receivers.push_back({ address, 0 });
+  }
+  if (receivers.empty()) {
     return;
   }
-  mAcrossChanges = mSums.Changes();
-  mAcrossAt = aNow;
+  if (due) {
+    mAcrossChanges = mSums.Changes();
+    mAcrossAt = aNow;
+  }
   auto summary = Summary(false, aNow - kFactsInPauses * std::max(pause, kReportPause), aNow);
-  for (const auto* member : mMembers.Best(self.mDataCentre, kMembersAcross, aNow)) {
-    summary.mMembers.push_back(*member);
+  for (const auto& dataCentre : mMembers.DataCentres()) {
+    for (const auto* member : mMembers.Best(dataCentre, fleet_members::kCollectors, aNow)) {
+      summary.mMembers.push_back(*member);
+    }
   }
-  const auto work = mSums.Own(aNow);
-  Split(std::move(summary), work, std::move(out.mReceivers), aOut);
+  Split(std::move(summary), mSums.Own(aNow), std::move(receivers), aOut);
 }
 
 std::vector<outgoing_message>
@@ -495,6 +541,15 @@
   return mHeardAt != instant{} && aNow - mHeardAt < kCollectorAnswers;
 }
 
+bool
+work_exchange::MissesDataCentre(instant aNow) const
+{
+  const auto dataCentres = mMembers.DataCentres();
+  return std::any_of(dataCentres.begin(), dataCentres.end(), [&](const auto& aDataCentre) {
+    return aDataCentre != mMembers.Self().mDataCentre && HeardCollectors(aDataCentre, aNow).empty();
+  });
+}
+
 void
 work_exchange::NoteDaemons(std::uint32_t aDaemons, instant aNow)
 {
--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -16,10 +16,11 @@
 {
   std::string mVm;
   std::string mDataCentre;
-  std::string mCallerAddress; ///< ip:port for callers
-  std::string mReadyAddress;  ///< ip:port for the balancer's readiness checks and the metrics
-  std::string mStoreAddress;  ///< ip:port of the platform's store
-  std::string mPeerAddress;   ///< ip:port (UDP) for messages of other daemons
+  std::string mCallerAddress;      ///< ip:port for callers
+  std::string mReadyAddress;       ///< ip:port for the balancer's readiness checks and the metrics
+  std::string mStoreAddress;       ///< ip:port of the platform's store
+  std::string mPeerAddress;        ///< ip:port (UDP and TCP) for other daemons
+  std::vector<std::string> mSeeds; ///< addresses of daemons that may run, as ip:port
   /// Processor share of the VM in thousandths of a core; strong VMs collect the reports of others.
   std::uint32_t mStrength = 0;
   std::chrono::milliseconds mConfigurationWithin{ 2'000 }; ///< bound for a change to be in force
--- a/packages/gateway/src/change_batch_p.h
+++ b/packages/gateway/src/change_batch_p.h
@@ -19,7 +19,8 @@
   /// The changes lead from the state at any revision in [mFrom, mTo) to the state at mTo.
   std::uint64_t mFrom = 0;
   std::uint64_t mTo = 0;
-  bool mWhole = false; ///< all objects of the kind instead of changes; mFrom is unused
+  /// All objects of the kind instead of changes; mFrom is then the revision of the newest change.
+  bool mWhole = false;
   /// The store was away before, so that entries of live servers may have lapsed.
   bool mAfterOutage = false;
   std::vector<object_change> mChanges;
--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace skylarkwind {
 
@@ -15,18 +14,11 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kKind = "skylarkwind-daemons";
-constexpr milliseconds kRegisterAgain{ 1'000 };
-/// Lists come quickly at first, because daemons start at about the same time.
-constexpr std::array kListPauses{ milliseconds{ 300 },
-                                  milliseconds{ 1'000 },
-                                  milliseconds{ 3'000 } };
-/// Pause between lists while no other daemon is heard of; the second value after many of them.
-constexpr milliseconds kListAgain{ 3'000 };
-constexpr milliseconds kListRarely{ 30'000 };
 /// How often a daemon looks whether it is connected.
 constexpr milliseconds kLookAgain{ 1'000 };
-/// Lists without an answer from any daemon after which a daemon takes itself for the only one.
-constexpr std::uint32_t kManyLists = 8;
+/// Pauses between lists while other daemons are missing; they double up to the second value.
+constexpr milliseconds kFirstPause{ 1'500 };
+constexpr milliseconds kLongestPause{ 24'000 };
 
 } // namespace
 
@@ -48,9 +40,34 @@
 kj::Promise<void>
 daemon_registry::Run()
 {
+  return Pause(kLookAgain).then([this] { return Look(); }).then([this] { return Run(); });
+}
+
+kj::Promise<void>
+daemon_registry::Look()
+{
+  const auto now = mClock.Now();
+  const bool connected = mExchange.Connected(now);
+  const bool collects = connected && mExchange.Members().IsBest(fleet_members::kCollectors, now);
+  const bool missing = !connected || (collects && mExchange.MissesDataCentre(now));
+  if (!missing && (!collects || mRevision)) {
+    mPause = kFirstPause;
+    return kj::READY_NOW;
+  }
+  if (now < mNextAt) {
+    return kj::READY_NOW;
+  }
+  mNextAt = now + mPause;
+  mPause = std::min(kLongestPause, 2 * mPause);
   // The object of an earlier process of this VM is mostly right already, which a list shows at less
   // cost than a write.
-  return ListPage({}).then([this] { return Register(); }).then([this] { return ListForever(); });
+  mSeenSelf = false;
+  return ListPage({}).then([this] {
+    if (!mSeenSelf) {
+      mRevision.reset();
+    }
+    return Register();
+  });
 }
 
 kj::Promise<void>
@@ -62,19 +79,20 @@
   return Write(false).then([this](std::optional<store_failure> aFailure) -> kj::Promise<void> {
     if (aFailure && aFailure->mCause == store_failure::cause::Conflict) {
       // An earlier process of this VM left its object, with another address.
-      return Write(true).then([this](std::optional<store_failure> aSecond) {
-        return aSecond ? RegisterLater(*aSecond) : kj::Promise<void>{ kj::READY_NOW };
-      });
+      return Write(true).then([](std::optional<store_failure> aSecond) { NoteFailure(aSecond); });
     }
-    return aFailure ? RegisterLater(*aFailure) : kj::Promise<void>{ kj::READY_NOW };
+    NoteFailure(aFailure);
+    return kj::READY_NOW;
   });
 }
 
-kj::Promise<void>
-daemon_registry::RegisterLater(const store_failure& aFailure)
+void
+daemon_registry::NoteFailure(const std::optional<store_failure>& aFailure)
 {
-  Log(log_level::Warning, "peers", "registration failed reason=\"" + aFailure.mReason + '"');
-  return Pause(kRegisterAgain).then([this] { return Register(); });
+  // The next look tries again.
+  if (aFailure) {
+    Log(log_level::Warning, "peers", "registration failed reason=\"" + aFailure->mReason + '"');
+  }
 }
 
 kj::Promise<std::optional<store_failure>>
@@ -117,24 +135,6 @@
   return mTimer.afterDelay(ToKj(milliseconds{ part(mRandom) }));
 }
 
-kj::Promise<void>
-daemon_registry::ListForever()
-{
-  if (mExchange.Connected(mClock.Now())) {
-    mLists = 0;
-    return Pause(kLookAgain).then([this] { return ListForever(); });
-  }
-  const auto later = mLists < kManyLists ? kListAgain : kListRarely;
-  const auto pause = mLists < kListPauses.size() ? kListPauses[mLists] : later;
-  ++mLists;
-  return Pause(pause).then([this]() -> kj::Promise<void> {
-    if (mExchange.Connected(mClock.Now())) {
-      return ListForever();
-    }
-    return ListPage({}).then([this] { return ListForever(); });
-  });
-}
-
 kj::Promise<void>
 daemon_registry::ListPage(std::string aAfter)
 {
@@ -176,6 +176,7 @@
     mExchange.OnListed(member, mClock.Now());
   } else if (member.mAddress == mSelf.mAddress && member.mDataCentre == mSelf.mDataCentre &&
              member.mStrength == mSelf.mStrength) {
+    mSeenSelf = true;
     mRevision = aObject.mRevision;
   }
 }
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -13,10 +13,9 @@
 
 namespace skylarkwind {
 
-/// Lets daemons find one another when they start. Each has one object in the store, which it writes
-/// at its start unless an earlier process left it. A daemon lists the others until it is connected
-/// with them, and again when it has lost all of them; what it needs to know beyond that comes with
-/// their messages.
+/// Lets daemons find one another where their seeds do not. Collectors have an object each in the
+/// store, and so has a daemon that is connected with no other. A daemon lists them while it is not
+/// connected, a collector while it hears of no daemon of some other data centre.
 class daemon_registry
 {
 public:
@@ -33,12 +32,12 @@
   kj::Promise<void> Leave();
 
 private:
+  kj::Promise<void> Look();
   kj::Promise<void> Register();
-  kj::Promise<void> RegisterLater(const store_failure& aFailure);
+  static void NoteFailure(const std::optional<store_failure>& aFailure);
   /// Creates or replaces this daemon's object; the failure, if any.
   kj::Promise<std::optional<store_failure>> Write(bool aReplace);
   void OnListed(const stored_object& aObject);
-  kj::Promise<void> ListForever();
   kj::Promise<void> ListPage(std::string aAfter);
   kj::Promise<void> Pause(std::chrono::milliseconds aTime);
 
@@ -49,7 +48,9 @@
   std::mt19937_64 mRandom;
   work_exchange& mExchange;
   std::optional<std::uint64_t> mRevision; ///< of this daemon's object
-  std::uint32_t mLists = 0;
+  bool mSeenSelf = false;                 ///< in the last list
+  std::chrono::milliseconds mPause{ 1'500 };
+  instant mNextAt{};
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "caller_listener_p.h"
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
+#include "neighbour_objects_p.h"
 #include "peer_link_p.h"
 #include "role_driver_p.h"
 #include "store_follower_p.h"
@@ -33,6 +34,11 @@
 /// Longest pauses between calls while the store is away. The others are told when it is back.
 constexpr milliseconds kShortPause{ 1'000 };
 constexpr milliseconds kLongPause{ 4'000 };
+/// A daemon that starts waits this long for others that may know what the store holds.
+constexpr milliseconds kWaitForOthers{ 800 };
+/// A daemon whose calls failed is not chosen to follow the store for this long after it stopped
+/// trying.
+constexpr milliseconds kStoreLostFor{ 3'000 };
 constexpr milliseconds kShutdownMargin{ 600 };
 /// Connections without a request are closed this early when the daemon stops.
 constexpr milliseconds kIdleWhileStopping{ 300 };
@@ -64,7 +70,7 @@
     , mBoard(BoardSettings(mSettings))
     , mPlacer(PlacementSettings(mSettings), mBoard, mHolders)
     , mRepeats(mSettings.mRepeats)
-    , mWork(Self(mSettings), mBoard, mHolders)
+    , mWork(Self(mSettings), mSettings.mSeeds, mBoard, mHolders)
     , mTasks(*this)
     , mExchanges{ *mAdapter.mDialect, mRoutes, mDirectory, mBoard,        mHolders,     mPlacer,
                   mRepeats,           mWork,   mPool,      mTimer,        mClock,       mTable,
@@ -95,7 +101,7 @@
         mClock,
         [this](const auto& aObjects, bool) { OnConfigurations(aObjects); },
         [this](const object_change& aChange, bool) { OnConfiguration(aChange); },
-        [this](const change_batch& aBatch) { PassOn(aBatch); })
+        [this](const change_batch& aBatch) { PassOn(aBatch, true); })
     , mServers(
         Follow(std::string{ mAdapter.mObjects->BackendKind() }),
         *mStore,
@@ -103,9 +109,21 @@
         mClock,
         [this](const auto& aObjects, bool aAfter) { OnServers(aObjects, aAfter); },
         [this](const object_change& aChange, bool aAfter) { OnServer(aChange, aAfter); },
-        [this](const change_batch& aBatch) { PassOn(aBatch); })
-    , mRegistry(Self(mSettings), *mStore, mTimer, mClock, RandomSeed(), mWork)
+        [this](const change_batch& aBatch) { PassOn(aBatch, true); })
+    , mNeighbours(aContext.provider->getNetwork(),
+                  mTimer,
+                  aClock,
+                  mTable,
+                  mWork,
+                  RandomSeed(),
+                  [this](std::string_view aKind) { return Whole(aKind); })
+    , mRegistry(mWork.Members().Self(), *mStore, mTimer, mClock, RandomSeed(), mWork)
+    , mStartedAt(aClock.Now())
   {
+    for (auto* follower : { &mConfigurations, &mServers }) {
+      follower->SetNeighbours([this](const std::string& aKind) { return mNeighbours.Ask(aKind); });
+      follower->SetWaiting(true);
+    }
   }
 
   ~kj_gateway() noexcept override = default;
@@ -122,6 +140,7 @@
     });
     mTasks.add(mReadyServer.listenHttp(*mReadyPort));
     mTasks.add(mPeers.Run(mSettings.mPeerAddress));
+    mTasks.add(mNeighbours.Serve(mSettings.mPeerAddress));
     mTasks.add(mConfigurations.Run());
     mTasks.add(mServers.Run());
     mTasks.add(mRegistry.Run());
@@ -223,7 +242,7 @@
       }
     }
     for (const auto& server : servers) {
-      NoteRestart(server);
+      NoteNewState(server);
     }
     mDirectory.Replace(servers, aAfterOutage, mClock.Now());
     Log(log_level::Info, "servers", "listed count=" + std::to_string(servers.size()));
@@ -247,7 +266,7 @@
       mDirectory.Remove(name, false, now);
       return;
     }
-    NoteRestart(*server);
+    NoteNewState(*server);
     const auto* known = mDirectory.Find(name);
     if (known == nullptr || known->mDraining != server->mDraining) {
       Log(log_level::Info,
@@ -266,10 +285,13 @@
     }
   }
 
-  /// A server that started again under its id has lost what it kept.
-  void NoteRestart(const backend_server& aServer)
+  /// A server that started again under its id has lost what it kept; one with a new role is back.
+  void NoteNewState(const backend_server& aServer)
   {
     const auto* known = mDirectory.Find(aServer.mId);
+    if (known != nullptr && known->mRole != aServer.mRole) {
+      mBoard.OnChanged(aServer.mId, mClock.Now());
+    }
     if (known != nullptr && known->mStartedAt != aServer.mStartedAt) {
       mBoard.Forget(aServer.mId);
       mHolders.Forget(aServer.mId);
@@ -296,10 +318,10 @@
     const bool closing = mStoppingSince && aNow - *mStoppingSince >= mSettings.mBalancerNotices;
     mCallers.CloseIdle(closing ? std::min(idle, kIdleWhileStopping) : idle, aNow);
     ExchangeWork(aNow);
-    if (!mStoppingSince && aNow >= mNextRoles) {
+    if (!mStoppingSince && (mWaiting || aNow >= mNextRoles)) {
       mNextRoles = aNow + kRolePeriod;
-      mRoles.OnTick(aNow);
       FollowStore(aNow);
+      mRoles.OnTick(aNow);
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
       mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
@@ -310,31 +332,54 @@
     }
   }
 
-  /// Some daemons of each data centre follow the store and pass changes on to the others of it.
+  /// Some daemons follow the store and pass changes on to the others.
   void FollowStore(instant aNow)
   {
+    const bool connected = mWork.Connected(aNow);
+    if (mWaiting && !connected && aNow - mStartedAt < kWaitForOthers) {
+      return;
+    }
     const auto& members = mWork.Members();
     const bool shortWatch = members.DutyRank(aNow) < kShortWatchers;
     const auto watch = shortWatch ? mSettings.mContact : kLongWatch;
     const auto pause = shortWatch ? kShortPause : kLongPause;
-    const bool watched = mWatchers.SelfWatches();
+    const bool watched = mWatches;
     mWatchers = store_watchers::Choose(members, aNow);
-    if (mWatchers.SelfWatches() != watched) {
+    mWatches = mWatchers.SelfWatches() || !connected;
+    if (mWatches != watched || mWaiting) {
       Log(log_level::Info,
           "store",
-          watched ? "changes come from other daemons" : "follows the store itself");
+          mWatches ? "follows the store itself" : "changes come from other daemons");
     }
     for (auto* follower : { &mConfigurations, &mServers }) {
       follower->SetPace(watch, pause);
-      follower->SetPassedOn(!mWatchers.SelfWatches());
+      follower->SetPassedOn(!mWatches);
+      follower->SetWaiting(false);
     }
+    mWaiting = false;
   }
 
-  void PassOn(const change_batch& aBatch)
+  std::optional<change_batch> Whole(std::string_view aKind) const
+  {
+    for (const auto* follower : { &mConfigurations, &mServers }) {
+      if (follower->Kind() == aKind) {
+        return follower->Whole();
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// What this daemon has read goes to the collectors of all data centres, and what it read or was
+  /// told goes on to the neighbours that it serves.
+  void PassOn(const change_batch& aBatch, bool aToCollectors)
   {
     std::vector<std::string> addresses;
+    if (aToCollectors) {
+      addresses = mWatchers.Collectors();
+    }
     for (const auto* neighbour : mWork.Members().Neighbours()) {
-      if (mWatchers.Serves(neighbour->mName)) {
+      if (mWatchers.Serves(neighbour->mName) &&
+          std::find(addresses.begin(), addresses.end(), neighbour->mAddress) == addresses.end()) {
         addresses.push_back(neighbour->mAddress);
       }
     }
@@ -344,8 +389,8 @@
   void OnBatch(const change_batch& aBatch)
   {
     for (auto* follower : { &mConfigurations, &mServers }) {
-      if (follower->Kind() == aBatch.mKind) {
-        follower->OnBatch(aBatch);
+      if (follower->Kind() == aBatch.mKind && follower->OnBatch(aBatch)) {
+        PassOn(aBatch, false);
       }
     }
   }
@@ -477,8 +522,13 @@
   kj::HttpServer mReadyServer;
   store_follower mConfigurations;
   store_follower mServers;
+  neighbour_objects mNeighbours;
   daemon_registry mRegistry;
   store_watchers mWatchers;
+  instant mStartedAt;
+  bool mWaiting = true;  ///< for other daemons, before the store is called
+  bool mWatches = false; ///< the store itself
+  instant mStoreLostAt{};
   kj::Own<kj::ConnectionReceiver> mFrontPort;
   kj::Own<kj::ConnectionReceiver> mReadyPort;
   kj::Promise<void> mAccepting = nullptr;
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <sstream>
 
 namespace skylarkwind {
 
@@ -119,6 +120,19 @@
              [](double aValue, gateway_settings& aInto) {
                aInto.mRepeats.mWindow = milliseconds{ static_cast<std::int64_t>(aValue * 1'000) };
              }) },
+    { "seeds",
+      { "ip:port, separated by commas",
+        false,
+        [](const std::string& aText, gateway_settings& aInto) {
+          std::istringstream list{ aText };
+          for (std::string seed; std::getline(list, seed, ',');) {
+            if (!IsIpPort(seed)) {
+              return false;
+            }
+            aInto.mSeeds.push_back(seed);
+          }
+          return true;
+        } } },
     { "processor_share",
       Amount("cores",
              kMostCores,
--- /dev/null
+++ b/packages/gateway/src/neighbour_objects.cpp
@@ -0,0 +1,142 @@
+#include "neighbour_objects_p.h"
+
+#include "skylarkwind/log.h"
+
+#include <vector>
+
+namespace skylarkwind {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kPath = "/objects/";
+constexpr milliseconds kConnectLimit{ 250 };
+/// A large configuration takes some 0.3 s on a link of 10 Mbit/s.
+constexpr milliseconds kAnswerLimit{ 1'500 };
+/// Objects of one kind are at most as many as a list of the store holds in its pages.
+constexpr std::size_t kMostBytes = 8 * 1'024 * 1'024;
+
+http_pool_settings
+PoolSettings()
+{
+  http_pool_settings settings;
+  settings.mConnectLimit = kConnectLimit;
+  return settings;
+}
+
+} // namespace
+
+neighbour_objects::neighbour_objects(kj::Network& aNetwork,
+                                     kj::Timer& aTimer,
+                                     const clock_source& aClock,
+                                     const kj::HttpHeaderTable& aTable,
+                                     const work_exchange& aExchange,
+                                     std::uint64_t aRandomSeed,
+                                     whole_objects aWhole)
+  : mNetwork(aNetwork)
+  , mTimer(aTimer)
+  , mClock(aClock)
+  , mTable(aTable)
+  , mExchange(aExchange)
+  , mRandom(aRandomSeed)
+  , mWhole(std::move(aWhole))
+  , mPool(aNetwork, aTimer, aClock, aTable, PoolSettings())
+  , mBodies(2 * kMostBytes)
+  , mServer(aTimer, aTable, *this)
+{
+}
+
+kj::Promise<void>
+neighbour_objects::Serve(const std::string& aAddress)
+{
+  return mNetwork.parseAddress(ToKj(aAddress)).then([this](kj::Own<kj::NetworkAddress> aParsed) {
+    mPort = aParsed->listen();
+    return mServer.listenHttp(*mPort);
+  });
+}
+
+kj::Promise<void>
+neighbour_objects::request(kj::HttpMethod,
+                           kj::StringPtr aUrl,
+                           const kj::HttpHeaders&,
+                           kj::AsyncInputStream&,
+                           Response& aResponse)
+{
+  const kj::HttpHeaders headers{ mTable };
+  const std::string_view path{ aUrl.cStr(), aUrl.size() };
+  const auto whole =
+    path.starts_with(kPath) ? mWhole(path.substr(kPath.size())) : std::optional<change_batch>{};
+  if (!whole) {
+    auto out = aResponse.send(503, "Service Unavailable", headers, std::uint64_t{ 0 });
+    return kj::READY_NOW;
+  }
+  auto bytes = kj::heap<std::string>(EncodeBatch(*whole));
+  auto out = aResponse.send(200, "OK", headers, bytes->size());
+  auto& stream = *out;
+  return stream.write(bytes->data(), bytes->size()).attach(kj::mv(out), kj::mv(bytes));
+}
+
+std::optional<std::string>
+neighbour_objects::Choose()
+{
+  const auto& members = mExchange.Members();
+  const auto now = mClock.Now();
+  std::vector<std::string> addresses;
+  const auto add = [&](const std::string& aDataCentre) {
+    for (const auto* member : members.Best(aDataCentre, fleet_members::kCollectors + 1, now)) {
+      if (member != &members.Self() && member->mReachesStore) {
+        addresses.push_back(member->mAddress);
+      }
+    }
+  };
+  add(members.Self().mDataCentre);
+  if (addresses.empty()) {
+    for (const auto& dataCentre : members.DataCentres()) {
+      add(dataCentre);
+    }
+  }
+  if (addresses.empty()) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<std::size_t> any{ 0, addresses.size() - 1 };
+  return addresses[any(mRandom)];
+}
+
+kj::Promise<std::optional<change_batch>>
+neighbour_objects::Ask(const std::string& aKind)
+{
+  const auto address = Choose();
+  if (!address) {
+    return std::optional<change_batch>{};
+  }
+  http_call call;
+  call.mAddress = *address;
+  call.mHost = *address;
+  call.mMethod = "GET";
+  call.mTarget = std::string{ kPath } + aKind;
+  call.mReuseWithin = milliseconds{ 0 };
+  auto asking = mPool.Call(std::move(call))
+                  .then([this](http_result aResult) -> kj::Promise<std::optional<change_batch>> {
+                    auto* answer = std::get_if<std::unique_ptr<http_answer>>(&aResult);
+                    if (answer == nullptr || (*answer)->mStatus != 200) {
+                      return std::optional<change_batch>{};
+                    }
+                    auto held = std::move(*answer);
+                    auto& body = held->Body();
+                    return ReadWholeBody(body, kMostBytes, mBodies)
+                      .then([held = std::move(held)](const held_body& aBody) {
+                        return DecodeBatch(aBody.Text());
+                      });
+                  });
+  return mTimer.timeoutAfter(ToKj(kAnswerLimit), kj::mv(asking))
+    .then([](std::optional<change_batch> aBatch) { return aBatch; },
+          [address = *address](kj::Exception&& aError) {
+            Log(log_level::Debug,
+                "peers",
+                "no objects from " + address + " reason=\"" + aError.getDescription().cStr() + '"');
+            return std::optional<change_batch>{};
+          });
+}
+
+} // namespace skylarkwind
--- a/packages/gateway/src/server_statements.cpp
+++ b/packages/gateway/src/server_statements.cpp
@@ -4,6 +4,13 @@
 
 namespace skylarkwind {
 
+namespace {
+
+/// About the time until a server's entry in the store tells of a change.
+constexpr std::chrono::milliseconds kMisdirectedAside{ 1'000 };
+
+} // namespace
+
 void
 NoteStatements(const answer_head& aHead,
                const backend_server& aServer,
@@ -23,6 +30,11 @@
     aDirectory.OnLeaving(aServer.mId, aServer.mStartedAt);
     aExchange.OnLeaving({ aServer.mId, aServer.mStartedAt }, aNow);
   }
+  if (aHead.mMisdirected) {
+    // Its role changed through an order whose answer was lost, or its address is another server's.
+    // The list of servers will tell; until then nobody should ask it again and again.
+    aExchange.OnChanging(BackendKey(aServer.mId), aNow + kMisdirectedAside);
+  }
   if (aHead.mQuietFor) {
     Log(log_level::Info,
         "servers",
--- a/packages/gateway/src/server_statements_p.h
+++ b/packages/gateway/src/server_statements_p.h
@@ -9,7 +9,8 @@
 namespace skylarkwind {
 
 /// Takes in what the head of an answer says of the server itself: its load, that it leaves, which
-/// other daemons are told too, and for how long it wants no requests. `aServer` is the server as it
+/// other daemons are told too, that it is not the server or has not the role that was expected, and
+/// for how long it wants no requests. `aServer` is the server as it
 /// was listed when the request was sent to it.
 void NoteStatements(const answer_head& aHead,
                     const backend_server& aServer,
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -13,6 +13,11 @@
 constexpr std::chrono::milliseconds kLapsesSeenFor{ 2'000 };
 /// The change is in the store already when a daemon that was told of it asks for it.
 constexpr std::chrono::milliseconds kCatchUpWait{ 300 };
+/// Neighbours that are asked before a call to the store, and the pause between them.
+constexpr std::uint32_t kNeighboursAsked = 4;
+constexpr std::chrono::milliseconds kAskAgain{ 80 };
+/// News that was not passed on within this time is asked for. It takes no call to the store.
+constexpr std::chrono::milliseconds kNewsWithinNeighbours{ 250 };
 
 } // namespace
 
@@ -45,8 +50,11 @@
 kj::Promise<void>
 store_follower::Step()
 {
+  if (mWaiting) {
+    return kj::NEVER_DONE;
+  }
   if (mNeedList) {
-    return List();
+    return mPassedOn && mAsk ? TakeFromNeighbour() : List();
   }
   if (!mPassedOn) {
     return Watch(mSettings.mWatch);
@@ -54,10 +62,72 @@
   return mCatchUp ? CatchUp() : kj::Promise<void>{ kj::NEVER_DONE };
 }
 
+kj::Promise<void>
+store_follower::TakeFromNeighbour()
+{
+  if (mUnanswered >= kNeighboursAsked) {
+    mUnanswered = 0;
+    return List();
+  }
+  return mAsk(mSettings.mKind).then([this](std::optional<change_batch> aBatch) {
+    return OnNeighbour(std::move(aBatch));
+  });
+}
+
+kj::Promise<void>
+store_follower::OnNeighbour(std::optional<change_batch> aBatch)
+{
+  // Neighbours may lack the news that this daemon was told of, or be behind it.
+  const auto least = std::max(mAt, mToldAt ? mToldOf : 0);
+  if (aBatch && aBatch->mWhole && aBatch->mTo >= least) {
+    mUnanswered = 0;
+    Take(*aBatch);
+    return kj::READY_NOW;
+  }
+  ++mUnanswered;
+  return mTimer.afterDelay(ToKj(kAskAgain));
+}
+
+void
+store_follower::Remember(const object_change& aChange)
+{
+  if (aChange.mRemoved) {
+    mObjects.erase(aChange.mObject.mName);
+  } else {
+    mObjects[aChange.mObject.mName] = aChange.mObject;
+  }
+}
+
+std::optional<change_batch>
+store_follower::Whole() const
+{
+  if (!mListed || mNeedList || InOutage()) {
+    return std::nullopt;
+  }
+  change_batch batch{ mSettings.mKind, mLastChange, mAt, true, AfterOutage(), {} };
+  for (const auto& [name, object] : mObjects) {
+    batch.mChanges.push_back({ object, false });
+  }
+  return batch;
+}
+
+void
+store_follower::SetWaiting(bool aWaiting)
+{
+  if (mWaiting != aWaiting) {
+    mWaiting = aWaiting;
+    Interrupt();
+  }
+}
+
 kj::Promise<void>
 store_follower::CatchUp()
 {
   mCatchUp = false;
+  if (mAsk) {
+    mNeedList = true;
+    return kj::READY_NOW;
+  }
   const auto before = mLastChange;
   return Watch(kCatchUpWait).then([this, before] {
     // The store may drop its history without a word to open watches; a list is right in any case.
@@ -84,46 +154,69 @@
 void
 store_follower::SetPassedOn(bool aPassedOn)
 {
-  if (mPassedOn == aPassedOn || (aPassedOn && (mNeedList || InOutage()))) {
+  if (mPassedOn == aPassedOn || (aPassedOn && !mAsk && (mNeedList || InOutage()))) {
     return;
   }
   mPassedOn = aPassedOn;
-  if (!mNeedList) {
+  if (mAsk && aPassedOn) {
+    // Whether the store is away is for those to find out who follow it.
+    mOutageSince = {};
+    mFailures = 0;
+  }
+  if (!mNeedList || mAsk) {
     Interrupt();
   }
 }
 
-void
+bool
 store_follower::OnBatch(const change_batch& aBatch)
 {
-  if (!mPassedOn || mNeedList || aBatch.mTo <= mAt) {
-    return;
+  if (!mPassedOn || aBatch.mTo <= mAt || (mNeedList && !(mAsk && aBatch.mWhole))) {
+    return false;
   }
   if (!aBatch.mWhole && mAt < aBatch.mFrom) {
     // A batch before this one was lost.
     mToldOf = std::max(mToldOf, mLastChange + 1);
     mToldAt = mToldAt.value_or(mClock.Now());
-    return;
+    return false;
   }
+  const bool listed = mNeedList;
+  Take(aBatch);
+  if (listed) {
+    Interrupt();
+  }
+  return true;
+}
+
+void
+store_follower::Take(const change_batch& aBatch)
+{
   mAt = mChangedAt = aBatch.mTo;
-  std::vector<stored_object> objects;
-  for (const auto& change : aBatch.mChanges) {
-    NoteRevision(change.mObject);
-    if (aBatch.mWhole) {
-      objects.push_back(change.mObject);
-    } else {
+  if (!aBatch.mWhole) {
+    for (const auto& change : aBatch.mChanges) {
+      NoteRevision(change.mObject);
+      Remember(change);
       mOnChange(change, aBatch.mAfterOutage);
     }
+    return;
   }
-  if (aBatch.mWhole) {
-    mOnList(objects, aBatch.mAfterOutage);
+  mLastChange = std::max(mLastChange, aBatch.mFrom);
+  mNeedList = false;
+  mListed = true;
+  mObjects.clear();
+  std::vector<stored_object> objects;
+  for (const auto& change : aBatch.mChanges) {
+    NoteRevision(change.mObject);
+    Remember(change);
+    objects.push_back(change.mObject);
   }
+  mOnList(objects, aBatch.mAfterOutage);
 }
 
 void
 store_follower::OnNewsElsewhere(std::uint64_t aRevision)
 {
-  if (aRevision <= mLastChange || aRevision <= mToldOf) {
+  if (aRevision <= mLastChange || aRevision <= mToldOf || (mPassedOn && mAsk && aRevision <= mAt)) {
     return;
   }
   mToldOf = aRevision;
@@ -136,11 +229,21 @@
   if (!mToldAt) {
     return;
   }
-  if (mLastChange >= mToldOf) {
+  const bool fromNeighbours = mPassedOn && mAsk;
+  // What neighbours tell covers everything up to its revision, a removal too.
+  if (mLastChange >= mToldOf || (fromNeighbours && mAt >= mToldOf)) {
     mToldAt.reset();
     return;
   }
-  if (aNow - *mToldAt < mSettings.mNewsWithin) {
+  if (aNow - *mToldAt < (fromNeighbours ? kNewsWithinNeighbours : mSettings.mNewsWithin)) {
+    return;
+  }
+  if (fromNeighbours) {
+    mToldAt = aNow;
+    if (!mNeedList) {
+      mCatchUp = true;
+      Interrupt();
+    }
     return;
   }
   mToldAt.reset();
@@ -180,8 +283,10 @@
     return List();
   }
   mAt = mListedAt;
+  mObjects.clear();
   for (const auto& object : mItems) {
     NoteRevision(object);
+    Remember({ object, false });
   }
   mChangedAt = mAt;
   mNeedList = false;
@@ -195,7 +300,7 @@
 void
 store_follower::PassOnList(const std::vector<stored_object>& aObjects) const
 {
-  change_batch batch{ mSettings.mKind, 0, mAt, true, AfterOutage(), {} };
+  change_batch batch{ mSettings.mKind, mLastChange, mAt, true, AfterOutage(), {} };
   for (const auto& object : aObjects) {
     batch.mChanges.push_back({ object, false });
   }
@@ -228,6 +333,7 @@
       }
       for (const auto& change : changes.mChanges) {
         NoteRevision(change.mObject);
+        Remember(change);
         mOnChange(change, AfterOutage());
       }
       // Nothing changed between the end of the last batch and the begin of this watch.
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -11,6 +11,8 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -45,6 +47,9 @@
   using on_change = std::function<void(const object_change&, bool aAfterOutage)>;
   /// What this daemon has read itself, to be passed on.
   using on_read = std::function<void(const change_batch&)>;
+  /// Asks a neighbour for all objects of a kind.
+  using ask_neighbour =
+    std::function<kj::Promise<std::optional<change_batch>>(const std::string& aKind)>;
 
   store_follower(store_follower_settings aSettings,
                  object_store& aStore,
@@ -68,11 +73,18 @@
   std::uint64_t LastChange() const { return mLastChange; }
   /// Another daemon has seen a change at this revision.
   void OnNewsElsewhere(std::uint64_t aRevision);
-  /// Whether other daemons pass the changes on, so that no watch is open. Takes effect once the
-  /// objects have been listed and the store is reached.
+  /// Where this daemon can learn what was not passed on to it without a call to the store.
+  void SetNeighbours(ask_neighbour aAsk) { mAsk = std::move(aAsk); }
+  /// While set, nothing is called: who follows the store is not known yet.
+  void SetWaiting(bool aWaiting);
+  /// Whether other daemons pass the changes on, so that no watch is open. Without neighbours to ask
+  /// it takes effect once the objects have been listed and the store is reached.
   void SetPassedOn(bool aPassedOn);
-  /// What another daemon passes on. Only used while no call to the store is open.
-  void OnBatch(const change_batch& aBatch);
+  /// What another daemon passes on. Only used while no call to the store is open; false when it is
+  /// not used.
+  bool OnBatch(const change_batch& aBatch);
+  /// All objects as this daemon knows them; empty before it does, and while it may miss changes.
+  std::optional<change_batch> Whole() const;
   const std::string& Kind() const { return mSettings.mKind; }
   /// Begins the open call again, once for each news elsewhere that did not come here in time. A
   /// daemon without a watch makes one call instead.
@@ -86,6 +98,11 @@
   kj::Promise<void> Watch(std::chrono::milliseconds aWait);
   /// One call for what was not passed on.
   kj::Promise<void> CatchUp();
+  /// All objects from a neighbour; after several that have none, a list of the store.
+  kj::Promise<void> TakeFromNeighbour();
+  kj::Promise<void> OnNeighbour(std::optional<change_batch> aBatch);
+  void Take(const change_batch& aBatch);
+  void Remember(const object_change& aChange);
   void Interrupt();
   void ListAgain();
   void PassOnList(const std::vector<stored_object>& aObjects) const;
@@ -101,8 +118,10 @@
   on_list mOnList;
   on_change mOnChange;
   on_read mOnRead;
-  std::vector<stored_object> mItems; ///< of a list that is not complete
-  std::uint64_t mListedAt = 0;       ///< revision of the first page
+  ask_neighbour mAsk;
+  std::map<std::string, stored_object> mObjects; ///< as of mAt
+  std::vector<stored_object> mItems;             ///< of a list that is not complete
+  std::uint64_t mListedAt = 0;                   ///< revision of the first page
   std::uint64_t mAt = 0;
   std::uint64_t mLastChange = 0;
   std::uint64_t mChangedAt = 0;   ///< end of the last list or batch with changes
@@ -110,6 +129,8 @@
   std::optional<instant> mToldAt; ///< empty when it has come or was acted on
   std::uint32_t mBusyWatches = 0; ///< watches in a row that brought changes
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
+  bool mWaiting = false;
+  std::uint32_t mUnanswered = 0; ///< neighbours in a row that had nothing
   bool mNeedList = true;
   bool mListed = false;
   bool mPassedOn = false; ///< no watch is open; others pass changes on
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -16,8 +16,8 @@
 /// request has a token count, and records every run.
 /// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
 /// "no_id" | "error" | "torn" | "leaving" | "quiet" | "twice" | "twice_late" | "trickle" |
-/// "slow"} or one of the names in backend_floods.h; `GET /standin/log` returns the requests that
-/// arrived with their headers.
+/// "slow" | "misdirected"} or one of the names in backend_floods.h; `GET /standin/log` returns the
+/// requests that arrived with their headers.
 class backend_double : public standin_app
 {
 public:
--- a/tests/sessions/gateway_misbehaviour_test.cpp
+++ b/tests/sessions/gateway_misbehaviour_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST_SUITE(gateway_misbehaviour_test);
   CPPUNIT_TEST(ServerThatSaysThatItLeavesGetsNothing);
   CPPUNIT_TEST(ServerThatWantsQuietIsLeftAlone);
+  CPPUNIT_TEST(MisdirectedRequestsDoNotFollowOneAnother);
   CPPUNIT_TEST(SecondCopyIsNeverTheNextAnswer);
   CPPUNIT_TEST(SlowStreamIsNotCut);
   CPPUNIT_TEST(StreamOfCommentsGoesOnElsewhere);
@@ -159,6 +160,23 @@
       WaitUntil([&] { return Order(system, "back").mStatus == 200; }, milliseconds{ 3'000 }));
   }
 
+  /// Guards against requests that go one after the other to an engine whose role has changed
+  /// through an order without an answer, until no repeats are left (scale-1 of tallow-creek).
+  void MisdirectedRequestsDoNotFollowOneAnother()
+  {
+    auto options = Options();
+    options.mBackends.push_back({ "p2", "model", "prefill" });
+    options.mPrefillShare = 0.5;
+    gateway_system system{ options };
+    system.SetMode("p1", "misdirected");
+    for (int i = 0; i < 10; ++i) {
+      const auto reply = system.Send(
+        "POST", "/stream/x", gateway_system::StreamHeaders("r" + std::to_string(i), 3), "b");
+      CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+    }
+    CPPUNIT_ASSERT(system.Arrivals("p1").size() <= 2);
+  }
+
   /// Guards against a second copy of an answer, at once or late, on a connection that is in use
   /// again: with the id of the request before, or with the same id when the caller repeats it.
   void SecondCopyIsNeverTheNextAnswer()
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(DrainingServerGetsNothingNew);
   CPPUNIT_TEST(ChangeInALostHistoryIsSeen);
   CPPUNIT_TEST(ServesWhileTheStoreIsAway);
+  CPPUNIT_TEST(StartsFromANeighbourWhileTheStoreIsAway);
+  CPPUNIT_TEST(ChangeReachesDaemonsThatDoNotFollowTheStore);
   CPPUNIT_TEST(StoreThatIsAwayIsNotCalledInALoop);
   CPPUNIT_TEST(StopEndsOpenStreamsWhole);
   CPPUNIT_TEST(OneDaemonOrdersTheWantedRoles);
@@ -344,6 +346,50 @@
     CPPUNIT_ASSERT(WaitUntil([&] { return system.Ready(1).mStatus == 200; }, seconds{ 5 }));
   }
 
+  /// Guards against daemons that cannot serve after a restart because the store is away, although
+  /// their neighbours know what it holds.
+  void StartsFromANeighbourWhileTheStoreIsAway()
+  {
+    auto options = Options();
+    options.mSeeds = true;
+    gateway_system system{ options };
+    system.StoreFaults({ { "mode", "silent" } });
+    system.AddDaemon();
+    CPPUNIT_ASSERT(WaitUntil([&] { return system.Ready(1).mStatus == 200; }, seconds{ 3 }));
+    const auto reply = Call("POST",
+                            system.CallerUrl("/order/a", 1),
+                            { "Host: a.example", "X-Skylarkwind-Request-Id: r" },
+                            "x");
+    CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+  }
+
+  /// Six daemons of which four follow the store: a change is in force at each one, and a start
+  /// costs no list of the store.
+  void ChangeReachesDaemonsThatDoNotFollowTheStore()
+  {
+    auto options = Options();
+    options.mSeeds = true;
+    options.mDaemons = 6;
+    gateway_system system{ options };
+    // The choice of those who follow the store settles.
+    std::this_thread::sleep_for(seconds{ 2 });
+    const auto before = system.StoreCalls();
+    auto next = gateway_system::FirstConfiguration();
+    next["Version"] = 9;
+    next["Routes"].erase(3);
+    system.Configure(next);
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT(WaitUntil(
+        [&] {
+          return Call("GET", system.CallerUrl("/lookup/a", i), { "Host: a.example" }).mStatus ==
+                 404;
+        },
+        seconds{ 2 }));
+    }
+    // The operator's own two calls, and two watches of each of the four.
+    CPPUNIT_ASSERT(system.StoreCalls() - before <= 2 + 4 * 4);
+  }
+
   /// Guards against calls that are repeated without a pause while the store refuses them.
   void StoreThatIsAwayIsNotCalledInALoop()
   {
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -25,6 +25,8 @@
   double mPrefillShare = 0.5;
   double mRepeatRatio = 0.2;
   int mRepeatFloor = 40;
+  /// Daemons know the address of the first one from their settings.
+  bool mSeeds = false;
   /// Daemons reach the store and the backend servers through relays, and backend servers keep
   /// their records in files.
   bool mRelays = false;
