Share what daemons learn of servers: outcomes, slowness, closed servers

Cause: each of 295 daemons found out alone that an engine was dark, refused all work or had become slow, and paid for it with requests.

Change: reports carry what a daemon saw at each server as counts and measured slowdowns; collectors sum them, and summaries carry the slowdown, the failed part and whether a server is closed. A closed server is tried by one daemon in each 1.6 s, drawn from names, so that the fleet loses a few requests and not a few for each daemon. Slowdowns are smoothed logarithms without clamps near the usual values; a server without a measurement counts as usual.

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -82,8 +82,12 @@
 
   /// This daemon's work at servers where it has some or had until a moment ago.
   std::vector<backend_work> OwnWork(instant aNow) const;
-  /// The work of all other daemons at a server.
-  void OnOthers(backend_key aBackend, double aPrefillTokens, std::uint32_t aRunning, instant aNow);
+  /// What it saw of the same servers.
+  std::vector<backend_record> OwnRecords(instant aNow) const;
+  /// The work of all other daemons at a server, and what all daemons together know of it.
+  void OnOthers(const backend_work& aOthers, instant aNow);
+  /// Which daemons try a closed server follows from their names and number.
+  void SetFleet(std::uint64_t aSelf, std::uint32_t aDaemons);
   /// Role changes under way.
   std::vector<changing_backend> Changing(instant aNow) const;
   /// Grows with each change of this daemon's work.
@@ -95,6 +99,7 @@
     backend_key mBackend = 0;
     std::uint32_t mPrefillTokens = 0;
     std::chrono::duration<double, std::milli> mExpected{};
+    double mSlowdown = 1; ///< with which the time was expected
     instant mBegun;
     bool mFirst = false;
   };
@@ -106,7 +111,11 @@
     double mOthersTokens = 0;
     std::uint32_t mOthersRunning = 0;
     instant mOthersAt{};
-    double mSlowdown = 1;
+    double mFleetSlowdown = 0; ///< 0 when not known
+    double mFleetFailedPart = 0;
+    bool mFleetClosed = false;
+    double mOwnSlowLog = 0; ///< logarithm, smoothed
+    backend_record mRecord;
     double mFailedPart = 0;
     std::uint32_t mFailuresInARow = 0;
     instant mSetAsideUntil{};
@@ -118,14 +127,21 @@
   };
 
   backend_state& StateOf(std::string_view aBackendId) { return mStates[BackendKey(aBackendId)]; }
-  static bool Admits(const backend_state& aState, instant aNow);
+  bool Admits(backend_key aBackend, const backend_state& aState, instant aNow) const;
+  double Slowdown(const backend_state& aState) const;
   static void OnFailure(backend_state& aState, bool aUnreachable, instant aNow);
   void NoteOwnChange(backend_state& aState, instant aNow);
+  /// Whether it is this daemon's turn to try a closed server.
+  bool MayTry(backend_key aBackend, instant aNow) const;
 
   backend_board_settings mSettings;
   std::unordered_map<backend_key, backend_state> mStates;
   std::unordered_map<ticket, open_work> mOpen;
   ticket mLastTicket = 0;
+  double mUsualSlowLog = 0; ///< of all measurements, for servers without one
+  std::uint32_t mMeasurements = 0;
+  std::uint64_t mSelf = 0;
+  std::uint32_t mDaemons = 1;
   std::uint64_t mChanges = 0;
 };
 
--- a/packages/core/include/skylarkwind/work_messages.h
+++ b/packages/core/include/skylarkwind/work_messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "skylarkwind/server_evidence.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,9 +25,24 @@
   std::uint32_t mPrefillTokens = 0; ///< of requests without a first token
   std::uint32_t mRunning = 0;       ///< requests
   std::uint64_t mAddedTokens = 0;   ///< put into its memory since the sender started
+  /// Only in summaries: times slower than its service's figures say; 0 when not known.
+  double mSlowdown = 0;
+  double mFailedPart = 0; ///< only in summaries: of the recent requests, 0 to 1
+  bool mClosed = false;   ///< only in summaries: takes no requests but a few that try it
   bool operator==(const backend_work&) const = default;
 };
 
+/// What a daemon, or the daemons of a data centre, saw of one server since the start of the sender.
+struct backend_record
+{
+  backend_key mBackend = 0;
+  server_outcomes mOutcomes;
+  /// Sum of the natural logarithms of measured slowdowns, and their number.
+  double mSlowSum = 0;
+  std::uint32_t mSlowCount = 0;
+  bool operator==(const backend_record&) const = default;
+};
+
 /// Says that a backend server keeps a part of prompts.
 struct kept_part
 {
@@ -91,7 +108,8 @@
   fleet_member mSender;
   std::uint64_t mSequence = 0; ///< from 1, grows while the process lives
   store_news mNews;
-  std::vector<backend_work> mWork; ///< servers with work now or a moment ago
+  std::vector<backend_work> mWork;      ///< servers with work now or a moment ago
+  std::vector<backend_record> mRecords; ///< the same servers
   backend_facts mFacts;
   bool operator==(const work_report&) const = default;
 };
@@ -108,6 +126,9 @@
   std::uint32_t mDaemons = 0; ///< whose work is summed
   store_news mNews;
   std::vector<backend_work> mWork; ///< servers with work now or a moment ago
+  /// Between data centres: servers where requests were refused, failed or lost lately. Slowdowns
+  /// are left out.
+  std::vector<backend_record> mRecords;
   backend_facts mFacts;
   /// Some of the daemons that live; all of them come by turns. Those of the sender's data centre,
   /// and for the whole fleet also the collectors of the others.
--- a/packages/core/include/skylarkwind/work_sums.h
+++ b/packages/core/include/skylarkwind/work_sums.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "skylarkwind/clock.h"
+#include "skylarkwind/server_evidence.h"
 #include "skylarkwind/work_messages.h"
 
 #include <chrono>
@@ -31,6 +32,8 @@
 
   /// Sums over this data centre.
   std::vector<backend_work> Own(instant aNow) const;
+  /// Outcomes in this data centre at servers where some were bad lately.
+  std::vector<backend_record> OwnRecords(instant aNow) const;
   /// Sums over all data centres.
   std::vector<backend_work> Fleet(instant aNow) const;
   std::uint32_t OwnDaemons() const { return static_cast<std::uint32_t>(mReporters.size()); }
@@ -56,6 +59,7 @@
     store_news mNews;
     std::vector<backend_work> mWork;
     added_counts mAdded;
+    std::unordered_map<backend_key, backend_record> mRecords; ///< newest
   };
   struct sum
   {
@@ -64,6 +68,13 @@
     std::uint64_t mAdded = 0;         ///< by all reporters that were ever heard
     std::uint64_t mAddedByOthers = 0; ///< the same of other data centres
     instant mChangedAt{};
+    server_evidence mEvidence; ///< of this data centre
+    server_evidence mFleetEvidence;
+    server_outcomes mOutcomes; ///< of this data centre, since the start
+    instant mBadAt{};          ///< last one that was not an answer
+    double mSlowLog = 0;       ///< logarithm of the slowdown, smoothed
+    std::uint32_t mSlowCount = 0;
+    instant mSlowAt{};
   };
   /// What one collector of another data centre told last.
   struct told_sums
@@ -74,6 +85,7 @@
     std::uint32_t mDaemons = 0;
     store_news mNews;
     added_counts mAdded;
+    std::unordered_map<backend_key, server_outcomes> mOutcomes; ///< newest
     std::map<backend_key, std::pair<backend_work, instant>> mWork;
   };
   struct other_data_centre
@@ -83,8 +95,14 @@
   };
 
   void Take(const std::vector<backend_work>& aWork, int aSign, instant aNow);
+  /// Takes in what is new in a daemon's record of a server.
+  void Take(const backend_record& aRecord, reporter& aReporter, instant aNow);
+  static bool Closed(const sum& aSum, instant aNow);
+  /// The slowdown now: a measurement fades towards what is usual, so that a server that is left
+  /// because it was slow is used again.
+  double Slowdown(const sum& aSum, instant aNow) const;
   /// What was added since the count that the sender told before.
-  static std::uint64_t Grown(added_counts& aCounts, const backend_work& aWork);
+  static std::uint64_t AddedSince(added_counts& aCounts, const backend_work& aWork);
   /// The collector of a data centre whose sums are used: of those heard lately the one that counts
   /// most daemons, among equal ones the one heard last.
   static const told_sums* BestOf(const other_data_centre& aOther, instant aNow);
@@ -94,6 +112,8 @@
   std::unordered_map<backend_key, sum> mSums;
   std::map<std::string, other_data_centre, std::less<>> mOthers; ///< by name
   std::uint64_t mChanges = 0;
+  double mUsualSlowLog = 0; ///< over all servers
+  std::uint32_t mMeasurements = 0;
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -1,6 +1,10 @@
 #include "skylarkwind/backend_board.h"
 
+#include "skylarkwind/hash.h"
+
 #include <algorithm>
+#include <array>
+#include <cmath>
 
 namespace skylarkwind {
 
@@ -11,8 +15,16 @@
 /// Weight of a new measurement against the ones before.
 constexpr double kSlowdownStep = 0.15;
 constexpr double kFailureStep = 0.2;
-constexpr double kLeastSlowdown = 0.5;
-constexpr double kMostSlowdown = 8;
+/// The weight in the mean of all servers, for those without a measurement of their own.
+constexpr double kUsualStep = 0.05;
+/// Bounds against a single absurd measurement. Engines differ from the figures in the settings by
+/// less.
+constexpr double kMostSlowdown = 64;
+/// The same for a value that other daemons tell of one server, several times a second.
+constexpr double kToldStep = 0.002;
+/// A closed server is tried by this many daemons in each such time, others in the next.
+constexpr std::uint32_t kTriers = 1;
+constexpr std::chrono::milliseconds kTrySlot{ 1'600 };
 /// Measurements of less than this are dominated by the network.
 constexpr milliseconds_f kLeastMeasured{ 10 };
 /// Failures in a row that set a server aside; one refused connection is enough.
@@ -53,7 +65,7 @@
   state.mOwnRunning += 1;
   state.mTrialOpen = true;
   NoteOwnChange(state, aNow);
-  mOpen[++mLastTicket] = { key, aPrefillTokens, aExpected, aNow, false };
+  mOpen[++mLastTicket] = { key, aPrefillTokens, aExpected, Slowdown(state), aNow, false };
   return mLastTicket;
 }
 
@@ -72,8 +84,16 @@
   const milliseconds_f taken = aNow - work.mBegun;
   if (work.mExpected >= kLeastMeasured) {
     const double ratio =
-      std::clamp(taken / work.mExpected * state.mSlowdown, kLeastSlowdown, kMostSlowdown);
-    state.mSlowdown += kSlowdownStep * (ratio - state.mSlowdown);
+      std::clamp(taken / work.mExpected * work.mSlowdown, 1 / kMostSlowdown, kMostSlowdown);
+    auto& record = state.mRecord;
+    record.mSlowSum += std::log(ratio);
+    // The first measurements count as a plain mean, so that the figures are right soon.
+    const auto weight = [](double aLeast, std::uint32_t aBefore) {
+      return std::max(aLeast, 1.0 / (1 + aBefore));
+    };
+    state.mOwnSlowLog +=
+      weight(kSlowdownStep, record.mSlowCount++) * (std::log(ratio) - state.mOwnSlowLog);
+    mUsualSlowLog += weight(kUsualStep, mMeasurements++) * (std::log(ratio) - mUsualSlowLog);
   }
 }
 
@@ -91,9 +111,24 @@
   state.mOwnRunning -= 1;
   mOpen.erase(found);
   NoteOwnChange(state, aNow);
-  if (aOutcome == backend_outcome::Cancelled) {
-    state.mTrialOpen = false;
-    return;
+  auto& outcomes = state.mRecord.mOutcomes;
+  switch (aOutcome) {
+    case backend_outcome::Answered:
+      ++outcomes.mAnswered;
+      break;
+    case backend_outcome::Refused:
+      ++outcomes.mRefused;
+      break;
+    case backend_outcome::Failed:
+      ++outcomes.mFailed;
+      break;
+    case backend_outcome::Unreachable:
+    case backend_outcome::Silent:
+      ++outcomes.mLost;
+      break;
+    case backend_outcome::Cancelled:
+      state.mTrialOpen = false;
+      return;
   }
   if (aOutcome == backend_outcome::Answered || aOutcome == backend_outcome::Refused) {
     state.mTrialOpen = false;
@@ -155,17 +190,49 @@
   auto& state = StateOf(aBackendId);
   state.mFailuresInARow = 0;
   state.mFailedPart = 0;
-  state.mSlowdown = 1;
+  state.mFleetSlowdown = 0;
+  state.mFleetClosed = false;
+  state.mOwnSlowLog = 0;
+  state.mRecord.mSlowCount = 0;
   state.mSetAsideUntil = {};
   state.mQuietUntil = {};
 }
 
+void
+backend_board::SetFleet(std::uint64_t aSelf, std::uint32_t aDaemons)
+{
+  mSelf = aSelf;
+  mDaemons = std::max(1U, aDaemons);
+}
+
 bool
-backend_board::Admits(const backend_state& aState, instant aNow)
+backend_board::MayTry(backend_key aBackend, instant aNow) const
+{
+  const auto slot = aNow.time_since_epoch() / kTrySlot;
+  const std::array<std::uint64_t, 3> turn{ mSelf, aBackend, static_cast<std::uint64_t>(slot) };
+  const auto drawn = Hash64({ reinterpret_cast<const char*>(turn.data()), sizeof(turn) });
+  return drawn % mDaemons < kTriers;
+}
+
+double
+backend_board::Slowdown(const backend_state& aState) const
+{
+  if (aState.mFleetSlowdown > 0) {
+    return aState.mFleetSlowdown;
+  }
+  return std::exp(aState.mRecord.mSlowCount > 0 ? aState.mOwnSlowLog : mUsualSlowLog);
+}
+
+bool
+backend_board::Admits(backend_key aBackend, const backend_state& aState, instant aNow) const
 {
   if (aNow < aState.mChangingUntil || aNow < aState.mQuietUntil) {
     return false;
   }
+  const bool closed = aState.mFleetClosed && aNow - aState.mOthersAt < mSettings.mOthersLife;
+  if (closed && (aState.mTrialOpen || !MayTry(aBackend, aNow))) {
+    return false;
+  }
   if (aState.mFailuresInARow == 0) {
     return true;
   }
@@ -179,12 +246,14 @@
 backend_board::view
 backend_board::Look(std::string_view aBackendId, instant aNow) const
 {
-  const auto found = mStates.find(BackendKey(aBackendId));
+  const auto key = BackendKey(aBackendId);
+  const auto found = mStates.find(key);
+  view seen;
   if (found == mStates.end()) {
-    return {};
+    seen.mSlowdown = std::exp(mUsualSlowLog);
+    return seen;
   }
   const auto& state = found->second;
-  view seen;
   seen.mWaitingTokens = state.mOwnTokens;
   seen.mRunning = state.mOwnRunning;
   if (aNow - state.mOthersAt < mSettings.mOthersLife) {
@@ -194,9 +263,12 @@
   if (aNow - state.mLoadAt < kLoadLife) {
     seen.mRunning = std::max(seen.mRunning, state.mLoad.mWaiting);
   }
-  seen.mSlowdown = state.mSlowdown;
+  seen.mSlowdown = Slowdown(state);
   seen.mFailedPart = state.mFailedPart;
-  seen.mAdmits = Admits(state, aNow);
+  if (aNow - state.mOthersAt < mSettings.mOthersLife) {
+    seen.mFailedPart = std::max(seen.mFailedPart, state.mFleetFailedPart);
+  }
+  seen.mAdmits = Admits(key, state, aNow);
   return seen;
 }
 
@@ -227,16 +299,34 @@
   return work;
 }
 
+std::vector<backend_record>
+backend_board::OwnRecords(instant aNow) const
+{
+  std::vector<backend_record> records;
+  for (const auto& [key, state] : mStates) {
+    if (state.mOwnRunning > 0 || aNow - state.mOwnChangedAt < kToldAsEnded) {
+      records.push_back(state.mRecord);
+      records.back().mBackend = key;
+    }
+  }
+  return records;
+}
+
 void
-backend_board::OnOthers(backend_key aBackend,
-                        double aPrefillTokens,
-                        std::uint32_t aRunning,
-                        instant aNow)
+backend_board::OnOthers(const backend_work& aOthers, instant aNow)
 {
-  auto& state = mStates[aBackend];
-  state.mOthersTokens = aPrefillTokens;
-  state.mOthersRunning = aRunning;
+  auto& state = mStates[aOthers.mBackend];
+  state.mOthersTokens = aOthers.mPrefillTokens;
+  state.mOthersRunning = aOthers.mRunning;
   state.mOthersAt = aNow;
+  state.mFleetFailedPart = aOthers.mFailedPart;
+  state.mFleetClosed = aOthers.mClosed;
+  if (aOthers.mSlowdown > 0) {
+    state.mFleetSlowdown = aOthers.mSlowdown;
+    mUsualSlowLog +=
+      kToldStep *
+      (std::log(std::clamp(aOthers.mSlowdown, 1 / kMostSlowdown, kMostSlowdown)) - mUsualSlowLog);
+  }
 }
 
 std::vector<changing_backend>
--- a/packages/core/src/work_exchange.cpp
+++ b/packages/core/src/work_exchange.cpp
@@ -1,5 +1,7 @@
 #include "skylarkwind/work_exchange.h"
 
+#include "skylarkwind/hash.h"
+
 #include <algorithm>
 
 namespace skylarkwind {
@@ -31,6 +33,8 @@
 constexpr std::size_t kMostKept = 120;
 /// Members that one message names.
 constexpr std::size_t kMostMembers = 8;
+/// Servers with bad outcomes that one message tells of.
+constexpr std::size_t kMostRecords = 24;
 /// Daemons of other data centres that are answered at once, above those of the largest deployment
 /// aimed at (350).
 constexpr std::size_t kMostJoining = 512;
@@ -81,6 +85,7 @@
     aSummary.mFacts.mKept = Slice(kept, i, kMostKept);
     aOut.push_back({ aSummary, aReceivers });
     aSummary.mFacts = {};
+    aSummary.mRecords.clear();
     aSummary.mMembers.clear();
   }
 }
@@ -197,18 +202,14 @@
     return aReport.mSequence == aIncludes;
   });
   for (const auto& work : aWork) {
-    double tokens = work.mPrefillTokens;
-    std::int64_t running = work.mRunning;
+    auto others = work;
     if (own != mSnapshots.end()) {
       if (const auto part = own->mWork.find(work.mBackend); part != own->mWork.end()) {
-        tokens -= part->second.mPrefillTokens;
-        running -= part->second.mRunning;
+        others.mPrefillTokens -= std::min(others.mPrefillTokens, part->second.mPrefillTokens);
+        others.mRunning -= std::min(others.mRunning, part->second.mRunning);
       }
     }
-    mBoard.OnOthers(work.mBackend,
-                    std::max(0.0, tokens),
-                    static_cast<std::uint32_t>(std::max<std::int64_t>(0, running)),
-                    aNow);
+    mBoard.OnOthers(others, aNow);
     const auto [known, first] = aSource.mAdded.try_emplace(work.mBackend, work.mAddedTokens);
     const auto before = std::exchange(known->second, work.mAddedTokens);
     if (aCountsAdded && !first && work.mAddedTokens > before) {
@@ -263,6 +264,7 @@
   report.mSequence = ++mSequence;
   report.mNews = mOwnNews;
   report.mWork = mBoard.OwnWork(aNow);
+  report.mRecords = mBoard.OwnRecords(aNow);
   snapshot taken{ mSequence, {} };
   for (auto& work : report.mWork) {
     work.mAddedTokens = mParts.OwnAdded(work.mBackend);
@@ -502,6 +504,10 @@
       summary.mMembers.push_back(*member);
     }
   }
+  summary.mRecords = mSums.OwnRecords(aNow);
+  if (summary.mRecords.size() > kMostRecords) {
+    summary.mRecords.resize(kMostRecords);
+  }
   Split(std::move(summary), mSums.Own(aNow), std::move(receivers), aOut);
 }
 
@@ -528,6 +534,7 @@
                 [&](const auto& aEntry) { return aNow - aEntry.second >= kFactLife; });
   std::erase_if(mSources,
                 [&](const auto& aEntry) { return aNow - aEntry.second.mHeardAt >= kDaemonsSpan; });
+  mBoard.SetFleet(Hash64(mMembers.Self().mName), Daemons());
   NoteSilentCollectors(aNow);
   SendReport(out, aNow);
   SendFleetSummary(out, aNow);
--- a/packages/gateway/schema/work.capnp
+++ b/packages/gateway/schema/work.capnp
@@ -21,6 +21,18 @@
   prefillTokens @1 :UInt32;
   addedUnits @2 :UInt32;    # of 64 tokens
   running @3 :UInt16;
+  slowdown @4 :UInt8;       # 0 when not known; 128 is 1, and 16 more are twice as slow
+  failed @5 :UInt8;         # part of the requests in 1/254; 255 when the server is closed
+}
+
+struct Record {
+  backend @0 :UInt32;
+  answered @1 :UInt32;
+  refused @2 :UInt32;
+  failed @3 :UInt32;
+  lost @4 :UInt32;
+  slowCount @5 :UInt32;
+  slowSum @6 :Float64;
 }
 
 struct KeptPart {
@@ -57,6 +69,7 @@
   news @2 :News;
   work @3 :List(Work);
   facts @4 :Facts;
+  records @5 :List(Record);
 }
 
 struct Summary {
@@ -68,6 +81,7 @@
   work @5 :List(Work);
   facts @6 :Facts;
   members @7 :List(Member);
+  records @8 :List(Record);
 }
 
 struct Message {
--- a/packages/gateway/src/work.capnp.h
+++ b/packages/gateway/src/work.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(fe18402cd1c6c43e);
 CAPNP_DECLARE_SCHEMA(9b99d844939432d6);
+CAPNP_DECLARE_SCHEMA(d658759c036b5b01);
 CAPNP_DECLARE_SCHEMA(dcea381420bff3cb);
 CAPNP_DECLARE_SCHEMA(c9544d4cfd00e6bc);
 CAPNP_DECLARE_SCHEMA(e39bd1b40ca2af3f);
@@ -63,6 +64,21 @@
   };
 };
 
+struct Record {
+  Record() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d658759c036b5b01, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct KeptPart {
   KeptPart() = delete;
 
@@ -146,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a05c6af767ffb636, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a05c6af767ffb636, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -161,7 +177,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e394b99ad3a82f5e, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(e394b99ad3a82f5e, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -335,6 +351,10 @@
 
   inline  ::uint16_t getRunning() const;
 
+  inline  ::uint8_t getSlowdown() const;
+
+  inline  ::uint8_t getFailed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -375,6 +395,12 @@
   inline  ::uint16_t getRunning();
   inline void setRunning( ::uint16_t value);
 
+  inline  ::uint8_t getSlowdown();
+  inline void setSlowdown( ::uint8_t value);
+
+  inline  ::uint8_t getFailed();
+  inline void setFailed( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -401,6 +427,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class Record::Reader {
+public:
+  typedef Record Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend() const;
+
+  inline  ::uint32_t getAnswered() const;
+
+  inline  ::uint32_t getRefused() const;
+
+  inline  ::uint32_t getFailed() const;
+
+  inline  ::uint32_t getLost() const;
+
+  inline  ::uint32_t getSlowCount() const;
+
+  inline double getSlowSum() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Record::Builder {
+public:
+  typedef Record Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+  inline  ::uint32_t getAnswered();
+  inline void setAnswered( ::uint32_t value);
+
+  inline  ::uint32_t getRefused();
+  inline void setRefused( ::uint32_t value);
+
+  inline  ::uint32_t getFailed();
+  inline void setFailed( ::uint32_t value);
+
+  inline  ::uint32_t getLost();
+  inline void setLost( ::uint32_t value);
+
+  inline  ::uint32_t getSlowCount();
+  inline void setSlowCount( ::uint32_t value);
+
+  inline double getSlowSum();
+  inline void setSlowSum(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Record::Pipeline {
+public:
+  typedef Record Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class KeptPart::Reader {
 public:
   typedef KeptPart Reads;
@@ -872,6 +1004,9 @@
   inline bool hasFacts() const;
   inline  ::skylarkwind::work_wire::Facts::Reader getFacts() const;
 
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -931,6 +1066,13 @@
   inline void adoptFacts(::capnp::Orphan< ::skylarkwind::work_wire::Facts>&& value);
   inline ::capnp::Orphan< ::skylarkwind::work_wire::Facts> disownFacts();
 
+  inline bool hasRecords();
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -998,6 +1140,9 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::skylarkwind::work_wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1070,6 +1215,13 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Member,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool hasRecords();
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>> disownRecords();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1412,6 +1564,132 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Work::Reader::getSlowdown() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Work::Builder::getSlowdown() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setSlowdown( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Work::Reader::getFailed() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Work::Builder::getFailed() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setFailed( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getAnswered() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getAnswered() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setAnswered( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getRefused() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getRefused() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setRefused( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getFailed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getFailed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setFailed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getLost() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getLost() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setLost( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Record::Reader::getSlowCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Record::Builder::getSlowCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setSlowCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Record::Reader::getSlowSum() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double Record::Builder::getSlowSum() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setSlowSum(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t KeptPart::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1839,6 +2117,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Report::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setRecords( ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>> Report::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Summary::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2066,6 +2378,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Summary::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Summary::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader Summary::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder Summary::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Summary::Builder::setRecords( ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>::Builder Summary::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Summary::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>> Summary::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::skylarkwind::work_wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::skylarkwind::work_wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/gateway/src/work_codec.cpp
+++ b/packages/gateway/src/work_codec.cpp
@@ -6,6 +6,7 @@
 #include <kj/exception.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -31,6 +32,28 @@
   return static_cast<narrow>(std::min<wide>(aValue, std::numeric_limits<narrow>::max()));
 }
 
+/// Slowdowns are sent on a logarithmic scale.
+constexpr double kSlowOne = 128;
+constexpr double kSlowDoubled = 16;
+constexpr double kFailedAll = 254;
+constexpr std::uint8_t kClosed = 255;
+
+std::uint8_t
+EncodeSlowdown(double aSlowdown)
+{
+  if (aSlowdown <= 0) {
+    return 0;
+  }
+  return static_cast<std::uint8_t>(
+    std::lround(std::clamp(kSlowOne + kSlowDoubled * std::log2(aSlowdown), 1.0, 255.0)));
+}
+
+double
+DecodeSlowdown(std::uint8_t aByte)
+{
+  return aByte == 0 ? 0 : std::exp2((aByte - kSlowOne) / kSlowDoubled);
+}
+
 std::string
 ToStd(capnp::Text::Reader aText)
 {
@@ -68,6 +91,9 @@
     // The count wraps around after 270 thousand million tokens; receivers take a smaller one as no
     // growth.
     aOut[i].setAddedUnits(static_cast<std::uint32_t>(work.mAddedTokens / kAddedUnit));
+    aOut[i].setSlowdown(EncodeSlowdown(work.mSlowdown));
+    const auto failed = std::lround(std::clamp(work.mFailedPart, 0.0, 1.0) * kFailedAll);
+    aOut[i].setFailed(work.mClosed ? kClosed : static_cast<std::uint8_t>(failed));
   }
 }
 
@@ -80,11 +106,46 @@
     work.push_back({ entry.getBackend(),
                      entry.getPrefillTokens(),
                      entry.getRunning(),
-                     entry.getAddedUnits() * kAddedUnit });
+                     entry.getAddedUnits() * kAddedUnit,
+                     DecodeSlowdown(entry.getSlowdown()),
+                     std::min(1.0, entry.getFailed() / kFailedAll),
+                     entry.getFailed() == kClosed });
   }
   return work;
 }
 
+void
+Write(const std::vector<backend_record>& aRecords, capnp::List<work_wire::Record>::Builder aOut)
+{
+  for (unsigned int i = 0; i < aOut.size(); ++i) {
+    const auto& record = aRecords[i];
+    aOut[i].setBackend(record.mBackend);
+    aOut[i].setAnswered(record.mOutcomes.mAnswered);
+    aOut[i].setRefused(record.mOutcomes.mRefused);
+    aOut[i].setFailed(record.mOutcomes.mFailed);
+    aOut[i].setLost(record.mOutcomes.mLost);
+    aOut[i].setSlowSum(record.mSlowSum);
+    aOut[i].setSlowCount(record.mSlowCount);
+  }
+}
+
+std::vector<backend_record>
+Read(capnp::List<work_wire::Record>::Reader aIn)
+{
+  std::vector<backend_record> records;
+  for (const auto entry : aIn) {
+    // A sum that is no number would spoil every mean that it enters.
+    if (std::isfinite(entry.getSlowSum())) {
+      records.push_back(
+        { entry.getBackend(),
+          { entry.getAnswered(), entry.getRefused(), entry.getFailed(), entry.getLost() },
+          entry.getSlowSum(),
+          entry.getSlowCount() });
+    }
+  }
+  return records;
+}
+
 void
 Write(const backend_facts& aFacts, work_wire::Facts::Builder aOut)
 {
@@ -146,6 +207,7 @@
   out.setSequence(aReport.mSequence);
   Write(aReport.mNews, out.initNews());
   Write(aReport.mWork, out.initWork(static_cast<unsigned int>(aReport.mWork.size())));
+  Write(aReport.mRecords, out.initRecords(static_cast<unsigned int>(aReport.mRecords.size())));
   Write(aReport.mFacts, out.initFacts());
 }
 
@@ -157,6 +219,7 @@
   report.mSequence = aIn.getSequence();
   report.mNews = Read(aIn.getNews());
   report.mWork = Read(aIn.getWork());
+  report.mRecords = Read(aIn.getRecords());
   report.mFacts = Read(aIn.getFacts());
   return report;
 }
@@ -171,6 +234,7 @@
   out.setDaemons(aSummary.mDaemons);
   Write(aSummary.mNews, out.initNews());
   Write(aSummary.mWork, out.initWork(static_cast<unsigned int>(aSummary.mWork.size())));
+  Write(aSummary.mRecords, out.initRecords(static_cast<unsigned int>(aSummary.mRecords.size())));
   Write(aSummary.mFacts, out.initFacts());
   auto members = out.initMembers(static_cast<unsigned int>(aSummary.mMembers.size()));
   for (unsigned int i = 0; i < members.size(); ++i) {
@@ -188,6 +252,7 @@
   summary.mDaemons = aIn.getDaemons();
   summary.mNews = Read(aIn.getNews());
   summary.mWork = Read(aIn.getWork());
+  summary.mRecords = Read(aIn.getRecords());
   summary.mFacts = Read(aIn.getFacts());
   for (const auto member : aIn.getMembers()) {
     summary.mMembers.push_back(Read(member));
