Bound the line before a request by its target, not by its caller's patience

Cause: a request was refused only when half of its caller's patience would pass before the first event.

Change: at most 1.2 targets, the request's own computation and transfer included, may wait ahead of it, and at least 0.7, so that long prompts are not refused for their own length. Refusals are logged with prompt, wait, prediction and target.

--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -24,6 +24,7 @@
   std::uint32_t mComputeTokens = 0; ///< left to compute after what is kept or fetched
   std::uint32_t mFetchTokens = 0;   ///< fetched from another engine
   std::uint32_t mAheadTokens = 0;   ///< wait at the computing engine before it
+  std::chrono::duration<double, std::milli> mWait{};        ///< for that work
   std::chrono::duration<double, std::milli> mPrefillTime{}; ///< until the prompt is computed
   std::chrono::duration<double, std::milli> mFirstToken{};  ///< predicted, from now
 };
@@ -33,6 +34,7 @@
 {
   std::string_view mReason;
   std::chrono::milliseconds mRetryAfter{};
+  std::optional<placement> mBest = std::nullopt; ///< the best one, where it would come too late
 };
 
 /// The shared start of the prompt is being computed for another request. Sent now, this request
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -40,7 +40,10 @@
 constexpr int kPatienceInTargets = 4;
 constexpr int kPatienceInGaps = 8;
 /// Part of the patience that a prediction may fill; predictions err.
-constexpr double kUsablePatience = 0.5;
+constexpr double kUsablePatience = 0.8;
+/// What may wait ahead of a request, as a multiple of its target: with its own time, and at least.
+constexpr double kLine = 1.2;
+constexpr double kLeastLine = 0.7;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 200 };
 /// While no engine admits work, one is changing its role or coming back.
 constexpr std::chrono::milliseconds kNoEngineRetryAfter{ 1'000 };
@@ -207,6 +210,7 @@
   const double computing = compute / rate;
   made.mPlacement.mComputeTokens = compute;
   made.mPlacement.mAheadTokens = static_cast<std::uint32_t>(aEngine.mSeen.mWaitingTokens);
+  made.mPlacement.mWait = milliseconds_f{ wait };
   made.mPlacement.mPrefillTime = milliseconds_f{ wait + computing + transfer };
   made.mPlacement.mFirstToken = made.mPlacement.mPrefillTime + milliseconds_f{ kFirstStepMs };
   made.mCost = made.mPlacement.mFirstToken.count() + mSettings.mComputeWeight * computing +
@@ -294,14 +298,21 @@
     return NoneAdmits(aQuery, "no engine admits the request", kNoEngineRetryAfter, aNow);
   }
   const auto patience = FirstEventPatience(*aQuery.mRoute, aQuery.mTimeLeft);
-  if (best->mPlacement.mFirstToken > kUsablePatience * patience) {
+  // What waits ahead is bounded by the target: a longer line serves no more callers and makes all
+  // of them late. The request's own computation and transfer may take longer than the target.
+  const milliseconds_f target{ aQuery.mRoute->mTarget };
+  const auto own = best->mPlacement.mFirstToken - best->mPlacement.mWait;
+  const auto line = std::max(kLeastLine * target, kLine * target - own);
+  const bool late = best->mPlacement.mWait > line;
+  if (late || best->mPlacement.mFirstToken > kUsablePatience * patience) {
     const auto excess = best->mPlacement.mFirstToken - milliseconds_f{ aQuery.mRoute->mTarget };
     const auto spread =
       0.75 + 0.5 * static_cast<double>(bestTie >> 11U) / static_cast<double>(1ULL << 53U);
     return no_placement{ "the first token would come too late",
-                         std::max(kLeastRetryAfter,
-                                  std::chrono::duration_cast<std::chrono::milliseconds>(excess *
-                                                                                        spread)) };
+                         std::max(
+                           kLeastRetryAfter,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(excess * spread)),
+                         best->mPlacement };
   }
   return best->mPlacement;
 }
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(NewPartIsComputedOnce);
   CPPUNIT_TEST(LongPromptDoesNotHoldUpRunningStreams);
   CPPUNIT_TEST(HopelessRequestIsRefusedAtOnce);
+  CPPUNIT_TEST(LineIsBoundedByTheTarget);
+  CPPUNIT_TEST(LongPromptIsNotRefusedForItsOwnTime);
   CPPUNIT_TEST(RetryAfterGrowsWithTheBacklog);
   CPPUNIT_TEST(BurstSpreadsOverAllPrefillEngines);
   CPPUNIT_TEST(NoDecodeEngineMeansNoPlacement);
@@ -176,6 +178,45 @@
     CPPUNIT_ASSERT(std::get<no_placement>(result).mRetryAfter >= milliseconds{ 200 });
   }
 
+  /// The pattern: a burst of prompts to engines that are fast for their target, as callers who wait
+  /// two seconds for first events due within 150 ms. Guards against a line that makes every first
+  /// event late, and against one so short that engines idle.
+  void LineIsBoundedByTheTarget()
+  {
+    mRoute.mTarget = milliseconds{ 150 };
+    int placed = 0;
+    for (std::uint64_t part = 1; part <= 400; ++part) {
+      generation_shape shape;
+      shape.mParts = { { part, 2'000 } };
+      shape.mPromptTokens = 2'000;
+      const auto result = Place(&shape);
+      if (const auto* chosen = std::get_if<placement>(&result)) {
+        CPPUNIT_ASSERT(chosen->mWait <= mRoute.mTarget * 1.2);
+        const auto* engine = chosen->mPrefill != nullptr ? chosen->mPrefill : chosen->mTarget;
+        mBoard->Begin(engine->mId, chosen->mComputeTokens, chosen->mPrefillTime, mNow);
+        ++placed;
+      }
+    }
+    // Each of the six prefill engines has work for more than half of the target.
+    CPPUNIT_ASSERT(placed > 6 * 2);
+    for (const auto& server : mServers) {
+      if (server.mRole == engine_role::Prefill) {
+        const auto waiting = mBoard->Look(server.mId, mNow).mWaitingTokens;
+        CPPUNIT_ASSERT(waiting / mBoard->Rate(server.mRole, 1) > 75);
+      }
+    }
+  }
+
+  /// Guards against callers with long prompts who are never served: computing 40,000 tokens takes
+  /// longer than the target at any time.
+  void LongPromptIsNotRefusedForItsOwnTime()
+  {
+    for (const auto& server : mServers) {
+      mBoard->Begin(server.mId, 10'000, milliseconds{ 200 }, mNow);
+    }
+    CPPUNIT_ASSERT(Placed(Shape(1, 26'700)).mFirstToken > mRoute.mTarget);
+  }
+
   void RetryAfterGrowsWithTheBacklog()
   {
     const auto shape = Shape(1);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -189,6 +189,9 @@
   const auto servers = mContext.mDirectory.Usable(mService->mName);
   const auto result = mContext.mPlacer.Place(Query(servers), mContext.mClock.Now());
   if (const auto* none = std::get_if<no_placement>(&result)) {
+    if (none->mBest) {
+      NotePlan(*none->mBest);
+    }
     return GiveUp(none->mReason, none->mRetryAfter);
   }
   if (const auto* parts = std::get_if<await_parts>(&result)) {
@@ -201,6 +204,7 @@
     }
     return GiveUp("no repeats are left", kRetryAfterRefusal);
   }
+  mSentAt = mContext.mClock.Now();
   NotePlan(chosen);
   if (chosen.mPrefill != nullptr) {
     return Prefill(chosen);
@@ -211,7 +215,6 @@
 void
 exchange::NotePlan(const placement& aPlacement)
 {
-  mSentAt = mContext.mClock.Now();
   if (!mRequest.mGeneration) {
     return;
   }
@@ -222,7 +225,9 @@
     " compute=" + std::to_string(aPlacement.mComputeTokens) + " at=" + computing->mId +
     " ahead=" + std::to_string(aPlacement.mAheadTokens) +
     " fetch=" + (aPlacement.mFetchFrom != nullptr ? aPlacement.mFetchFrom->mId : "-") +
-    " predicted_ms=" + std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count()));
+    " wait_ms=" + std::to_string(static_cast<std::int64_t>(aPlacement.mWait.count())) +
+    " predicted_ms=" + std::to_string(static_cast<std::int64_t>(aPlacement.mFirstToken.count())) +
+    " target_ms=" + std::to_string(mRoute->mTarget.count());
 }
 
 kj::Promise<void>
