Offer a computed prompt to another decode engine before it is computed again

Cause: when the decode engine chosen for a request refused it, the KV cache of its prompt was freed and the prompt computed once more, which also cost two repeats in place of one.

Change: the same handle is offered to at most two further decode engines. Once a stream may have run, its handle is not offered again.

The test fails before: the second decode engine got no handle, and the cache had been freed.

--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -79,6 +79,8 @@
   placer(placement_settings aSettings, const backend_board& aBoard, const part_holders& aParts);
 
   placement_result Place(const placement_query& aQuery, instant aNow) const;
+  /// The engine that streams a request whose prompt is computed already; null when none admits it.
+  const backend_server* PlaceStream(const placement_query& aQuery, instant aNow) const;
 
 private:
   struct option
@@ -94,6 +96,14 @@
     std::uint32_t mKept = 0; ///< tokens at the start of the prompt
   };
   std::vector<candidate> Candidates(const placement_query& aQuery, instant aNow) const;
+  struct stream_choice
+  {
+    const candidate* mEngine = nullptr;
+    double mCost = 0;
+  };
+  /// The engine that would stream a request whose prompt another one computes.
+  stream_choice ChooseStream(const placement_query& aQuery,
+                             std::span<const candidate> aCandidates) const;
 
   /// The refusal when no server may take the request. Where all of them asked for a time without
   /// requests, the caller may come back at the end of the first such time.
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -219,6 +219,34 @@
   return made;
 }
 
+placer::stream_choice
+placer::ChooseStream(const placement_query& aQuery, std::span<const candidate> aCandidates) const
+{
+  stream_choice best{ nullptr, std::numeric_limits<double>::infinity() };
+  for (const auto& engine : aCandidates) {
+    const auto& seen = engine.mSeen;
+    if (engine.mServer->mRole == engine_role::Prefill ||
+        seen.mRunning >= aQuery.mService->mEngine->mSlots) {
+      continue;
+    }
+    const double busy = seen.mWaitingTokens > 0 ? kSharedStepMs : 0;
+    const double cost = busy + seen.mRunning * seen.mSlowdown + DistanceCost(*engine.mServer) +
+                        seen.mFailedPart * kFailureCostMs;
+    if (cost < best.mCost) {
+      best = { &engine, cost };
+    }
+  }
+  return best;
+}
+
+const backend_server*
+placer::PlaceStream(const placement_query& aQuery, instant aNow) const
+{
+  const auto candidates = Candidates(aQuery, aNow);
+  const auto* engine = ChooseStream(aQuery, candidates).mEngine;
+  return engine == nullptr ? nullptr : engine->mServer;
+}
+
 placement_result
 placer::PlaceGeneration(const placement_query& aQuery, instant aNow) const
 {
@@ -229,23 +257,11 @@
   // The engine that keeps most of the prompt; where none is known, the part's home by hashing, so
   // that all daemons have a new part computed at the same engine.
   const candidate* holder = nullptr;
-  const candidate* decode = nullptr;
-  double decodeCost = std::numeric_limits<double>::infinity();
+  const auto [decode, decodeCost] = ChooseStream(aQuery, candidates);
   for (const auto& engine : candidates) {
     if (engine.mKept > 0 && (holder == nullptr || engine.mKept > holder->mKept)) {
       holder = &engine;
     }
-    const auto& seen = engine.mSeen;
-    if (engine.mServer->mRole == engine_role::Prefill || seen.mRunning >= traits.mSlots) {
-      continue;
-    }
-    const double busy = seen.mWaitingTokens > 0 ? kSharedStepMs : 0;
-    const double cost = busy + seen.mRunning * seen.mSlowdown + DistanceCost(*engine.mServer) +
-                        seen.mFailedPart * kFailureCostMs;
-    if (cost < decodeCost) {
-      decode = &engine;
-      decodeCost = cost;
-    }
   }
   if (aQuery.mMayWait) {
     const auto holderTokens = holder == nullptr ? 0 : holder->mKept;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -20,6 +20,8 @@
 /// ends a round over a service that refuses everywhere.
 constexpr std::size_t kMostServersTried = 6;
 constexpr milliseconds kRetryAfterRefusal{ 400 };
+/// A computed prompt is offered to so many further engines before it is computed again.
+constexpr std::uint32_t kMostOffers = 2;
 /// Upper bounds of the latency histogram.
 constexpr std::array kLatencyBounds{ milliseconds{ 50 },    milliseconds{ 100 },
                                      milliseconds{ 200 },   milliseconds{ 300 },
@@ -269,13 +271,22 @@
 exchange::OnNotRun(std::string_view aReason, bool aSent)
 {
   mAvoid.push_back(mTarget.mId);
-  ReleaseUntaken();
   const bool again =
     aSent ? MayTryAgain() : mAvoid.size() < kMostServersTried && TimeLeft() >= kLeastTimeLeft;
   if (again) {
     LogEnd("retry", aReason);
+    if (mUntaken && !mMayHaveRun && ++mOffers <= kMostOffers) {
+      const auto servers = mContext.mDirectory.Usable(mService->mName);
+      placement plan;
+      plan.mTarget = mContext.mPlacer.PlaceStream(Query(servers), mContext.mClock.Now());
+      if (plan.mTarget != nullptr && TakeRepeats(plan)) {
+        return Send(plan, *mUntaken);
+      }
+    }
+    ReleaseUntaken();
     return Attempt();
   }
+  ReleaseUntaken();
   if (mAnswerBegun) {
     return OnBroken(aReason);
   }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -181,6 +181,7 @@
 
   std::optional<kv_source> mUntaken; ///< KV cache that no engine has taken yet
   std::string mUntakenAt;            ///< id of the engine that holds it
+  std::uint32_t mOffers = 0;         ///< to further engines, after the first had refused it
   backend_server mTarget;            ///< copy: the directory may change while the attempt is open
   std::optional<backend_board::ticket> mTicket;
   std::uint32_t mAddsAtTarget = 0; ///< tokens that come into the target's memory
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TimeLimitIsKept);
   CPPUNIT_TEST(LargeBodyIsRefused);
   CPPUNIT_TEST(SilentPrefillEngineIsLeft);
+  CPPUNIT_TEST(ComputedPromptGoesToAnotherDecodeEngine);
   CPPUNIT_TEST(RefusedConnectionIsNoRepeat);
   CPPUNIT_TEST(UntakenCacheIsReleased);
   CPPUNIT_TEST(NewConfigurationComesIntoForceAndStays);
@@ -266,6 +267,21 @@
     CPPUNIT_ASSERT(std::chrono::steady_clock::now() - began < milliseconds{ 2'000 });
   }
 
+  /// Guards against prompts that are computed once more because the decode engine, chosen before,
+  /// has no room: the pattern of a swing to long outputs, when many daemons choose the same engine.
+  void ComputedPromptGoesToAnotherDecodeEngine()
+  {
+    gateway_system system{ Options() };
+    system.SetMode("d1", "shed");
+    CPPUNIT_ASSERT_EQUAL(Events(1, kEvents), Stream(system, "stream").mBody);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("shed"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("prefilled"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("ran"));
+    const auto arrivals = system.Arrivals("d2");
+    CPPUNIT_ASSERT(arrivals.at(0)["headers"].contains("x-skylarkwind-kv-source"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, system.Count("released"));
+  }
+
   /// Guards against KV caches that stay in an engine's memory although nobody will take them.
   void UntakenCacheIsReleased()
   {
