Spread requests over engines by what other daemons add unseen

Change: the work that others add before this daemon hears of it is estimated from its own rate and the number of daemons, thought to fill the cheapest engines to one level, and each request draws its engine with the share that each has in that. Without unseen work that is the cheapest engine, as before. The decode engine is drawn the same way, and the engine to fetch from among those that keep most of the prompt, near ones first.

Ruled out: a fault in the exchange (the work older than 250 ms was told), wrong speeds (predictions without a line ahead were right to 10 %).

--- a/packages/core/include/skylarkwind/backend_board.h
+++ b/packages/core/include/skylarkwind/backend_board.h
@@ -77,6 +77,15 @@
   /// The end of the time for which the server wants no requests; in the past when it wants some.
   instant QuietUntil(std::string_view aBackendId) const;
 
+  /// Work that other daemons have begun since this one last heard of theirs, estimated from its
+  /// own: daemons are alike.
+  struct unseen_work
+  {
+    double mPrefillMs = 0; ///< sum over all servers, at the usual rate
+    double mRequests = 0;
+  };
+  unseen_work Unseen(instant aNow) const;
+
   /// Computation rate in tokens a ms, by role.
   double Rate(std::optional<engine_role> aRole, double aSlowdown) const;
 
@@ -94,6 +103,14 @@
   std::uint64_t Changes() const { return mChanges; }
 
 private:
+  /// A rate that follows what was added in the last seconds.
+  struct recent_rate
+  {
+    double mEachMs = 0; ///< at mAt; it fades
+    instant mAt{};
+    double At(instant aNow) const;
+    void Add(double aAmount, instant aNow);
+  };
   struct open_work
   {
     backend_key mBackend = 0;
@@ -140,6 +157,8 @@
   ticket mLastTicket = 0;
   double mUsualSlowLog = 0; ///< of all measurements, for servers without one
   std::uint32_t mMeasurements = 0;
+  recent_rate mOwnTokens;
+  recent_rate mOwnRequests;
   std::uint64_t mSelf = 0;
   std::uint32_t mDaemons = 1;
   std::uint64_t mChanges = 0;
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -66,7 +66,8 @@
   std::span<const backend_server* const> mServers;
   std::span<const std::string> mAvoid; ///< ids that failed this request
   std::chrono::milliseconds mTimeLeft{};
-  bool mMayWait = true; ///< false once the request has waited for parts as long as it may
+  std::uint64_t mDraw = 0; ///< random, another one for each attempt
+  bool mMayWait = true;    ///< false once the request has waited for parts as long as it may
 };
 
 using placement_result = std::variant<placement, no_placement, await_parts>;
@@ -96,6 +97,11 @@
     std::uint32_t mKept = 0; ///< tokens at the start of the prompt
   };
   std::vector<candidate> Candidates(const placement_query& aQuery, instant aNow) const;
+  /// The engine to fetch from, of those that keep most of the prompt: one in the data centre of the
+  /// computing engine if there is one. Requests spread over several, whose links are shared.
+  static const candidate* HolderFor(std::span<const candidate* const> aHolders,
+                                    const candidate& aEngine,
+                                    std::uint64_t aDraw);
   struct stream_choice
   {
     const candidate* mEngine = nullptr;
@@ -103,7 +109,8 @@
   };
   /// The engine that would stream a request whose prompt another one computes.
   stream_choice ChooseStream(const placement_query& aQuery,
-                             std::span<const candidate> aCandidates) const;
+                             std::span<const candidate> aCandidates,
+                             instant aNow) const;
 
   /// The refusal when no server may take the request. Where all of them asked for a time without
   /// requests, the caller may come back at the end of the first such time.
--- a/packages/core/src/backend_board.cpp
+++ b/packages/core/src/backend_board.cpp
@@ -25,6 +25,12 @@
 /// A closed server is tried by this many daemons in each such time, others in the next.
 constexpr std::uint32_t kTriers = 1;
 constexpr std::chrono::milliseconds kTrySlot{ 1'600 };
+/// After this time a daemon has heard of what another one began; the time for each daemon that the
+/// sums pass comes to it.
+constexpr milliseconds_f kHeardAfter{ 60 };
+constexpr milliseconds_f kHeardAfterEach{ 0.3 };
+/// Time in which this daemon's own rate is measured.
+constexpr milliseconds_f kRateLife{ 3'000 };
 /// Measurements of less than this are dominated by the network.
 constexpr milliseconds_f kLeastMeasured{ 10 };
 /// Failures in a row that set a server aside; one refused connection is enough.
@@ -65,6 +71,8 @@
   state.mOwnRunning += 1;
   state.mTrialOpen = true;
   NoteOwnChange(state, aNow);
+  mOwnTokens.Add(aPrefillTokens, aNow);
+  mOwnRequests.Add(1, aNow);
   mOpen[++mLastTicket] = { key, aPrefillTokens, aExpected, Slowdown(state), aNow, false };
   return mLastTicket;
 }
@@ -286,6 +294,28 @@
   return mSettings.mPrefillTokensPerMs * part / aSlowdown;
 }
 
+double
+backend_board::recent_rate::At(instant aNow) const
+{
+  return mEachMs * std::exp(-milliseconds_f{ aNow - mAt } / kRateLife);
+}
+
+void
+backend_board::recent_rate::Add(double aAmount, instant aNow)
+{
+  mEachMs = At(aNow) + aAmount / kRateLife.count();
+  mAt = aNow;
+}
+
+backend_board::unseen_work
+backend_board::Unseen(instant aNow) const
+{
+  const auto heardAfter = kHeardAfter + kHeardAfterEach * mDaemons;
+  const double others = (mDaemons - 1) * heardAfter.count();
+  const double rate = Rate(engine_role::Prefill, std::exp(mUsualSlowLog));
+  return { others * mOwnTokens.At(aNow) / rate, others * mOwnRequests.At(aNow) };
+}
+
 std::vector<backend_work>
 backend_board::OwnWork(instant aNow) const
 {
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/placement.h"
 
 #include "skylarkwind/hash.h"
+#include "skylarkwind/levelled_choice.h"
 
 #include <algorithm>
 #include <cmath>
@@ -53,6 +54,13 @@
 /// Shorter parts are computed in less time than a wait for news of them takes.
 constexpr std::uint32_t kWorthWaitingTokens = 1'000;
 
+/// What a request's draw decides.
+namespace draw_purpose {
+constexpr std::uint64_t Stream = 1;
+constexpr std::uint64_t Compute = 2;
+constexpr std::uint64_t Holder = 3;
+}
+
 bool
 Contains(std::span<const std::string> aIds, std::string_view aId)
 {
@@ -219,31 +227,56 @@
   return made;
 }
 
+const placer::candidate*
+placer::HolderFor(std::span<const candidate* const> aHolders,
+                  const candidate& aEngine,
+                  std::uint64_t aDraw)
+{
+  std::vector<const candidate*> near;
+  std::copy_if(
+    aHolders.begin(), aHolders.end(), std::back_inserter(near), [&](const candidate* aHolder) {
+      return aHolder->mServer->mDataCentre == aEngine.mServer->mDataCentre;
+    });
+  const auto from = near.empty() ? aHolders : std::span<const candidate* const>{ near };
+  if (from.empty()) {
+    return nullptr;
+  }
+  const auto drawn = UniformOf(aDraw, draw_purpose::Holder) * static_cast<double>(from.size());
+  return from[static_cast<std::size_t>(drawn)];
+}
+
 placer::stream_choice
-placer::ChooseStream(const placement_query& aQuery, std::span<const candidate> aCandidates) const
+placer::ChooseStream(const placement_query& aQuery,
+                     std::span<const candidate> aCandidates,
+                     instant aNow) const
 {
-  stream_choice best{ nullptr, std::numeric_limits<double>::infinity() };
+  std::vector<double> costs;
+  costs.reserve(aCandidates.size());
   for (const auto& engine : aCandidates) {
     const auto& seen = engine.mSeen;
     if (engine.mServer->mRole == engine_role::Prefill ||
         seen.mRunning >= aQuery.mService->mEngine->mSlots) {
+      costs.push_back(std::numeric_limits<double>::infinity());
       continue;
     }
     const double busy = seen.mWaitingTokens > 0 ? kSharedStepMs : 0;
-    const double cost = busy + seen.mRunning * seen.mSlowdown + DistanceCost(*engine.mServer) +
-                        seen.mFailedPart * kFailureCostMs;
-    if (cost < best.mCost) {
-      best = { &engine, cost };
-    }
+    costs.push_back(busy + seen.mRunning * seen.mSlowdown + DistanceCost(*engine.mServer) +
+                    seen.mFailedPart * kFailureCostMs);
   }
-  return best;
+  // Each request adds about one ms to the cost of its engine.
+  const auto chosen = ChooseLevelled(
+    costs, mBoard.Unseen(aNow).mRequests, UniformOf(aQuery.mDraw, draw_purpose::Stream));
+  if (chosen == costs.size()) {
+    return { nullptr, std::numeric_limits<double>::infinity() };
+  }
+  return { &aCandidates[chosen], costs[chosen] };
 }
 
 const backend_server*
 placer::PlaceStream(const placement_query& aQuery, instant aNow) const
 {
   const auto candidates = Candidates(aQuery, aNow);
-  const auto* engine = ChooseStream(aQuery, candidates).mEngine;
+  const auto* engine = ChooseStream(aQuery, candidates, aNow).mEngine;
   return engine == nullptr ? nullptr : engine->mServer;
 }
 
@@ -254,26 +287,32 @@
   const auto& traits = *aQuery.mService->mEngine;
   const auto home = std::to_string(HomeKey(shape));
   const auto candidates = Candidates(aQuery, aNow);
-  // The engine that keeps most of the prompt; where none is known, the part's home by hashing, so
-  // that all daemons have a new part computed at the same engine.
-  const candidate* holder = nullptr;
-  const auto [decode, decodeCost] = ChooseStream(aQuery, candidates);
+  // The engines that keep most of the prompt; where none is known, the part's home by hashing, so
+  // that most daemons have a new part computed at the same engine.
+  std::vector<const candidate*> holders;
+  const auto [decode, decodeCost] = ChooseStream(aQuery, candidates, aNow);
   for (const auto& engine : candidates) {
-    if (engine.mKept > 0 && (holder == nullptr || engine.mKept > holder->mKept)) {
-      holder = &engine;
+    if (engine.mKept == 0 || (!holders.empty() && engine.mKept < holders.front()->mKept)) {
+      continue;
+    }
+    if (!holders.empty() && engine.mKept > holders.front()->mKept) {
+      holders.clear();
     }
+    holders.push_back(&engine);
   }
   if (aQuery.mMayWait) {
-    const auto holderTokens = holder == nullptr ? 0 : holder->mKept;
+    const auto holderTokens = holders.empty() ? 0 : holders.front()->mKept;
     const auto coming = mParts.Coming(shape.mParts, aNow);
     if (coming.mTokens >= holderTokens + kWorthWaitingTokens && coming.mReadyAt > aNow) {
       return await_parts{ coming.mReadyAt };
     }
   }
-  std::optional<option> best;
-  std::uint64_t bestTie = 0;
-  for (const auto& engine : candidates) {
-    auto made = Compute(aQuery, engine, holder);
+  std::vector<option> options(candidates.size());
+  std::vector<double> costs(candidates.size(), std::numeric_limits<double>::infinity());
+  std::vector<std::uint64_t> ties(candidates.size());
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto& engine = candidates[i];
+    auto made = Compute(aQuery, engine, HolderFor(holders, engine, aQuery.mDraw));
     if (engine.mServer->mRole == engine_role::Prefill) {
       if (decode == nullptr) {
         continue;
@@ -305,32 +344,34 @@
     made.mCost +=
       kHomeWeightMs * (1 - static_cast<double>(tie) /
                              static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
-    if (!best || made.mCost < best->mCost) {
-      best = made;
-      bestTie = tie;
-    }
+    costs[i] = made.mCost;
+    options[i] = std::move(made);
+    ties[i] = tie;
   }
-  if (!best) {
+  const auto chosen = ChooseLevelled(
+    costs, mBoard.Unseen(aNow).mPrefillMs, UniformOf(aQuery.mDraw, draw_purpose::Compute));
+  if (chosen == costs.size()) {
     return NoneAdmits(aQuery, "no engine admits the request", kNoEngineRetryAfter, aNow);
   }
+  const auto& best = options[chosen].mPlacement;
   const auto patience = FirstEventPatience(*aQuery.mRoute, aQuery.mTimeLeft);
   // What waits ahead is bounded by the target: a longer line serves no more callers and makes all
   // of them late. The request's own computation and transfer may take longer than the target.
   const milliseconds_f target{ aQuery.mRoute->mTarget };
-  const auto own = best->mPlacement.mFirstToken - best->mPlacement.mWait;
+  const auto own = best.mFirstToken - best.mWait;
   const auto line = std::max(kLeastLine * target, kLine * target - own);
-  const bool late = best->mPlacement.mWait > line;
-  if (late || best->mPlacement.mFirstToken > kUsablePatience * patience) {
-    const auto excess = best->mPlacement.mFirstToken - milliseconds_f{ aQuery.mRoute->mTarget };
+  const bool late = best.mWait > line;
+  if (late || best.mFirstToken > kUsablePatience * patience) {
+    const auto excess = best.mFirstToken - milliseconds_f{ aQuery.mRoute->mTarget };
     const auto spread =
-      0.75 + 0.5 * static_cast<double>(bestTie >> 11U) / static_cast<double>(1ULL << 53U);
+      0.75 + 0.5 * static_cast<double>(ties[chosen] >> 11U) / static_cast<double>(1ULL << 53U);
     return no_placement{ "the first token would come too late",
                          std::max(
                            kLeastRetryAfter,
                            std::chrono::duration_cast<std::chrono::milliseconds>(excess * spread)),
-                         best->mPlacement };
+                         best };
   }
-  return best->mPlacement;
+  return best;
 }
 
 } // namespace skylarkwind
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(LongPromptIsNotRefusedForItsOwnTime);
   CPPUNIT_TEST(RetryAfterGrowsWithTheBacklog);
   CPPUNIT_TEST(BurstSpreadsOverAllPrefillEngines);
+  CPPUNIT_TEST(DaemonsDoNotAllChooseTheSameEngine);
   CPPUNIT_TEST(NoDecodeEngineMeansNoPlacement);
   CPPUNIT_TEST(PlainRequestsSpreadOverServers);
   CPPUNIT_TEST(OwnDataCentreIsPreferredAtEqualLoad);
@@ -33,6 +34,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   instant mNow{ seconds{ 100 } };
+  std::uint64_t mDraw = 0;
   std::vector<backend_server> mServers;
   forward_route mRoute;
   forward_service mService;
@@ -101,6 +103,7 @@
     query.mServers = usable;
     query.mTimeLeft = seconds{ 8 };
     query.mMayWait = aMayWait;
+    query.mDraw = mDraw;
     return mPlacer->Place(query, mNow);
   }
 
@@ -258,6 +261,39 @@
     CPPUNIT_ASSERT(most * 6 <= 2 * sum);
   }
 
+  /// The pattern: 300 daemons place a request for the same hot part within the time that news of
+  /// their work takes. Guards against all of them choosing the same engines, to compute the prompt
+  /// and to stream, while others idle.
+  void DaemonsDoNotAllChooseTheSameEngine()
+  {
+    constexpr int kDaemons = 300;
+    constexpr int kRequests = 120;
+    mBoard->SetFleet(1, kDaemons);
+    const auto shape = Shape(1);
+    mHolders->OnKept("p3", shape.mParts, mNow);
+    // This daemon places three requests a second; so do the others.
+    for (int i = 0; i < 9; ++i) {
+      const auto began = mNow - milliseconds{ 300 } * (9 - i);
+      const auto ticket = mBoard->Begin("p0", 3'720, milliseconds{ 75 }, began);
+      mBoard->OnFirst(ticket, began + milliseconds{ 75 });
+      mBoard->End(ticket, backend_outcome::Answered, began + milliseconds{ 75 });
+    }
+    std::map<std::string, int> computed;
+    std::map<std::string, int> streamed;
+    for (int i = 0; i < kRequests; ++i) {
+      mDraw = static_cast<std::uint64_t>(i) + 1;
+      const auto placed = Placed(shape);
+      ++computed[placed.mPrefill != nullptr ? placed.mPrefill->mId : placed.mTarget->mId];
+      ++streamed[placed.mTarget->mId];
+    }
+    for (const auto& [id, count] : computed) {
+      CPPUNIT_ASSERT_MESSAGE(id + ' ' + std::to_string(count), count <= 2 * kRequests / 6);
+    }
+    for (const auto& [id, count] : streamed) {
+      CPPUNIT_ASSERT_MESSAGE(id + ' ' + std::to_string(count), count <= kRequests / 2);
+    }
+  }
+
   void NoDecodeEngineMeansNoPlacement()
   {
     std::erase_if(mServers,
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,5 +1,6 @@
 #include "exchange_p.h"
 
+#include "skylarkwind/hash.h"
 #include "skylarkwind/log.h"
 
 #include <kj/debug.h>
@@ -178,6 +179,7 @@
   query.mServers = aServers;
   query.mAvoid = mAvoid;
   query.mTimeLeft = TimeLeft();
+  query.mDraw = Hash64(mRequest.mId) + mSends + mPrefills;
   query.mMayWait = !mWaitsSince || mContext.mClock.Now() - *mWaitsSince < mRoute->mTarget;
   return query;
 }
