Ask neighbours for a drawn time before a call to the store

Cause: a daemon that lists nothing yet asked four neighbours within some 0.3 s and then listed from the store. After a start of all daemons nobody has the objects for that long, so most of them called.

Change: the time for which neighbours are asked is drawn between 0.3 s and 4 s, so that the first few call the store and the others ask those. The test of 30 followers that start together fails before (30 calls) and holds now.

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -13,8 +13,11 @@
 constexpr std::chrono::milliseconds kLapsesSeenFor{ 2'000 };
 /// The change is in the store already when a daemon that was told of it asks for it.
 constexpr std::chrono::milliseconds kCatchUpWait{ 300 };
-/// Neighbours that are asked before a call to the store, and the pause between them.
-constexpr std::uint32_t kNeighboursAsked = 4;
+/// Neighbours are asked for a time within these bounds before a call to the store. It is drawn, so
+/// that of many daemons that start together only a few call the store, and the others ask those.
+constexpr std::chrono::milliseconds kLeastAsking{ 300 };
+constexpr std::chrono::milliseconds kMostAsking{ 4'000 };
+/// Pause between two neighbours.
 constexpr std::chrono::milliseconds kAskAgain{ 80 };
 /// News that was not passed on within this time is asked for. It takes no call to the store.
 constexpr std::chrono::milliseconds kNewsWithinNeighbours{ 250 };
@@ -65,8 +68,13 @@
 kj::Promise<void>
 store_follower::TakeFromNeighbour()
 {
-  if (mUnanswered >= kNeighboursAsked) {
-    mUnanswered = 0;
+  const auto now = mClock.Now();
+  if (!mAskingUntil) {
+    std::uniform_int_distribution<std::int64_t> asking{ kLeastAsking.count(), kMostAsking.count() };
+    mAskingUntil = now + std::chrono::milliseconds{ asking(mRandom) };
+  }
+  if (now >= *mAskingUntil) {
+    mAskingUntil.reset();
     return List();
   }
   return mAsk(mSettings.mKind).then([this](std::optional<change_batch> aBatch) {
@@ -80,11 +88,9 @@
   // Neighbours may lack the news that this daemon was told of, or be behind it.
   const auto least = std::max(mAt, mToldAt ? mToldOf : 0);
   if (aBatch && aBatch->mWhole && aBatch->mTo >= least) {
-    mUnanswered = 0;
     Take(*aBatch);
     return kj::READY_NOW;
   }
-  ++mUnanswered;
   return mTimer.afterDelay(ToKj(kAskAgain));
 }
 
@@ -203,6 +209,7 @@
   mLastChange = std::max(mLastChange, aBatch.mFrom);
   mNeedList = false;
   mListed = true;
+  mAskingUntil.reset();
   mObjects.clear();
   std::vector<stored_object> objects;
   for (const auto& change : aBatch.mChanges) {
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -98,7 +98,7 @@
   kj::Promise<void> Watch(std::chrono::milliseconds aWait);
   /// One call for what was not passed on.
   kj::Promise<void> CatchUp();
-  /// All objects from a neighbour; after several that have none, a list of the store.
+  /// All objects from a neighbour; when none has them for a time, a list of the store.
   kj::Promise<void> TakeFromNeighbour();
   kj::Promise<void> OnNeighbour(std::optional<change_batch> aBatch);
   void Take(const change_batch& aBatch);
@@ -130,7 +130,7 @@
   std::uint32_t mBusyWatches = 0; ///< watches in a row that brought changes
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> mInterrupt;
   bool mWaiting = false;
-  std::uint32_t mUnanswered = 0; ///< neighbours in a row that had nothing
+  std::optional<instant> mAskingUntil; ///< neighbours, from then on the store
   bool mNeedList = true;
   bool mListed = false;
   bool mPassedOn = false; ///< no watch is open; others pass changes on
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <kj/async-io.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace skylarkwind {
@@ -103,6 +104,7 @@
   CPPUNIT_TEST(LateAnswerDoesNotUndoABatch);
   CPPUNIT_TEST(WatchGoesOnFromTheLastBatch);
   CPPUNIT_TEST(BatchesAreNotMixedWithOwnCalls);
+  CPPUNIT_TEST(FewOfManyThatStartTogetherCallTheStore);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,9 +120,10 @@
   std::vector<std::string> mSeen;
   std::vector<change_batch> mPassedOn;
 
-  std::unique_ptr<store_follower> Follower()
+  std::unique_ptr<store_follower> Follower(std::uint64_t aSeed = 1)
   {
     store_follower_settings settings;
+    settings.mRandomSeed = aSeed;
     settings.mFirstPause = milliseconds{ 4 };
     settings.mLongestPause = milliseconds{ 4 };
     return std::make_unique<store_follower>(
@@ -164,6 +167,40 @@
     CPPUNIT_ASSERT_EQUAL(aCalls, mStore.mCalls.size());
   }
 
+  /// The pattern: all daemons start at once, and nobody has the objects yet. Guards against each of
+  /// them calling the store, as the first ones that did would have told the others.
+  void FewOfManyThatStartTogetherCallTheStore()
+  {
+    constexpr std::size_t kDaemons = 30;
+    constexpr std::size_t kAsked = 4; // the same ones by all
+    mStore.mLists.assign(kDaemons, Page({ "a" }, 10));
+    std::vector<std::unique_ptr<store_follower>> followers;
+    std::vector<kj::Promise<void>> running;
+    std::size_t turn = 0;
+    for (std::uint64_t i = 0; i < kDaemons; ++i) {
+      followers.push_back(Follower(i + 1));
+      followers.back()->SetNeighbours([&followers, &turn](const std::string&) {
+        return kj::Promise<std::optional<change_batch>>{ followers[++turn % kAsked]->Whole() };
+      });
+      followers.back()->SetPassedOn(true);
+    }
+    for (auto& follower : followers) {
+      running.push_back(follower->Run());
+    }
+    const auto all = [&] {
+      return std::all_of(followers.begin(), followers.end(), [](const auto& aFollower) {
+        return aFollower->Listed();
+      });
+    };
+    for (int i = 0; i < 300 && !all(); ++i) {
+      mLoop->provider->getTimer().afterDelay(20 * kj::MILLISECONDS).wait(mLoop->waitScope);
+      mClock.Advance(milliseconds{ 20 });
+    }
+    CPPUNIT_ASSERT(all());
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(mStore.mCalls.size()),
+                           mStore.mCalls.size() <= kDaemons / 2);
+  }
+
   void PagesAreReadAndWatchedFromTheFirst()
   {
     mStore.mLists = { Page({ "a", "b" }, 10, true), Page({ "c" }, 14) };
