Read changed settings in a running daemon

Settings were read at the start only. Now the file is read again on SIGHUP and within a second of being written; what can change takes effect, what cannot is named as needing a restart, and a faulty file changes nothing. Tests: ChangesAreTakenOrNeedARestart, ChangedSettingsAreReadWhileItServes.

--- a/packages/base/include/skylarkwind/log.h
+++ b/packages/base/include/skylarkwind/log.h
@@ -36,6 +36,9 @@
 /// Starts the log. Call once at start.
 void StartLog(const log_settings& aSettings);
 
+/// Changes the least level that is logged.
+void SetLogLevel(log_level aLevel);
+
 /// Writes one short sentence under the fixed prefix of the part that speaks, for example
 /// Log(log_level::Info, "lease", "acquired ga-a with fencing number 4").
 void Log(log_level aLevel, std::string_view aPrefix, std::string_view aText);
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -132,6 +132,12 @@
   AddSink(boost::make_shared<sink>(backend), aSettings.mFormat);
 }
 
+void
+SetLogLevel(log_level aLevel)
+{
+  sLeastLevel = aLevel;
+}
+
 void
 Log(log_level aLevel, std::string_view aPrefix, std::string_view aText)
 {
--- a/packages/core/include/skylarkwind/repeat_allowance.h
+++ b/packages/core/include/skylarkwind/repeat_allowance.h
@@ -26,6 +26,8 @@
 public:
   explicit repeat_allowance(repeat_allowance_settings aSettings);
 
+  /// Counts stay; the new bound holds from the next question on.
+  void SetSettings(repeat_allowance_settings aSettings) { mSettings = aSettings; }
   void OnRequest(std::string_view aService, instant aNow);
   /// Whether so many repeats are left of this daemon's part. `aDaemons` is the number of daemons
   /// that share the floor.
--- a/packages/core/include/skylarkwind/role_keeper.h
+++ b/packages/core/include/skylarkwind/role_keeper.h
@@ -73,6 +73,7 @@
 {
 public:
   explicit role_keeper(role_keeper_settings aSettings);
+  void SetPrefillShare(double aShare) { mSettings.mPrefillShare = aShare; }
 
   struct engine_view
   {
--- a/packages/core/src/store_watchers.cpp
+++ b/packages/core/src/store_watchers.cpp
@@ -3,6 +3,7 @@
 #include "skylarkwind/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -11,6 +12,8 @@
 /// Each change in the store costs a call of every watcher. With a third of the daemons cut off from
 /// the store without a word, all four are cut off in one of 81 cases.
 constexpr std::size_t kMostWatchers = 4;
+/// News of who reaches the store passes all daemons within this time.
+constexpr std::chrono::milliseconds kChosenFor{ 400 };
 
 } // namespace
 
@@ -35,6 +38,18 @@
   return watchers;
 }
 
+bool
+watch_duty::Watches(bool aChosen, bool aConnected, instant aNow)
+{
+  const bool first = std::exchange(mFirst, false);
+  if (!aChosen) {
+    mChosenSince.reset();
+    return !aConnected;
+  }
+  mChosenSince = mChosenSince.value_or(first ? aNow - kChosenFor : aNow);
+  return !aConnected || aNow - *mChosenSince >= kChosenFor;
+}
+
 bool
 store_watchers::Serves(std::string_view aNeighbour) const
 {
--- a/packages/core/tests/store_watchers_test.cpp
+++ b/packages/core/tests/store_watchers_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(AloneADaemonWatches);
   CPPUNIT_TEST(EveryDaemonIsReachedOnce);
   CPPUNIT_TEST(WatchersAreReplaced);
+  CPPUNIT_TEST(LaterChoiceHasToLast);
   CPPUNIT_TEST_SUITE_END();
 
   instant mNow{ std::chrono::seconds{ 100 } };
@@ -102,6 +103,25 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, replaced);
     }
   }
+
+  /// The pattern: all daemons start, and for some 0.2 s each knows only of itself that it reaches
+  /// the store. Guards against all of them following it for that time.
+  void LaterChoiceHasToLast()
+  {
+    instant now{ std::chrono::seconds{ 100 } };
+    watch_duty early;
+    CPPUNIT_ASSERT(early.Watches(true, true, now));
+    watch_duty late;
+    CPPUNIT_ASSERT(!late.Watches(false, true, now));
+    now += std::chrono::milliseconds{ 200 };
+    CPPUNIT_ASSERT(!late.Watches(true, true, now));
+    now += std::chrono::milliseconds{ 200 };
+    CPPUNIT_ASSERT(!late.Watches(false, true, now));
+    CPPUNIT_ASSERT(!late.Watches(true, true, now));
+    now += std::chrono::milliseconds{ 400 };
+    CPPUNIT_ASSERT(late.Watches(true, true, now));
+    CPPUNIT_ASSERT(late.Watches(false, false, now));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_watchers_test);
--- a/packages/daemon/src/skylarkwindd_main.cpp
+++ b/packages/daemon/src/skylarkwindd_main.cpp
@@ -104,7 +104,9 @@
                                                           kj::Timer& aTimer) {
     return skylarkwind::MakeWireStore(address, aPool, aTimer);
   };
-  skylarkwind::gateway::Create(std::move(settings), std::move(adapter), context, clock)->Run();
+  skylarkwind::gateway::Create(
+    std::move(settings), skylarkwind::settings_file{ aFile }, std::move(adapter), context, clock)
+    ->Run();
   return 0;
 }
 
--- a/packages/gateway/include/skylarkwind/gateway.h
+++ b/packages/gateway/include/skylarkwind/gateway.h
@@ -25,7 +25,9 @@
 class gateway
 {
 public:
+  /// `aFile` is read again on SIGHUP and when it was written.
   static std::unique_ptr<gateway> Create(gateway_settings aSettings,
+                                         settings_file aFile,
                                          deployment_adapter aAdapter,
                                          kj::AsyncIoContext& aContext,
                                          const clock_source& aClock);
--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <filesystem>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -35,6 +37,14 @@
   double mPrefillTokensPerMs = 50; ///< of a prefill engine, until measured
   double mPrefillShare = 0.5;      ///< part of a model service's engines that should prefill
   log_settings mLog;
+  std::map<std::string, std::string> mTexts; ///< what the file says, by key
+};
+
+/// What a new reading of the settings changes in a running daemon.
+struct settings_change
+{
+  std::vector<std::string> mTaken;        ///< keys that take effect now
+  std::vector<std::string> mNeedsRestart; ///< keys whose old values stay in force
 };
 
 /// One mistake in a settings file.
@@ -50,10 +60,30 @@
 
 using gateway_settings_problems = std::vector<gateway_settings_problem>;
 
+/// A settings file that may change while the daemon runs.
+class settings_file
+{
+public:
+  explicit settings_file(std::string aPath);
+  const std::string& Path() const { return mPath; }
+  /// Whether it has been written since it was read last.
+  bool Changed() const;
+  std::variant<gateway_settings, gateway_settings_problems> Read();
+
+private:
+  std::filesystem::file_time_type WrittenAt() const;
+
+  std::string mPath;
+  std::filesystem::file_time_type mReadAt{};
+};
+
 /// True when the text has the settings of a gateway deployment rather than those of a daemon with
 /// its own table.
 bool HasGatewaySettings(std::string_view aText);
 
+/// Takes over from `aRead` what can change while the daemon runs.
+settings_change TakeChanges(const gateway_settings& aRead, gateway_settings& aInForce);
+
 /// Reads and checks a whole file; nothing is started when there is a mistake.
 std::variant<gateway_settings, gateway_settings_problems> ParseGatewaySettings(
   std::string_view aText,
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -45,6 +45,8 @@
 /// Bodies of servers' answers, and those of callers' requests, that are held at the same time. Each
 /// is a fifth of the memory of the smallest VM (160 MB).
 constexpr std::size_t kMostBodyBytes = 32 * 1'024 * 1'024;
+/// How often the settings file is looked at.
+constexpr milliseconds kSettingsPeriod{ 1'000 };
 /// How often the roles of engines are compared with the wanted ones.
 constexpr milliseconds kRolePeriod{ 200 };
 
@@ -55,10 +57,12 @@
 {
 public:
   kj_gateway(gateway_settings aSettings,
+             settings_file aFile,
              deployment_adapter aAdapter,
              kj::AsyncIoContext& aContext,
              const clock_source& aClock)
     : mSettings(std::move(aSettings))
+    , mFile(std::move(aFile))
     , mAdapter(std::move(aAdapter))
     , mContext(aContext)
     , mTimer(aContext.provider->getTimer())
@@ -147,7 +151,8 @@
     mTasks.add(TickForever());
     mTasks.add(
       mContext.unixEventPort.onSignal(SIGTERM).then([this](siginfo_t) { BeginShutdown(); }));
-    mTasks.add(IgnoreHangups());
+    mTasks.add(ReadSettingsOnHangups());
+    mTasks.add(ReadChangedSettings());
     Log(log_level::Info,
         "daemon",
         "started vm=" + mSettings.mVm + " data_centre=" + mSettings.mDataCentre + " listening on " +
@@ -321,7 +326,9 @@
     if (!mStoppingSince && (mWaiting || aNow >= mNextRoles)) {
       mNextRoles = aNow + kRolePeriod;
       FollowStore(aNow);
-      mRoles.OnTick(aNow);
+      if (!mWaiting) {
+        mRoles.OnTick(aNow);
+      }
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
       mCapacitiesOf = { mRoutes.Version(), mDirectory.Revision() };
@@ -345,7 +352,7 @@
     const auto pause = shortWatch ? kShortPause : kLongPause;
     const bool watched = mWatches;
     mWatchers = store_watchers::Choose(members, aNow);
-    mWatches = mWatchers.SelfWatches() || !connected;
+    mWatches = mWatchDuty.Watches(mWatchers.SelfWatches(), connected, aNow);
     if (mWatches != watched || mWaiting) {
       Log(log_level::Info,
           "store",
@@ -453,15 +460,62 @@
     }
   }
 
-  /// Settings are read at the start; the platform's changes to them need no action here.
-  kj::Promise<void> IgnoreHangups()
+  kj::Promise<void> ReadSettingsOnHangups()
   {
     return mContext.unixEventPort.onSignal(SIGHUP).then([this](siginfo_t) {
-      Log(log_level::Info, "daemon", "SIGHUP: the settings stay as they are until a restart");
-      return IgnoreHangups();
+      ReadSettings();
+      return ReadSettingsOnHangups();
     });
   }
 
+  kj::Promise<void> ReadChangedSettings()
+  {
+    return mTimer.afterDelay(ToKj(kSettingsPeriod)).then([this] {
+      if (mFile.Changed()) {
+        ReadSettings();
+      }
+      return ReadChangedSettings();
+    });
+  }
+
+  /// Takes over what can change in a running daemon. A faulty file changes nothing.
+  void ReadSettings()
+  {
+    const auto read = mFile.Read();
+    if (const auto* problems = std::get_if<gateway_settings_problems>(&read)) {
+      for (const auto& problem : *problems) {
+        Log(log_level::Error, "settings", "faulty, the old ones stay in force: " + problem.Text());
+      }
+      CountReading("faulty");
+      return;
+    }
+    const auto change = TakeChanges(std::get<gateway_settings>(read), mSettings);
+    SetLogLevel(mSettings.mLog.mLevel);
+    mRepeats.SetSettings(mSettings.mRepeats);
+    mRoles.SetPrefillShare(mSettings.mPrefillShare);
+    const auto list = [](const std::vector<std::string>& aKeys) {
+      std::string text;
+      for (const auto& key : aKeys) {
+        text += (text.empty() ? "" : ",") + key;
+      }
+      return text.empty() ? std::string{ "-" } : text;
+    };
+    Log(log_level::Info,
+        "settings",
+        "read file=" + mFile.Path() + " in_force=" + list(change.mTaken) +
+          " need_restart=" + list(change.mNeedsRestart));
+    CountReading("taken");
+  }
+
+  void CountReading(const std::string& aOutcome)
+  {
+    mCounters
+      .Get("skylarkwind_settings_readings_total",
+           "Readings of the settings file while the daemon runs.",
+           "outcome=\"" + aOutcome + '"')
+      .Add();
+  }
+
   bool Ready() const { return mRoutes.Version() > 0 && mServers.Listed() && !mStoppingSince; }
 
   /// Readiness checks and metrics.
@@ -495,6 +549,7 @@
   }
 
   gateway_settings mSettings;
+  settings_file mFile;
   deployment_adapter mAdapter;
   kj::AsyncIoContext& mContext;
   kj::Timer& mTimer;
@@ -525,6 +580,7 @@
   neighbour_objects mNeighbours;
   daemon_registry mRegistry;
   store_watchers mWatchers;
+  watch_duty mWatchDuty;
   instant mStartedAt;
   bool mWaiting = true;  ///< for other daemons, before the store is called
   bool mWatches = false; ///< the store itself
@@ -543,11 +599,13 @@
 
 std::unique_ptr<gateway>
 gateway::Create(gateway_settings aSettings,
+                settings_file aFile,
                 deployment_adapter aAdapter,
                 kj::AsyncIoContext& aContext,
                 const clock_source& aClock)
 {
-  return std::make_unique<kj_gateway>(std::move(aSettings), std::move(aAdapter), aContext, aClock);
+  return std::make_unique<kj_gateway>(
+    std::move(aSettings), std::move(aFile), std::move(aAdapter), aContext, aClock);
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -4,7 +4,10 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <optional>
@@ -168,6 +171,12 @@
 
 constexpr const char* kSection = "gateway";
 
+/// Settings that take effect in a running daemon; see TakeChanges.
+constexpr std::array<std::string_view, 8> kChangeable{
+  "log_level",     "repeat_ratio", "repeat_floor",     "repeat_window_s",
+  "prefill_share", "contact_ms",   "shutdown_grace_s", "balancer_notices_ms",
+};
+
 YAML::Node
 Load(std::string_view aText)
 {
@@ -181,12 +190,75 @@
 
 } // namespace
 
+settings_change
+TakeChanges(const gateway_settings& aRead, gateway_settings& aInForce)
+{
+  settings_change change;
+  for (const auto& [key, setting] : Settings()) {
+    const auto text = [&key = key](const gateway_settings& aSettings) {
+      const auto found = aSettings.mTexts.find(key);
+      return found == aSettings.mTexts.end() ? std::string{} : found->second;
+    };
+    if (text(aRead) == text(aInForce)) {
+      continue;
+    }
+    if (std::find(kChangeable.begin(), kChangeable.end(), key) == kChangeable.end()) {
+      change.mNeedsRestart.push_back(key);
+      continue;
+    }
+    change.mTaken.push_back(key);
+    const auto value = aRead.mTexts.find(key);
+    if (value == aRead.mTexts.end()) {
+      aInForce.mTexts.erase(key);
+    } else {
+      aInForce.mTexts[key] = value->second;
+    }
+  }
+  aInForce.mLog.mLevel = aRead.mLog.mLevel;
+  aInForce.mRepeats = aRead.mRepeats;
+  aInForce.mPrefillShare = aRead.mPrefillShare;
+  aInForce.mContact = aRead.mContact;
+  aInForce.mShutdownGrace = aRead.mShutdownGrace;
+  aInForce.mBalancerNotices = aRead.mBalancerNotices;
+  return change;
+}
+
 std::string
 gateway_settings_problem::Text() const
 {
   return mFile + ":" + std::to_string(mLine) + ": " + mKey + ": expected " + mExpected;
 }
 
+settings_file::settings_file(std::string aPath)
+  : mPath(std::move(aPath))
+  , mReadAt(WrittenAt())
+{
+}
+
+std::filesystem::file_time_type
+settings_file::WrittenAt() const
+{
+  std::error_code unreadable;
+  const auto at = std::filesystem::last_write_time(mPath, unreadable);
+  // A file that is away for a moment, while it is replaced, has not changed.
+  return unreadable ? mReadAt : at;
+}
+
+bool
+settings_file::Changed() const
+{
+  return WrittenAt() != mReadAt;
+}
+
+std::variant<gateway_settings, gateway_settings_problems>
+settings_file::Read()
+{
+  mReadAt = WrittenAt();
+  std::ostringstream text;
+  text << std::ifstream{ mPath }.rdbuf();
+  return ParseGatewaySettings(text.str(), mPath);
+}
+
 bool
 HasGatewaySettings(std::string_view aText)
 {
@@ -214,6 +286,7 @@
       continue;
     }
     seen.insert(key);
+    read.mTexts[key] = entry.second.IsScalar() ? entry.second.Scalar() : std::string{};
     if (!entry.second.IsScalar() || !found->second.mRead(entry.second.Scalar(), read)) {
       problems.push_back({ aFile, line, key, found->second.mExpected });
     }
--- a/packages/gateway/src/role_driver_p.h
+++ b/packages/gateway/src/role_driver_p.h
@@ -35,6 +35,7 @@
               kj::TaskSet& aTasks);
 
   void OnTick(instant aNow);
+  void SetPrefillShare(double aShare) { mKeeper.SetPrefillShare(aShare); }
 
 private:
   std::vector<role_keeper::service_view> Views(instant aNow) const;
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(EachMistakeIsNamedWithItsLine);
   CPPUNIT_TEST(MissingSettingsAreNamed);
   CPPUNIT_TEST(OtherFilesAreToldApart);
+  CPPUNIT_TEST(ChangesAreTakenOrNeedARestart);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Good()
@@ -59,6 +60,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Problems("a: [\n").size());
   }
 
+  void ChangesAreTakenOrNeedARestart()
+  {
+    const auto read = [](const std::string& aText) {
+      return std::get<gateway_settings>(ParseGatewaySettings(aText, "f.yaml"));
+    };
+    auto inForce = read(Good() + "  prefill_tokens_per_ms: 50\n  repeat_floor: 3\n");
+    const auto next = read(Good() + "  prefill_tokens_per_ms: 60\n  repeat_floor: 4\n");
+    const auto change = TakeChanges(next, inForce);
+    CPPUNIT_ASSERT(change.mTaken == std::vector<std::string>{ "repeat_floor" });
+    CPPUNIT_ASSERT(change.mNeedsRestart == std::vector<std::string>{ "prefill_tokens_per_ms" });
+    CPPUNIT_ASSERT_EQUAL(4U, inForce.mRepeats.mFloor);
+    CPPUNIT_ASSERT_EQUAL(50.0, inForce.mPrefillTokensPerMs);
+    // A key that is gone has its usual value again.
+    CPPUNIT_ASSERT(TakeChanges(read(Good()), inForce).mTaken ==
+                   std::vector<std::string>{ "repeat_floor" });
+    CPPUNIT_ASSERT_EQUAL(0U, inForce.mRepeats.mFloor);
+  }
+
   void OtherFilesAreToldApart()
   {
     CPPUNIT_ASSERT(HasGatewaySettings(Good()));
--- a/tests/sessions/gateway_session_test.cpp
+++ b/tests/sessions/gateway_session_test.cpp
@@ -4,6 +4,8 @@
 
 #include <sys/wait.h>
 
+#include <fstream>
+
 namespace skylarkwind::sessions {
 
 using nlohmann::json;
@@ -28,6 +30,7 @@
   CPPUNIT_TEST(LargeBodyIsRefused);
   CPPUNIT_TEST(SilentPrefillEngineIsLeft);
   CPPUNIT_TEST(ComputedPromptGoesToAnotherDecodeEngine);
+  CPPUNIT_TEST(ChangedSettingsAreReadWhileItServes);
   CPPUNIT_TEST(RefusedConnectionIsNoRepeat);
   CPPUNIT_TEST(UntakenCacheIsReleased);
   CPPUNIT_TEST(NewConfigurationComesIntoForceAndStays);
@@ -234,6 +237,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, system.Count("ran"));
   }
 
+  /// Guards against settings that take effect only with a restart, and against a faulty file that
+  /// ends a daemon or changes a part of them.
+  void ChangedSettingsAreReadWhileItServes()
+  {
+    gateway_system system{ Options() };
+    const auto file = system.Directory() + "/vm-0.yaml";
+    const auto counted = [&](const std::string& aOutcome) {
+      const auto row = "skylarkwind_settings_readings_total{outcome=\"" + aOutcome + "\"} 1";
+      return system.Metrics().find(row) != std::string::npos;
+    };
+    std::ofstream{ file, std::ios::app } << "  log_level: warning\n";
+    CPPUNIT_ASSERT(WaitUntil([&] { return counted("taken"); }, seconds{ 4 }));
+    std::ofstream{ file, std::ios::app } << "  repeat_floor: many\n";
+    system.Daemon().Signal(SIGHUP);
+    CPPUNIT_ASSERT(WaitUntil([&] { return counted("faulty"); }, seconds{ 4 }));
+    CPPUNIT_ASSERT_EQUAL(200, Stream(system, "stream").mStatus);
+  }
+
   /// Guards against requests that are refused although no server has seen them: connections to
   /// engines that have crashed are no repeats.
   void RefusedConnectionIsNoRepeat()
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -305,6 +305,13 @@
   return "http://" + mDaemons[static_cast<std::size_t>(aIndex)].mCallers + aPath;
 }
 
+std::string
+gateway_system::Metrics(int aIndex) const
+{
+  return Call("GET", "http://" + mDaemons[static_cast<std::size_t>(aIndex)].mReady + "/metrics")
+    .mBody;
+}
+
 http_reply
 gateway_system::Ready(int aIndex) const
 {
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -58,6 +58,7 @@
   }
   std::string CallerUrl(const std::string& aPath, int aIndex = 0) const;
   http_reply Ready(int aIndex = 0) const;
+  std::string Metrics(int aIndex = 0) const;
   /// Starts one more daemon and does not wait until it is ready.
   void AddDaemon();
   /// Ends what runs of this daemon or server with SIGKILL and starts it anew at its addresses.
