Leave the lease to daemons that follow the store

121 of 295 daemons still read the lease within their first half second, as each knew only of itself that it reached the store. Now only daemons that follow the store do.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -327,7 +327,7 @@
       mNextRoles = aNow + kRolePeriod;
       FollowStore(aNow);
       if (!mWaiting) {
-        mRoles.OnTick(aNow);
+        mRoles.OnTick(mWatches, aNow);
       }
     }
     if (mCapacitiesOf != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -104,10 +104,11 @@
 }
 
 void
-role_driver::OnTick(instant aNow)
+role_driver::OnTick(bool aFollows, instant aNow)
 {
   const auto views = Views(aNow);
-  Carry(mKeeper.OnTick(views, mExchange.Members().DutyRank(aNow), aNow));
+  const auto rank = aFollows ? mExchange.Members().DutyRank(aNow) : fleet_members::kNoDuty;
+  Carry(mKeeper.OnTick(views, rank, aNow));
 }
 
 void
--- a/packages/gateway/src/role_driver_p.h
+++ b/packages/gateway/src/role_driver_p.h
@@ -34,7 +34,8 @@
               const clock_source& aClock,
               kj::TaskSet& aTasks);
 
-  void OnTick(instant aNow);
+  /// `aFollows`: whether this daemon follows the store; others leave the lease alone.
+  void OnTick(bool aFollows, instant aNow);
   void SetPrefillShare(double aShare) { mKeeper.SetPrefillShare(aShare); }
 
 private:
