Begin to follow the store at once again, but right after a start

The wait holds only for 1.5 s after the first view of the others now.

Reverted: setting pauses back only after 3 s without a failure, with its test.

--- a/packages/core/include/skylarkwind/store_watchers.h
+++ b/packages/core/include/skylarkwind/store_watchers.h
@@ -35,17 +35,18 @@
   std::vector<std::string> mCollectors;
 };
 
-/// Whether this daemon follows the store itself. One that becomes chosen later than with its first
-/// view of the others begins only when it has stayed so for a time: once it lists what a neighbour
-/// told, or when a chosen one loses the store, each daemon knows of itself first, and for a moment
-/// all of them would follow it. A daemon that is not connected to others begins at once.
+/// Whether this daemon follows the store itself. Right after a start, one that becomes chosen later
+/// than with its first view of the others begins only when it has stayed so for a time: once it
+/// lists what a neighbour told, each daemon knows of itself first that it reaches the store, and
+/// for a moment all of them would follow it. Later, and when it is not connected to others, it
+/// begins at once: the watchers may have lost the store.
 class watch_duty
 {
 public:
   bool Watches(bool aChosen, bool aConnected, instant aNow);
 
 private:
-  bool mFirst = true;
+  std::optional<instant> mFirstAt;
   std::optional<instant> mChosenSince;
 };
 
--- a/packages/core/include/skylarkwind/work_exchange.h
+++ b/packages/core/include/skylarkwind/work_exchange.h
@@ -47,7 +47,7 @@
 public:
   /// `aSeeds` are addresses of daemons that may run; reports go there too until the daemon is
   /// connected. A seed tells who collects in the data centre of the sender.
-  work_exchange(fleet_member aSelf,
+  work_exchange(const fleet_member& aSelf,
                 std::vector<std::string> aSeeds,
                 backend_board& aBoard,
                 part_holders& aParts);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -55,11 +55,9 @@
 constexpr std::uint32_t kWorthWaitingTokens = 1'000;
 
 /// What a request's draw decides.
-namespace draw_purpose {
-constexpr std::uint64_t Stream = 1;
-constexpr std::uint64_t Compute = 2;
-constexpr std::uint64_t Holder = 3;
-}
+constexpr std::uint64_t kStreamDraw = 1;
+constexpr std::uint64_t kComputeDraw = 2;
+constexpr std::uint64_t kHolderDraw = 3;
 
 bool
 Contains(std::span<const std::string> aIds, std::string_view aId)
@@ -241,7 +239,7 @@
   if (from.empty()) {
     return nullptr;
   }
-  const auto drawn = UniformOf(aDraw, draw_purpose::Holder) * static_cast<double>(from.size());
+  const auto drawn = UniformOf(aDraw, kHolderDraw) * static_cast<double>(from.size());
   return from[static_cast<std::size_t>(drawn)];
 }
 
@@ -264,8 +262,8 @@
                     seen.mFailedPart * kFailureCostMs);
   }
   // Each request adds about one ms to the cost of its engine.
-  const auto chosen = ChooseLevelled(
-    costs, mBoard.Unseen(aNow).mRequests, UniformOf(aQuery.mDraw, draw_purpose::Stream));
+  const auto chosen =
+    ChooseLevelled(costs, mBoard.Unseen(aNow).mRequests, UniformOf(aQuery.mDraw, kStreamDraw));
   if (chosen == costs.size()) {
     return { nullptr, std::numeric_limits<double>::infinity() };
   }
@@ -345,11 +343,11 @@
       kHomeWeightMs * (1 - static_cast<double>(tie) /
                              static_cast<double>(std::numeric_limits<std::uint64_t>::max()));
     costs[i] = made.mCost;
-    options[i] = std::move(made);
+    options[i] = made;
     ties[i] = tie;
   }
-  const auto chosen = ChooseLevelled(
-    costs, mBoard.Unseen(aNow).mPrefillMs, UniformOf(aQuery.mDraw, draw_purpose::Compute));
+  const auto chosen =
+    ChooseLevelled(costs, mBoard.Unseen(aNow).mPrefillMs, UniformOf(aQuery.mDraw, kComputeDraw));
   if (chosen == costs.size()) {
     return NoneAdmits(aQuery, "no engine admits the request", kNoEngineRetryAfter, aNow);
   }
--- a/packages/core/src/store_watchers.cpp
+++ b/packages/core/src/store_watchers.cpp
@@ -3,7 +3,6 @@
 #include "skylarkwind/hash.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace skylarkwind {
 
@@ -12,6 +11,8 @@
 /// Each change in the store costs a call of every watcher. With a third of the daemons cut off from
 /// the store without a word, all four are cut off in one of 81 cases.
 constexpr std::size_t kMostWatchers = 4;
+/// Time after the first view of the others in which who reaches the store is not yet known to all.
+constexpr std::chrono::milliseconds kStartTime{ 1'500 };
 /// News of who reaches the store passes all daemons within this time.
 constexpr std::chrono::milliseconds kChosenFor{ 400 };
 
@@ -41,13 +42,14 @@
 bool
 watch_duty::Watches(bool aChosen, bool aConnected, instant aNow)
 {
-  const bool first = std::exchange(mFirst, false);
+  const bool first = !mFirstAt;
+  mFirstAt = mFirstAt.value_or(aNow);
   if (!aChosen) {
     mChosenSince.reset();
     return !aConnected;
   }
   mChosenSince = mChosenSince.value_or(first ? aNow - kChosenFor : aNow);
-  return !aConnected || aNow - *mChosenSince >= kChosenFor;
+  return !aConnected || aNow - *mFirstAt >= kStartTime || aNow - *mChosenSince >= kChosenFor;
 }
 
 bool
--- a/packages/core/src/work_exchange.cpp
+++ b/packages/core/src/work_exchange.cpp
@@ -75,7 +75,7 @@
 void
 Split(work_summary aSummary,
       const std::vector<backend_work>& aWork,
-      std::vector<outgoing_message::receiver> aReceivers,
+      const std::vector<outgoing_message::receiver>& aReceivers,
       std::vector<outgoing_message>& aOut)
 {
   const auto kept = std::exchange(aSummary.mFacts.mKept, {});
@@ -92,7 +92,7 @@
 
 } // namespace
 
-work_exchange::work_exchange(fleet_member aSelf,
+work_exchange::work_exchange(const fleet_member& aSelf,
                              std::vector<std::string> aSeeds,
                              backend_board& aBoard,
                              part_holders& aParts)
--- a/packages/core/tests/store_watchers_test.cpp
+++ b/packages/core/tests/store_watchers_test.cpp
@@ -121,6 +121,10 @@
     now += std::chrono::milliseconds{ 400 };
     CPPUNIT_ASSERT(late.Watches(true, true, now));
     CPPUNIT_ASSERT(late.Watches(false, false, now));
+    // The watchers have lost the store: others begin at once.
+    CPPUNIT_ASSERT(!late.Watches(false, true, now));
+    now += std::chrono::seconds{ 5 };
+    CPPUNIT_ASSERT(late.Watches(true, true, now));
   }
 };
 
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -11,8 +11,6 @@
 
 /// Removals within this time after an outage may be lapses of entries whose servers live.
 constexpr std::chrono::milliseconds kLapsesSeenFor{ 2'000 };
-/// A store without failures for this long is called at full pace again.
-constexpr std::chrono::milliseconds kFailuresForgotten{ 3'000 };
 /// The change is in the store already when a daemon that was told of it asks for it.
 constexpr std::chrono::milliseconds kCatchUpWait{ 300 };
 /// Neighbours are asked for a time within these bounds before a call to the store. It is drawn, so
@@ -375,10 +373,7 @@
     }
     mOutageSince = {};
   }
-  // A store that answers every other call is not called at full pace.
-  if (now - mFailedAt >= kFailuresForgotten) {
-    mFailures = 0;
-  }
+  mFailures = 0;
 }
 
 bool
@@ -402,7 +397,6 @@
   const auto doublings = std::min<std::uint32_t>(mFailures, 8);
   const auto ceiling = std::min(mSettings.mLongestPause, mSettings.mFirstPause * (1U << doublings));
   ++mFailures;
-  mFailedAt = mClock.Now();
   std::uniform_int_distribution<std::int64_t> pause{ ceiling.count() / 4, ceiling.count() };
   return mTimer.afterDelay(ToKj(std::chrono::milliseconds{ pause(mRandom) }));
 }
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -137,8 +137,7 @@
   bool mCatchUp = false;  ///< something that was passed on did not arrive
   instant mOutageSince{};
   instant mOutageEndedAt{};
-  std::uint32_t mFailures = 0; ///< in a row, or with answers between them for a short time
-  instant mFailedAt{};
+  std::uint32_t mFailures = 0;
   std::mt19937_64 mRandom;
 };
 
