--- a/packages/core/src/work_exchange.cpp
+++ b/packages/core/src/work_exchange.cpp
@@ -407,7 +407,7 @@
         }
       }
     }
-    Split(std::move(summary), work, std::move(out.mReceivers), aOut);
+    Split(std::move(summary), work, out.mReceivers, aOut);
   }
   // The collector's own view comes from the same sums, unless another one counts more daemons.
   std::uint32_t most = 0;
@@ -508,7 +508,7 @@
   if (summary.mRecords.size() > kMostRecords) {
     summary.mRecords.resize(kMostRecords);
   }
-  Split(std::move(summary), mSums.Own(aNow), std::move(receivers), aOut);
+  Split(std::move(summary), mSums.Own(aNow), receivers, aOut);
 }
 
 std::vector<outgoing_message>
--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -79,7 +79,8 @@
   return Write(false).then([this](std::optional<store_failure> aFailure) -> kj::Promise<void> {
     if (aFailure && aFailure->mCause == store_failure::cause::Conflict) {
       // An earlier process of this VM left its object, with another address.
-      return Write(true).then([](std::optional<store_failure> aSecond) { NoteFailure(aSecond); });
+      return Write(true).then(
+        [](const std::optional<store_failure>& aSecond) { NoteFailure(aSecond); });
     }
     NoteFailure(aFailure);
     return kj::READY_NOW;
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -176,6 +176,8 @@
     mStore.mLists.assign(kDaemons, Page({ "a" }, 10));
     std::vector<std::unique_ptr<store_follower>> followers;
     std::vector<kj::Promise<void>> running;
+    followers.reserve(kDaemons);
+    running.reserve(kDaemons);
     std::size_t turn = 0;
     for (std::uint64_t i = 0; i < kDaemons; ++i) {
       followers.push_back(Follower(i + 1));
