Request a batch that was lost after a heartbeat, and stop when the copy is complete

After a heartbeat, the revision up to which the copy is complete is higher than that of its newest object, and a gap was noted as the latter plus one, so it counted as received at the next tick. The change arrived with the next heartbeat that showed the gap again, or with a load summary.

A complete copy now ends the requests.

Tests: BatchLostAfterHeartbeatIsRequested and ContiguousBatchEndsRequests fail before.

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -233,6 +233,7 @@
 store_follower::Probe()
 {
   mPartialList.clear();
+  mRelayedDuringList.clear();
   mProbing = true;
   mProbe = ReadPages()
              .then([this](const std::optional<store_failure>& aFailure) {
@@ -259,13 +260,17 @@
   }
   if (!aBatch.mIsSnapshot && mSyncedRevision < aBatch.mFrom) {
     // An earlier batch was lost.
-    mRemoteRevision = std::max(mRemoteRevision, mNewestRevision + 1);
+    mRemoteRevision = std::max(mRemoteRevision, aBatch.mTo);
     mRemoteRevisionAt = mRemoteRevisionAt.value_or(mClock.Now());
     return false;
   }
   const bool neededList = mNeedList;
   Apply(aBatch);
   Confirm();
+  // A watcher lists all the same, as its own connection has failed.
+  if (mFedByPeers && mSyncedRevision >= NeededRevision()) {
+    EndRequests();
+  }
   if (mNeedList) {
     mRelayedDuringList.push_back(aBatch);
   } else if (neededList) {
@@ -291,10 +296,8 @@
     return;
   }
   mNewestRevision = std::max(mNewestRevision, aBatch.mFrom);
-  mNeedList = false;
   mListed = true;
-  mAsksPeers = false;
-  mFetchFromPeersUntil.reset();
+  EndRequests();
   mObjects.clear();
   std::vector<stored_object> objects;
   for (const auto& change : aBatch.mChanges) {
@@ -305,6 +308,14 @@
   mOnList(objects, aBatch.mAfterOutage);
 }
 
+void
+store_follower::EndRequests()
+{
+  mNeedList = false;
+  mAsksPeers = false;
+  mFetchFromPeersUntil.reset();
+}
+
 void
 store_follower::OnRemoteRevision(std::uint64_t aRevision)
 {
@@ -419,10 +430,8 @@
     UpdateObject({ object, false });
   }
   mLastBatchEnd = mSyncedRevision;
-  mNeedList = false;
   mListed = true;
-  mAsksPeers = false;
-  mFetchFromPeersUntil.reset();
+  EndRequests();
   mOnList(aObjects, AfterOutage());
   PublishList(aObjects);
   ReapplyRelayed();
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -147,6 +147,8 @@
   bool MayProbe(instant aNow) const;
   void ProbeIfUnconfirmed(instant aNow);
   void Confirm();
+  /// The copy is complete: no list is needed, and no snapshot of another daemon.
+  void EndRequests();
   void Apply(const change_batch& aBatch);
   /// Applies again what was relayed while the list was read and is newer than the list.
   void ReapplyRelayed();
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -113,6 +113,9 @@
   CPPUNIT_TEST(OlderListDoesNotRevertBatch);
   CPPUNIT_TEST(ShorterWatchReplacesTheOpenOne);
   CPPUNIT_TEST(ReportedChangeIsListedInTimeWhenPeersLackIt);
+  CPPUNIT_TEST(BatchLostAfterHeartbeatIsRequested);
+  CPPUNIT_TEST(ContiguousBatchEndsRequests);
+  CPPUNIT_TEST(ListPastReportedRemovalEndsRequests);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -472,6 +475,79 @@
     CPPUNIT_ASSERT_EQUAL(std::string{ "list " }, mStore.mCalls.at(2));
     CPPUNIT_ASSERT(mClock.Now() - reportedAt <= seconds{ 1 });
   }
+
+  /// Ticks the follower every 25 ms for this long.
+  void TickFor(store_follower& aFollower, milliseconds aTime)
+  {
+    for (const auto until = mClock.Now() + aTime; mClock.Now() < until;) {
+      aFollower.OnTick(mClock.Now());
+      mLoop->provider->getTimer().afterDelay(2 * kj::MILLISECONDS).wait(mLoop->waitScope);
+      mClock.Advance(milliseconds{ 25 });
+    }
+  }
+
+  /// Heartbeats raise the revision up to which the copy is complete above that of its newest
+  /// object. Guards against taking a batch that was lost after them for received.
+  void BatchLostAfterHeartbeatIsRequested()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = FollowerFedByPeers(running);
+    std::uint64_t requested = 0;
+    follower->SetPeerFetch([&requested](const std::string&, std::uint64_t aRevision) {
+      requested = aRevision;
+      return kj::Promise<std::optional<change_batch>>{ kj::NEVER_DONE };
+    });
+    CPPUNIT_ASSERT(follower->OnBatch({ "", 10, 20, false, false, {} }));
+    CPPUNIT_ASSERT(!follower->OnBatch(MakeBatch(25, 30, "c")));
+    TickFor(*follower, milliseconds{ 500 });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 30 }, requested);
+  }
+
+  /// The batch that was thought lost arrives late. Guards against a daemon that has a complete copy
+  /// and yet asks other daemons for one, and offers none itself meanwhile.
+  void ContiguousBatchEndsRequests()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = FollowerFedByPeers(running);
+    int requests = 0;
+    follower->SetPeerFetch([&requests](const std::string&, std::uint64_t) {
+      ++requests;
+      return kj::Promise<std::optional<change_batch>>{ std::optional<change_batch>{} };
+    });
+    follower->OnBatch(MakeBatch(12, 15, "c"));
+    TickFor(*follower, milliseconds{ 300 });
+    CPPUNIT_ASSERT(requests > 0);
+    CPPUNIT_ASSERT(!follower->Snapshot());
+    follower->OnBatch(MakeBatch(10, 12, "b"));
+    follower->OnBatch(MakeBatch(12, 15, "c"));
+    CPPUNIT_ASSERT(follower->Snapshot());
+    TickFor(*follower, milliseconds{ 100 });
+    requests = 0;
+    TickFor(*follower, seconds{ 1 });
+    CPPUNIT_ASSERT_EQUAL(0, requests);
+  }
+
+  /// A removal leaves no object with its revision. Guards against a watcher that lists past a
+  /// reported removal, finds no object as new, and asks for it again every second.
+  void ListPastReportedRemovalEndsRequests()
+  {
+    mStore.mLists = { MakePage({ "a" }, 10) };
+    const auto follower = Follower();
+    follower->SetPeerFetch([](const std::string&, std::uint64_t) {
+      return kj::Promise<std::optional<change_batch>>{ std::optional<change_batch>{} };
+    });
+    const auto running = follower->Run();
+    RunUntilCalls(2);
+    auto page = MakePage({ "a" }, 10);
+    page.mAt = 16;
+    mStore.mLists = { page };
+    follower->OnRemoteRevision(15);
+    TickFor(*follower, milliseconds{ 1'500 });
+    CPPUNIT_ASSERT_EQUAL(std::string{ "list " }, mStore.mCalls.at(2));
+    const auto calls = mStore.mCalls.size();
+    TickFor(*follower, seconds{ 4 });
+    CPPUNIT_ASSERT_EQUAL(calls, mStore.mCalls.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
