Confirm the copy with messages that did not wait during a stall; determine the rank once

A batch of changes that waited in the socket of a paused process confirmed the copy as if it had just been sent; only heartbeats were left out. The check for a stall is that of load_exchange now, in place of a second one in store_replication. UpdateWatch ranks the members once for the watch, the pause and the confirmation timeout.

Tests: BatchReadAfterStallDoesNotConfirm, MessagesReadAfterStallMayBeOld.

--- a/packages/core/include/skylarkwind/load_exchange.h
+++ b/packages/core/include/skylarkwind/load_exchange.h
@@ -73,6 +73,8 @@
 
   /// Whether this daemon has recently used a fleet summary, received or of its own making.
   bool Connected(instant aNow) const;
+  /// Whether messages that are read now may have waited while this process was stalled.
+  bool MayReadOldMessages(instant aNow) const;
   /// Whether a data centre with known daemons has recently sent nothing.
   bool HasSilentDataCentre(instant aNow) const;
   const fleet_members& Members() const { return mMembers; }
@@ -142,6 +144,7 @@
   store_revisions mFleetRevisions;
 
   instant mTickedAt{};
+  instant mStalledUntil{};     ///< end of the last stall of this process
   std::uint64_t mSequence = 0; ///< of the last report
   std::uint64_t mSummarySequence = 0;
   std::uint64_t mReportedChanges = 0; ///< change count of the load tracker at the last report
--- a/packages/core/src/load_exchange.cpp
+++ b/packages/core/src/load_exchange.cpp
@@ -56,6 +56,8 @@
 constexpr milliseconds kUpdateRetention{ 1'000 };
 /// A longer interval between ticks means that this process itself was stalled.
 constexpr milliseconds kStallThreshold{ 250 };
+/// Messages that arrived during a stall are read within this time after it.
+constexpr milliseconds kStallRecovery{ 100 };
 /// Half of the longest time for which a peak number of daemons is kept. Sources of summaries are
 /// dropped when they have sent none for this time.
 constexpr milliseconds kPeakWindow{ 10'000 };
@@ -542,11 +544,18 @@
   Split(std::move(summary), mLoadAggregator.LocalLoad(aNow), receivers, aOut);
 }
 
+bool
+load_exchange::MayReadOldMessages(instant aNow) const
+{
+  return aNow - mTickedAt >= kStallThreshold || aNow - mStalledUntil < kStallRecovery;
+}
+
 std::vector<outgoing_message>
 load_exchange::OnTick(instant aNow)
 {
   std::vector<outgoing_message> out;
   if (aNow - mTickedAt >= kStallThreshold) {
+    mStalledUntil = aNow;
     // Answers of collectors may still be unread in the socket, so that their timeouts restart.
     for (auto& [name, since] : mCollectorsHeardAt) {
       since = aNow;
--- a/packages/core/tests/load_exchange_test.cpp
+++ b/packages/core/tests/load_exchange_test.cpp
@@ -190,6 +190,7 @@
   CPPUNIT_TEST(MessageRateDoesNotGrowWithTheFleet);
   CPPUNIT_TEST(TerminatedCollectorsAreReplaced);
   CPPUNIT_TEST(PausedCollectorDoesNotDisruptUpdates);
+  CPPUNIT_TEST(MessagesReadAfterStallMayBeOld);
   CPPUNIT_TEST(StoppingCollectorsAreReplacedAtOnce);
   CPPUNIT_TEST(PartitionedDataCentreKeepsExchanging);
   CPPUNIT_TEST(ServerUpdatesReachEveryDaemonDespiteLoss);
@@ -383,6 +384,23 @@
     }
   }
 
+  /// Guards against taking what waited in the socket of a paused process for news.
+  void MessagesReadAfterStallMayBeOld()
+  {
+    simulated_fleet fleet{ 1, 3 };
+    fleet.Run(seconds{ 1 });
+    auto& daemon = fleet.At("dc0-vm-1");
+    CPPUNIT_ASSERT(!daemon.mExchange->MayReadOldMessages(fleet.mNow));
+    daemon.mPaused = true;
+    fleet.Run(seconds{ 1 });
+    CPPUNIT_ASSERT(daemon.mExchange->MayReadOldMessages(fleet.mNow));
+    daemon.mPaused = false;
+    fleet.Run(milliseconds{ 50 });
+    CPPUNIT_ASSERT(daemon.mExchange->MayReadOldMessages(fleet.mNow));
+    fleet.Run(milliseconds{ 500 });
+    CPPUNIT_ASSERT(!daemon.mExchange->MayReadOldMessages(fleet.mNow));
+  }
+
   void StoppingCollectorsAreReplacedAtOnce()
   {
     simulated_fleet fleet{ 2, 8 };
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -249,7 +249,7 @@
 }
 
 bool
-store_follower::OnBatch(const change_batch& aBatch)
+store_follower::OnBatch(const change_batch& aBatch, bool aFresh)
 {
   if (mListed && aBatch.IsHeartbeat() && aBatch.mTo == mSyncedRevision) {
     Confirm();
@@ -266,7 +266,9 @@
   }
   const bool neededList = mNeedList;
   Apply(aBatch);
-  Confirm();
+  if (aFresh) {
+    Confirm();
+  }
   // A watcher lists all the same, as its own connection has failed.
   if (mFedByPeers && mSyncedRevision >= NeededRevision()) {
     EndRequests();
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -108,7 +108,9 @@
   /// Applies a batch that another daemon relays, also while this daemon watches the store itself,
   /// as its own connection may be silent. Returns false when the batch is ignored because it is old
   /// or does not continue the local state, and for heartbeats that were forwarded already.
-  bool OnBatch(const change_batch& aBatch);
+  /// `aFresh`: the batch has not waited while this process was stalled, so that it confirms the
+  /// copy.
+  bool OnBatch(const change_batch& aBatch, bool aFresh = true);
   /// All objects as known to this daemon; empty before the first list and while changes may be
   /// missing.
   std::optional<change_batch> Snapshot() const;
--- a/packages/gateway/src/store_replication.cpp
+++ b/packages/gateway/src/store_replication.cpp
@@ -34,10 +34,6 @@
 /// Pause between the calls of two daemons that have received no heartbeat. Within it, the first one
 /// gets its answer and relays it.
 constexpr milliseconds kProbeInterval{ 30 };
-/// A pause of the process at least this long is a stall: messages that arrive afterwards are old.
-constexpr milliseconds kStallThreshold{ 250 };
-/// Messages that arrived during a stall are read within this time after it.
-constexpr milliseconds kStallRecovery{ 100 };
 
 double
 DrawTurn(std::uint64_t aRandomSeed)
@@ -102,10 +98,6 @@
 void
 store_replication::OnTick(bool aStopping, instant aNow)
 {
-  if (mTickedAt != instant{} && aNow - mTickedAt >= kStallThreshold) {
-    mStalledUntil = aNow + kStallRecovery;
-  }
-  mTickedAt = aNow;
   for (auto* follower : Followers()) {
     follower->OnTick(aNow);
   }
@@ -126,10 +118,12 @@
     return;
   }
   const auto& members = mExchange.Members();
-  const auto rank = members.DutyRank(aNow);
+  const auto candidates = members.DutyCandidates(aNow);
+  const auto own = std::find(candidates.begin(), candidates.end(), &members.Self());
+  const auto rank = static_cast<std::size_t>(own - candidates.begin());
   const auto watch = rank == 0 ? mSettings.mChangeDeadline / kDeadlineParts : kLongWatch;
   const auto pause = rank < kShortPauseDaemons ? kShortRetryPause : kLongRetryPause;
-  const auto confirmationTimeout = ConfirmationTimeout(aNow);
+  const auto confirmationTimeout = ConfirmationTimeout(rank, candidates.size());
   const bool watchedBefore = mWatchesStore;
   mWatchers = store_watchers::Choose(members, aNow);
   mWatchesStore = mWatchPolicy.Watches(mWatchers.SelfWatches(), connected, aNow);
@@ -148,14 +142,11 @@
 }
 
 milliseconds
-store_replication::ConfirmationTimeout(instant aNow) const
+store_replication::ConfirmationTimeout(std::size_t aRank, std::size_t aCandidates) const
 {
-  const auto candidates = mExchange.Members().DutyCandidates(aNow);
-  const auto own = std::find(candidates.begin(), candidates.end(), &mExchange.Members().Self()) -
-                   candidates.begin();
-  auto place = static_cast<double>(own);
-  if (const auto others = mExchange.DaemonCount(); own == std::ssize(candidates) && others > own) {
-    place += mTurn * (others - place);
+  auto place = static_cast<double>(aRank);
+  if (aRank == aCandidates && mExchange.DaemonCount() > aCandidates) {
+    place += mTurn * (mExchange.DaemonCount() - place);
   }
   return mSettings.mChangeDeadline / kDeadlineParts * kHeartbeatsAwaited + kHeartbeatTransit +
          std::chrono::duration_cast<milliseconds>(place * kProbeInterval);
@@ -164,12 +155,12 @@
 void
 store_replication::OnBatch(const change_batch& aBatch)
 {
-  const auto now = mClock.Now();
-  if (aBatch.IsHeartbeat() && (now - mTickedAt >= kStallThreshold || now < mStalledUntil)) {
+  const bool fresh = !mExchange.MayReadOldMessages(mClock.Now());
+  if (!fresh && aBatch.IsHeartbeat()) {
     return;
   }
   for (auto* follower : Followers()) {
-    if (follower->Kind() == aBatch.mKind && follower->OnBatch(aBatch)) {
+    if (follower->Kind() == aBatch.mKind && follower->OnBatch(aBatch, fresh)) {
       auto forwarded = aBatch;
       forwarded.mForwarded = true;
       Relay(forwarded, false);
--- a/packages/gateway/src/store_replication_p.h
+++ b/packages/gateway/src/store_replication_p.h
@@ -81,8 +81,9 @@
 private:
   std::array<store_follower*, 2> Followers() { return { &mConfiguration, &mServers }; }
   store_follower_settings FollowerSettings(std::string aKind) const;
-  /// Time without a confirmation after which this daemon lists from the store.
-  std::chrono::milliseconds ConfirmationTimeout(instant aNow) const;
+  /// Time without a confirmation after which this daemon lists from the store. `aRank`: zero-based
+  /// rank among the `aCandidates` candidates for duties, or their number if it is not one.
+  std::chrono::milliseconds ConfirmationTimeout(std::size_t aRank, std::size_t aCandidates) const;
   /// Relays changes to other daemons. What this daemon read from the store goes to the collectors
   /// of all data centres; what it read or received goes to the local peers that it relays to.
   void Relay(const change_batch& aBatch, bool aToCollectors) const;
@@ -97,8 +98,6 @@
   watch_policy mWatchPolicy;
   instant mStartedAt;
   double mTurn; ///< place among the daemons that have no duty rank, from 0 to 1
-  instant mTickedAt{};
-  instant mStalledUntil{}; ///< what arrives until then may have waited while the process was paused
   bool mAwaitsPeers = true;
   bool mWatchesStore = false;
 };
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -114,6 +114,7 @@
   CPPUNIT_TEST(ShorterWatchReplacesTheOpenOne);
   CPPUNIT_TEST(ReportedChangeIsListedInTimeWhenPeersLackIt);
   CPPUNIT_TEST(BatchLostAfterHeartbeatIsRequested);
+  CPPUNIT_TEST(BatchReadAfterStallDoesNotConfirm);
   CPPUNIT_TEST(ContiguousBatchEndsRequests);
   CPPUNIT_TEST(ListPastReportedRemovalEndsRequests);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
@@ -503,6 +504,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 30 }, requested);
   }
 
+  /// Guards against a daemon that takes a batch which waited during a stall of its process for a
+  /// sign that the store is still watched.
+  void BatchReadAfterStallDoesNotConfirm()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = FollowerFedByPeers(running);
+    mClock.Advance(seconds{ 3 });
+    const auto before = follower->ConfirmedAt();
+    CPPUNIT_ASSERT(follower->OnBatch(MakeBatch(10, 12, "b"), false));
+    CPPUNIT_ASSERT(before == follower->ConfirmedAt());
+    CPPUNIT_ASSERT(follower->OnBatch(MakeBatch(12, 14, "c"), true));
+    CPPUNIT_ASSERT(mClock.Now() == follower->ConfirmedAt());
+  }
+
   /// The batch that was thought lost arrives late. Guards against a daemon that has a complete copy
   /// and yet asks other daemons for one, and offers none itself meanwhile.
   void ContiguousBatchEndsRequests()
