--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -270,17 +270,18 @@
 gateway_system::WriteSettings(const daemon_entry& aDaemon) const
 {
   auto file = mDirectory + "/" + aDaemon.mName + ".yaml";
-  std::ofstream{ file }
-    << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
-    << "  callers_address: " << aDaemon.mCallers << "\n"
-    << "  ready_address: " << aDaemon.mReady << "\n"
-    << "  store_address: " << aDaemon.mStore << "\n"
-    << "  peer_address: " << aDaemon.mPeers << "\n"
-    << "  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
-    << "  repeat_ratio: " << mOptions.mRepeatRatio << "\n  repeat_floor: " << mOptions.mRepeatFloor
-    << "\n"
-    << "  prefill_share: " << mOptions.mPrefillShare << "\n"
-    << "  seeds: \"" << (mOptions.mSeeds && !mDaemons.empty() ? mDaemons[0].mPeers : "") << "\"\n";
+  std::ofstream{ file } << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
+                        << "  callers_address: " << aDaemon.mCallers << "\n"
+                        << "  ready_address: " << aDaemon.mReady << "\n"
+                        << "  store_address: " << aDaemon.mStore << "\n"
+                        << "  peer_address: " << aDaemon.mPeers << "\n"
+                        << "  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
+                        << "  repeat_ratio: " << mOptions.mRepeatRatio
+                        << "\n  repeat_floor: " << mOptions.mRepeatFloor << "\n"
+                        << "  prefill_share: " << mOptions.mPrefillShare << "\n"
+                        << "  seeds: \""
+                        << (mOptions.mSeeds && !mDaemons.empty() ? mDaemons[0].mPeers : "")
+                        << "\"\n";
   return file;
 }
 
