Schedules with cuts between daemons and lost datagrams; hypotheses from their failures

The schedule test of the replication had no network faults between daemons. It gets three: single daemons cut off from all others, data centres cut off from each other, a third of the datagrams lost. A daemon is excused only while no daemon on its side of the cut reaches the store.

--- a/packages/gateway/tests/store_fleet.h
+++ b/packages/gateway/tests/store_fleet.h
@@ -10,6 +10,7 @@
 #include <kj/timer.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -124,6 +125,13 @@
   void Start(int aDaemon);
   /// A paused daemon neither runs its timers nor reads; what it is sent arrives afterwards.
   void SetPaused(int aDaemon, bool aPaused) { mDaemons[aDaemon]->mPaused = aPaused; }
+  /// Sets between which daemons messages pass, in both directions.
+  void SetConnected(std::function<bool(int aOne, int aOther)> aConnected)
+  {
+    mConnected = std::move(aConnected);
+  }
+  /// Sets the percentage of datagrams that are lost.
+  void SetLoss(unsigned aPercent) { mLossPercent = aPercent; }
   bool IsUp(int aDaemon) const { return mDaemons[aDaemon]->mReplication != nullptr; }
   bool Watches(int aDaemon) const { return mDaemons[aDaemon]->mReplication->WatchesStore(); }
   int Count() const { return static_cast<int>(mDaemons.size()); }
@@ -156,7 +164,7 @@
 
   void Tick(int aDaemon);
   void Deliver(const datagram& aDatagram);
-  void Send(const std::string& aAddress, decltype(datagram::mContent) aContent);
+  void Send(int aFrom, const std::string& aAddress, decltype(datagram::mContent) aContent);
   std::optional<int> Find(std::string_view aAddress) const;
   kj::Promise<std::optional<change_batch>> Fetch(int aDaemon,
                                                  const std::string& aKind,
@@ -171,6 +179,8 @@
   std::mt19937_64 mRandom;
   std::vector<std::unique_ptr<daemon>> mDaemons;
   std::multimap<instant, datagram> mInFlight;
+  std::function<bool(int, int)> mConnected = [](int, int) { return true; };
+  unsigned mLossPercent = 1;
   std::uint64_t mStep = 0;
 };
 
@@ -365,11 +375,10 @@
 }
 
 inline void
-store_fleet::Send(const std::string& aAddress, decltype(datagram::mContent) aContent)
+store_fleet::Send(int aFrom, const std::string& aAddress, decltype(datagram::mContent) aContent)
 {
   const auto to = Find(aAddress);
-  // One datagram in a hundred is lost.
-  if (to && mRandom() % 100 != 0) {
+  if (to && mRandom() % 100 >= mLossPercent && mConnected(aFrom, *to)) {
     mInFlight.emplace(mClock.Now() + std::chrono::milliseconds{ 1 + mRandom() % 3 },
                       datagram{ *to, std::move(aContent) });
   }
@@ -385,6 +394,11 @@
   }
   const auto source = Find(sources[mRandom() % sources.size()]);
   self.mFetchFailed = true;
+  if (!mConnected(aDaemon, *source)) {
+    return mTimer.afterDelay(250 * kj::MILLISECONDS).then([] {
+      return std::optional<change_batch>{};
+    });
+  }
   return mTimer.afterDelay(3 * kj::MILLISECONDS)
     .then([this, aDaemon, aKind, aRevision, source]() -> kj::Promise<std::optional<change_batch>> {
       auto& other = *mDaemons[static_cast<std::size_t>(*source)];
@@ -428,9 +442,10 @@
   callbacks.mOnConfiguration = onChange(kConfigurationKind);
   callbacks.mOnServers = onList(kServerKind);
   callbacks.mOnServer = onChange(kServerKind);
-  callbacks.mSend = [this](const change_batch& aBatch, std::span<const std::string> aAddresses) {
+  callbacks.mSend = [this, aDaemon](const change_batch& aBatch,
+                                    std::span<const std::string> aAddresses) {
     for (const auto& address : aAddresses) {
-      Send(address, aBatch);
+      Send(aDaemon, address, aBatch);
     }
   };
   callbacks.mFetchFromPeer = [this, aDaemon](const std::string& aKind, std::uint64_t aRevision) {
@@ -512,11 +527,11 @@
   for (auto& message : self.mExchange->OnTick(now)) {
     for (const auto& receiver : message.mReceivers) {
       if (const auto* report = std::get_if<load_report>(&message.mMessage)) {
-        Send(receiver.mAddress, *report);
+        Send(aDaemon, receiver.mAddress, *report);
       } else {
         auto summary = std::get<load_summary>(message.mMessage);
         summary.mIncludedSequence = receiver.mIncludedSequence;
-        Send(receiver.mAddress, std::move(summary));
+        Send(aDaemon, receiver.mAddress, std::move(summary));
       }
     }
   }
--- a/packages/gateway/tests/store_replication_test.cpp
+++ b/packages/gateway/tests/store_replication_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <set>
 
 namespace skylarkwind {
 
@@ -33,11 +34,14 @@
     Forget,  ///< open watches hear nothing, then the store drops its history and cuts them off
     Kill,    ///< some daemons are killed and start again
     Pause,   ///< some daemons are paused
+    Isolate, ///< some daemons are cut off from all other daemons, not from the store
+    Divide,  ///< some data centres are cut off from the others, not from the store
+    Lossy,   ///< a third of the datagrams is lost
     Count
   } mKind;
   int mAtStep;
   int mSteps;
-  std::uint64_t mWho; ///< bit mask of the daemons
+  std::uint64_t mWho; ///< bit mask of the daemons or data centres
 };
 
 /// Prints the schedule of a failure. rapidcheck finds it by this name.
@@ -46,7 +50,8 @@
   const fault& aFault,
   std::ostream& aOut)
 {
-  constexpr std::array kNames{ "refuse", "silence", "slow", "forget", "kill", "pause" };
+  constexpr std::array kNames{ "refuse", "silence", "slow",   "forget", "kill",
+                               "pause",  "isolate", "divide", "lossy" };
   aOut << kNames.at(static_cast<std::size_t>(aFault.mKind)) << " at step " << aFault.mAtStep
        << " for " << aFault.mSteps << " who " << std::hex << aFault.mWho << std::dec;
 }
@@ -67,6 +72,7 @@
 public:
   replication_schedule(int aDataCentres, int aEach, std::uint64_t aSeed)
     : mFleet(aDataCentres, aEach, aSeed)
+    , mDaemonsPerDataCentre(aEach)
     , mRandom(aSeed)
     , mUndisturbedSince(static_cast<std::size_t>(aDataCentres * aEach))
   {
@@ -104,7 +110,16 @@
                aStep < aFault.mAtStep + aFault.mSteps && Hits(aFault, aDaemon);
       });
     };
-    bool someReach = false;
+    const auto part = [&](int aDaemon) {
+      return Part(aDaemon,
+                  active(fault::kind::Isolate, aDaemon),
+                  active(fault::kind::Divide, aDaemon / mDaemonsPerDataCentre));
+    };
+    std::vector<int> parts;
+    for (int i = 0; i < mFleet.Count(); ++i) {
+      parts.push_back(part(i));
+    }
+    std::set<int> partsWithStore;
     for (int i = 0; i < mFleet.Count(); ++i) {
       const bool silent = active(fault::kind::Silence, i);
       const bool refused = active(fault::kind::Refuse, i);
@@ -122,13 +137,23 @@
       if (killed || paused) {
         mUndisturbedSince[static_cast<std::size_t>(i)] = mFleet.Now() + kStep;
       }
-      someReach = someReach || (!silent && !refused && !killed && !paused);
+      if (!silent && !refused && !killed && !paused) {
+        partsWithStore.insert(parts[static_cast<std::size_t>(i)]);
+      }
+    }
+    for (int i = 0; i < mFleet.Count(); ++i) {
+      if (!partsWithStore.contains(parts[static_cast<std::size_t>(i)])) {
+        mUndisturbedSince[static_cast<std::size_t>(i)] = mFleet.Now() + kStep;
+      }
     }
+    mFleet.SetConnected([parts](int aOne, int aOther) {
+      return parts[static_cast<std::size_t>(aOne)] == parts[static_cast<std::size_t>(aOther)];
+    });
+    constexpr unsigned kUsualLoss = 1;
+    constexpr unsigned kHighLoss = 33;
+    mFleet.SetLoss(active(fault::kind::Lossy, 0) ? kHighLoss : kUsualLoss);
     const bool slow = active(fault::kind::Slow, 0);
     mFleet.Store().mAnswerTime = slow ? kSlowAnswer : kUsualAnswer;
-    if (!someReach) {
-      mStoreStableSince = mFleet.Now() + kStep;
-    }
     // The time of silence does not depend on the daemons that a fault concerns.
     constexpr int kForgettingSteps = 10;
     mFleet.Store().SetForgetting(
@@ -156,17 +181,24 @@
     mExpected.push_back({ now, now + kChangeDeadline, kind, name, remove });
   }
 
-  /// A daemon has to know a change if neither it was disturbed nor the store out of reach of all
-  /// since the acknowledgement, and the time to recover from an earlier disturbance has passed.
+  /// Number of the part of the fleet that a daemon belongs to. Messages pass within a part only.
+  int Part(int aDaemon, bool aIsolated, bool aDivided) const
+  {
+    if (aIsolated) {
+      return 1 + aDaemon;
+    }
+    return aDivided ? -1 - aDaemon / mDaemonsPerDataCentre : 0;
+  }
+
+  /// A daemon has to know a change if neither it was disturbed nor the store out of reach of its
+  /// whole part of the fleet since the acknowledgement, and the time to recover from an earlier
+  /// disturbance has passed.
   std::string CheckDue()
   {
     constexpr milliseconds kRecoveryTime{ 4'000 };
     while (!mExpected.empty() && mFleet.Now() >= mExpected.front().mDueAt) {
       auto change = mExpected.front();
       mExpected.pop_front();
-      if (mStoreStableSince > change.mAckedAt - kRecoveryTime) {
-        continue;
-      }
       for (int i = 0; i < mFleet.Count(); ++i) {
         if (mUndisturbedSince[static_cast<std::size_t>(i)] <= change.mAckedAt - kRecoveryTime &&
             mFleet.Has(i, change.mKind, change.mName) == change.mRemoved) {
@@ -180,9 +212,9 @@
   }
 
   store_fleet mFleet;
+  int mDaemonsPerDataCentre;
   std::mt19937_64 mRandom;
   std::vector<instant> mUndisturbedSince;
-  instant mStoreStableSince{};
   std::deque<std::string> mNames;
   std::deque<expected_change> mExpected;
 };
