Fetch a lost change from daemons that do not reach the store themselves

What callers could see: after one lost datagram, a daemon answered 404 on a new route, or sent requests to a server that had left, for as long as the store served few daemons.

What a daemon may pass on was tied to its connection to the store instead of to the revision of its copy.

Local daemons that reach the store are asked first, then all collectors.

A daemon that starts may now take the copy of a neighbour that is behind, in place of none.

--- a/packages/core/include/skylarkwind/store_watchers.h
+++ b/packages/core/include/skylarkwind/store_watchers.h
@@ -38,7 +38,7 @@
 
 /// Addresses of the daemons from which this one may fetch a copy of stored objects: collectors of
 /// its data centre that reach the store. `aWidely`, or when there is none: collectors of all data
-/// centres.
+/// centres, also those without the store, as they receive what others relay.
 std::vector<std::string> SnapshotSources(const fleet_members& aMembers, bool aWidely, instant aNow);
 
 /// Results of this daemon's recent calls to the store.
--- a/packages/core/src/store_watchers.cpp
+++ b/packages/core/src/store_watchers.cpp
@@ -50,20 +50,20 @@
 SnapshotSources(const fleet_members& aMembers, bool aWidely, instant aNow)
 {
   std::vector<std::string> addresses;
-  const auto add = [&](const std::string& aDataCentre) {
+  const auto add = [&](const std::string& aDataCentre, bool aWithStore) {
     for (const auto* member :
          aMembers.Preferred(aDataCentre, fleet_members::kCollectorsPerDataCentre + 1, aNow)) {
-      if (member != &aMembers.Self() && member->mReachesStore) {
+      if (member != &aMembers.Self() && (!aWithStore || member->mReachesStore)) {
         addresses.push_back(member->mAddress);
       }
     }
   };
   if (!aWidely) {
-    add(aMembers.Self().mDataCentre);
+    add(aMembers.Self().mDataCentre, true);
   }
   if (addresses.empty()) {
     for (const auto& dataCentre : aMembers.DataCentres()) {
-      add(dataCentre);
+      add(dataCentre, false);
     }
   }
   return addresses;
--- a/packages/gateway/src/peer_snapshots_p.h
+++ b/packages/gateway/src/peer_snapshots_p.h
@@ -22,7 +22,7 @@
 class peer_snapshots final : public kj::HttpService
 {
 public:
-  /// Returns all objects of a kind as known to this daemon; empty when its copy may be incomplete.
+  /// Returns all objects of a kind as known to this daemon; empty when it has not listed them yet.
   using snapshot_source = std::function<std::optional<change_batch>(std::string_view aKind)>;
 
   peer_snapshots(kj::Network& aNetwork,
@@ -46,7 +46,7 @@
                             const kj::HttpHeaders& aHeaders,
                             kj::AsyncInputStream& aBody,
                             Response& aResponse) override;
-  /// The address of a random collector that reaches the store.
+  /// The address of a random one of the `SnapshotSources`.
   std::optional<std::string> ChoosePeer();
 
   kj::Network& mNetwork;
--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -138,7 +138,7 @@
 std::optional<change_batch>
 store_follower::Snapshot() const
 {
-  if (!mListed || mNeedList || InOutage()) {
+  if (!mListed) {
     return std::nullopt;
   }
   change_batch batch{ mSettings.mKind, mNewestRevision, mSyncedRevision, true, AfterOutage(), {} };
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -111,8 +111,8 @@
   /// `aFresh`: the batch has not waited while this process was stalled, so that it confirms the
   /// copy.
   bool OnBatch(const change_batch& aBatch, bool aFresh = true);
-  /// All objects as known to this daemon; empty before the first list and while changes may be
-  /// missing.
+  /// All objects as of the last revision up to which this daemon has all changes; empty before the
+  /// first list. It is as complete without a connection to the store as with one.
   std::optional<change_batch> Snapshot() const;
   /// The kind of the objects in the store.
   const std::string& Kind() const { return mSettings.mKind; }
--- a/packages/gateway/src/store_replication_p.h
+++ b/packages/gateway/src/store_replication_p.h
@@ -69,7 +69,7 @@
   void OnBatch(const change_batch& aBatch);
   /// Takes over the newest revisions that other daemons have reported.
   void OnRemoteRevisions();
-  /// All objects of a kind as known here; empty while the copy may be incomplete.
+  /// All objects of a kind as known here; empty before they have been listed.
   std::optional<change_batch> Snapshot(std::string_view aKind) const;
   /// Time since each kind of object was last confirmed to be complete here, by kind.
   std::map<std::string, std::chrono::milliseconds> ConfirmationAges(instant aNow) const;
--- a/packages/gateway/tests/store_replication_test.cpp
+++ b/packages/gateway/tests/store_replication_test.cpp
@@ -230,6 +230,7 @@
   CPPUNIT_TEST(FewDaemonsListWhenAllWatchersAreSilent);
   CPPUNIT_TEST(RefusedDaemonListsWhenOthersAreSilent);
   CPPUNIT_TEST(ChangeIsFetchedFromOtherDataCentreWhenLocalPeersLackIt);
+  CPPUNIT_TEST(LostBatchIsFetchedFromDaemonsWithoutStore);
   CPPUNIT_TEST(ChangesArriveInTimeUnderFaults);
   CPPUNIT_TEST(ChangesArriveInTimeInLargeFleet);
   CPPUNIT_TEST_SUITE_END();
@@ -377,6 +378,30 @@
     CPPUNIT_ASSERT_MESSAGE(late, late.empty());
   }
 
+  /// The store serves one daemon only, and another one misses a relayed batch. Guards against a
+  /// daemon that asks nobody for the change, because those that received it do not reach the store.
+  void LostBatchIsFetchedFromDaemonsWithoutStore()
+  {
+    constexpr int kServed = 4;
+    for (int cutOff = 0; cutOff < 6; ++cutOff) {
+      store_fleet fleet{ 2, 3, 1 };
+      fleet.Run(seconds{ 8 });
+      for (int i = 0; i < fleet.Count(); ++i) {
+        fleet.Store().mAccess[i] = i == kServed ? store_access::Open : store_access::Refused;
+      }
+      fleet.Run(seconds{ 4 });
+      fleet.SetConnected(
+        [cutOff](int aOne, int aOther) { return aOne != cutOff && aOther != cutOff; });
+      fleet.Store().Change(store_fleet::kServerKind, "lost", false);
+      constexpr milliseconds kCut{ 100 };
+      fleet.Run(kCut);
+      fleet.SetConnected([](int, int) { return true; });
+      fleet.Run(kChangeDeadline - kCut);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(cutOff),
+                             fleet.Has(cutOff, store_fleet::kServerKind, "lost"));
+    }
+  }
+
   /// A day brings a few faults of the store and of daemons; up to five of them overlap here.
   static rc::Gen<std::vector<fault>> Faults(int aSteps)
   {
