Ask other daemons early for a change when the open watch confirms nothing

What callers could see: a daemon with a silent watch learnt of a change up to 0.75 s later than one without a watch, so late that the bound of 2 s could pass.

Cause: a watcher waits 1 s for its watch to return a change that others have reported, since an open watch usually returns it. The watch had confirmed nothing for 2 s, and the daemon's own list was already under way for that reason, but it still counted as a watch.

Change: the longer wait applies only while the copy is confirmed in time.

Test: UnconfirmedWatcherAsksPeersAtOnce fails before (no request within 0.4 s).

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -205,11 +205,16 @@
   mConfirmedAt = mClock.Now();
 }
 
+bool
+store_follower::IsUnconfirmed(instant aNow) const
+{
+  return mConfirmationTimeout && aNow - mConfirmedAt >= *mConfirmationTimeout;
+}
+
 void
 store_follower::ProbeIfUnconfirmed(instant aNow)
 {
-  if (mPaused || mListing || !mConfirmationTimeout || aNow - mConfirmedAt < *mConfirmationTimeout ||
-      !MayProbe(aNow)) {
+  if (mPaused || mListing || !IsUnconfirmed(aNow) || !MayProbe(aNow)) {
     return;
   }
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - mConfirmedAt);
@@ -340,7 +345,7 @@
     return;
   }
   // An open watch returns the change soon, unless its connection is silent.
-  const bool watching = !mFedByPeers && !mNeedList;
+  const bool watching = !mFedByPeers && !mNeedList && !IsUnconfirmed(aNow);
   const auto timeout =
     mFetchFromPeer && !watching ? kPeerChangeTimeout : mSettings.mRemoteChangeTimeout;
   if (aNow - *mRemoteRevisionAt < timeout) {
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -147,6 +147,8 @@
   /// Starts to list from the store beside what else is in progress. The copy stays in use.
   void Probe();
   bool MayProbe(instant aNow) const;
+  /// Whether the copy has not been confirmed for the confirmation timeout.
+  bool IsUnconfirmed(instant aNow) const;
   void ProbeIfUnconfirmed(instant aNow);
   void Confirm();
   /// The copy is complete: no list is needed, and no snapshot of another daemon.
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(BatchReadAfterStallDoesNotConfirm);
   CPPUNIT_TEST(ContiguousBatchEndsRequests);
   CPPUNIT_TEST(ListPastReportedRemovalEndsRequests);
+  CPPUNIT_TEST(UnconfirmedWatcherAsksPeersAtOnce);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -565,6 +566,32 @@
     TickFor(*follower, seconds{ 4 });
     CPPUNIT_ASSERT_EQUAL(calls, mStore.mCalls.size());
   }
+
+  /// Guards against a watcher with a silent connection that waits a second for its watch to return
+  /// a change which other daemons have.
+  void UnconfirmedWatcherAsksPeersAtOnce()
+  {
+    for (const bool confirmed : { true, false }) {
+      mStore.mCalls.clear();
+      mStore.mLists = { MakePage({ "a" }, 10) };
+      const auto follower = Follower();
+      int requests = 0;
+      follower->SetPeerFetch([&requests](const std::string&, std::uint64_t) {
+        ++requests;
+        return kj::Promise<std::optional<change_batch>>{ kj::NEVER_DONE };
+      });
+      follower->SetConfirmationTimeout(seconds{ 1 });
+      const auto running = follower->Run();
+      RunUntilCalls(2);
+      mClock.Advance(seconds{ 1 });
+      if (confirmed) {
+        follower->OnBatch({ "", 10, 12, false, false, {} });
+      }
+      follower->OnBatch(MakeBatch(14, 15, "c"));
+      TickFor(*follower, milliseconds{ 400 });
+      CPPUNIT_ASSERT_EQUAL(confirmed ? 0 : 1, requests);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
