Report removals that a list has shown

What callers could see: requests sent to a server that had left, by a daemon that did not receive the list which another daemon had relayed.

Cause: a daemon reports the revision of the newest object that it has received. A removal learnt from a list leaves no object with its revision, so the report said nothing new and nobody asked for the change.

Change: a list that lacks an object of the copy raises the reported revision to that of the list. Daemons that have received the removal otherwise are past that revision with the next heartbeat.

Test: RemovalFoundByListIsReported fails before (10 reported in place of 16).

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -4,6 +4,8 @@
 #include "skylarkwind/log.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace skylarkwind {
 
@@ -431,6 +433,10 @@
     PublishHeartbeat();
     return;
   }
+  if (LacksKnownObject(aObjects)) {
+    // A removal leaves no object with its revision, and other daemons may not know of it.
+    mNewestRevision = std::max(mNewestRevision, mListRevision);
+  }
   mObjects.clear();
   for (const auto& object : aObjects) {
     NoteRevision(object);
@@ -454,6 +460,18 @@
          });
 }
 
+bool
+store_follower::LacksKnownObject(const std::vector<stored_object>& aObjects) const
+{
+  std::set<std::string_view> listed;
+  for (const auto& object : aObjects) {
+    listed.insert(object.mName);
+  }
+  return std::any_of(mObjects.begin(), mObjects.end(), [&](const auto& aKnown) {
+    return !listed.contains(aKnown.first);
+  });
+}
+
 void
 store_follower::PublishHeartbeat() const
 {
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -84,8 +84,9 @@
   /// Sets the duration of a watch and the longest back-off. A shorter duration replaces the open
   /// watch, whose connection may be silent since long; others apply from the next call on.
   void SetTiming(std::chrono::milliseconds aWatch, std::chrono::milliseconds aMaxBackoff);
-  /// Revision of the newest object received. It is equal in all daemons that have received the same
-  /// changes.
+  /// Revision of the newest object received, or of the list that showed a removal. It is not higher
+  /// than the revision of the copy of any daemon that has received the same changes and a heartbeat
+  /// since.
   std::uint64_t NewestRevision() const { return mNewestRevision; }
   /// Notes that another daemon has received a change at this revision.
   void OnRemoteRevision(std::uint64_t aRevision);
@@ -164,6 +165,8 @@
   void PublishHeartbeat() const;
   /// Whether these objects are the same as those of the copy.
   bool IsCopy(const std::vector<stored_object>& aObjects) const;
+  /// Whether an object of the copy is not among these.
+  bool LacksKnownObject(const std::vector<stored_object>& aObjects) const;
   /// Notes a failed call in the contact to the store.
   void RecordFailure(const store_failure& aFailure);
   kj::Promise<void> OnFailure(const store_failure& aFailure);
@@ -184,7 +187,7 @@
   std::uint64_t mListRevision = 0;               ///< revision of the first page of that list
   std::vector<change_batch> mRelayedDuringList;  ///< batches applied since that list began
   std::uint64_t mSyncedRevision = 0;             ///< all changes up to it have been applied
-  std::uint64_t mNewestRevision = 0;             ///< of the newest object received
+  std::uint64_t mNewestRevision = 0;             ///< of the newest change known
   std::uint64_t mLastBatchEnd = 0;   ///< revision at the end of the last list or batch with changes
   std::uint64_t mRemoteRevision = 0; ///< newest revision known from other daemons
   std::optional<instant> mRemoteRevisionAt; ///< when it became known; empty once handled
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(ContiguousBatchEndsRequests);
   CPPUNIT_TEST(ListPastReportedRemovalEndsRequests);
   CPPUNIT_TEST(UnconfirmedWatcherAsksPeersAtOnce);
+  CPPUNIT_TEST(RemovalFoundByListIsReported);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
   CPPUNIT_TEST_SUITE_END();
 
@@ -567,6 +568,27 @@
     CPPUNIT_ASSERT_EQUAL(calls, mStore.mCalls.size());
   }
 
+  /// Guards against a removal that a daemon has learnt from a list and does not report, so that
+  /// daemons which do not receive its relayed list keep the object.
+  void RemovalFoundByListIsReported()
+  {
+    auto afterRemoval = MakePage({ "a" }, 10);
+    afterRemoval.mAt = 16;
+    auto unchanged = afterRemoval;
+    unchanged.mAt = 20;
+    mStore.mLists = { MakePage({ "a", "b" }, 10), afterRemoval, unchanged };
+    mStore.mWatches = { store_failure{ cause::HistoryGone, "" },
+                        store_failure{ cause::HistoryGone, "" } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    RunUntilCalls(6);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, mRelayed.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 10 }, mRelayed[0].mFrom);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 16 }, mRelayed[1].mFrom);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 16 }, mRelayed[2].mFrom);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 16 }, follower->NewestRevision());
+  }
+
   /// Guards against a watcher with a silent connection that waits a second for its watch to return
   /// a change which other daemons have.
   void UnconfirmedWatcherAsksPeersAtOnce()
