--- a/packages/core/src/fleet_members.cpp
+++ b/packages/core/src/fleet_members.cpp
@@ -159,12 +159,15 @@
   const auto dataCentres = DataCentres();
   std::vector<const fleet_member*> chosen;
   for (const bool withStore : { true, false }) {
+    std::vector<std::vector<const fleet_member*>> preferred;
+    for (const auto& dataCentre : dataCentres) {
+      preferred.push_back(Choose(dataCentre, kDutyCandidatesPerDataCentre, withStore, aNow));
+    }
     for (std::size_t place = 0; place < kDutyCandidatesPerDataCentre; ++place) {
-      for (const auto& dataCentre : dataCentres) {
-        const auto best = Choose(dataCentre, place + 1, withStore, aNow);
-        if (best.size() > place &&
-            std::find(chosen.begin(), chosen.end(), best[place]) == chosen.end()) {
-          chosen.push_back(best[place]);
+      for (const auto& members : preferred) {
+        if (members.size() > place &&
+            std::find(chosen.begin(), chosen.end(), members[place]) == chosen.end()) {
+          chosen.push_back(members[place]);
         }
       }
     }
