--- a/packages/core/include/skylarkwind/engine_model.h
+++ b/packages/core/include/skylarkwind/engine_model.h
@@ -23,8 +23,6 @@
   void Add(double aX, double aY);
   double Intercept() const { return mIntercept; }
   double Slope() const { return mSlope; }
-  /// Whether points have replaced the initial slope.
-  bool HasSlope() const { return mHasSlope; }
   /// Replaces the slope while no points have.
   void SetInitialSlope(double aSlope);
 
@@ -108,7 +106,6 @@
   engine_model& At(std::string_view aService);
   /// The model of a service; one without any observations when none has been made.
   const engine_model& Find(std::string_view aService) const;
-  const std::map<std::string, engine_model, std::less<>>& All() const { return mModels; }
 
 private:
   engine_model mInitial;
