Keep what was applied while a list is read beside a watch

What callers could see: a change that was in force and came back older: a server that had left got requests again, until the next heartbeat showed the gap.

Cause: batches that arrive while a list is read are applied again after it when they are newer. They were recorded only while the copy needed a list. A list beside an open watch is read without that need; when the watch failed before an older list was complete, the copy went back to the list and the batch was lost. What the watch itself returned was never recorded.

Change: all that is applied while a list is read is recorded, from other daemons and from the own watch, which now applies its changes by the same function.

Test: OlderProbeDoesNotRevertBatch fails before (watch 12 in place of 15), for a relayed batch and for the own watch.

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -240,7 +240,7 @@
 store_follower::Probe()
 {
   mPartialList.clear();
-  mRelayedDuringList.clear();
+  mAppliedDuringList.clear();
   mProbing = true;
   mProbe = ReadPages()
              .then([this](const std::optional<store_failure>& aFailure) {
@@ -280,9 +280,7 @@
   if (mFedByPeers && mSyncedRevision >= NeededRevision()) {
     EndRequests();
   }
-  if (mNeedList) {
-    mRelayedDuringList.push_back(aBatch);
-  } else if (neededList) {
+  if (neededList && !mNeedList) {
     Interrupt();
   }
   return !aBatch.IsHeartbeat() || !aBatch.mForwarded;
@@ -291,6 +289,9 @@
 void
 store_follower::Apply(const change_batch& aBatch)
 {
+  if (mListing || mProbing) {
+    mAppliedDuringList.push_back(aBatch);
+  }
   mSyncedRevision = aBatch.mTo;
   if (aBatch.IsHeartbeat()) {
     return;
@@ -371,9 +372,9 @@
 }
 
 void
-store_follower::ReapplyRelayed()
+store_follower::ReapplyNewer()
 {
-  for (const auto& batch : std::exchange(mRelayedDuringList, {})) {
+  for (const auto& batch : std::exchange(mAppliedDuringList, {})) {
     if (batch.mTo > mSyncedRevision) {
       Apply(batch);
     }
@@ -386,7 +387,7 @@
   mProbe = nullptr;
   mProbing = false;
   mPartialList.clear();
-  mRelayedDuringList.clear();
+  mAppliedDuringList.clear();
   mListing = true;
   return ReadPages().then([this](const std::optional<store_failure>& aFailure) {
     mListing = false;
@@ -447,7 +448,7 @@
   EndRequests();
   mOnList(aObjects, AfterOutage());
   PublishList(aObjects);
-  ReapplyRelayed();
+  ReapplyNewer();
 }
 
 bool
@@ -516,21 +517,12 @@
         // A batch that arrived in the meantime contains these changes and newer ones.
         return Coalesce();
       }
-      mSyncedRevision = changes.mAt;
-      for (const auto& change : changes.mChanges) {
-        NoteRevision(change.mObject);
-        UpdateObject(change);
-        mOnChange(change, AfterOutage());
-      }
       // The batch begins where the last one with changes ended, as nothing changed between that and
       // the start of this watch.
-      mOnRead({ mSettings.mKind,
-                mLastBatchEnd,
-                mSyncedRevision,
-                false,
-                AfterOutage(),
-                std::move(changes.mChanges) });
-      mLastBatchEnd = mSyncedRevision;
+      const change_batch batch{ mSettings.mKind, mLastBatchEnd, changes.mAt,
+                                false,           AfterOutage(), std::move(changes.mChanges) };
+      Apply(batch);
+      mOnRead(batch);
       return Coalesce();
     });
 }
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -155,8 +155,8 @@
   /// The copy is complete: no list is needed, and no snapshot of another daemon.
   void EndRequests();
   void Apply(const change_batch& aBatch);
-  /// Applies again what was relayed while the list was read and is newer than the list.
-  void ReapplyRelayed();
+  /// Applies again what was applied while the list was read and is newer than the list.
+  void ReapplyNewer();
   void UpdateObject(const object_change& aChange);
   void Interrupt();
   void RestartList();
@@ -185,7 +185,7 @@
   std::map<std::string, stored_object> mObjects; ///< as of mSyncedRevision
   std::vector<stored_object> mPartialList;       ///< pages read so far of the current list
   std::uint64_t mListRevision = 0;               ///< revision of the first page of that list
-  std::vector<change_batch> mRelayedDuringList;  ///< batches applied since that list began
+  std::vector<change_batch> mAppliedDuringList;  ///< batches applied while that list is read
   std::uint64_t mSyncedRevision = 0;             ///< all changes up to it have been applied
   std::uint64_t mNewestRevision = 0;             ///< of the newest change known
   std::uint64_t mLastBatchEnd = 0;   ///< revision at the end of the last list or batch with changes
--- a/packages/gateway/tests/store_fleet.h
+++ b/packages/gateway/tests/store_fleet.h
@@ -139,6 +139,8 @@
   simulated_store& Store() { return mStore; }
   /// Whether the daemon's copy has an object of this name.
   bool Has(int aDaemon, const std::string& aKind, const std::string& aName) const;
+  /// Names of the objects in the daemon's copy.
+  std::set<std::string> Names(int aDaemon, const std::string& aKind) const;
 
 private:
   struct daemon
@@ -489,10 +491,16 @@
 
 inline bool
 store_fleet::Has(int aDaemon, const std::string& aKind, const std::string& aName) const
+{
+  return Names(aDaemon, aKind).contains(aName);
+}
+
+inline std::set<std::string>
+store_fleet::Names(int aDaemon, const std::string& aKind) const
 {
   const auto& copies = mDaemons[static_cast<std::size_t>(aDaemon)]->mCopies;
   const auto found = copies.find(aKind);
-  return found != copies.end() && found->second.contains(aName);
+  return found == copies.end() ? std::set<std::string>{} : found->second;
 }
 
 inline void
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(BatchReadAfterStallDoesNotConfirm);
   CPPUNIT_TEST(ContiguousBatchEndsRequests);
   CPPUNIT_TEST(ListPastReportedRemovalEndsRequests);
+  CPPUNIT_TEST(OlderProbeDoesNotRevertBatch);
   CPPUNIT_TEST(UnconfirmedWatcherAsksPeersAtOnce);
   CPPUNIT_TEST(RemovalFoundByListIsReported);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
@@ -568,6 +569,37 @@
     CPPUNIT_ASSERT_EQUAL(calls, mStore.mCalls.size());
   }
 
+  /// A batch or the open watch brings a change while a list is read beside the watch, and the watch
+  /// fails before the list, which is older, is complete. Guards against a change that is in force
+  /// and then reverted.
+  void OlderProbeDoesNotRevertBatch()
+  {
+    for (const bool relayed : { true, false }) {
+      mStore.mCalls.clear();
+      mStore.mLists = { MakePage({ "a" }, 10) };
+      const auto follower = Follower();
+      follower->SetConfirmationTimeout(seconds{ 1 });
+      const auto running = follower->Run();
+      RunUntilCalls(2);
+      mClock.Advance(seconds{ 1 });
+      follower->OnTick(mClock.Now());
+      RunUntilCalls(3);
+      CPPUNIT_ASSERT_EQUAL(std::string{ "list " }, mStore.mCalls[2]);
+      if (relayed) {
+        CPPUNIT_ASSERT(follower->OnBatch(MakeBatch(10, 15, "b")));
+      } else {
+        mStore.mPendingWatch->fulfill(object_changes{ { { { "b", 15, "{}" }, false } }, 15 });
+        RunUntilCalls(4);
+      }
+      mStore.mPendingWatch->fulfill(store_failure{ cause::NoAnswer, "" });
+      mStore.mPendingList->fulfill(MakePage({ "a" }, 12));
+      RunUntilCalls(relayed ? 4 : 5);
+      CPPUNIT_ASSERT_EQUAL(std::string{ "watch 15" }, mStore.mCalls.back());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 15 }, follower->Snapshot()->mTo);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, follower->Snapshot()->mChanges.size());
+    }
+  }
+
   /// Guards against a removal that a daemon has learnt from a list and does not report, so that
   /// daemons which do not receive its relayed list keep the object.
   void RemovalFoundByListIsReported()
--- a/packages/gateway/tests/store_replication_test.cpp
+++ b/packages/gateway/tests/store_replication_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <map>
 #include <set>
 
 namespace skylarkwind {
@@ -66,7 +67,15 @@
   bool mRemoved;
 };
 
-/// Plays a schedule of faults while the store changes, and checks each change at its deadline.
+/// What a daemon has shown since its start: names that it has, and names that it had.
+struct shown_names
+{
+  std::set<std::string> mPresent;
+  std::set<std::string> mGone;
+};
+
+/// Plays a schedule of faults while the store changes. Checks each change at its deadline, and that
+/// no daemon goes back behind a change that it has shown.
 class replication_schedule
 {
 public:
@@ -92,6 +101,9 @@
       if (auto late = CheckDue(); !late.empty()) {
         return late + " step=" + std::to_string(step);
       }
+      if (auto reverted = CheckNothingReverted(); !reverted.empty()) {
+        return reverted + " step=" + std::to_string(step);
+      }
     }
     return {};
   }
@@ -129,6 +141,7 @@
       const bool killed = active(fault::kind::Kill, i);
       if (killed == mFleet.IsUp(i)) {
         killed ? mFleet.Kill(i) : mFleet.Start(i);
+        mShown.erase(i);
       }
       const bool paused = !killed && active(fault::kind::Pause, i);
       if (mFleet.IsUp(i)) {
@@ -211,7 +224,34 @@
     return {};
   }
 
+  /// The names of objects are not used again, so that an object which is gone stays gone.
+  std::string CheckNothingReverted()
+  {
+    for (int i = 0; i < mFleet.Count(); ++i) {
+      for (const char* kind : { store_fleet::kConfigurationKind, store_fleet::kServerKind }) {
+        auto& shown = mShown[i][kind];
+        auto present = mFleet.Names(i, kind);
+        for (const auto& name : present) {
+          if (shown.mGone.contains(name)) {
+            return "daemon " + std::to_string(i) + " has the removed " + name + " again";
+          }
+        }
+        for (const auto& name : shown.mPresent) {
+          if (!present.contains(name)) {
+            if (mFleet.Store().Has(kind, name)) {
+              return "daemon " + std::to_string(i) + " has lost " + name + " again";
+            }
+            shown.mGone.insert(name);
+          }
+        }
+        shown.mPresent = std::move(present);
+      }
+    }
+    return {};
+  }
+
   store_fleet mFleet;
+  std::map<int, std::map<std::string, shown_names>> mShown; ///< by daemon and kind
   int mDaemonsPerDataCentre;
   std::mt19937_64 mRandom;
   std::vector<instant> mUndisturbedSince;
