Do not name daemons of other data centres that are known by hearsay only

What callers could see: in a deployment of three or more data centres whose collectors in one of them had ended or were paused, the daemons of that data centre received no relayed changes and no heartbeats, for as long as the other two data centres were in contact. They learnt of a change from a load summary and had to fetch it, up to 0.5 s for each daemon asked that did not answer, so that the bound of 2 s could pass.

Cause: summaries between data centres named the preferred daemons of all data centres that the sender believed to be live, and each name counted as a sign of life at the receiver. Two data centres confirmed the daemons of a third one to each other without end. Load sums did not suffer, since they go to those who have sent recently.

Change: a daemon names those of another data centre only when it has itself received from them within their timeout, or knows them from the store only, which ends by itself.

Test: TerminatedCollectorsAreForgottenByOtherDataCentres fails before (3 s after the end, dc0-vm-0 prefers dc1-vm-0).

--- a/packages/core/include/skylarkwind/fleet_members.h
+++ b/packages/core/include/skylarkwind/fleet_members.h
@@ -34,9 +34,11 @@
   void SetReachesStore(bool aReaches) { mSelf.mReachesStore = aReaches; }
   void SetStops(bool aStops) { mSelf.mIsStopping = aStops; }
 
-  /// A daemon is listed in the store (`OnListed`), or was the sender of a message or named in one
-  /// (`OnHeard`). Listings may be out of date; they never replace an entry from a message.
+  /// A daemon is listed in the store (`OnListed`), was the sender of a message (`OnReceived`) or
+  /// named in one (`OnHeard`). Listings may be out of date; they never replace an entry from a
+  /// message.
   void OnListed(const fleet_member& aMember, instant aNow);
+  void OnReceived(const fleet_member& aMember, instant aNow);
   void OnHeard(const fleet_member& aMember, instant aNow);
   /// A collector has not answered reports with summaries in time; it is not selected for a while.
   void OnSilent(std::string_view aName, instant aNow);
@@ -63,6 +65,10 @@
   /// Data centres of all known daemons, live or retained, including this daemon's own.
   std::vector<std::string> DataCentres() const;
   const fleet_member* Find(std::string_view aName) const;
+  /// Whether a daemon has recently sent a message to this one, or is known from the store only.
+  /// Others are known because a message named them. Naming these again would keep daemons that have
+  /// ended, as two daemons would confirm them to each other.
+  bool IsKnownFirstHand(std::string_view aName, instant aNow) const;
   /// Number of other daemons that are not known to be gone.
   std::size_t LivePeerCount() const;
 
@@ -71,6 +77,7 @@
   {
     fleet_member mMember;
     instant mUpdatedAt{};
+    instant mReceivedAt{};    ///< time of its last message to this daemon
     bool mHeard = false;      ///< known from a message, not only from a listing
     instant mExcludedUntil{}; ///< not selected until then, as it did not answer
     bool mAlive = true;       ///< false once it has not been mentioned for its timeout
--- a/packages/core/src/fleet_members.cpp
+++ b/packages/core/src/fleet_members.cpp
@@ -72,6 +72,23 @@
   known.mAlive = true;
 }
 
+void
+fleet_members::OnReceived(const fleet_member& aMember, instant aNow)
+{
+  OnHeard(aMember, aNow);
+  if (const auto found = mOthers.find(aMember.mName); found != mOthers.end()) {
+    found->second.mReceivedAt = aNow;
+  }
+}
+
+bool
+fleet_members::IsKnownFirstHand(std::string_view aName, instant aNow) const
+{
+  const auto found = mOthers.find(aName);
+  return found != mOthers.end() &&
+         (!found->second.mHeard || aNow - found->second.mReceivedAt < kRemoteMemberTimeout);
+}
+
 void
 fleet_members::OnSilent(std::string_view aName, instant aNow)
 {
--- a/packages/core/src/load_exchange.cpp
+++ b/packages/core/src/load_exchange.cpp
@@ -137,7 +137,7 @@
 void
 load_exchange::OnReport(const load_report& aReport, instant aNow)
 {
-  mMembers.OnHeard(aReport.mSender, aNow);
+  mMembers.OnReceived(aReport.mSender, aNow);
   if (aReport.mSender.mDataCentre != mMembers.Self().mDataCentre) {
     if (mPendingReplies.size() < kMaxPendingReplies) {
       mPendingReplies[aReport.mSender.mName] = aReport.mSender.mAddress;
@@ -155,7 +155,7 @@
 load_exchange::OnSummary(const load_summary& aSummary, instant aNow)
 {
   const auto& sender = aSummary.mSender;
-  mMembers.OnHeard(sender, aNow);
+  mMembers.OnReceived(sender, aNow);
   for (const auto& member : aSummary.mMembers) {
     mMembers.OnHeard(member, aNow);
   }
@@ -534,7 +534,9 @@
   for (const auto& dataCentre : mMembers.DataCentres()) {
     for (const auto* member :
          mMembers.Preferred(dataCentre, fleet_members::kCollectorsPerDataCentre, aNow)) {
-      summary.mMembers.push_back(*member);
+      if (dataCentre == self.mDataCentre || mMembers.IsKnownFirstHand(member->mName, aNow)) {
+        summary.mMembers.push_back(*member);
+      }
     }
   }
   summary.mRecords = mLoadAggregator.LocalRecords(aNow);
--- a/packages/core/tests/load_exchange_test.cpp
+++ b/packages/core/tests/load_exchange_test.cpp
@@ -189,6 +189,7 @@
   CPPUNIT_TEST(OwnLoadIsNeverCountedTwice);
   CPPUNIT_TEST(MessageRateDoesNotGrowWithTheFleet);
   CPPUNIT_TEST(TerminatedCollectorsAreReplaced);
+  CPPUNIT_TEST(TerminatedCollectorsAreForgottenByOtherDataCentres);
   CPPUNIT_TEST(PausedCollectorDoesNotDisruptUpdates);
   CPPUNIT_TEST(MessagesReadAfterStallMayBeOld);
   CPPUNIT_TEST(StoppingCollectorsAreReplacedAtOnce);
@@ -362,6 +363,27 @@
     CPPUNIT_ASSERT(fleet.TimeUntilSeen("e2", 1) < milliseconds{ 600 });
   }
 
+  /// Guards against two data centres that tell each other that the terminated collectors of a third
+  /// one are live, so that store changes are relayed to these forever.
+  void TerminatedCollectorsAreForgottenByOtherDataCentres()
+  {
+    simulated_fleet fleet{ 3, 8 };
+    fleet.Run(seconds{ 2 });
+    const auto terminated = fleet.Collectors(fleet.At("dc1-vm-5"));
+    for (const auto& name : terminated) {
+      fleet.At(name).mUp = false;
+    }
+    fleet.Run(seconds{ 3 });
+    for (const auto& daemon : fleet.mDaemons) {
+      for (const auto* member : daemon->mExchange->Members().Preferred("dc1", 2, fleet.mNow)) {
+        CPPUNIT_ASSERT_MESSAGE(daemon->mMember.mName + " prefers " + member->mName,
+                               !daemon->mUp ||
+                                 std::find(terminated.begin(), terminated.end(), member->mName) ==
+                                   terminated.end());
+      }
+    }
+  }
+
   void PausedCollectorDoesNotDisruptUpdates()
   {
     simulated_fleet fleet{ 2, 8 };
