--- a/packages/core/src/fleet_members.cpp
+++ b/packages/core/src/fleet_members.cpp
@@ -177,6 +177,7 @@
   std::vector<const fleet_member*> chosen;
   for (const bool withStore : { true, false }) {
     std::vector<std::vector<const fleet_member*>> preferred;
+    preferred.reserve(dataCentres.size());
     for (const auto& dataCentre : dataCentres) {
       preferred.push_back(Choose(dataCentre, kDutyCandidatesPerDataCentre, withStore, aNow));
     }
--- a/packages/gateway/tests/store_replication_test.cpp
+++ b/packages/gateway/tests/store_replication_test.cpp
@@ -128,6 +128,7 @@
                   active(fault::kind::Divide, aDaemon / mDaemonsPerDataCentre));
     };
     std::vector<int> parts;
+    parts.reserve(static_cast<std::size_t>(mFleet.Count()));
     for (int i = 0; i < mFleet.Count(); ++i) {
       parts.push_back(part(i));
     }
