--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -14,27 +14,32 @@
 /// Pause between the events of a slow stream, in times the usual one.
 constexpr std::int64_t kSlowFactor = 80;
 
-std::string
-EventText(int aId)
-{
-  return "id: " + std::to_string(aId) + "\ndata: token" + std::to_string(aId) + "\n\n";
-}
-
 } // namespace
 
 backend_double::backend_double(std::string aId,
                                std::string aStage,
-                               std::int64_t aEventMs,
+                               backend_event_shape aEvents,
                                const std::string& aLogFile)
   : mId(std::move(aId))
   , mStage(std::move(aStage))
-  , mEventMs(aEventMs)
+  , mEvents(aEvents)
 {
   if (!aLogFile.empty()) {
     mLogFile.open(aLogFile, std::ios::app);
   }
 }
 
+std::string
+backend_double::EventText(int aId) const
+{
+  auto text = "id: " + std::to_string(aId) + "\ndata: token" + std::to_string(aId) + '\n';
+  constexpr std::size_t kCommentFrame = 3; // the colon and two line ends
+  if (text.size() + kCommentFrame < mEvents.mPaddedTo) {
+    text += ':' + std::string(mEvents.mPaddedTo - text.size() - kCommentFrame, '.') + '\n';
+  }
+  return text + '\n';
+}
+
 std::string
 backend_double::HeaderLines(const standin_request& aRequest) const
 {
@@ -210,7 +215,7 @@
     if (now < aStream.mDueMs) {
       return false;
     }
-    aStream.mDueMs = now + mEventMs * (mMode == "slow" ? kSlowFactor : 1);
+    aStream.mDueMs = now + mEvents.mPauseMs * (mMode == "slow" ? kSlowFactor : 1);
     if (aStream.mCommentsAfter != 0 && aStream.mNext > aStream.mCommentsAfter) {
       aStream.mReply.Chunk(": still here\n\n");
       return false;
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -12,6 +12,13 @@
 
 namespace skylarkwind {
 
+/// The events of a backend server's streams.
+struct backend_event_shape
+{
+  std::int64_t mPauseMs = 5; ///< between two events
+  std::size_t mPaddedTo = 0; ///< size that a comment pads each event to; 0: no padding
+};
+
 /// An engine or plain server of the users' platform. It answers any path, streams events when the
 /// request has a token count, and records every run.
 /// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
@@ -25,7 +32,7 @@
   /// process.
   backend_double(std::string aId,
                  std::string aStage,
-                 std::int64_t aEventMs,
+                 backend_event_shape aEvents,
                  const std::string& aLogFile = {});
 
   void OnRequest(const standin_request& aRequest, standin_reply aReply) override;
@@ -64,13 +71,14 @@
   void OnCaller(const standin_request& aRequest, const standin_reply& aReply);
   void BeginEvents(const standin_request& aRequest, const standin_reply& aReply);
   void OnOrder(const standin_request& aRequest, const standin_reply& aReply);
+  std::string EventText(int aId) const;
   std::string HeaderLines(const standin_request& aRequest) const;
   void Record(const standin_request& aRequest, const std::string& aOutcome);
   void Append(nlohmann::json aRecord);
 
   std::string mId;
   std::string mStage;
-  std::int64_t mEventMs;
+  backend_event_shape mEvents;
   std::string mMode = "ok";
   std::list<stream> mStreams;
   std::list<flood> mFloods;
--- /dev/null
+++ b/tests/sessions/gateway_stop_test.cpp
@@ -0,0 +1,94 @@
+#include "gateway_system.h"
+#include "raw_caller.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sys/wait.h>
+
+#include <sstream>
+
+namespace skylarkwind::sessions {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A daemon that is told to stop while callers use its connections.
+class gateway_stop_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(gateway_stop_test);
+  CPPUNIT_TEST(ExitNamesOpenRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// A grace period of two seconds, of which the balancer takes 0.3.
+  static gateway_options Options()
+  {
+    gateway_options options;
+    options.mBackends = {
+      { "p1", "model", "prefill" }, { "d1" }, { "d2" }, { "s1", "plain" }, { "s2", "plain" }
+    };
+    options.mPrefillShare = 0.34;
+    options.mShutdownGraceS = 2;
+    return options;
+  }
+
+  static std::string Post(const std::string& aPath,
+                          const std::string& aId,
+                          const std::string& aBody,
+                          int aEvents = 0)
+  {
+    std::string text = "POST " + aPath + " HTTP/1.1\r\nHost: a.example\r\n";
+    if (aEvents > 0) {
+      for (const auto& line : gateway_system::StreamHeaders(aId, aEvents)) {
+        text += line.starts_with("Host:") ? std::string{} : line + "\r\n";
+      }
+    } else {
+      text += "X-Skylarkwind-Request-Id: " + aId + "\r\nX-Skylarkwind-Deadline-Ms: 4000\r\n";
+    }
+    return text + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+
+  static bool Exited(gateway_system& aSystem, milliseconds aLimit)
+  {
+    return aSystem.Daemon().WaitForExit(aLimit) && WIFEXITED(aSystem.Daemon().Status()) &&
+           WEXITSTATUS(aSystem.Daemon().Status()) == 0;
+  }
+
+  /// The line of the daemon's log that contains both texts; empty when there is none.
+  static std::string LogLine(const gateway_system& aSystem,
+                             const std::string& aFirst,
+                             const std::string& aSecond)
+  {
+    std::istringstream log{ aSystem.DaemonLog() };
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(aFirst) != std::string::npos && line.find(aSecond) != std::string::npos) {
+        return line;
+      }
+    }
+    return {};
+  }
+
+  /// Guards against requests that a stop ends and of which the log says nothing, so that an exit,
+  /// a crash and a lost connection look alike (incident of LOST around SIGTERM).
+  void ExitNamesOpenRequests()
+  {
+    auto options = Options();
+    for (auto& backend : options.mBackends) {
+      backend.mEventMs = 100;
+    }
+    gateway_system system{ options };
+    raw_caller caller{ system.CallersAddress(0) };
+    caller.Send(Post("/once-stream/a", "open-1", "b", 60));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return caller.ReadAnswer(milliseconds{ 1 }).mBody.size() > 40; }));
+    system.Daemon().Signal(SIGTERM);
+    CPPUNIT_ASSERT(Exited(system, seconds{ 5 }));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return !LogLine(system, "id=open-1", "sent=").empty(); }, seconds{ 2 }));
+    CPPUNIT_ASSERT(!LogLine(system, "id=open-1", "reason=\"the daemon exits\"").empty());
+    CPPUNIT_ASSERT(!LogLine(system, "stopped vm=", "open_requests=1 connections=1").empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stop_test);
+
+} // namespace skylarkwind::sessions
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -77,7 +77,9 @@
     mBackends.push_back(std::move(entry));
     List(options.mId, "ready");
   }
-  Configure(FirstConfiguration());
+  auto configuration = FirstConfiguration();
+  configuration["Limits"]["MaxBodyBytes"] = mOptions.mMaxBodyBytes;
+  Configure(configuration);
   for (int i = 0; i < mOptions.mDaemons; ++i) {
     AddDaemon();
   }
@@ -186,6 +188,8 @@
   std::vector<std::string> arguments{ "--id=" + aBackend.mOptions.mId,
                                       "--stage=" + aBackend.mOptions.mStage,
                                       "--event_ms=" + std::to_string(aBackend.mOptions.mEventMs),
+                                      "--event_bytes=" +
+                                        std::to_string(aBackend.mOptions.mEventBytes),
                                       "--listen=" + aBackend.mListen };
   if (mOptions.mRelays) {
     arguments.push_back("--log_file=" + LogFile(aBackend.mOptions.mId));
@@ -216,9 +220,15 @@
 {
   aDaemon.mProcess =
     child_process::Start(Program("skylarkwindd"), { "--settings=" + WriteSettings(aDaemon) });
-  if (mOptions.mRelays) {
-    aDaemon.mProcess->KeepOutput(mDirectory + "/" + aDaemon.mName + ".out");
-  }
+  aDaemon.mProcess->KeepOutput(mDirectory + "/" + aDaemon.mName + ".out");
+}
+
+std::string
+gateway_system::DaemonLog(int aIndex) const
+{
+  std::ifstream file{ mDirectory + "/" + mDaemons[static_cast<std::size_t>(aIndex)].mName +
+                      ".out" };
+  return { std::istreambuf_iterator<char>{ file }, {} };
 }
 
 void
@@ -275,7 +285,8 @@
                         << "  ready_address: " << aDaemon.mReady << "\n"
                         << "  store_address: " << aDaemon.mStore << "\n"
                         << "  peer_address: " << aDaemon.mPeers << "\n"
-                        << "  lease_ms: 1000\n  shutdown_grace_s: 8\n  balancer_notices_ms: 300\n"
+                        << "  lease_ms: 1000\n  shutdown_grace_s: " << mOptions.mShutdownGraceS
+                        << "\n  balancer_notices_ms: " << mOptions.mBalancerNoticesMs << "\n"
                         << "  repeat_ratio: " << mOptions.mRepeatRatio
                         << "\n  repeat_floor: " << mOptions.mRepeatFloor << "\n"
                         << "  prefill_share: " << mOptions.mPrefillShare << "\n"
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -16,6 +16,7 @@
   std::string mService = "model";
   std::string mStage = "decode"; ///< model servers only
   int mEventMs = 5;
+  int mEventBytes = 0; ///< each event is padded to this size with a comment; 0: not padded
 };
 
 struct gateway_options
@@ -30,6 +31,10 @@
   /// Daemons reach the store and the backend servers through relays, and backend servers keep
   /// their records in files.
   bool mRelays = false;
+  /// Settings of the daemons that time a shutdown.
+  double mShutdownGraceS = 8;
+  int mBalancerNoticesMs = 300;
+  std::size_t mMaxBodyBytes = 10'000;
 };
 
 /// Daemons before a stand-in of the users' platform: its store, engines and plain servers.
@@ -43,6 +48,8 @@
   /// A first configuration with the routes /stream/ (resumable), /once-stream/, /order/ (once) and
   /// /lookup/ (idempotent).
   static nlohmann::json FirstConfiguration();
+  /// What the daemons at this place have printed so far, those that have ended included.
+  std::string DaemonLog(int aIndex = 0) const;
   void Configure(const nlohmann::json& aConfiguration);
   /// Writes a server's entry with this state.
   void List(const std::string& aId, const std::string& aState);
