Log what a shutdown leaves open

Such a request now logs outcome=dropped with the reason and the bytes on each side, and the exit logs the open requests, connections and bytes that the kernel has not taken. Without both lines the process did not end by itself. Decisions do not change.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -68,6 +68,7 @@
   }
 
   bool Done() const { return mDone; }
+  std::uint64_t UnwrittenBytes() const { return mStream->UnwrittenBytes(); }
   bool IdleFor(std::chrono::milliseconds aLimit, instant aNow) const
   {
     return mActiveRequests == 0 && aNow - mIdleSince >= aLimit;
@@ -120,6 +121,16 @@
   });
 }
 
+std::uint64_t
+caller_listener::UnwrittenBytes() const
+{
+  std::uint64_t bytes = 0;
+  for (const auto& open : mConnections) {
+    bytes += open->UnwrittenBytes();
+  }
+  return bytes;
+}
+
 void
 caller_listener::CloseIdle(std::chrono::milliseconds aLimit, instant aNow)
 {
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -30,6 +30,8 @@
   void CloseIdle(std::chrono::milliseconds aLimit, instant aNow);
   std::size_t OpenRequests() const { return mOpenRequests; }
   std::size_t Connections() const { return mConnections.size(); }
+  /// Bytes of responses that the kernel has not taken yet.
+  std::uint64_t UnwrittenBytes() const;
 
 private:
   class connection;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -70,11 +70,15 @@
   , mConnection(aConnection)
   , mArrivedAt(aContext.mClock.Now())
   , mDeadline(mArrivedAt)
+  , mSentBefore(aConnection.WrittenBytes())
 {
 }
 
 exchange::~exchange()
 {
+  if (!mOutcomeLogged) {
+    LogDropped();
+  }
   CloseAttempt(backend_outcome::Cancelled);
   ReleaseUnusedKv();
   if (mCallerStream.get() != nullptr) {
@@ -100,6 +104,7 @@
 exchange::RefuseForShutdown(forward_request aRequest)
 {
   mRequest = std::move(aRequest);
+  mConfiguration = mContext.mRoutes.Current();
   return Refuse("the daemon stops", kDefaultRetryAfter);
 }
 
@@ -404,9 +409,21 @@
   counters.Get("skylarkwind_first_answer_ms_count", "Answered requests.").Add();
 }
 
+void
+exchange::LogDropped()
+{
+  const std::string_view reason = mContext.mExiting ? "the daemon exits"
+                                  : mConnection.Disconnected()
+                                    ? "the connection to the caller failed"
+                                  : mConnection.Ended() ? "the caller closed its connection"
+                                                        : "the exchange failed";
+  LogOutcome("dropped", reason);
+}
+
 void
 exchange::LogOutcome(std::string_view aOutcome, std::string_view aReason)
 {
+  mOutcomeLogged = aOutcome != "retry" && aOutcome != "repeat";
   CountOutcome(aOutcome);
   const auto elapsed =
     std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mArrivedAt).count();
@@ -431,6 +448,12 @@
     text += " first_ms=" + since(mArrivedAt, *mFirstEventAt);
     text += " gap_ms=" + since(instant{}, instant{} + mLongestEventGap);
   }
+  if (aOutcome == "dropped" || aOutcome == "broken") {
+    text += " body=" + std::to_string(mBody.Text().size());
+    text += " received=" + std::to_string(mBytesReceived);
+    text += " sent=" + std::to_string(mConnection.WrittenBytes() - mSentBefore);
+    text += " unwritten=" + std::to_string(mConnection.UnwrittenBytes());
+  }
   text += " reason=\"";
   text += aReason;
   text += '"';
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -350,6 +350,7 @@
       const auto complete =
         mEvents.Feed({ reinterpret_cast<const char*>(mReadBuffer.begin()), aBytes });
       mBytesWithoutEvent += aBytes;
+      mBytesReceived += aBytes;
       if (mEvents.Events() > before) {
         mBytesWithoutEvent = 0;
         OnEvents(before == 0);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -75,6 +75,7 @@
   prefix_update_signal& mPrefixUpdates;
   byte_budget& mResponseBodies;
   byte_budget& mRequestBodies;
+  bool mExiting = false; ///< the process is about to exit; open exchanges are dropped
 };
 
 /// Proxies one request of a caller to the backend servers: reads the body, places the request,
@@ -172,6 +173,8 @@
   http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
   void CloseAttempt(backend_outcome aOutcome);
+  /// Logs that the exchange is destroyed before it has ended: nothing else tells of it.
+  void LogDropped();
   /// Logs and counts the outcome of the request, or of an attempt that is retried.
   void LogOutcome(std::string_view aOutcome, std::string_view aReason);
   /// Counts the outcome, and for answered requests the time to the first event or response.
@@ -196,6 +199,7 @@
   std::uint32_t mAttemptsSent = 0;           ///< calls that servers may have received
   bool mMayHaveExecuted = false;
   bool mResponseStarted = false;
+  bool mOutcomeLogged = false; ///< the request has ended, as far as the log tells
 
   std::optional<kv_source> mUnusedKv; ///< prefilled, not yet fetched by a decode engine
   std::string mUnusedKvEngine;        ///< id of the engine that holds `mUnusedKv`
@@ -211,7 +215,9 @@
   instant mLastEventAt{};               ///< or the start of the stream
   instant::duration mLongestEventGap{}; ///< longest pause between events
   std::size_t mBytesWithoutEvent = 0;
-  std::string mPlacementLog; ///< inputs of the last placement, as log text
+  std::uint64_t mBytesReceived = 0; ///< of bodies of responses
+  std::uint64_t mSentBefore = 0; ///< bytes written to the caller's connection before this request
+  std::string mPlacementLog;     ///< inputs of the last placement, as log text
   std::unique_ptr<http_answer> mBackendResponse;
   response_head mResponseHead;
   sse_splitter mEvents;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -155,7 +155,7 @@
         "started vm=" + mSettings.mVm + " data_centre=" + mSettings.mDataCentre + " listening on " +
           mSettings.mCallerAddress);
     mShutdownComplete.promise.wait(mContext.waitScope);
-    Log(log_level::Info, "daemon", "stopped vm=" + mSettings.mVm);
+    LogExit();
   }
 
 private:
@@ -384,6 +384,20 @@
     mTasks.add(mRegistry.Leave());
   }
 
+  /// Tells in one line what the exit leaves unfinished; each open request has a line of its own.
+  void LogExit()
+  {
+    mExchangeContext.mExiting = true;
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(
+      mClock.Now() - mStoppingSince.value_or(mClock.Now()));
+    Log(log_level::Info,
+        "daemon",
+        "stopped vm=" + mSettings.mVm + " after_ms=" + std::to_string(elapsed.count()) +
+          " open_requests=" + std::to_string(mCallerListener.OpenRequests()) +
+          " connections=" + std::to_string(mCallerListener.Connections()) +
+          " unwritten_bytes=" + std::to_string(mCallerListener.UnwrittenBytes()));
+  }
+
   void ContinueShutdown(instant aNow)
   {
     const auto elapsed = aNow - *mStoppingSince;
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -110,7 +110,7 @@
   if (mAborted) {
     return KJ_EXCEPTION(DISCONNECTED, "the answer was broken off");
   }
-  return mInner->write(aBuffer, aSize);
+  return CountWrite(aSize, mInner->write(aBuffer, aSize));
 }
 
 kj::Promise<void>
@@ -119,13 +119,25 @@
   if (mAborted) {
     return KJ_EXCEPTION(DISCONNECTED, "the answer was broken off");
   }
-  return mInner->write(aPieces);
+  std::uint64_t bytes = 0;
+  for (const auto& piece : aPieces) {
+    bytes += piece.size();
+  }
+  return CountWrite(bytes, mInner->write(aPieces));
+}
+
+kj::Promise<void>
+monitored_stream::CountWrite(std::uint64_t aBytes, kj::Promise<void> aWriting)
+{
+  mUnwrittenBytes += aBytes;
+  return aWriting.then([this, aBytes] { mWrittenBytes += aBytes; })
+    .attach(kj::defer([this, aBytes] { mUnwrittenBytes -= aBytes; }));
 }
 
 kj::Promise<void>
 monitored_stream::whenWriteDisconnected()
 {
-  return mInner->whenWriteDisconnected();
+  return mInner->whenWriteDisconnected().then([this] { mDisconnected = true; });
 }
 
 void
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -2,6 +2,7 @@
 
 #include <kj/async-io.h>
 
+#include <cstdint>
 #include <string>
 
 namespace skylarkwind {
@@ -22,6 +23,12 @@
   bool HasUnexpectedInput() const { return mUnexpectedInput; }
   /// Whether the peer has closed the connection or the connection has failed.
   bool Ended() const { return mEnded; }
+  /// Whether the kernel has reported that the peer can no longer receive.
+  bool Disconnected() const { return mDisconnected; }
+  /// Bytes that the kernel has taken.
+  std::uint64_t WrittenBytes() const { return mWrittenBytes; }
+  /// Bytes of writes that the kernel has not taken whole, because the peer reads slowly.
+  std::uint64_t UnwrittenBytes() const { return mUnwrittenBytes; }
   /// Makes all further writes fail, so that an aborted response cannot look complete: kj writes the
   /// last chunk when a body is dropped.
   void Abort() { mAborted = true; }
@@ -42,6 +49,8 @@
                                size_t aMinBytes,
                                size_t aMaxBytes);
   void RecordInput(size_t aBytes);
+  /// Counts the bytes of a write while it is under way and once it is complete.
+  kj::Promise<void> CountWrite(std::uint64_t aBytes, kj::Promise<void> aWriting);
 
   kj::Own<kj::AsyncIoStream> mInner;
   std::string mBuffered;
@@ -52,6 +61,9 @@
   bool mUnexpectedInput = false;
   bool mEnded = false;
   bool mAborted = false;
+  bool mDisconnected = false;
+  std::uint64_t mWrittenBytes = 0;
+  std::uint64_t mUnwrittenBytes = 0;
 };
 
 } // namespace skylarkwind
