Decide in one place how an exchange ends

What was seen: a stream that had begun and broke off, with no engine left to resume it, was logged and counted as failed with 502, and the daemon tried to send a second response head. The HTTP library refused that ("already called send()"), so callers saw a broken stream and not the head; nothing in our code prevented it.

Cause: Attempt() went to GiveUp without asking whether the response had started. Six other places asked, each in its own way.

Change: attempts return how the exchange ends (exchange_end), and Finish alone turns that into bytes. caller_response has one state before its head is sent and others after it, so that a second head cannot be sent. A request that all servers tried have refused gets 503 at its time limit, as one that was never sent does.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,13 +1,8 @@
 #include "exchange_p.h"
 
 #include "skylarkwind/hash.h"
-#include "skylarkwind/log.h"
-
-#include <kj/debug.h>
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace skylarkwind {
 
@@ -23,50 +18,17 @@
 constexpr milliseconds kDefaultRetryAfter{ 400 };
 /// A prefilled prompt is offered to this many further decode engines before it is computed again.
 constexpr std::uint32_t kMaxKvOffers = 2;
-/// Upper bounds of the buckets of the latency histogram.
-constexpr std::array kLatencyBounds{ milliseconds{ 50 },    milliseconds{ 100 },
-                                     milliseconds{ 200 },   milliseconds{ 300 },
-                                     milliseconds{ 500 },   milliseconds{ 800 },
-                                     milliseconds{ 1'500 }, milliseconds{ 3'000 },
-                                     milliseconds{ 8'000 } };
 /// Bounds of one wait for a shared prefix that is being computed for another request.
 constexpr milliseconds kMinPrefixWait{ 10 };
 constexpr milliseconds kMaxPrefixWait{ 300 };
 
-std::string_view
-StatusText(unsigned int aStatus)
-{
-  switch (aStatus) {
-    case 404:
-      return "Not Found";
-    case 413:
-      return "Payload Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Error";
-  }
-}
-
-std::string
-Seconds(milliseconds aTime)
-{
-  std::array<char, 24> text{};
-  std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(aTime.count()) / 1'000);
-  return text.data();
-}
-
 } // namespace
 
 exchange::exchange(exchange_context& aContext,
                    kj::HttpService::Response& aResponse,
                    monitored_stream& aConnection)
   : mContext(aContext)
-  , mResponse(aResponse)
+  , mResponse(aResponse, aContext.mTable)
   , mConnection(aConnection)
   , mArrivedAt(aContext.mClock.Now())
   , mDeadline(mArrivedAt)
@@ -81,7 +43,7 @@
   }
   CloseAttempt(backend_outcome::Cancelled);
   ReleaseUnusedKv();
-  if (mCallerStream.get() != nullptr) {
+  if (mResponse.Streaming()) {
     mConnection.Abort();
   }
 }
@@ -91,13 +53,7 @@
 {
   mRequest = std::move(aRequest);
   mConfiguration = mContext.mRoutes.Current();
-  const auto& limits = mConfiguration ? mConfiguration->mLimits : caller_limits{};
-  KJ_IF_MAYBE (length, aBody.tryGetLength()) {
-    if (*length > limits.mMaxBodyBytes) {
-      return Fail(413, "the body is too large");
-    }
-  }
-  return ReadRequestBody(aBody);
+  return ReadRequestBody(aBody).then([this](exchange_end aEnd) { return Finish(std::move(aEnd)); });
 }
 
 kj::Promise<void>
@@ -105,42 +61,47 @@
 {
   mRequest = std::move(aRequest);
   mConfiguration = mContext.mRoutes.Current();
-  return Refuse("the daemon stops", kDefaultRetryAfter);
+  return Finish(no_answer{ "the daemon stops" });
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::ReadRequestBody(kj::AsyncInputStream& aBody)
 {
   const auto& limits = mConfiguration ? mConfiguration->mLimits : caller_limits{};
+  KJ_IF_MAYBE (length, aBody.tryGetLength()) {
+    if (*length > limits.mMaxBodyBytes) {
+      return exchange_end{ request_rejected{ 413, "the body is too large" } };
+    }
+  }
   return ReadBody(aBody, limits.mMaxBodyBytes, mContext.mRequestBodies)
-    .then([this](body_result aResult) -> kj::Promise<void> {
+    .then([this](body_result aResult) -> kj::Promise<exchange_end> {
       if (auto* body = std::get_if<buffered_body>(&aResult)) {
         mBody = std::move(*body);
         return RouteAndForward();
       }
       if (std::get<body_error>(aResult) == body_error::TooLong) {
-        return Fail(413, "the body is too large");
+        return exchange_end{ request_rejected{ 413, "the body is too large" } };
       }
-      return Refuse("too many bytes of requests are held", kDefaultRetryAfter);
+      return exchange_end{ no_answer{ "too many bytes of requests are held" } };
     });
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::RouteAndForward()
 {
   // The configuration may have changed while the body was read; the current one applies.
   mConfiguration = mContext.mRoutes.Current();
   if (!mConfiguration) {
-    return Refuse("no configuration is known yet", kDefaultRetryAfter);
+    return exchange_end{ no_answer{ "no configuration is known yet" } };
   }
   mRoute = mContext.mRoutes.Find(mRequest.mHost, mRequest.mTarget);
   if (mRoute == nullptr) {
-    return Fail(404, "no route");
+    return exchange_end{ request_rejected{ 404, "no route" } };
   }
   const auto& service = route_index::ServiceFor(*mRoute, mRequest.mId);
   mService = mConfiguration->FindService(service);
   if (mService == nullptr) {
-    return Refuse("the route's service is not configured", kDefaultRetryAfter);
+    return exchange_end{ no_answer{ "the route's service is not configured" } };
   }
   if (mRoute->mKind != route_kind::Streaming) {
     mRequest.mGeneration.reset();
@@ -149,26 +110,13 @@
     mArrivedAt + std::min(mRoute->mTimeout, mRequest.mCallerTimeout.value_or(mRoute->mTimeout));
   mContext.mRetryBudget.OnRequest(mService->mName, mContext.mClock.Now());
   const auto limit = std::max(milliseconds{ 0 }, TimeLeft());
-  // `exclusiveJoin` cancels the other promises before the outcome is handled, so that nothing still
-  // uses the connections that are closed then.
+  // `exclusiveJoin` cancels the other promises before the end is handled, so that nothing still
+  // uses the connections that are closed then. Sending a response that is ready is not part of it:
+  // a late response is delivered.
   return Attempt()
-    .then([] { return race_outcome::Served; })
+    .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(limit)).then([this] { return TimeLimitEnd(); }))
     .exclusiveJoin(
-      mContext.mTimer.afterDelay(ToKj(limit)).then([] { return race_outcome::TimedOut; }))
-    .exclusiveJoin(
-      mConnection.WhenPeerCloses().then([] { return race_outcome::CallerDisconnected; }))
-    .then([this](race_outcome aEnd) -> kj::Promise<void> {
-      switch (aEnd) {
-        case race_outcome::Served:
-          return kj::READY_NOW;
-        case race_outcome::TimedOut:
-          return OnTimeLimit();
-        case race_outcome::CallerDisconnected:
-          break;
-      }
-      LogOutcome("gone", "the caller closed its connection");
-      return KJ_EXCEPTION(DISCONNECTED, "the caller closed its connection");
-    });
+      mConnection.WhenPeerCloses().then([]() -> exchange_end { return caller_left{}; }));
 }
 
 milliseconds
@@ -193,11 +141,11 @@
   return query;
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::Attempt()
 {
   if (TimeLeft() < kMinTimeLeft) {
-    return OnTimeLimit();
+    return TimeLimitEnd();
   }
   const auto servers = mContext.mDirectory.Eligible(mService->mName);
   const auto result = mContext.mPlacer.Place(Query(servers), mContext.mClock.Now());
@@ -205,17 +153,14 @@
     if (none->mBest) {
       RecordPlacement(*none->mBest);
     }
-    return GiveUp(none->mReason, none->mRetryAfter);
+    return exchange_end{ no_answer{ std::string{ none->mReason }, none->mRetryAfter } };
   }
   if (const auto* prefix = std::get_if<await_prefix>(&result)) {
     return AwaitPrefix(*prefix);
   }
   const auto& chosen = std::get<placement>(result);
   if (!TakeRetries(chosen)) {
-    if (mResponseStarted) {
-      return AbortResponse("no repeats are left");
-    }
-    return GiveUp("no repeats are left", kDefaultRetryAfter);
+    return exchange_end{ no_answer{ "no repeats are left" } };
   }
   mAttemptStartedAt = mContext.mClock.Now();
   RecordPlacement(chosen);
@@ -243,7 +188,7 @@
     " target_ms=" + std::to_string(mRoute->mTargetLatency.count());
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::AwaitPrefix(const await_prefix& aPrefix)
 {
   const auto now = mContext.mClock.Now();
@@ -278,7 +223,7 @@
     mService->mName, prefills + runs, Daemons(), mContext.mClock.Now());
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnNotExecuted(std::string_view aReason, bool aSent)
 {
   mExcludedServers.push_back(mTarget.mId);
@@ -298,22 +243,10 @@
     return Attempt();
   }
   ReleaseUnusedKv();
-  if (mResponseStarted) {
-    return OnAttemptFailed(aReason);
-  }
-  return GiveUp(aReason, kDefaultRetryAfter);
-}
-
-kj::Promise<void>
-exchange::GiveUp(std::string_view aReason, milliseconds aRetryAfter)
-{
-  if (mMayHaveExecuted) {
-    return Fail(502, aReason);
-  }
-  return Refuse(aReason, aRetryAfter);
+  return exchange_end{ no_answer{ std::string{ aReason } } };
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnAttemptFailed(std::string_view aReason)
 {
   mEvents.DiscardIncomplete();
@@ -322,60 +255,17 @@
     LogOutcome("repeat", aReason);
     return Attempt();
   }
-  if (!mResponseStarted) {
-    return Fail(502, aReason);
-  }
-  return AbortResponse(aReason);
+  return exchange_end{ no_answer{ std::string{ aReason } } };
 }
 
-kj::Promise<void>
-exchange::AbortResponse(std::string_view aReason)
+exchange_end
+exchange::TimeLimitEnd() const
 {
-  LogOutcome("broken", aReason);
-  return KJ_EXCEPTION(DISCONNECTED, "the stream broke off");
-}
-
-kj::Promise<void>
-exchange::Refuse(std::string_view aReason, milliseconds aRetryAfter)
-{
-  LogOutcome("refused", aReason);
-  return Reply(
-    503, StatusText(503), { { "Retry-After", Seconds(aRetryAfter) } }, "the request has not run\n");
-}
-
-kj::Promise<void>
-exchange::Fail(unsigned int aStatus, std::string_view aReason)
-{
-  LogOutcome("failed", std::to_string(aStatus) + " " + std::string{ aReason });
-  return Reply(aStatus, StatusText(aStatus), {}, std::string{ aReason } + '\n');
-}
-
-kj::Promise<void>
-exchange::OnTimeLimit()
-{
-  mBackendResponse = nullptr;
-  CloseAttempt(backend_outcome::Cancelled);
-  if (mResponseStarted) {
-    return AbortResponse("time limit");
-  }
-  if (mAttemptsSent == 0) {
-    return Refuse("the time limit passed before a server was found", kDefaultRetryAfter);
-  }
-  return Fail(504, "time limit");
-}
-
-kj::Promise<void>
-exchange::Reply(unsigned int aStatus,
-                std::string_view aStatusText,
-                const header_list& aHeaders,
-                std::string aBody)
-{
-  const std::string text{ aStatusText.empty() ? StatusText(aStatus) : aStatusText };
-  auto body = kj::heap<std::string>(std::move(aBody));
-  mResponseStarted = true;
-  auto out = mResponse.send(aStatus, ToKj(text), ToKj(aHeaders, mContext.mTable), body->size());
-  auto& stream = *out;
-  return stream.write(body->data(), body->size()).attach(kj::mv(out), kj::mv(body));
+  constexpr unsigned int kGatewayTimeout = 504;
+  return no_answer{ mAttemptsSent == 0 ? "the time limit passed before a server was found"
+                                       : "time limit",
+                    kDefaultRetryAfter,
+                    kGatewayTimeout };
 }
 
 void
@@ -387,77 +277,4 @@
   }
 }
 
-void
-exchange::CountOutcome(std::string_view aOutcome)
-{
-  auto& counters = mContext.mCounters;
-  const auto outcome = "outcome=\"" + std::string{ aOutcome } + '"';
-  counters.Get("skylarkwind_requests_total", "Requests by how they ended.", outcome).Add();
-  if (aOutcome != "answered") {
-    return;
-  }
-  const auto first = mFirstEventAt.value_or(mContext.mClock.Now()) - mArrivedAt;
-  for (const auto bound : kLatencyBounds) {
-    if (first <= bound) {
-      counters
-        .Get("skylarkwind_first_answer_ms_bucket",
-             "Time from a request's arrival to its first event or its answer.",
-             "le=\"" + std::to_string(bound.count()) + '"')
-        .Add();
-    }
-  }
-  counters.Get("skylarkwind_first_answer_ms_count", "Answered requests.").Add();
-}
-
-void
-exchange::LogDropped()
-{
-  const std::string_view reason = mContext.mExiting ? "the daemon exits"
-                                  : mConnection.Disconnected()
-                                    ? "the connection to the caller failed"
-                                  : mConnection.Ended() ? "the caller closed its connection"
-                                                        : "the exchange failed";
-  LogOutcome("dropped", reason);
-}
-
-void
-exchange::LogOutcome(std::string_view aOutcome, std::string_view aReason)
-{
-  mOutcomeLogged = aOutcome != "retry" && aOutcome != "repeat";
-  CountOutcome(aOutcome);
-  const auto elapsed =
-    std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mArrivedAt).count();
-  std::string text{ "id=" };
-  text += mRequest.mId;
-  text += " outcome=";
-  text += aOutcome;
-  text += " ms=" + std::to_string(elapsed);
-  text += " sends=" + std::to_string(mAttemptsSent);
-  text += " backend=" + mTarget.mId;
-  text += " route=";
-  text += mRoute != nullptr ? mRoute->mName : "-";
-  text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
-  const auto since = [this](instant aFrom, instant aTo) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
-  };
-  if (mAttemptStartedAt != instant{}) {
-    text += " held_ms=" + since(mArrivedAt, mAttemptStartedAt);
-  }
-  text += mPlacementLog;
-  if (mFirstEventAt) {
-    text += " first_ms=" + since(mArrivedAt, *mFirstEventAt);
-    text += " gap_ms=" + since(instant{}, instant{} + mLongestEventGap);
-  }
-  if (aOutcome == "dropped" || aOutcome == "broken") {
-    text += " body=" + std::to_string(mBody.Text().size());
-    text += " received=" + std::to_string(mBytesReceived);
-    text += " sent=" + std::to_string(mConnection.WrittenBytes() - mSentBefore);
-    text += " unwritten=" + std::to_string(mConnection.UnwrittenBytes());
-  }
-  text += " reason=\"";
-  text += aReason;
-  text += '"';
-  Log(log_level::Info, "request", text);
-}
-
 } // namespace skylarkwind
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -80,7 +80,7 @@
   return call;
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::Prefill(const placement& aPlacement)
 {
   const auto& engine = *aPlacement.mPrefill;
@@ -116,7 +116,7 @@
             return http_failure{ true, "the engine was silent" };
           })
     .then([this, plan = kj::mv(plan), target = kj::mv(target)](
-            http_result aResult) mutable -> kj::Promise<void> {
+            http_result aResult) mutable -> kj::Promise<exchange_end> {
       if (const auto* failure = std::get_if<http_failure>(&aResult)) {
         CloseAttempt(failure->mSent ? backend_outcome::Silent : backend_outcome::Unreachable);
         if (!failure->mSent) {
@@ -135,14 +135,14 @@
                mBackendResponse->Body(), kMaxPrefillResponseBytes, mContext.mResponseBodies)
         .then(
           [this, plan = kj::mv(plan), target = kj::mv(target)](
-            buffered_body aText) mutable -> kj::Promise<void> {
+            buffered_body aText) mutable -> kj::Promise<exchange_end> {
             mContext.mPool.Release(std::move(mBackendResponse),
                                    mResponseHead.mClosesConnection,
                                    mResponseHead.mKeepAlive);
             auto prefilled = OnPrefilled(*plan, aText.Text());
             return prefilled.attach(kj::mv(plan), kj::mv(target));
           },
-          [this](kj::Exception&& aError) -> kj::Promise<void> {
+          [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
             CloseAttempt(backend_outcome::Failed);
             return OnNotExecuted(aError.getDescription().cStr(), true);
           });
@@ -163,7 +163,7 @@
                          (taken - aPlacement.mFetchTime).count());
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnPrefilled(const placement& aPlacement, std::string_view aBody)
 {
   const auto now = mContext.mClock.Now();
@@ -189,7 +189,7 @@
   return Send(aPlacement, source);
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::Send(const placement& aPlacement, std::optional<kv_source> aKv)
 {
   // The server may have started to drain, or asked for back-off, since it was chosen.
@@ -237,15 +237,17 @@
   auto call = BuildCall(mTarget, attempt);
   call.mMaxIdleForReuse = mRoute->IsRetryable() ? kMaxIdleForRetryable : kMaxIdleForNonRetryable;
   ++mAttemptsSent;
+  mAttemptOpen = true;
   auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
     return OnResponse(std::move(aResult));
   });
   return calling;
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnResponse(http_result aResult)
 {
+  mAttemptOpen = false;
   if (const auto* failure = std::get_if<http_failure>(&aResult)) {
     const bool sent = failure->mSent;
     CloseAttempt(sent ? backend_outcome::Failed : backend_outcome::Unreachable);
@@ -288,7 +290,7 @@
           std::move(mBackendResponse), mResponseHead.mClosesConnection, mResponseHead.mKeepAlive);
         return OnBufferedResponse(mResponseHead, aBody.Text());
       },
-      [this](kj::Exception&& aError) -> kj::Promise<void> {
+      [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
         mBackendResponse = nullptr;
         CloseAttempt(backend_outcome::Failed);
         if (mResponseHead.mNotExecuted) {
@@ -298,7 +300,7 @@
       });
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnBufferedResponse(const response_head& aHead, std::string aBody)
 {
   if (aHead.mNotExecuted) {
@@ -312,18 +314,18 @@
     LogOutcome("repeat", "status " + std::to_string(aHead.mStatus));
     return Attempt();
   }
-  if (mResponseStarted) {
+  if (mResponse.Started()) {
     return OnAttemptFailed("a resumed stream ended with status " + std::to_string(aHead.mStatus));
   }
   // The request may have been executed, so a status that implies the opposite is not forwarded.
   if (StatusImpliesNotExecuted(aHead.mStatus)) {
-    return Fail(502, "the server refused without saying that it did not run the request");
+    return exchange_end{ no_answer{
+      "the server refused without saying that it did not run the request" } };
   }
-  LogOutcome("answered", "status " + std::to_string(aHead.mStatus));
-  return Reply(static_cast<unsigned int>(aHead.mStatus), {}, aHead.mHeaders, std::move(aBody));
+  return exchange_end{ server_answer{ aHead.mStatus, aHead.mHeaders, std::move(aBody) } };
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::RelayStream()
 {
   auto reading = mBackendResponse->Body().tryRead(mReadBuffer.begin(), 1, mReadBuffer.size());
@@ -342,7 +344,7 @@
                                                 kj::mv(timedReading));
   }
   return timedReading.then(
-    [this](size_t aBytes) -> kj::Promise<void> {
+    [this](size_t aBytes) -> kj::Promise<exchange_end> {
       if (aBytes == 0) {
         return OnStreamEnd();
       }
@@ -360,20 +362,17 @@
         CloseAttempt(backend_outcome::Failed);
         return OnAttemptFailed("the stream sends bytes without events");
       }
-      if (complete.empty() || (!mResponseStarted && mEvents.Events() == 0)) {
+      if (complete.empty() || (!mResponse.Started() && mEvents.Events() == 0)) {
         return RelayStream();
       }
-      if (!mResponseStarted) {
-        mResponseStarted = true;
-        mCallerStream = mResponse.send(static_cast<unsigned int>(mResponseHead.mStatus),
-                                       ToKj(mBackendResponse->mStatusText),
-                                       ToKj(mResponseHead.mHeaders, mContext.mTable));
+      if (!mResponse.Started()) {
+        mResponse.StartStream(static_cast<unsigned int>(mResponseHead.mStatus),
+                              mBackendResponse->mStatusText,
+                              mResponseHead.mHeaders);
       }
-      return mCallerStream->write(complete.data(), complete.size()).then([this] {
-        return RelayStream();
-      });
+      return mResponse.Write(complete).then([this] { return RelayStream(); });
     },
-    [this](kj::Exception&& aError) -> kj::Promise<void> {
+    [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
       mBackendResponse = nullptr;
       CloseAttempt(aError.getType() == kj::Exception::Type::OVERLOADED ? backend_outcome::Silent
                                                                        : backend_outcome::Failed);
@@ -399,10 +398,10 @@
   }
 }
 
-kj::Promise<void>
+kj::Promise<exchange_end>
 exchange::OnStreamEnd()
 {
-  if (!mEvents.Incomplete().empty() || !mResponseStarted) {
+  if (!mEvents.Incomplete().empty() || !mResponse.Started()) {
     mBackendResponse = nullptr;
     CloseAttempt(backend_outcome::Failed);
     return OnAttemptFailed("the stream ended within an event");
@@ -414,9 +413,7 @@
     mContext.mEngineModels.At(mService->mName)
       .OnLongestEventGap(milliseconds_f{ mLongestEventGap }.count());
   }
-  LogOutcome("answered", "stream");
-  mCallerStream = nullptr;
-  return kj::READY_NOW;
+  return exchange_end{ stream_complete{} };
 }
 
 void
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller_response_p.h"
 #include "monitored_stream_p.h"
 #include "server_signals_p.h"
 
@@ -22,6 +23,7 @@
 
 #include <memory>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace skylarkwind {
@@ -78,9 +80,43 @@
   bool mExiting = false; ///< the process is about to exit; open exchanges are dropped
 };
 
+/// Ends of an exchange, as far as servers and the caller decide them.
+
+/// All events of a stream have been relayed.
+struct stream_complete
+{};
+/// The whole response of a server, to be passed on.
+struct server_answer
+{
+  int mStatus = 0;
+  header_list mHeaders;
+  std::string mBody;
+};
+/// The request itself is at fault: it has no route or is too large. No server has seen it.
+struct request_rejected
+{
+  unsigned int mStatus = 0;
+  std::string mReason;
+};
+/// No server has given a response that can be passed on.
+struct no_answer
+{
+  std::string mReason;
+  std::chrono::milliseconds mRetryAfter{ 400 }; ///< for the caller, when nothing was executed
+  unsigned int mFailureStatus = 502;            ///< when the request may have been executed
+};
+/// The caller has closed its connection.
+struct caller_left
+{};
+using exchange_end =
+  std::variant<stream_complete, server_answer, request_rejected, no_answer, caller_left>;
+
 /// Proxies one request of a caller to the backend servers: reads the body, places the request,
 /// retries failed attempts and sends the response. Lives from the arrival of the request until the
 /// response is complete.
+///
+/// The attempts only find out how the exchange ends; `Finish` alone turns that into bytes, since
+/// the same end takes another form once a part of the response has been sent.
 class exchange
 {
 public:
@@ -97,45 +133,37 @@
   kj::Promise<void> RefuseForShutdown(forward_request aRequest);
 
 private:
-  /// What came first: the end of the response, the time limit or a disconnect of the caller.
-  enum class race_outcome
-  {
-    Served,
-    TimedOut,
-    CallerDisconnected
-  };
-
-  /// Buffers the request body, then forwards the request. Answers 413 when the body is too large
-  /// and 503 when the buffers of all requests are full.
-  kj::Promise<void> ReadRequestBody(kj::AsyncInputStream& aBody);
+  /// Buffers the request body, then forwards the request. Ends with 413 when the body is too large
+  /// and with 503 when the buffers of all requests are full.
+  kj::Promise<exchange_end> ReadRequestBody(kj::AsyncInputStream& aBody);
   /// Finds the route and starts the first attempt, bounded by the time limit and the caller's
   /// connection.
-  kj::Promise<void> RouteAndForward();
+  kj::Promise<exchange_end> RouteAndForward();
   /// Places the request and sends it to the chosen server.
-  kj::Promise<void> Attempt();
+  kj::Promise<exchange_end> Attempt();
   /// Waits until the shared prefix of the prompt is computed or a timeout passes, then places the
   /// request again.
-  kj::Promise<void> AwaitPrefix(const await_prefix& aPrefix);
+  kj::Promise<exchange_end> AwaitPrefix(const await_prefix& aPrefix);
   /// Has an engine compute the prompt's KV cache before the request goes to a decode engine.
-  kj::Promise<void> Prefill(const placement& aPlacement);
-  kj::Promise<void> OnPrefilled(const placement& aPlacement, std::string_view aBody);
-  kj::Promise<void> Send(const placement& aPlacement, std::optional<kv_source> aKv);
-  kj::Promise<void> OnResponse(http_result aResult);
-  kj::Promise<void> OnBufferedResponse(const response_head& aHead, std::string aBody);
+  kj::Promise<exchange_end> Prefill(const placement& aPlacement);
+  kj::Promise<exchange_end> OnPrefilled(const placement& aPlacement, std::string_view aBody);
+  kj::Promise<exchange_end> Send(const placement& aPlacement, std::optional<kv_source> aKv);
+  kj::Promise<exchange_end> OnResponse(http_result aResult);
+  kj::Promise<exchange_end> OnBufferedResponse(const response_head& aHead, std::string aBody);
   /// Relays the server's stream of events to the caller until it ends.
-  kj::Promise<void> RelayStream();
+  kj::Promise<exchange_end> RelayStream();
   /// Adds the time of the prompt's computation, or of the start of a stream that fetched it, to the
   /// model of the service's engines.
   void LearnPromptTime(const placement& aPlacement, instant aNow);
   /// Complete events have arrived; `aFirst` when they are the first ones of this request.
   void OnEvents(bool aFirst);
-  kj::Promise<void> OnStreamEnd();
+  kj::Promise<exchange_end> OnStreamEnd();
 
-  /// The attempt was not executed: tries another server or answers with an error. `aSent` tells
-  /// whether the server may have received bytes of it; if so, the next attempt needs retry budget.
-  kj::Promise<void> OnNotExecuted(std::string_view aReason, bool aSent);
+  /// The attempt was not executed: tries another server or ends. `aSent` tells whether the server
+  /// may have received bytes of it; if so, the next attempt needs retry budget.
+  kj::Promise<exchange_end> OnNotExecuted(std::string_view aReason, bool aSent);
   /// The attempt may have been executed: retries only where the route allows it.
-  kj::Promise<void> OnAttemptFailed(std::string_view aReason);
+  kj::Promise<exchange_end> OnAttemptFailed(std::string_view aReason);
   /// Whether the limits of attempts, time and retry budget allow another attempt.
   bool MayRetry();
   /// Takes the retry budget that the next attempt needs: one for each prefill and each attempt
@@ -143,19 +171,22 @@
   bool TakeRetries(const placement& aPlacement);
   /// Asks the prefill engine to free a KV cache that no decode engine will fetch.
   void ReleaseUnusedKv();
-  /// Answers 503 with Retry-After if the request was certainly not executed, else 502.
-  kj::Promise<void> GiveUp(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
-  /// Answers 503 with Retry-After: the request was not executed.
-  kj::Promise<void> Refuse(std::string_view aReason, std::chrono::milliseconds aRetryAfter);
-  /// Answers with this error status and the reason as the body.
-  kj::Promise<void> Fail(unsigned int aStatus, std::string_view aReason);
-  kj::Promise<void> OnTimeLimit();
-  /// Ends a response that has already started such that the caller sees it as incomplete.
-  kj::Promise<void> AbortResponse(std::string_view aReason);
-  kj::Promise<void> Reply(unsigned int aStatus,
-                          std::string_view aStatusText,
-                          const header_list& aHeaders,
-                          std::string aBody);
+  exchange_end TimeLimitEnd() const;
+  /// Whether a server may have executed the request or may be doing so. If not, the caller is told
+  /// with 503 that it may be sent again.
+  bool MayHaveExecuted() const { return mMayHaveExecuted || mAttemptOpen; }
+
+  /// Gives the caller the response that the end calls for, with regard to what has been sent.
+  kj::Promise<void> Finish(exchange_end aEnd);
+  kj::Promise<void> Finish(const stream_complete& aEnd);
+  kj::Promise<void> Finish(server_answer aEnd);
+  kj::Promise<void> Finish(const request_rejected& aEnd);
+  kj::Promise<void> Finish(const no_answer& aEnd);
+  kj::Promise<void> Finish(const caller_left& aEnd);
+  /// Ends a stream that has begun such that the caller sees that it is incomplete.
+  kj::Promise<void> BreakStream(std::string_view aReason);
+  /// Sends a response with a body, bounded by what a slow caller may take.
+  kj::Promise<void> Reply(unsigned int aStatus, const header_list& aHeaders, std::string aBody);
 
   /// Reads the response headers and applies what they say of the server itself.
   void ReadResponseHead();
@@ -182,7 +213,7 @@
   std::uint32_t Daemons() const;
 
   exchange_context& mContext;
-  kj::HttpService::Response& mResponse;
+  caller_response mResponse;
   monitored_stream& mConnection; ///< to the caller
   forward_request mRequest;
   buffered_body mBody;
@@ -198,7 +229,7 @@
   std::uint32_t mPrefillsSent = 0;           ///< prefill calls that the engine may have received
   std::uint32_t mAttemptsSent = 0;           ///< calls that servers may have received
   bool mMayHaveExecuted = false;
-  bool mResponseStarted = false;
+  bool mAttemptOpen = false;   ///< sent to a server that has not answered yet
   bool mOutcomeLogged = false; ///< the request has ended, as far as the log tells
 
   std::optional<kv_source> mUnusedKv; ///< prefilled, not yet fetched by a decode engine
@@ -221,7 +252,6 @@
   std::unique_ptr<http_answer> mBackendResponse;
   response_head mResponseHead;
   sse_splitter mEvents;
-  kj::Own<kj::AsyncOutputStream> mCallerStream;
   kj::Array<kj::byte> mReadBuffer;
 };
 
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -169,11 +169,11 @@
     mFloods.push_back({ aRequest.mConnection, aReply, bytes->mAgain });
     return;
   }
-  if (!aRequest.Header("x-skylarkwind-token-count").empty()) {
+  if (!aRequest.Header("x-skylarkwind-token-count").empty() && mMode != "fail") {
     BeginEvents(aRequest, aReply);
     return;
   }
-  const int status = mMode == "error" ? 500 : 200;
+  const int status = mMode == "error" || mMode == "fail" ? 500 : 200;
   const auto body = "answer of " + mId + " to " + aRequest.Header("x-skylarkwind-request-id");
   aReply.Send(status, body, "text/plain", HeaderLines(aRequest));
   if (mMode == "twice") {
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -22,7 +22,7 @@
 /// An engine or plain server of the users' platform. It answers any path, streams events when the
 /// request has a token count, and records every run.
 /// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
-/// "no_id" | "error" | "torn" | "leaving" | "quiet" | "twice" | "twice_late" | "trickle" |
+/// "no_id" | "error" | "fail" | "torn" | "leaving" | "quiet" | "twice" | "twice_late" | "trickle" |
 /// "slow" | "misdirected"} or one of the names in backend_floods.h; `GET /standin/log` returns the
 /// requests that arrived with their headers.
 class backend_double : public standin_app
