Refuse requests that have not arrived whole when a shutdown refuses

What callers saw: a request whose head arrived before the daemon began to refuse and whose body ended after that was passed on to a server.

Cause: whether to refuse was decided once, at the head. The state of the shutdown was kept by the listener, where an exchange could not ask for it.

Change: shutdown_signal holds the stage for listener and exchanges. An exchange that is still reading its body when refusing begins ends at once with 503, not executed.

Evidence: RequestCompletedAfterRefusalBeganIsRefused failed before with 200 from a server.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -58,8 +58,7 @@
     ++mOwner.mOpenRequests;
     ++mActiveRequests;
     auto serving = kj::heap<exchange>(context, aResponse, *mStream);
-    auto promise = mOwner.mRefusing ? serving->RefuseForShutdown(std::move(request))
-                                    : serving->Serve(std::move(request), aBody);
+    auto promise = serving->Serve(std::move(request), aBody);
     return promise.attach(kj::mv(serving), kj::defer([this] {
                             --mOwner.mOpenRequests;
                             --mActiveRequests;
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -22,10 +22,6 @@
 
   /// Accepts connections until the promise is dropped; open connections stay open.
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
-  /// From now on connections are closed after the next response.
-  void BeginShutdown() { mClosing = true; }
-  /// From now on requests are answered with 503 as not executed.
-  void RefuseRequests() { mRefusing = true; }
   /// Closes connections that were idle for at least the limit, and frees those that have ended.
   void CloseIdle(std::chrono::milliseconds aLimit, instant aNow);
   std::size_t OpenRequests() const { return mOpenRequests; }
@@ -36,11 +32,9 @@
 private:
   class connection;
 
-  bool shouldClose() override { return mClosing; }
+  bool shouldClose() override { return mContext.mShutdown.Reached(shutdown_stage::Closing); }
 
   exchange_context& mContext;
-  bool mClosing = false;
-  bool mRefusing = false;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -53,20 +53,28 @@
 {
   mRequest = std::move(aRequest);
   mConfiguration = mContext.mRoutes.Current();
-  return ReadRequestBody(aBody).then([this](exchange_end aEnd) { return Finish(std::move(aEnd)); });
+  return ReadRequestBody(aBody).exclusiveJoin(EndOfService()).then([this](exchange_end aEnd) {
+    return Finish(std::move(aEnd));
+  });
 }
 
-kj::Promise<void>
-exchange::RefuseForShutdown(forward_request aRequest)
+kj::Promise<exchange_end>
+exchange::EndOfService()
 {
-  mRequest = std::move(aRequest);
-  mConfiguration = mContext.mRoutes.Current();
-  return Finish(no_answer{ "the daemon stops" });
+  return mContext.mShutdown.WhenRefusing().then([this]() -> kj::Promise<exchange_end> {
+    if (mBodyComplete) {
+      return kj::NEVER_DONE;
+    }
+    return exchange_end{ no_answer{ "the daemon stops" } };
+  });
 }
 
 kj::Promise<exchange_end>
 exchange::ReadRequestBody(kj::AsyncInputStream& aBody)
 {
+  if (mContext.mShutdown.Reached(shutdown_stage::Refusing)) {
+    return exchange_end{ no_answer{ "the daemon stops" } };
+  }
   const auto& limits = mConfiguration ? mConfiguration->mLimits : caller_limits{};
   KJ_IF_MAYBE (length, aBody.tryGetLength()) {
     if (*length > limits.mMaxBodyBytes) {
@@ -89,6 +97,10 @@
 kj::Promise<exchange_end>
 exchange::RouteAndForward()
 {
+  if (mContext.mShutdown.Reached(shutdown_stage::Refusing)) {
+    return exchange_end{ no_answer{ "the daemon stops" } };
+  }
+  mBodyComplete = true;
   // The configuration may have changed while the body was read; the current one applies.
   mConfiguration = mContext.mRoutes.Current();
   if (!mConfiguration) {
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -149,10 +149,10 @@
 void
 exchange::LogDropped()
 {
-  const std::string_view reason = mContext.mExiting ? "the daemon exits"
-                                  : mConnection.Disconnected()
-                                    ? "the connection to the caller failed"
-                                  : mConnection.Ended() ? "the caller closed its connection"
+  const std::string_view reason =
+    mContext.mShutdown.Reached(shutdown_stage::Exiting) ? "the daemon exits"
+    : mConnection.Disconnected()                        ? "the connection to the caller failed"
+    : mConnection.Ended()                               ? "the caller closed its connection"
                                                         : "the exchange failed";
   LogOutcome("dropped", reason);
 }
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -3,6 +3,7 @@
 #include "caller_response_p.h"
 #include "monitored_stream_p.h"
 #include "server_signals_p.h"
+#include "shutdown_signal_p.h"
 
 #include "skylarkwind/backend_directory.h"
 #include "skylarkwind/backend_load_tracker.h"
@@ -77,7 +78,7 @@
   prefix_update_signal& mPrefixUpdates;
   byte_budget& mResponseBodies;
   byte_budget& mRequestBodies;
-  bool mExiting = false; ///< the process is about to exit; open exchanges are dropped
+  shutdown_signal& mShutdown;
 };
 
 /// Ends of an exchange, as far as servers and the caller decide them.
@@ -129,9 +130,6 @@
   /// complete and rejects when the response has to be aborted. Dropping it cancels all work.
   kj::Promise<void> Serve(forward_request aRequest, kj::AsyncInputStream& aBody);
 
-  /// Answers 503 because the daemon is shutting down; the request is not executed.
-  kj::Promise<void> RefuseForShutdown(forward_request aRequest);
-
 private:
   /// Buffers the request body, then forwards the request. Ends with 413 when the body is too large
   /// and with 503 when the buffers of all requests are full.
@@ -172,6 +170,9 @@
   /// Asks the prefill engine to free a KV cache that no decode engine will fetch.
   void ReleaseUnusedKv();
   exchange_end TimeLimitEnd() const;
+  /// Resolves when a shutdown of the daemon ends this exchange: a request that has not arrived
+  /// whole when the daemon begins to refuse might not finish in time.
+  kj::Promise<exchange_end> EndOfService();
   /// Whether a server may have executed the request or may be doing so. If not, the caller is told
   /// with 503 that it may be sent again.
   bool MayHaveExecuted() const { return mMayHaveExecuted || mAttemptOpen; }
@@ -228,6 +229,7 @@
   std::optional<instant> mPrefixWaitSince;   ///< since when it waits for its prefix
   std::uint32_t mPrefillsSent = 0;           ///< prefill calls that the engine may have received
   std::uint32_t mAttemptsSent = 0;           ///< calls that servers may have received
+  bool mBodyComplete = false;
   bool mMayHaveExecuted = false;
   bool mAttemptOpen = false;   ///< sent to a server that has not answered yet
   bool mOutcomeLogged = false; ///< the request has ended, as far as the log tells
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -85,7 +85,8 @@
                         mTasks,
                         mPrefixUpdates,
                         mResponseBodies,
-                        mRequestBodies }
+                        mRequestBodies,
+                        mShutdown }
     , mCallerListener(mExchangeContext)
     , mPeerTransport(
         aContext.provider->getNetwork(),
@@ -380,14 +381,14 @@
   {
     Log(log_level::Info, "daemon", "shutdown requested vm=" + mSettings.mVm);
     mStoppingSince = mClock.Now();
-    mCallerListener.BeginShutdown();
+    mShutdown.Enter(shutdown_stage::Closing);
     mTasks.add(mRegistry.Leave());
   }
 
   /// Tells in one line what the exit leaves unfinished; each open request has a line of its own.
   void LogExit()
   {
-    mExchangeContext.mExiting = true;
+    mShutdown.Enter(shutdown_stage::Exiting);
     const auto elapsed = std::chrono::duration_cast<milliseconds>(
       mClock.Now() - mStoppingSince.value_or(mClock.Now()));
     Log(log_level::Info,
@@ -407,7 +408,7 @@
       Log(log_level::Info, "daemon", "stopped accepting connections");
       mAcceptLoop = nullptr;
       mCallerPort = nullptr;
-      mCallerListener.RefuseRequests();
+      mShutdown.Enter(shutdown_stage::Refusing);
     }
     const bool idle = elapsed >= mSettings.mBalancerReaction + kShutdownIdleLimit &&
                       mCallerListener.OpenRequests() == 0;
@@ -545,6 +546,7 @@
   prefix_update_signal mPrefixUpdates;
   byte_budget mResponseBodies{ kMaxBufferedBodyBytes };
   byte_budget mRequestBodies{ kMaxBufferedBodyBytes };
+  shutdown_signal mShutdown;
   exchange_context mExchangeContext;
   caller_listener mCallerListener;
   peer_transport mPeerTransport;
--- a/tests/sessions/gateway_stop_test.cpp
+++ b/tests/sessions/gateway_stop_test.cpp
@@ -17,6 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(gateway_stop_test);
   CPPUNIT_TEST(ExitNamesOpenRequests);
+  CPPUNIT_TEST(RequestCompletedAfterRefusalBeganIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
   /// A grace period of two seconds, of which the balancer takes 0.3.
@@ -87,6 +88,31 @@
     CPPUNIT_ASSERT(!LogLine(system, "id=open-1", "reason=\"the daemon exits\"").empty());
     CPPUNIT_ASSERT(!LogLine(system, "stopped vm=", "open_requests=1 connections=1").empty());
   }
+
+  /// Guards against a request whose body arrives around the moment at which the daemon begins to
+  /// refuse: it was passed on afterwards, and the exit cut it off.
+  void RequestCompletedAfterRefusalBeganIsRefused()
+  {
+    gateway_system system{ Options() };
+    const std::string body(4'000, 'x');
+    const auto whole = Post("/order/a", "parts-1", body);
+    raw_caller caller{ system.CallersAddress(0) };
+    CPPUNIT_ASSERT(caller.Send(whole.substr(0, whole.size() - 1'000)));
+    // A request on another connection shows that the daemon has read what was sent before it.
+    CPPUNIT_ASSERT_EQUAL(
+      200, system.Send("GET", "/lookup/a", { "X-Skylarkwind-Request-Id: other" }).mStatus);
+    system.Daemon().Signal(SIGTERM);
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return !LogLine(system, "stopped accepting", "connections").empty(); }));
+    CPPUNIT_ASSERT(caller.Send(whole.substr(whole.size() - 1'000)));
+    const auto answer = caller.ReadAnswer(seconds{ 3 });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(caller.Received(), 503, answer.mStatus);
+    CPPUNIT_ASSERT(answer.mWhole);
+    CPPUNIT_ASSERT(answer.mHead.find("Retry-After: ") != std::string::npos);
+    CPPUNIT_ASSERT(Exited(system, seconds{ 5 }));
+    // The only run is that of the request before the stop.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("ran"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stop_test);
