Answer open requests before a shutdown exits

Requests that waited for a prefill, a prefix or a retry, or whose body was incomplete, had not run, and their callers were not told.

Cause: the exit dropped whatever was open; an exchange had no way to end because of a shutdown.

Evidence: RequestsThatCannotEndAreAnsweredBeforeTheExit failed before; the log then had outcome=dropped reason="the daemon exits" for the order at a silent server and for the request whose body was incomplete.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -62,10 +62,15 @@
 exchange::EndOfService()
 {
   return mContext.mShutdown.WhenRefusing().then([this]() -> kj::Promise<exchange_end> {
-    if (mBodyComplete) {
-      return kj::NEVER_DONE;
+    if (!mBodyComplete) {
+      return exchange_end{ no_answer{ "the daemon stops" } };
     }
-    return exchange_end{ no_answer{ "the daemon stops" } };
+    return mContext.mShutdown.WhenEnding().then([this]() -> kj::Promise<exchange_end> {
+      if (mResponse.Started()) {
+        return kj::NEVER_DONE;
+      }
+      return exchange_end{ no_answer{ "the daemon stops" } };
+    });
   });
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -170,8 +170,9 @@
   /// Asks the prefill engine to free a KV cache that no decode engine will fetch.
   void ReleaseUnusedKv();
   exchange_end TimeLimitEnd() const;
-  /// Resolves when a shutdown of the daemon ends this exchange: a request that has not arrived
-  /// whole when the daemon begins to refuse might not finish in time.
+  /// Resolves when a shutdown of the daemon ends this exchange. A request that has not arrived
+  /// whole when the daemon begins to refuse might not finish in time. One whose response has not
+  /// begun when the grace period is nearly over is ended while its caller can still be told.
   kj::Promise<exchange_end> EndOfService();
   /// Whether a server may have executed the request or may be doing so. If not, the caller is told
   /// with 503 that it may be sent again.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "peer_snapshots_p.h"
 #include "peer_transport_p.h"
 #include "role_driver_p.h"
+#include "shutdown_sequence_p.h"
 #include "store_replication_p.h"
 
 #include "skylarkwind/hash.h"
@@ -26,9 +27,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickPeriod{ 25 };
-constexpr milliseconds kShutdownMargin{ 600 };
-/// During a shutdown, connections without a request are closed after this idle time.
-constexpr milliseconds kShutdownIdleLimit{ 300 };
 /// Limit of the bodies that are buffered at the same time, one for responses of servers and one for
 /// requests of callers. Each is a fifth of the memory of the smallest VM (160 MB).
 constexpr std::size_t kMaxBufferedBodyBytes = 32 * 1'024 * 1'024;
@@ -332,7 +330,7 @@
     const auto& configuration = mRoutes.Current();
     const auto idle =
       configuration ? configuration->mLimits.mIdleTimeout : caller_limits{}.mIdleTimeout;
-    const bool closing = mStoppingSince && aNow - *mStoppingSince >= mSettings.mBalancerReaction;
+    const bool closing = mShutdown.Reached(shutdown_stage::Refusing);
     mCallerListener.CloseIdle(closing ? std::min(idle, kShutdownIdleLimit) : idle, aNow);
     ExchangeLoad(aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
@@ -401,18 +399,16 @@
 
   void ContinueShutdown(instant aNow)
   {
-    const auto elapsed = aNow - *mStoppingSince;
-    if (elapsed >= mSettings.mBalancerReaction && mCallerPort.get() != nullptr) {
-      // While most daemons of a data centre stop, the load balancer sends connections to all of
-      // them. Requests that start now might not finish before the process exits.
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(aNow - *mStoppingSince);
+    mShutdown.Enter(StageAt({ mSettings.mBalancerReaction, mSettings.mShutdownGrace },
+                            elapsed,
+                            { mCallerListener.OpenRequests(), 0 }));
+    if (mShutdown.Reached(shutdown_stage::Refusing) && mCallerPort.get() != nullptr) {
       Log(log_level::Info, "daemon", "stopped accepting connections");
       mAcceptLoop = nullptr;
       mCallerPort = nullptr;
-      mShutdown.Enter(shutdown_stage::Refusing);
     }
-    const bool idle = elapsed >= mSettings.mBalancerReaction + kShutdownIdleLimit &&
-                      mCallerListener.OpenRequests() == 0;
-    if (idle || elapsed >= mSettings.mShutdownGrace - kShutdownMargin) {
+    if (mShutdown.Reached(shutdown_stage::Exiting)) {
       mShutdownComplete.fulfiller->fulfill();
     }
   }
--- a/tests/sessions/gateway_stop_test.cpp
+++ b/tests/sessions/gateway_stop_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(gateway_stop_test);
   CPPUNIT_TEST(ExitNamesOpenRequests);
   CPPUNIT_TEST(RequestCompletedAfterRefusalBeganIsRefused);
+  CPPUNIT_TEST(RequestsThatCannotEndAreAnsweredBeforeTheExit);
   CPPUNIT_TEST_SUITE_END();
 
   /// A grace period of two seconds, of which the balancer takes 0.3.
@@ -113,6 +114,40 @@
     // The only run is that of the request before the stop.
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("ran"));
   }
+
+  /// Guards against requests that wait for an engine, or whose body is incomplete, when the grace
+  /// period ends: their connections were closed without a response, although the daemon knew that
+  /// nothing had run. What may have run gets a failure instead.
+  void RequestsThatCannotEndAreAnsweredBeforeTheExit()
+  {
+    auto options = Options();
+    // Requests are ended before the silent prefill engine is given up.
+    options.mShutdownGraceS = 1.8;
+    gateway_system system{ options };
+    for (const auto* id : { "p1", "s1", "s2" }) {
+      system.SetMode(id, "mute");
+    }
+    raw_caller prefilling{ system.CallersAddress(0) };
+    raw_caller running{ system.CallersAddress(0) };
+    raw_caller sending{ system.CallersAddress(0) };
+    prefilling.Send(Post("/stream/a", "prefilling", "b", 10));
+    running.Send(Post("/order/a", "running", "b"));
+    const auto partial = Post("/order/a", "sending", std::string(4'000, 'x'));
+    sending.Send(partial.substr(0, partial.size() - 1'000));
+    CPPUNIT_ASSERT(
+      WaitUntil([&] { return system.Count("muted") == 1 && system.Count("ran") == 1; }));
+    system.Daemon().Signal(SIGTERM);
+    const auto refused = prefilling.ReadAnswer(seconds{ 4 });
+    const auto failed = running.ReadAnswer(seconds{ 4 });
+    const auto unread = sending.ReadAnswer(seconds{ 4 });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(system.DaemonLog(), 503, refused.mStatus);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(system.DaemonLog(), 502, failed.mStatus);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(system.DaemonLog(), 503, unread.mStatus);
+    CPPUNIT_ASSERT(refused.mWhole && failed.mWhole && unread.mWhole);
+    CPPUNIT_ASSERT(Exited(system, seconds{ 5 }));
+    CPPUNIT_ASSERT_MESSAGE(system.DaemonLog(),
+                           !LogLine(system, "stopped vm=", "open_requests=0").empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stop_test);
