Close callers' connections gracefully

The daemon's log said outcome=answered.

Cause: connections were closed by destroying them.

Change: a connection ends by closing its write side and reading until the caller closes or a second has passed. It is not idle while the kernel has not taken all of a response, up to 5 s, nor while a request arrives. The exit waits for connections, too, within the grace period.

Evidence: AnswerIsNotLostToUnreadInput failed before with 6,138 of 60,000 bytes.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -10,12 +10,17 @@
 
 /// Idle connections are closed by `CloseIdle`, whose limit may change while a connection is open.
 constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
+/// How long a connection that the daemon closes stays open for reading.
+constexpr std::chrono::milliseconds kLingerLimit{ 1'000 };
+/// Time without a request in which a caller has to take the rest of a response.
+constexpr std::chrono::milliseconds kSlowCallerLimit{ 5'000 };
 
 } // namespace
 
 class caller_listener::connection final
   : public kj::HttpService
   , private kj::HttpServerErrorHandler
+  , private kj::HttpServerCallbacks
 {
 public:
   connection(caller_listener& aOwner, kj::Own<kj::AsyncIoStream> aStream)
@@ -35,10 +40,21 @@
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged the reason; the connection is closed in any case.
                  })
-                 .then([this] { mDone = true; })
+                 .then([this] { return Linger(); })
                  .eagerlyEvaluate(nullptr);
   }
 
+  /// Ends the connection between two requests.
+  void Close()
+  {
+    if (mLingering) {
+      return;
+    }
+    // The server reads from the stream until it is dropped.
+    mServing = nullptr;
+    mServing = Linger().eagerlyEvaluate(nullptr);
+  }
+
   kj::Promise<void> request(kj::HttpMethod aMethod,
                             kj::StringPtr aUrl,
                             const kj::HttpHeaders& aHeaders,
@@ -68,9 +84,18 @@
 
   bool Done() const { return mDone; }
   std::uint64_t UnwrittenBytes() const { return mStream->UnwrittenBytes(); }
-  bool IdleFor(std::chrono::milliseconds aLimit, instant aNow) const
+  bool IdleFor(std::chrono::milliseconds aLimit, instant aNow)
   {
-    return mActiveRequests == 0 && aNow - mIdleSince >= aLimit;
+    if (mStream->ReadBytes() != mReadBefore) {
+      // A request is arriving.
+      mReadBefore = mStream->ReadBytes();
+      mIdleSince = aNow;
+    }
+    if (mActiveRequests > 0) {
+      return false;
+    }
+    const auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
+    return aNow - mIdleSince >= limit;
   }
 
 private:
@@ -82,10 +107,45 @@
     settings.headerTimeout = ToKj(limits.mHeaderTimeout);
     settings.pipelineTimeout = kNoPipelineTimeout;
     settings.errorHandler = static_cast<kj::HttpServerErrorHandler&>(*this);
-    settings.callbacks = static_cast<kj::HttpServerCallbacks&>(mOwner);
+    settings.callbacks = static_cast<kj::HttpServerCallbacks&>(*this);
     return settings;
   }
 
+  bool shouldClose() override { return mOwner.mContext.mShutdown.Reached(shutdown_stage::Closing); }
+
+  /// Closes the connection towards the caller and discards what the caller still sends: a socket
+  /// that is closed with unread input resets the connection, and the caller loses what it has not
+  /// received yet.
+  kj::Promise<void> Linger()
+  {
+    mLingering = true;
+    kj::Promise<void> discarding = kj::READY_NOW;
+    KJ_IF_MAYBE (error, kj::runCatchingExceptions([this] { mStream->shutdownWrite(); })) {
+      // The caller has left already.
+      Log(log_level::Debug, "callers", error->getDescription().cStr());
+    } else {
+      discarding =
+        DiscardInput().exclusiveJoin(mOwner.mContext.mTimer.afterDelay(ToKj(kLingerLimit)));
+    }
+    return discarding.then([this] { mDone = true; });
+  }
+
+  kj::Promise<void> DiscardInput()
+  {
+    return mStream->tryRead(mDiscarded, 1, sizeof(mDiscarded))
+      .then(
+        [this](size_t aBytes) -> kj::Promise<void> {
+          if (aBytes == 0) {
+            return kj::READY_NOW;
+          }
+          return DiscardInput();
+        },
+        [](kj::Exception&&) -> kj::Promise<void> {
+          // The caller has reset the connection.
+          return kj::READY_NOW;
+        });
+  }
+
   kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
     if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
@@ -99,7 +159,10 @@
   kj::HttpServer mServer;
   std::size_t mActiveRequests = 0;
   instant mIdleSince;
+  std::uint64_t mReadBefore = 0; ///< bytes read at the last check for idleness
+  bool mLingering = false;
   bool mDone = false;
+  kj::byte mDiscarded[4'096]{};
   kj::Promise<void> mServing = nullptr;
 };
 
@@ -133,9 +196,12 @@
 void
 caller_listener::CloseIdle(std::chrono::milliseconds aLimit, instant aNow)
 {
-  mConnections.remove_if([&](const auto& aConnection) {
-    return aConnection->Done() || aConnection->IdleFor(aLimit, aNow);
-  });
+  for (const auto& open : mConnections) {
+    if (open->IdleFor(aLimit, aNow)) {
+      open->Close();
+    }
+  }
+  mConnections.remove_if([](const auto& aConnection) { return aConnection->Done(); });
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -14,7 +14,7 @@
 namespace skylarkwind {
 
 /// Accepts callers' connections and starts an exchange for each request.
-class caller_listener final : private kj::HttpServerCallbacks
+class caller_listener final
 {
 public:
   explicit caller_listener(exchange_context& aContext);
@@ -22,7 +22,8 @@
 
   /// Accepts connections until the promise is dropped; open connections stay open.
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
-  /// Closes connections that were idle for at least the limit, and frees those that have ended.
+  /// Begins to close connections that were idle for at least the limit, and frees those that have
+  /// ended. A connection that still carries a response is not idle.
   void CloseIdle(std::chrono::milliseconds aLimit, instant aNow);
   std::size_t OpenRequests() const { return mOpenRequests; }
   std::size_t Connections() const { return mConnections.size(); }
@@ -32,8 +33,6 @@
 private:
   class connection;
 
-  bool shouldClose() override { return mContext.mShutdown.Reached(shutdown_stage::Closing); }
-
   exchange_context& mContext;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -402,7 +402,7 @@
     const auto elapsed = std::chrono::duration_cast<milliseconds>(aNow - *mStoppingSince);
     mShutdown.Enter(StageAt({ mSettings.mBalancerReaction, mSettings.mShutdownGrace },
                             elapsed,
-                            { mCallerListener.OpenRequests(), 0 }));
+                            { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
     if (mShutdown.Reached(shutdown_stage::Refusing) && mCallerPort.get() != nullptr) {
       Log(log_level::Info, "daemon", "stopped accepting connections");
       mAcceptLoop = nullptr;
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -58,6 +58,7 @@
 monitored_stream::RecordInput(size_t aBytes)
 {
   mUnexpectedInput = mUnexpectedInput || mIdle;
+  mReadBytes += aBytes;
   mEnded = mEnded || aBytes == 0;
 }
 
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -25,6 +25,8 @@
   bool Ended() const { return mEnded; }
   /// Whether the kernel has reported that the peer can no longer receive.
   bool Disconnected() const { return mDisconnected; }
+  /// Bytes that have arrived.
+  std::uint64_t ReadBytes() const { return mReadBytes; }
   /// Bytes that the kernel has taken.
   std::uint64_t WrittenBytes() const { return mWrittenBytes; }
   /// Bytes of writes that the kernel has not taken whole, because the peer reads slowly.
@@ -62,6 +64,7 @@
   bool mEnded = false;
   bool mAborted = false;
   bool mDisconnected = false;
+  std::uint64_t mReadBytes = 0;
   std::uint64_t mWrittenBytes = 0;
   std::uint64_t mUnwrittenBytes = 0;
 };
--- a/tests/sessions/gateway_stop_test.cpp
+++ b/tests/sessions/gateway_stop_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(ExitNamesOpenRequests);
   CPPUNIT_TEST(RequestCompletedAfterRefusalBeganIsRefused);
   CPPUNIT_TEST(RequestsThatCannotEndAreAnsweredBeforeTheExit);
+  CPPUNIT_TEST(AnswerIsNotLostToUnreadInput);
   CPPUNIT_TEST_SUITE_END();
 
   /// A grace period of two seconds, of which the balancer takes 0.3.
@@ -148,6 +149,34 @@
     CPPUNIT_ASSERT_MESSAGE(system.DaemonLog(),
                            !LogLine(system, "stopped vm=", "open_requests=0").empty());
   }
+
+  /// Guards against a response that is lost because its connection is closed while input is unread:
+  /// the kernel then resets the connection and discards what the caller has not received.
+  void AnswerIsNotLostToUnreadInput()
+  {
+    auto options = Options();
+    options.mBalancerNoticesMs = 1'000;
+    for (auto& backend : options.mBackends) {
+      backend.mEventBytes = 12'000;
+    }
+    gateway_system system{ options };
+    // The send buffer of the daemon's socket holds what the caller does not read.
+    constexpr int kReceiveBytes = 4'096;
+    constexpr int kEvents = 5;
+    raw_caller caller{ system.CallersAddress(0), kReceiveBytes };
+    system.Daemon().Signal(SIGTERM);
+    CPPUNIT_ASSERT(WaitUntil([&] { return system.Ready().mStatus == 503; }));
+    // The next request is larger than what the daemon discards of a body, so that a part stays
+    // unread.
+    caller.Send(Post("/once-stream/a", "large-1", "b", kEvents) +
+                Post("/order/a", "next-1", std::string(120'000, 'x')));
+    CPPUNIT_ASSERT(Exited(system, seconds{ 5 }));
+    CPPUNIT_ASSERT(!LogLine(system, "id=large-1", "outcome=answered").empty());
+    const auto answer = caller.ReadAnswer(seconds{ 5 });
+    CPPUNIT_ASSERT_EQUAL(200, answer.mStatus);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(answer.mBody.size()), answer.mWhole);
+    CPPUNIT_ASSERT(answer.mBody.find("token" + std::to_string(kEvents)) != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stop_test);
