Run nothing on a connection whose close has been announced

What callers saw: after a response with Connection: close, a request that had been sent behind it was run and answered. Its caller takes it for not read and may send it again. Without another request the connection stayed open until refusing began.

Cause: the HTTP library announces the close and goes on reading.

Change: a connection remembers that it has announced its close, fails what comes after, and is closed 50 ms after the end of that response.

Evidence: RequestAfterAnnouncedCloseIsNotRun failed before with a second response.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -2,6 +2,8 @@
 
 #include "skylarkwind/log.h"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 
 namespace skylarkwind {
@@ -10,6 +12,8 @@
 
 /// Idle connections are closed by `CloseIdle`, whose limit may change while a connection is open.
 constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
+/// Time from the end of a response that announces the close of its connection to the close.
+constexpr std::chrono::milliseconds kAnnouncedCloseDelay{ 50 };
 /// How long a connection that the daemon closes stays open for reading.
 constexpr std::chrono::milliseconds kLingerLimit{ 1'000 };
 /// Time without a request in which a caller has to take the rest of a response.
@@ -61,6 +65,10 @@
                             kj::AsyncInputStream& aBody,
                             Response& aResponse) override
   {
+    if (mCloseAnnounced) {
+      // The caller has been told that nothing follows, so it would not expect a response.
+      return KJ_EXCEPTION(DISCONNECTED, "a request after the last response of the connection");
+    }
     auto& context = mOwner.mContext;
     std::string host;
     KJ_IF_MAYBE (value, aHeaders.get(kj::HttpHeaderId::HOST)) {
@@ -94,7 +102,10 @@
     if (mActiveRequests > 0) {
       return false;
     }
-    const auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
+    auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
+    if (mCloseAnnounced && mStream->UnwrittenBytes() == 0) {
+      limit = std::min(limit, kAnnouncedCloseDelay);
+    }
     return aNow - mIdleSince >= limit;
   }
 
@@ -111,7 +122,11 @@
     return settings;
   }
 
-  bool shouldClose() override { return mOwner.mContext.mShutdown.Reached(shutdown_stage::Closing); }
+  bool shouldClose() override
+  {
+    mCloseAnnounced = mOwner.mContext.mShutdown.Reached(shutdown_stage::Closing);
+    return mCloseAnnounced;
+  }
 
   /// Closes the connection towards the caller and discards what the caller still sends: a socket
   /// that is closed with unread input resets the connection, and the caller loses what it has not
@@ -160,6 +175,7 @@
   std::size_t mActiveRequests = 0;
   instant mIdleSince;
   std::uint64_t mReadBefore = 0; ///< bytes read at the last check for idleness
+  bool mCloseAnnounced = false;  ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
   kj::byte mDiscarded[4'096]{};
--- a/tests/sessions/gateway_stop_test.cpp
+++ b/tests/sessions/gateway_stop_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(RequestCompletedAfterRefusalBeganIsRefused);
   CPPUNIT_TEST(RequestsThatCannotEndAreAnsweredBeforeTheExit);
   CPPUNIT_TEST(AnswerIsNotLostToUnreadInput);
+  CPPUNIT_TEST(RequestAfterAnnouncedCloseIsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
   /// A grace period of two seconds, of which the balancer takes 0.3.
@@ -177,6 +178,25 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(answer.mBody.size()), answer.mWhole);
     CPPUNIT_ASSERT(answer.mBody.find("token" + std::to_string(kEvents)) != std::string::npos);
   }
+
+  /// Guards against a request that is run although the response before it on its connection has
+  /// announced the close: its caller takes it for not read and sends it again.
+  void RequestAfterAnnouncedCloseIsNotRun()
+  {
+    gateway_system system{ Options() };
+    raw_caller caller{ system.CallersAddress(0) };
+    system.Daemon().Signal(SIGTERM);
+    CPPUNIT_ASSERT(WaitUntil([&] { return system.Ready().mStatus == 503; }));
+    caller.Send(Post("/once-stream/a", "last-1", "b", 3) + Post("/order/a", "next-1", "x"));
+    CPPUNIT_ASSERT(caller.ReadToEnd(seconds{ 3 }));
+    const auto answer = raw_caller::Parse(caller.Received());
+    CPPUNIT_ASSERT_EQUAL(200, answer.mStatus);
+    CPPUNIT_ASSERT(answer.mWhole);
+    CPPUNIT_ASSERT(answer.mHead.find("Connection: close") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(caller.Received(),
+                           caller.Received().find("HTTP/1.1", 1) == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, system.Count("ran"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_stop_test);
