--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -59,7 +59,8 @@
 {
   mBackendResponse = nullptr;
   CloseAttempt(backend_outcome::Cancelled);
-  return std::visit([this](auto&& aOne) { return Finish(std::move(aOne)); }, std::move(aEnd));
+  return std::visit([this](auto&& aOne) { return Finish(std::forward<decltype(aOne)>(aOne)); },
+                    std::move(aEnd));
 }
 
 kj::Promise<void>
