--- /dev/null
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -0,0 +1,108 @@
+#include "exchange_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Connections of callers around responses, in one event loop.
+class caller_listener_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(caller_listener_test);
+  CPPUNIT_TEST(SlowCallerReceivesTheLastChunk);
+  CPPUNIT_TEST(CallerThatNeverReadsIsClosed);
+  CPPUNIT_TEST(ConnectionIsNotIdleWhileARequestArrives);
+  CPPUNIT_TEST(IdleConnectionIsClosedGracefully);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr const char* kHead = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
+                                       "Content-Length: 1\r\n\r\nb";
+  static constexpr const char* kEvents = "id: 1\ndata: one\n\n";
+
+  /// Starts a stream and lets its server end it; the caller has read everything but the last chunk.
+  static kj::Own<kj::AsyncIoStream> StreamWithoutLastChunk(exchange_fixture& aFixture)
+  {
+    auto caller = aFixture.mPort.Connect();
+    aFixture.Write(*caller, kHead);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, aFixture.mServers.size());
+    auto& server = *aFixture.mServers.front();
+    CPPUNIT_ASSERT(aFixture.Read(server).find("POST /stream/a") == 0);
+    aFixture.Write(server,
+                   "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "11\r\n" +
+                     std::string{ kEvents } + "\r\n0\r\n\r\n");
+    const std::string end = "\r\n\r\n11\r\n" + std::string{ kEvents } + "\r\n";
+    std::string received;
+    while (!received.ends_with(end)) {
+      const auto part = aFixture.Read(*caller, 1);
+      CPPUNIT_ASSERT_MESSAGE(received, !part.empty());
+      received += part;
+    }
+    return caller;
+  }
+
+  /// Guards against a stream that loses its last chunk because its connection counts as idle, or
+  /// the daemon exits, while a slow caller has not read all of it.
+  void SlowCallerReceivesTheLastChunk()
+  {
+    exchange_fixture fixture;
+    auto caller = StreamWithoutLastChunk(fixture);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.OpenRequests());
+    CPPUNIT_ASSERT(fixture.mListener.UnwrittenBytes() > 0);
+    fixture.Advance(seconds{ 2 });
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.Connections());
+    CPPUNIT_ASSERT_EQUAL(std::string{ "0\r\n\r\n" }, fixture.Read(*caller));
+  }
+
+  void CallerThatNeverReadsIsClosed()
+  {
+    exchange_fixture fixture;
+    auto caller = StreamWithoutLastChunk(fixture);
+    for (int i = 0; i < 8; ++i) {
+      fixture.Advance(seconds{ 1 });
+      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.Run();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
+  }
+
+  /// Guards against a connection that is closed as idle while the head of a request is arriving.
+  void ConnectionIsNotIdleWhileARequestArrives()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Run();
+    fixture.Advance(milliseconds{ 250 });
+    fixture.Write(*caller, "POST /stream/a HTTP/1.1\r\nHost: a.ex");
+    fixture.Advance(milliseconds{ 100 });
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.Write(*caller, "ample\r\nId: r1\r\nContent-Length: 1\r\n\r\nb");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mServers.size());
+  }
+
+  void IdleConnectionIsClosedGracefully()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Run();
+    fixture.Advance(milliseconds{ 400 });
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
+    // What the caller sends at the same moment is read and discarded.
+    fixture.Write(*caller, kHead);
+    CPPUNIT_ASSERT(fixture.mServers.empty());
+    caller->shutdownWrite();
+    fixture.Run();
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_listener_test);
+
+} // namespace skylarkwind
--- /dev/null
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "caller_listener_p.h"
+
+#include <kj/async-io.h>
+#include <kj/debug.h>
+#include <kj/timer.h>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace skylarkwind {
+
+/// Protocol of the tests: a request's id is its header `Id`, a response's signature `Signature`.
+class plain_protocol final : public protocol_adapter
+{
+public:
+  forward_request ParseRequest(std::string aMethod,
+                               std::string aHost,
+                               std::string aTarget,
+                               const header_list& aHeaders) const override
+  {
+    forward_request request;
+    request.mMethod = std::move(aMethod);
+    request.mHost = std::move(aHost);
+    request.mTarget = std::move(aTarget);
+    request.mId = Header(aHeaders, "Id");
+    return request;
+  }
+  header_list MakeAttemptHeaders(const forward_request& aRequest,
+                                 const forward_attempt&) const override
+  {
+    return { { "Id", aRequest.mId } };
+  }
+  response_head ParseResponse(int aStatus, const header_list& aHeaders) const override
+  {
+    response_head head;
+    head.mStatus = aStatus;
+    head.mRequestId = Header(aHeaders, "Id");
+    head.mSigned = !Header(aHeaders, "Signature").empty();
+    head.mNotExecuted = !Header(aHeaders, "Not-Executed").empty();
+    return head;
+  }
+  header_list RemoveSignature(const header_list& aHeaders) const override { return aHeaders; }
+  absl::StatusOr<std::string> ParsePrefillHandle(std::string_view) const override
+  {
+    return absl::UnimplementedError("the tests compute no prompts");
+  }
+  control_request ReleaseHandleRequest(std::string_view) const override { return {}; }
+  control_request StateRequest() const override { return {}; }
+  absl::StatusOr<engine_state_report> ParseState(std::string_view) const override
+  {
+    return absl::UnimplementedError("the tests have no engines");
+  }
+  control_request RoleCommandRequest(const role_command&) const override { return {}; }
+  role_command_result ParseRoleCommandResult(int) const override
+  {
+    return role_command_result::Unknown;
+  }
+  std::string_view ReadyPath() const override { return "/ready"; }
+
+private:
+  static std::string Header(const header_list& aHeaders, std::string_view aName)
+  {
+    for (const auto& [name, value] : aHeaders) {
+      if (name == aName) {
+        return value;
+      }
+    }
+    return {};
+  }
+};
+
+/// Every address leads to a new in-process pipe whose other end goes to `mAccept`.
+class pipe_network final
+  : public kj::Network
+  , private kj::NetworkAddress
+{
+public:
+  std::function<void(kj::Own<kj::AsyncIoStream>)> mAccept;
+
+  kj::Promise<kj::Own<kj::NetworkAddress>> parseAddress(kj::StringPtr, kj::uint) override
+  {
+    return kj::Own<kj::NetworkAddress>{ static_cast<kj::NetworkAddress*>(this),
+                                        kj::NullDisposer::instance };
+  }
+  kj::Own<kj::NetworkAddress> getSockaddr(const void*, kj::uint) override
+  {
+    KJ_UNIMPLEMENTED("addresses of sockets");
+  }
+  kj::Own<kj::Network> restrictPeers(kj::ArrayPtr<const kj::StringPtr>,
+                                     kj::ArrayPtr<const kj::StringPtr>) override
+  {
+    KJ_UNIMPLEMENTED("restricted peers");
+  }
+
+private:
+  kj::Promise<kj::Own<kj::AsyncIoStream>> connect() override
+  {
+    auto pipe = kj::newTwoWayPipe();
+    mAccept(kj::mv(pipe.ends[1]));
+    return kj::mv(pipe.ends[0]);
+  }
+  kj::Own<kj::ConnectionReceiver> listen() override { KJ_UNIMPLEMENTED("listening"); }
+  kj::Own<kj::NetworkAddress> clone() override { KJ_UNIMPLEMENTED("copies"); }
+  kj::String toString() override { return kj::str("pipe"); }
+};
+
+/// A port at which the test itself makes connections.
+class pipe_port final : public kj::ConnectionReceiver
+{
+public:
+  kj::Promise<kj::Own<kj::AsyncIoStream>> accept() override
+  {
+    auto next = kj::newPromiseAndFulfiller<kj::Own<kj::AsyncIoStream>>();
+    mWaiting = kj::mv(next.fulfiller);
+    return kj::mv(next.promise);
+  }
+  kj::uint getPort() override { return 0; }
+
+  /// The caller's end of a new connection.
+  kj::Own<kj::AsyncIoStream> Connect()
+  {
+    auto pipe = kj::newTwoWayPipe();
+    mWaiting->fulfill(kj::mv(pipe.ends[1]));
+    return kj::mv(pipe.ends[0]);
+  }
+
+private:
+  kj::Own<kj::PromiseFulfiller<kj::Own<kj::AsyncIoStream>>> mWaiting;
+};
+
+/// A listener with its exchanges in one event loop, before one server `s1` that the test plays. A
+/// write on a pipe is complete only when the other end has read it, so that the test decides how
+/// slowly a caller reads. Time moves only with Advance.
+class exchange_fixture : private kj::TaskSet::ErrorHandler
+{
+public:
+  exchange_fixture()
+    : mScope(mLoop)
+    , mTimer(kj::origin<kj::TimePoint>())
+    , mPool(mNetwork, mTimer, mClock, mTable, http_pool_settings{})
+    , mDirectory(directory_settings{})
+    , mLoadTracker(backend_load_tracker_settings{})
+    , mEngineModels(50)
+    , mPlacer(placement_settings{}, mLoadTracker, mPrefixCacheIndex, mEngineModels)
+    , mRetryBudget(fleet_retry_budget_settings{})
+    , mLoadExchange(fleet_member{ "vm", "vm:1", "z" }, {}, mLoadTracker, mPrefixCacheIndex)
+    , mTasks(*this)
+    , mContext{ mProtocol,      mRoutes,         mDirectory,     mLoadTracker,  mPrefixCacheIndex,
+                mPlacer,        mEngineModels,   mRetryBudget,   mLoadExchange, mPool,
+                mTimer,         mClock,          mTable,         mCounters,     mTasks,
+                mPrefixUpdates, mResponseBodies, mRequestBodies, mShutdown }
+    , mListener(mContext)
+  {
+    mNetwork.mAccept = [this](kj::Own<kj::AsyncIoStream> aStream) {
+      mServers.push_back(kj::mv(aStream));
+    };
+    auto configuration = std::make_shared<forward_configuration>();
+    configuration->mVersion = 1;
+    for (const auto& [name, kind] : { std::pair{ "stream", route_kind::Streaming },
+                                      std::pair{ "order", route_kind::NonIdempotent } }) {
+      forward_route route;
+      route.mName = name;
+      route.mHost = "a.example";
+      route.mPathPrefix = '/' + route.mName + '/';
+      route.mKind = kind;
+      route.mTimeout = std::chrono::seconds{ 4 };
+      route.mTargetLatency = std::chrono::milliseconds{ 500 };
+      route.mMaxAttempts = 2;
+      route.mServices = { { "service", 1 } };
+      configuration->mRoutes.push_back(route);
+    }
+    configuration->mServices = { { "service" } };
+    mRoutes.Apply(configuration);
+    backend_server server;
+    server.mId = "s1";
+    server.mService = "service";
+    server.mAddress = "s1:1";
+    server.mDataCentre = "z";
+    server.mSlots = 8;
+    mDirectory.Upsert(server);
+    mAccepting = mListener.Accept(mPort).eagerlyEvaluate(nullptr);
+    Run();
+  }
+
+  /// Runs everything that can run without time passing.
+  void Run() { mLoop.run(); }
+  void Advance(std::chrono::milliseconds aTime)
+  {
+    mClock.Advance(aTime);
+    mTimer.advanceTo(mTimer.now() + ToKj(aTime));
+    Run();
+  }
+  /// Reads what has been written so far, at most `aMost` bytes.
+  std::string Read(kj::AsyncIoStream& aStream, std::size_t aMost = 64 * 1'024)
+  {
+    std::string text;
+    while (text.size() < aMost) {
+      std::string part(aMost - text.size(), '\0');
+      std::size_t count = 0;
+      auto reading = aStream.tryRead(part.data(), 1, part.size())
+                       .then([&count](std::size_t aBytes) { count = aBytes; })
+                       .eagerlyEvaluate(nullptr);
+      Run();
+      if (count == 0) {
+        break;
+      }
+      text.append(part, 0, count);
+    }
+    return text;
+  }
+  /// Begins to write; the promise is kept until the other end has read all.
+  void Write(kj::AsyncIoStream& aStream, const std::string& aText)
+  {
+    auto text = kj::heap<std::string>(aText);
+    auto writing = aStream.write(text->data(), text->size()).attach(kj::mv(text));
+    mTasks.add(kj::mv(writing));
+    Run();
+  }
+
+  kj::EventLoop mLoop;
+  kj::WaitScope mScope;
+  kj::TimerImpl mTimer;
+  manual_clock_source mClock;
+  pipe_network mNetwork;
+  pipe_port mPort;
+  std::list<kj::Own<kj::AsyncIoStream>> mServers; ///< connections that the pool has opened
+  kj::HttpHeaderTable mTable;
+  plain_protocol mProtocol;
+  counters mCounters;
+  http_pool mPool;
+  route_index mRoutes;
+  backend_directory mDirectory;
+  backend_load_tracker mLoadTracker;
+  prefix_cache_index mPrefixCacheIndex;
+  engine_models mEngineModels;
+  placer mPlacer;
+  fleet_retry_budget mRetryBudget;
+  load_exchange mLoadExchange;
+  kj::TaskSet mTasks;
+  prefix_update_signal mPrefixUpdates;
+  byte_budget mResponseBodies{ 1'024 * 1'024 };
+  byte_budget mRequestBodies{ 1'024 * 1'024 };
+  shutdown_signal mShutdown;
+  exchange_context mContext;
+  caller_listener mListener;
+  kj::Promise<void> mAccepting = nullptr;
+
+private:
+  void taskFailed(kj::Exception&&) override
+  {
+    // A write to an end that the daemon has closed.
+  }
+};
+
+} // namespace skylarkwind
