Resume a stream only with a response of its content type

What callers would see: the text of an error in the middle of a stream that had begun and broke off, when the next server answers 200 with a signed page instead of events (report of other operators).

Cause: every 2xx response on a streaming route was relayed as events, also the second one.

Change: a resumed stream must be of the content type of the one that has begun; else the attempt has failed.

Evidence: BegunStreamTakesNoTextOfAnotherType failed before with the page in the caller's stream.

--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -1,5 +1,7 @@
 #include "exchange_p.h"
 
+#include <absl/strings/match.h>
+
 #include <algorithm>
 
 namespace skylarkwind {
@@ -40,6 +42,17 @@
   return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
 }
 
+std::string
+ContentType(const response_head& aHead)
+{
+  for (const auto& [name, value] : aHead.mHeaders) {
+    if (absl::EqualsIgnoreCase(name, "Content-Type")) {
+      return value;
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 bool
@@ -275,6 +288,11 @@
   }
   if (success && mRoute->mKind == route_kind::Streaming) {
     mMayHaveExecuted = true;
+    if (mResponse.Started() && ContentType(mResponseHead) != mStreamType) {
+      mBackendResponse = nullptr;
+      CloseAttempt(backend_outcome::Failed);
+      return OnAttemptFailed("the resumed stream is of another content type");
+    }
     mUnusedKv.reset();
     mReadBuffer = kj::heapArray<kj::byte>(kReadBufferBytes);
     mLastEventAt = mContext.mClock.Now();
@@ -366,6 +384,7 @@
         return RelayStream();
       }
       if (!mResponse.Started()) {
+        mStreamType = ContentType(mResponseHead);
         mResponse.StartStream(static_cast<unsigned int>(mResponseHead.mStatus),
                               mBackendResponse->mStatusText,
                               mResponseHead.mHeaders);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -254,6 +254,7 @@
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
   std::unique_ptr<http_answer> mBackendResponse;
   response_head mResponseHead;
+  std::string mStreamType; ///< content type of the stream that has begun
   sse_splitter mEvents;
   kj::Array<kj::byte> mReadBuffer;
 };
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -41,6 +41,7 @@
     head.mRequestId = Header(aHeaders, "Id");
     head.mSigned = !Header(aHeaders, "Signature").empty();
     head.mNotExecuted = !Header(aHeaders, "Not-Executed").empty();
+    head.mHeaders = aHeaders;
     return head;
   }
   header_list RemoveSignature(const header_list& aHeaders) const override { return aHeaders; }
@@ -132,9 +133,9 @@
   kj::Own<kj::PromiseFulfiller<kj::Own<kj::AsyncIoStream>>> mWaiting;
 };
 
-/// A listener with its exchanges in one event loop, before one server `s1` that the test plays. A
-/// write on a pipe is complete only when the other end has read it, so that the test decides how
-/// slowly a caller reads. Time moves only with Advance.
+/// A listener with its exchanges in one event loop, before servers that the test plays, `s1` at
+/// first. A write on a pipe is complete only when the other end has read it, so that the test
+/// decides how slowly a caller reads. Time moves only with Advance.
 class exchange_fixture : private kj::TaskSet::ErrorHandler
 {
 public:
@@ -146,7 +147,7 @@
     , mLoadTracker(backend_load_tracker_settings{})
     , mEngineModels(50)
     , mPlacer(placement_settings{}, mLoadTracker, mPrefixCacheIndex, mEngineModels)
-    , mRetryBudget(fleet_retry_budget_settings{})
+    , mRetryBudget(fleet_retry_budget_settings{ 0.1, 10 })
     , mLoadExchange(fleet_member{ "vm", "vm:1", "z" }, {}, mLoadTracker, mPrefixCacheIndex)
     , mTasks(*this)
     , mContext{ mProtocol,      mRoutes,         mDirectory,     mLoadTracker,  mPrefixCacheIndex,
@@ -161,12 +162,14 @@
     auto configuration = std::make_shared<forward_configuration>();
     configuration->mVersion = 1;
     for (const auto& [name, kind] : { std::pair{ "stream", route_kind::Streaming },
+                                      std::pair{ "resumed", route_kind::Streaming },
                                       std::pair{ "order", route_kind::NonIdempotent } }) {
       forward_route route;
       route.mName = name;
       route.mHost = "a.example";
       route.mPathPrefix = '/' + route.mName + '/';
       route.mKind = kind;
+      route.mResumable = route.mName == "resumed";
       route.mTimeout = std::chrono::seconds{ 4 };
       route.mTargetLatency = std::chrono::milliseconds{ 500 };
       route.mMaxAttempts = 2;
@@ -175,15 +178,20 @@
     }
     configuration->mServices = { { "service" } };
     mRoutes.Apply(configuration);
+    AddServer("s1");
+    mAccepting = mListener.Accept(mPort).eagerlyEvaluate(nullptr);
+    Run();
+  }
+
+  void AddServer(const std::string& aId)
+  {
     backend_server server;
-    server.mId = "s1";
+    server.mId = aId;
     server.mService = "service";
-    server.mAddress = "s1:1";
+    server.mAddress = aId + ":1";
     server.mDataCentre = "z";
     server.mSlots = 8;
     mDirectory.Upsert(server);
-    mAccepting = mListener.Accept(mPort).eagerlyEvaluate(nullptr);
-    Run();
   }
 
   /// Runs everything that can run without time passing.
--- a/packages/gateway/tests/exchange_test.cpp
+++ b/packages/gateway/tests/exchange_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(BegunStreamIsBrokenOffAtTheTimeLimit);
   CPPUNIT_TEST(EndOfServiceAnswersByWhatHasRun);
   CPPUNIT_TEST(EndOfServiceLeavesBegunStreams);
+  CPPUNIT_TEST(BegunStreamTakesNoTextOfAnotherType);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Request(const std::string& aRoute)
@@ -91,6 +92,33 @@
     const auto rest = fixture.Read(*caller);
     CPPUNIT_ASSERT_MESSAGE(rest, rest.ends_with("0\r\n\r\n"));
   }
+
+  /// Guards against the text of an error in the middle of a stream that broke off: the next server
+  /// answers 200 with a page instead of events.
+  void BegunStreamTakesNoTextOfAnotherType()
+  {
+    exchange_fixture fixture;
+    fixture.AddServer("s2");
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, Request("resumed"));
+    auto& first = *fixture.mServers.front();
+    fixture.Read(first);
+    fixture.Write(first,
+                  "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Type: text/event-stream"
+                  "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    std::string{ kEvent });
+    CPPUNIT_ASSERT(fixture.Read(*caller).ends_with(kEvent));
+    first.shutdownWrite();
+    fixture.Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, fixture.mServers.size());
+    auto& second = *fixture.mServers.back();
+    fixture.Read(second);
+    fixture.Write(second,
+                  "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Type: text/plain"
+                  "\r\nContent-Length: 16\r\n\r\nit went wrong\n\n\n");
+    CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.OpenRequests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_test);
