Tell repeated responses to earlier requests by their ids

Callers that reused a request id, or sent none, got 503 "the request has not run" for requests that their engine had run, or the request ran at a second engine. A faulty engine had written an earlier refusal once more on a kept connection, and the gateway took it for the response to the next request.

Cause: a response is matched to its request by the id that the engine echoes, but the pool gave a kept connection to any request. The id says nothing if the request has none, or if the connection has already carried the same id: by a caller that reuses ids, or by the prefill and the run of one request.

The pool now sends an id over a connection only once, and a request without id only over a new connection. Every repeated response to an earlier request therefore has another id than the current request, or none, and the check of the id finds it, whenever it arrives. A connection is closed after 512 ids to bound the memory that they take. A connection with an idle limit of zero was still reused within the same instant of the clock; it is not any more.

Cost: one new connection for each 512 requests on a kept connection, for each request without id, and for a reused id that all idle connections have carried. Connections on which a refusal arrived stay in use for other requests.

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -8,6 +8,7 @@
 #include <kj/timer.h>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,9 @@
   std::string mHost;
   header_list mHeaders;
   std::string_view mBody;
+  /// The id that the response must repeat; empty when the server repeats none. A connection carries
+  /// an id only once, so that a repeated response to an earlier request always has another id.
+  std::string mEchoedId;
   /// Longest idle time of a connection that may be reused; zero forces a new one.
   std::chrono::milliseconds mMaxIdleForReuse{ 60'000 };
 };
@@ -67,6 +71,7 @@
   kj::Own<kj::HttpClient> mClient;
   instant mIdleSince{};
   instant mUsableUntil{};
+  std::vector<std::uint64_t> mCarriedIds; ///< hashes of the ids of the requests sent on it
 };
 
 /// A response: status, headers and a stream of the body. Dropping it before the end closes the
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -77,6 +77,11 @@
   call.mHost = mRequest.mHost;
   call.mHeaders = mContext.mProtocolAdapter.MakeAttemptHeaders(mRequest, aAttempt);
   call.mBody = mBody.Text();
+  call.mEchoedId = mRequest.mId;
+  if (mRequest.mId.empty()) {
+    // No response to this request could be told from a repeated one to an earlier request.
+    call.mMaxIdleForReuse = milliseconds{ 0 };
+  }
   return call;
 }
 
@@ -235,7 +240,8 @@
     }
   }
   auto call = BuildCall(mTarget, attempt);
-  call.mMaxIdleForReuse = mRoute->IsRetryable() ? kMaxIdleForRetryable : kMaxIdleForNonRetryable;
+  call.mMaxIdleForReuse = std::min(
+    call.mMaxIdleForReuse, mRoute->IsRetryable() ? kMaxIdleForRetryable : kMaxIdleForNonRetryable);
   ++mAttemptsSent;
   mAttemptOpen = true;
   auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "monitored_stream_p.h"
 
+#include "skylarkwind/hash.h"
+
 #include <kj/debug.h>
 
 #include <algorithm>
@@ -13,6 +15,15 @@
 /// Connections are reused only until this long before the server's idle limit: a server may close a
 /// connection at its limit while a request is on its way.
 constexpr std::chrono::milliseconds kIdleMargin{ 400 };
+/// A connection that has carried so many ids is closed, which bounds the memory that they take.
+constexpr std::size_t kMaxCarriedIds = 512;
+
+bool
+HasCarried(const pooled_connection& aConnection, std::uint64_t aIdHash)
+{
+  const auto& ids = aConnection.mCarriedIds;
+  return std::find(ids.begin(), ids.end(), aIdHash) != ids.end();
+}
 
 /// Whether it is a header that the HTTP library itself derives from the body's size.
 bool
@@ -108,17 +119,21 @@
 http_pool::TakeIdle(const http_call& aCall)
 {
   const auto found = mIdle.find(aCall.mAddress);
-  if (found == mIdle.end()) {
+  if (found == mIdle.end() || aCall.mMaxIdleForReuse == std::chrono::milliseconds{ 0 }) {
     return nullptr;
   }
   auto& idle = found->second;
   const auto now = mClock.Now();
-  while (!idle.empty()) {
-    auto connection = kj::mv(idle.back());
-    idle.pop_back();
-    const bool usable = !connection->mStream->HasUnexpectedInput() &&
-                        now < connection->mUsableUntil &&
-                        now - connection->mIdleSince <= aCall.mMaxIdleForReuse;
+  const auto idHash = Hash64(aCall.mEchoedId);
+  for (auto at = idle.size(); at-- > 0;) {
+    const auto& candidate = *idle[at];
+    const bool usable = !candidate.mStream->HasUnexpectedInput() && now < candidate.mUsableUntil &&
+                        now - candidate.mIdleSince <= aCall.mMaxIdleForReuse;
+    if (usable && !aCall.mEchoedId.empty() && HasCarried(candidate, idHash)) {
+      continue;
+    }
+    auto connection = kj::mv(idle[at]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
     if (usable) {
       connection->mStream->SetIdle(false);
       return kj::mv(connection);
@@ -146,6 +161,9 @@
 kj::Promise<http_result>
 http_pool::Send(kj::Own<pooled_connection> aConnection, http_call aCall)
 {
+  if (!aCall.mEchoedId.empty()) {
+    aConnection->mCarriedIds.push_back(Hash64(aCall.mEchoedId));
+  }
   auto answer = std::make_unique<http_answer>();
   answer->mConnection = kj::mv(aConnection);
   answer->mUploaded = std::make_shared<bool>(true);
@@ -196,7 +214,8 @@
   aAnswer->mBody = nullptr;
   aAnswer->mUpload = nullptr;
   auto connection = kj::mv(aAnswer->mConnection);
-  if (aServerCloses || !uploaded || connection->mStream->Ended()) {
+  if (aServerCloses || !uploaded || connection->mStream->Ended() ||
+      connection->mCarriedIds.size() >= kMaxCarriedIds) {
     return;
   }
   const auto limit = aIdleLimit ? *aIdleLimit - kIdleMargin : mSettings.mDefaultIdle;
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -107,6 +107,7 @@
 {
   if (aRequest.mPath == "/standin/mode") {
     mMode = json::parse(aRequest.mBody)["mode"].get<std::string>();
+    mRefused.clear();
     aReply.Send(200, "{}");
     return;
   }
@@ -146,6 +147,9 @@
                   aRequest.Header("x-skylarkwind-request-id") + "\r\n");
     return;
   }
+  if (mMode.starts_with("refuse_again") && RefuseAgain(aRequest, aReply)) {
+    return;
+  }
   if (aRequest.Header("x-skylarkwind-stage") == "prefill") {
     if (mMode == "mute") {
       Record(aRequest, "muted");
@@ -179,8 +183,38 @@
   if (mMode == "twice") {
     aReply.Send(status, body, "text/plain", HeaderLines(aRequest));
   } else if (mMode == "twice_late") {
-    mSecondCopies.push_back({ aReply, body, HeaderLines(aRequest), SteadyMs() + kSecondCopyMs });
+    mSecondCopies.push_back(
+      { aReply, status, body, HeaderLines(aRequest), SteadyMs() + kSecondCopyMs });
+  }
+}
+
+bool
+backend_double::RefuseAgain(const standin_request& aRequest, const standin_reply& aReply)
+{
+  constexpr int kUnavailable = 503;
+  const auto send = [&aReply](const std::string& aHeaderLines) {
+    aReply.Send(kUnavailable, "", "text/plain", aHeaderLines);
+  };
+  if (const auto refused = mRefused.find(aRequest.mConnection); refused != mRefused.end()) {
+    if (mMode.starts_with("refuse_again_next") && !refused->second.empty()) {
+      send(refused->second);
+      refused->second.clear();
+    }
+    return false;
+  }
+  std::string lines = "X-Skylarkwind-Not-Executed: 1\r\n";
+  if (!mMode.ends_with("_no_id")) {
+    lines += "X-Skylarkwind-Request-Id: " + aRequest.Header("x-skylarkwind-request-id") + "\r\n";
+  }
+  mRefused[aRequest.mConnection] = lines;
+  Record(aRequest, "shed");
+  send(lines);
+  if (mMode.starts_with("refuse_again_late")) {
+    mSecondCopies.push_back({ aReply, kUnavailable, "", lines, SteadyMs() + kSecondCopyMs });
+  } else if (!mMode.starts_with("refuse_again_next")) {
+    send(lines);
   }
+  return true;
 }
 
 void
@@ -208,7 +242,7 @@
     if (now < aCopy.mDueMs) {
       return false;
     }
-    aCopy.mReply.Send(200, aCopy.mBody, "text/plain", aCopy.mHeaderLines);
+    aCopy.mReply.Send(aCopy.mStatus, aCopy.mBody, "text/plain", aCopy.mHeaderLines);
     return true;
   });
   std::erase_if(mStreams, [&](stream& aStream) {
@@ -239,6 +273,7 @@
 void
 backend_double::OnConnectionClosed(std::uint64_t aConnection)
 {
+  mRefused.erase(aConnection);
   std::erase_if(mFloods, [&](const flood& aFlood) { return aFlood.mConnection == aConnection; });
   std::erase_if(mStreams, [&](const stream& aStream) {
     if (aStream.mConnection != aConnection) {
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -23,8 +23,11 @@
 /// request has a token count, and records every run.
 /// `POST /standin/mode` sets {"mode": "ok" | "shed" | "mute" | "cut" | "unsigned" | "other_id" |
 /// "no_id" | "error" | "fail" | "torn" | "leaving" | "quiet" | "twice" | "twice_late" | "trickle" |
-/// "slow" | "misdirected"} or one of the names in backend_floods.h; `GET /standin/log` returns the
-/// requests that arrived with their headers.
+/// "slow" | "misdirected"}, one of the names in backend_floods.h, or {"mode": "refuse_again" |
+/// "refuse_again_late" | "refuse_again_next"}, optionally with "_no_id" appended: the first request
+/// on each connection since then is refused, and the refusal is written once more at once, after a
+/// while, or right before the next request on the connection is processed. Later requests are
+/// processed. `GET /standin/log` returns the requests that arrived with their headers.
 class backend_double : public standin_app
 {
 public:
@@ -51,6 +54,7 @@
   struct second_copy
   {
     standin_reply mReply;
+    int mStatus = 200;
     std::string mBody;
     std::string mHeaderLines;
     std::int64_t mDueMs = 0;
@@ -69,6 +73,8 @@
 
   void OnStandin(const standin_request& aRequest, const standin_reply& aReply);
   void OnCaller(const standin_request& aRequest, const standin_reply& aReply);
+  /// Whether the request is refused in one of the modes that repeat refusals.
+  bool RefuseAgain(const standin_request& aRequest, const standin_reply& aReply);
   void BeginEvents(const standin_request& aRequest, const standin_reply& aReply);
   void OnOrder(const standin_request& aRequest, const standin_reply& aReply);
   std::string EventText(int aId) const;
@@ -83,6 +89,8 @@
   std::list<stream> mStreams;
   std::list<flood> mFloods;
   std::list<second_copy> mSecondCopies;
+  /// By connection: the header lines of the refusal of its first request.
+  std::map<std::uint64_t, std::string> mRefused;
   nlohmann::json mLog = nlohmann::json::array();
   std::ofstream mLogFile;
   std::uint64_t mOrders = 0;
