Reuse no connection that holds bytes after the last response

Callers got 502 for a request that its engine had run well, when the engine had written the response to an earlier request on the connection twice in one piece. Calls without an id would have taken the second copy for their response.

Cause: the HTTP client reads the second copy together with the first and keeps it in its buffer. The pool looked only for bytes that arrive while a connection is idle, so it reused the connection, and the copy was read as the response to the next request, however much later.

The client always reads while no request is open, unless its buffer holds bytes. The pool now takes only connections on which the client reads, and closes the others at the next tick.

Cost: a connection that was released in the same turn of the event loop may be passed over once.

Evidence: ResponseRepeatedAtOnceIsNotReadAsTheNext and ConnectionWithRepeatedResponseIsClosed failed before.

--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -15,6 +15,8 @@
 /// Connections are reused only until this long before the server's idle limit: a server may close a
 /// connection at its limit while a request is on its way.
 constexpr std::chrono::milliseconds kIdleMargin{ 400 };
+/// Within this time after a response, kj's client begins to read again, unless it holds more bytes.
+constexpr std::chrono::milliseconds kReadsAgainWithin{ 50 };
 /// A connection that has carried so many ids is closed, which bounds the memory that they take.
 constexpr std::size_t kMaxCarriedIds = 512;
 
@@ -129,7 +131,8 @@
     const auto& candidate = *idle[at];
     const bool usable = !candidate.mStream->HasUnexpectedInput() && now < candidate.mUsableUntil &&
                         now - candidate.mIdleSince <= aCall.mMaxIdleForReuse;
-    if (usable && !aCall.mEchoedId.empty() && HasCarried(candidate, idHash)) {
+    const bool carried = !aCall.mEchoedId.empty() && HasCarried(candidate, idHash);
+    if (usable && (carried || !candidate.mStream->Reading())) {
       continue;
     }
     auto connection = kj::mv(idle[at]);
@@ -232,7 +235,10 @@
   for (auto entry = mIdle.begin(); entry != mIdle.end();) {
     auto& idle = entry->second;
     std::erase_if(idle, [&](const auto& aConnection) {
-      return aNow >= aConnection->mUsableUntil || aConnection->mStream->HasUnexpectedInput();
+      const bool holdsBytes =
+        !aConnection->mStream->Reading() && aNow - aConnection->mIdleSince >= kReadsAgainWithin;
+      return aNow >= aConnection->mUsableUntil || aConnection->mStream->HasUnexpectedInput() ||
+             holdsBytes;
     });
     entry = idle.empty() ? mIdle.erase(entry) : std::next(entry);
   }
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -21,6 +21,9 @@
   void SetIdle(bool aIdle) { mIdle = aIdle; }
   /// Whether the peer sent bytes or closed the connection while it was idle.
   bool HasUnexpectedInput() const { return mUnexpectedInput; }
+  /// Whether a read waits for bytes. kj's client always reads while no request is open, unless it
+  /// still holds bytes that came after the last response.
+  bool Reading() const { return mReading; }
   /// Whether the peer has closed the connection or the connection has failed.
   bool Ended() const { return mEnded; }
   /// Whether the kernel has reported that the peer can no longer receive.
@@ -60,6 +63,7 @@
   kj::Maybe<kj::ForkedPromise<void>> mReadAhead; ///< the latest one
   bool mReadAheadPending = false;
   bool mIdle = false;
+  bool mReading = false;
   bool mUnexpectedInput = false;
   bool mEnded = false;
   bool mAborted = false;
--- a/packages/gateway/tests/http_pool_test.cpp
+++ b/packages/gateway/tests/http_pool_test.cpp
@@ -34,6 +34,8 @@
 
   std::string Address() { return "127.0.0.1:" + std::to_string(mReceiver->getPort()); }
   std::size_t Connections() const { return mConnections.size(); }
+  /// Connections that the client has closed.
+  std::size_t Closed() const { return mClosed; }
   /// Writes bytes that no request has asked for.
   kj::Promise<void> Write(std::size_t aConnection, std::string aBytes)
   {
@@ -67,6 +69,7 @@
     return one.mStream->tryRead(one.mBuffer, 1, sizeof(one.mBuffer))
       .then([this, aIndex, &one](std::size_t aBytes) -> kj::Promise<void> {
         if (aBytes == 0) {
+          ++mClosed;
           return kj::READY_NOW;
         }
         one.mInput.append(reinterpret_cast<const char*>(one.mBuffer), aBytes);
@@ -89,6 +92,7 @@
   script mScript;
   kj::Own<kj::ConnectionReceiver> mReceiver;
   std::vector<kj::Own<connection>> mConnections;
+  std::size_t mClosed = 0;
   kj::TaskSet mTasks;
 };
 
@@ -116,6 +120,8 @@
   CPPUNIT_TEST(ConnectionIsReusedForOtherIds);
   CPPUNIT_TEST(ZeroIdleTimeOpensAConnection);
   CPPUNIT_TEST(ConnectionWithLateRepeatedResponseIsNotReused);
+  CPPUNIT_TEST(ResponseRepeatedAtOnceIsNotReadAsTheNext);
+  CPPUNIT_TEST(ConnectionWithRepeatedResponseIsClosed);
   CPPUNIT_TEST(ConnectionIsClosedAfterManyIds);
   CPPUNIT_TEST_SUITE_END();
 
@@ -180,14 +186,19 @@
   }
 
   /// Guards against a new connection for each request: the ids of callers differ, and a connection
-  /// that has carried an id stays usable for others.
+  /// that has carried an id stays usable for others, however its responses are framed.
   void ConnectionIsReusedForOtherIds()
   {
-    world all{ [](std::size_t, std::size_t) { return Response("200 OK", "ran"); } };
-    for (const auto* id : { "a", "a", "b", "c", "b", "d", "e" }) {
-      CPPUNIT_ASSERT_EQUAL(200, all.Call(all.MakeCall(id)).mStatus);
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "3\r\nran\r\n0\r\n\r\n";
+    for (const auto& response : { Response("200 OK", "ran"), Response("200 OK", ""), chunked }) {
+      world all{ [&](std::size_t, std::size_t) { return response; } };
+      for (const auto* id : { "a", "a", "b", "c", "b", "d", "e" }) {
+        CPPUNIT_ASSERT_EQUAL(200, all.Call(all.MakeCall(id)).mStatus);
+        all.mIo.waitScope.poll();
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::size_t{ 2 }, all.mServer.Connections());
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, all.mServer.Connections());
   }
 
   /// Guards against a request that must not share a connection with earlier ones, and that gets one
@@ -217,6 +228,39 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(next.mBody, 200, next.mStatus);
   }
 
+  /// Guards against a response that is repeated together with its first copy, and that is taken for
+  /// the response to the next request, whether that is sent at once or later.
+  void ResponseRepeatedAtOnceIsNotReadAsTheNext()
+  {
+    const auto refusal = Response("503 Full", "no");
+    for (const bool later : { false, true }) {
+      world all{ [&](std::size_t aConnection, std::size_t) {
+        return aConnection == 0 ? refusal + refusal : Response("200 OK", "ran");
+      } };
+      CPPUNIT_ASSERT_EQUAL(503, all.Call(all.MakeCall("a")).mStatus);
+      if (later) {
+        all.mIo.waitScope.poll();
+      }
+      const auto next = all.Call(all.MakeCall("b"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(next.mBody, 200, next.mStatus);
+    }
+  }
+
+  /// Guards against a connection that is never used again and yet stays open at the server, after a
+  /// repeated response.
+  void ConnectionWithRepeatedResponseIsClosed()
+  {
+    const auto refusal = Response("503 Full", "no");
+    world all{ [&](std::size_t, std::size_t) { return refusal + refusal; } };
+    CPPUNIT_ASSERT_EQUAL(503, all.Call(all.MakeCall("a")).mStatus);
+    all.mIo.waitScope.poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, all.mServer.Closed());
+    all.mClock.Advance(milliseconds{ 100 });
+    all.mPool.OnTick(all.mClock.Now());
+    all.mIo.waitScope.poll();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, all.mServer.Closed());
+  }
+
   /// Guards against ids that are kept without bound for a connection that never closes.
   void ConnectionIsClosedAfterManyIds()
   {
