Send control calls to engines on connections of their own

A role command was taken for needless ("already in this role") although the engine carried it out, so that the engine's change was not expected and requests still went to it. The engine had repeated an earlier state report on the connection.

Cause: role commands and state queries carry no id that the engine would echo, but used connections that had carried other requests. A response to any of those, repeated, passes for the response.

These calls now use new connections, as requests without id do.

Cost: two new connections for each role command.

--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -174,6 +174,9 @@
   call.mTarget = std::move(aCall.mPath);
   call.mHeaders = std::move(aCall.mHeaders);
   call.mBody = *body;
+  // Responses to these calls carry no id, so a repeated response to an earlier request on the
+  // connection would pass for the response.
+  call.mMaxIdleForReuse = std::chrono::milliseconds{ 0 };
   auto calling = mPool.Call(std::move(call)).then([this, &asked = *asked](http_result aResult) {
     if (std::holds_alternative<http_failure>(aResult)) {
       return kj::Promise<engine_response>(engine_response{});
--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -91,6 +91,7 @@
     OnStandin(aRequest, aReply);
   } else if (aRequest.mPath == "/skylarkwind/report") {
     const json report{ { "Stage", mStage }, { "Busy", false }, { "Seq", mOrders }, { "born", 1 } };
+    mReports[aRequest.mConnection] = report.dump();
     aReply.Send(200, report.dump());
   } else if (aRequest.mPath == "/skylarkwind/order") {
     OnOrder(aRequest, aReply);
@@ -119,6 +120,10 @@
 {
   const auto order = json::parse(aRequest.mBody);
   Record(aRequest, "order");
+  if (const auto report = mReports.find(aRequest.mConnection);
+      mMode == "report_again" && report != mReports.end()) {
+    aReply.Send(200, report->second);
+  }
   if (order.value("Expect", std::uint64_t{ 0 }) != mOrders) {
     aReply.Send(409, "{}");
     return;
@@ -274,6 +279,7 @@
 backend_double::OnConnectionClosed(std::uint64_t aConnection)
 {
   mRefused.erase(aConnection);
+  mReports.erase(aConnection);
   std::erase_if(mFloods, [&](const flood& aFlood) { return aFlood.mConnection == aConnection; });
   std::erase_if(mStreams, [&](const stream& aStream) {
     if (aStream.mConnection != aConnection) {
--- a/standins/backend_double.h
+++ b/standins/backend_double.h
@@ -27,7 +27,9 @@
 /// "refuse_again_late" | "refuse_again_next"}, optionally with "_no_id" appended: the first request
 /// on each connection since then is refused, and the refusal is written once more at once, after a
 /// while, or right before the next request on the connection is processed. Later requests are
-/// processed. `GET /standin/log` returns the requests that arrived with their headers.
+/// processed. In mode "report_again" the last state report on a connection is written once more
+/// right before the response to an order. `GET /standin/log` returns the requests that arrived with
+/// their headers.
 class backend_double : public standin_app
 {
 public:
@@ -91,6 +93,7 @@
   std::list<second_copy> mSecondCopies;
   /// By connection: the header lines of the refusal of its first request.
   std::map<std::uint64_t, std::string> mRefused;
+  std::map<std::uint64_t, std::string> mReports; ///< by connection: its last state report
   nlohmann::json mLog = nlohmann::json::array();
   std::ofstream mLogFile;
   std::uint64_t mOrders = 0;
--- a/tests/sessions/gateway_replay_test.cpp
+++ b/tests/sessions/gateway_replay_test.cpp
@@ -8,6 +8,7 @@
 namespace skylarkwind::sessions {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(RepeatedRefusalIsNoAnswerToRequestsThatReuseAnId);
   CPPUNIT_TEST(RepeatedRefusalIsNoAnswerToRequestsWithoutId);
   CPPUNIT_TEST(RepeatedRefusalIsNoAnswerToStreams);
+  CPPUNIT_TEST(RepeatedReportIsNoAnswerToARoleCommand);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kRequests = 12;
@@ -186,6 +188,31 @@
       }
     }
   }
+
+  /// Guards against a role command that is taken for needless although the engine carries it out,
+  /// after the engine repeated its state report on the connection: neither carries an id.
+  void RepeatedReportIsNoAnswerToARoleCommand()
+  {
+    gateway_options options;
+    options.mBackends = {
+      { "e1", "model", "prefill" }, { "e2", "model", "prefill" }, { "e3" }, { "e4" }, { "e5" }
+    };
+    gateway_system system{ options };
+    for (const auto& id : Ids(options.mBackends)) {
+      system.SetMode(id, "report_again");
+    }
+    system.Unlist("e1");
+    system.Unlist("e2");
+    const std::string answer = " answer=";
+    CPPUNIT_ASSERT(WaitUntil([&] { return system.DaemonLog().find(answer) != std::string::npos; },
+                             seconds{ 10 }));
+    const auto log = system.DaemonLog();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      log,
+      std::string{ "accepted" },
+      log.substr(log.find(answer) + answer.size(), std::string_view{ "accepted" }.size()));
+    CPPUNIT_ASSERT(system.Count("order") > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_replay_test);
