--- a/standins/backend_double.cpp
+++ b/standins/backend_double.cpp
@@ -91,6 +91,7 @@
     OnStandin(aRequest, aReply);
   } else if (aRequest.mPath == "/skylarkwind/report") {
     const json report{ { "Stage", mStage }, { "Busy", false }, { "Seq", mOrders }, { "born", 1 } };
+    mReports[aRequest.mConnection] = report.dump();
     aReply.Send(200, report.dump());
   } else if (aRequest.mPath == "/skylarkwind/order") {
     OnOrder(aRequest, aReply);
@@ -107,6 +108,7 @@
 {
   if (aRequest.mPath == "/standin/mode") {
     mMode = json::parse(aRequest.mBody)["mode"].get<std::string>();
+    mRefused.clear();
     aReply.Send(200, "{}");
     return;
   }
@@ -118,6 +120,10 @@
 {
   const auto order = json::parse(aRequest.mBody);
   Record(aRequest, "order");
+  if (const auto report = mReports.find(aRequest.mConnection);
+      mMode == "report_again" && report != mReports.end()) {
+    aReply.Send(200, report->second);
+  }
   if (order.value("Expect", std::uint64_t{ 0 }) != mOrders) {
     aReply.Send(409, "{}");
     return;
@@ -146,6 +152,9 @@
                   aRequest.Header("x-skylarkwind-request-id") + "\r\n");
     return;
   }
+  if (mMode.starts_with("refuse_again") && RefuseAgain(aRequest, aReply)) {
+    return;
+  }
   if (aRequest.Header("x-skylarkwind-stage") == "prefill") {
     if (mMode == "mute") {
       Record(aRequest, "muted");
@@ -179,8 +188,38 @@
   if (mMode == "twice") {
     aReply.Send(status, body, "text/plain", HeaderLines(aRequest));
   } else if (mMode == "twice_late") {
-    mSecondCopies.push_back({ aReply, body, HeaderLines(aRequest), SteadyMs() + kSecondCopyMs });
+    mSecondCopies.push_back(
+      { aReply, status, body, HeaderLines(aRequest), SteadyMs() + kSecondCopyMs });
+  }
+}
+
+bool
+backend_double::RefuseAgain(const standin_request& aRequest, const standin_reply& aReply)
+{
+  constexpr int kUnavailable = 503;
+  const auto send = [&aReply](const std::string& aHeaderLines) {
+    aReply.Send(kUnavailable, "", "text/plain", aHeaderLines);
+  };
+  if (const auto refused = mRefused.find(aRequest.mConnection); refused != mRefused.end()) {
+    if (mMode.starts_with("refuse_again_next") && !refused->second.empty()) {
+      send(refused->second);
+      refused->second.clear();
+    }
+    return false;
+  }
+  std::string lines = "X-Skylarkwind-Not-Executed: 1\r\n";
+  if (!mMode.ends_with("_no_id")) {
+    lines += "X-Skylarkwind-Request-Id: " + aRequest.Header("x-skylarkwind-request-id") + "\r\n";
+  }
+  mRefused[aRequest.mConnection] = lines;
+  Record(aRequest, "shed");
+  send(lines);
+  if (mMode.starts_with("refuse_again_late")) {
+    mSecondCopies.push_back({ aReply, kUnavailable, "", lines, SteadyMs() + kSecondCopyMs });
+  } else if (!mMode.starts_with("refuse_again_next")) {
+    send(lines);
   }
+  return true;
 }
 
 void
@@ -208,7 +247,7 @@
     if (now < aCopy.mDueMs) {
       return false;
     }
-    aCopy.mReply.Send(200, aCopy.mBody, "text/plain", aCopy.mHeaderLines);
+    aCopy.mReply.Send(aCopy.mStatus, aCopy.mBody, "text/plain", aCopy.mHeaderLines);
     return true;
   });
   std::erase_if(mStreams, [&](stream& aStream) {
@@ -239,6 +278,8 @@
 void
 backend_double::OnConnectionClosed(std::uint64_t aConnection)
 {
+  mRefused.erase(aConnection);
+  mReports.erase(aConnection);
   std::erase_if(mFloods, [&](const flood& aFlood) { return aFlood.mConnection == aConnection; });
   std::erase_if(mStreams, [&](const stream& aStream) {
     if (aStream.mConnection != aConnection) {
