Keep log lines until their reader takes them

What was seen: after a stop nobody can tell a request without an end from a line that was lost. A line was dropped when the pipe was full at that moment or the rate was used up, also the last lines of a process. A line that was written in part counted as dropped, and the next one continued it.

Cause: line_writer tried each line once and kept nothing; the exit did not wait for the reader.

The daemon tries again every 0.5 s and waits up to 0.1 s at its exit (FlushLog). Warnings, errors and the lines of the part `daemon` have a reserve of rate and queue.

--- a/packages/base/include/skylarkwind/log.h
+++ b/packages/base/include/skylarkwind/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string_view>
 
 namespace skylarkwind {
@@ -21,8 +22,9 @@
 enum class log_output
 {
   StandardError,
-  /// Lines that the reader does not take at once, or that exceed a rate, are dropped and counted,
-  /// so that logging never holds up the program.
+  /// Lines that the reader does not take at once wait in a queue. Those that exceed it or a rate
+  /// are dropped and counted, so that logging never holds up the program. Warnings, errors and the
+  /// lines of the part `daemon` have a reserve of both.
   StandardOutputBounded
 };
 
@@ -43,4 +45,7 @@
 /// Log(log_level::Info, "lease", "acquired ga-a with fencing number 4").
 void Log(log_level aLevel, std::string_view aPrefix, std::string_view aText);
 
+/// Writes the lines that wait for the reader, as far as it takes them within the limit.
+void FlushLog(std::chrono::milliseconds aLimit);
+
 } // namespace skylarkwind
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -88,21 +88,39 @@
   }
 }
 
-/// Passes formatted lines to a writer that never waits.
+/// Lines that tell of a stop or a fault, which must not be lost among those of requests.
+line_priority
+PriorityOf(const blog::record_view& aRecord)
+{
+  const auto level = blog::extract<log_level>("Level", aRecord);
+  const auto prefix = blog::extract<std::string>("Prefix", aRecord);
+  const bool urgent =
+    (level && level.get() >= log_level::Warning) || (prefix && prefix.get() == "daemon");
+  return urgent ? line_priority::Urgent : line_priority::Normal;
+}
+
+/// Passes formatted lines to a writer that never waits for its reader, except for Flush.
 class bounded_backend : public blog::sinks::basic_formatted_sink_backend<char>
 {
 public:
   // NOLINTNEXTLINE(readability-identifier-naming): the library calls this name.
-  void consume(const blog::record_view&, const string_type& aLine)
+  void consume(const blog::record_view& aRecord, const string_type& aLine)
   {
-    mWriter.Write(aLine, mClock.Now());
+    mWriter.Write(aLine, mClock.Now(), PriorityOf(aRecord));
   }
 
+  void Flush(std::chrono::milliseconds aLimit) { mWriter.Flush(aLimit, mClock); }
+
 private:
   system_clock_source mClock;
   line_writer mWriter{ STDOUT_FILENO, {} };
 };
 
+using bounded_sink = blog::sinks::synchronous_sink<bounded_backend>;
+
+/// Set by StartLog for the bounded output.
+boost::shared_ptr<bounded_sink> sBoundedSink;
+
 template<class sink>
 void
 AddSink(const boost::shared_ptr<sink>& aSink, log_format aFormat)
@@ -121,8 +139,8 @@
   sLeastLevel = aSettings.mLevel;
   blog::core::get()->add_global_attribute("TimeStamp", blog::attributes::utc_clock());
   if (aSettings.mOutput == log_output::StandardOutputBounded) {
-    AddSink(boost::make_shared<blog::sinks::synchronous_sink<bounded_backend>>(),
-            aSettings.mFormat);
+    sBoundedSink = boost::make_shared<bounded_sink>();
+    AddSink(sBoundedSink, aSettings.mFormat);
     return;
   }
   using sink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
@@ -149,4 +167,12 @@
                      << blog::add_value("Prefix", std::string{ aPrefix }) << aText;
 }
 
+void
+FlushLog(std::chrono::milliseconds aLimit)
+{
+  if (sBoundedSink) {
+    sBoundedSink->locked_backend()->Flush(aLimit);
+  }
+}
+
 } // namespace skylarkwind
--- a/packages/daemon/src/skylarkwindd_main.cpp
+++ b/packages/daemon/src/skylarkwindd_main.cpp
@@ -1,5 +1,6 @@
 #include "skylarkwind/daemon.h"
 #include "skylarkwind/gateway.h"
+#include "skylarkwind/log.h"
 #include "skylarkwind/wire_protocol.h"
 #include "skylarkwind/wire_store.h"
 
@@ -12,6 +13,7 @@
 
 #include <sys/resource.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -28,6 +30,11 @@
 
 constexpr int kExitFailed = 1;
 constexpr int kExitBadSettings = 2;
+/// How long the exit waits for the reader of the log. Together with the end of the gateway it must
+/// fit before SIGKILL.
+constexpr std::chrono::milliseconds kExitLogLimit{ 100 };
+/// How often lines that wait for the reader of the log are tried again.
+constexpr kj::Duration kLogFlushPeriod = 500 * kj::MILLISECONDS;
 
 /// Every caller, engine stream and daemon link takes a descriptor; the usual soft limit of 1,024 is
 /// below the default number of callers.
@@ -79,6 +86,15 @@
   return 0;
 }
 
+kj::Promise<void>
+FlushLogRepeatedly(kj::Timer& aTimer)
+{
+  return aTimer.afterDelay(kLogFlushPeriod).then([&aTimer] {
+    skylarkwind::FlushLog(std::chrono::milliseconds{ 0 });
+    return FlushLogRepeatedly(aTimer);
+  });
+}
+
 /// Runs the daemon as the gateway of a deployment whose platform stores routes and servers.
 int
 RunGateway(const std::string& aText, const std::string& aFile)
@@ -104,9 +120,13 @@
                                                             kj::Timer& aTimer) {
     return skylarkwind::MakeWireStore(address, aPool, aTimer);
   };
-  skylarkwind::gateway::Create(
-    std::move(settings), skylarkwind::settings_file{ aFile }, std::move(adapter), context, clock)
-    ->Run();
+  {
+    const auto flushing = FlushLogRepeatedly(context.provider->getTimer()).eagerlyEvaluate(nullptr);
+    skylarkwind::gateway::Create(
+      std::move(settings), skylarkwind::settings_file{ aFile }, std::move(adapter), context, clock)
+      ->Run();
+  }
+  skylarkwind::FlushLog(kExitLogLimit);
   return 0;
 }
 
