Keep a stopping daemon deregistered

What was seen: a daemon that is connected to no other removed its object from the store when it was told to stop, and wrote it again at its next check, one to two seconds later. The object stayed after the exit, and other daemons listed an address that no longer answers.

Cause: daemon_registry went on with its checks after Leave, and a list without its own object made it register. A registration that was under way when the stop began was not removed either.

Change: a registry that leaves no longer lists or writes, and removes what a write under way has created. An object whose write got no answer may still stay.

--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -48,6 +49,9 @@
 kj::Promise<void>
 daemon_registry::RefreshIfNeeded()
 {
+  if (mLeaving) {
+    return kj::READY_NOW;
+  }
   const auto now = mClock.Now();
   const bool connected = mExchange.Connected(now);
   const bool isCollector =
@@ -76,18 +80,23 @@
 kj::Promise<void>
 daemon_registry::Register()
 {
-  if (mRevision) {
+  if (mRevision || mLeaving) {
     return kj::READY_NOW;
   }
-  return Write(false).then([this](std::optional<store_failure> aFailure) -> kj::Promise<void> {
-    if (aFailure && aFailure->mCause == store_failure::cause::Conflict) {
-      // An earlier process on this VM left an object with a different address.
-      return Write(true).then(
-        [](const std::optional<store_failure>& aSecond) { LogFailure(aSecond); });
-    }
-    LogFailure(aFailure);
-    return kj::READY_NOW;
-  });
+  return Write(false)
+    .then([this](std::optional<store_failure> aFailure) -> kj::Promise<void> {
+      if (aFailure && aFailure->mCause == store_failure::cause::Conflict && !mLeaving) {
+        // An earlier process on this VM left an object with a different address.
+        return Write(true).then(
+          [](const std::optional<store_failure>& aSecond) { LogFailure(aSecond); });
+      }
+      LogFailure(aFailure);
+      return kj::READY_NOW;
+    })
+    .then([this]() -> kj::Promise<void> {
+      // The daemon may have begun to leave while the object was written.
+      return mLeaving ? Deregister() : kj::READY_NOW;
+    });
 }
 
 void
@@ -118,17 +127,23 @@
 
 kj::Promise<void>
 daemon_registry::Leave()
+{
+  mLeaving = true;
+  return Deregister();
+}
+
+kj::Promise<void>
+daemon_registry::Deregister()
 {
   if (!mRevision) {
     return kj::READY_NOW;
   }
-  return mStore.Remove(kKind, mSelf.mName, *mRevision)
-    .then([](store_result<object_written> aResult) {
-      if (const auto* failure = std::get_if<store_failure>(&aResult)) {
-        Log(
-          log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
-      }
-    });
+  const auto revision = *std::exchange(mRevision, std::nullopt);
+  return mStore.Remove(kKind, mSelf.mName, revision).then([](store_result<object_written> aResult) {
+    if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+      Log(log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
+    }
+  });
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -29,7 +29,8 @@
 
   /// Registers this daemon and lists the others when needed, until the promise is dropped.
   kj::Promise<void> Run();
-  /// Removes this daemon's object from the store before the daemon stops.
+  /// Removes this daemon's object from the store before the daemon stops. It is not registered
+  /// again.
   kj::Promise<void> Leave();
 
 private:
@@ -37,6 +38,7 @@
   /// or is an unregistered collector.
   kj::Promise<void> RefreshIfNeeded();
   kj::Promise<void> Register();
+  kj::Promise<void> Deregister();
   static void LogFailure(const std::optional<store_failure>& aFailure);
   /// Creates or replaces this daemon's object; returns the failure, if any.
   kj::Promise<std::optional<store_failure>> Write(bool aReplace);
@@ -51,6 +53,7 @@
   std::mt19937_64 mRandom;
   load_exchange& mExchange;
   std::optional<std::uint64_t> mRevision; ///< of this daemon's object; empty when not registered
+  bool mLeaving = false;
   bool mFoundSelf = false; ///< whether the last list held this daemon's current object
   std::chrono::milliseconds mListInterval{ 1'500 };
   instant mNextListAt{};
--- a/tests/sessions/gateway_stop_signals_test.cpp
+++ b/tests/sessions/gateway_stop_signals_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ServerChangesDoNotCutStreams);
   CPPUNIT_TEST(UnavailableStoreDoesNotDisturbTheStop);
   CPPUNIT_TEST(StopDuringStoreOutageCompletesStreams);
+  CPPUNIT_TEST(StoppedDaemonStaysDeregistered);
   CPPUNIT_TEST(StopBeforeAConfigurationAnswersAndExits);
   CPPUNIT_TEST(StopDuringTheStartEndsTheProcess);
   CPPUNIT_TEST(DaemonsThatStopTogetherCompleteStreams);
@@ -316,6 +317,24 @@
     StopDuring(system, [] {});
   }
 
+  /// Guards against a daemon that registers again after it has deregistered, so that others go on
+  /// to count on it.
+  void StoppedDaemonStaysDeregistered()
+  {
+    auto options = Options();
+    options.mShutdownGraceS = 6;
+    options.mBalancerNoticesMs = 3'500;
+    gateway_system system{ options };
+    CPPUNIT_ASSERT(AwaitRegistration(system, 0));
+    BeginStop(system);
+    const auto registered = [&] { return Registered(system, 0); };
+    CPPUNIT_ASSERT(WaitUntil([&] { return !registered(); }, seconds{ 2 }));
+    CPPUNIT_ASSERT_MESSAGE(RegisteredDaemons(system),
+                           !WaitUntil(registered, milliseconds{ 3'300 }));
+    AssertExited(system);
+    CPPUNIT_ASSERT_MESSAGE(RegisteredDaemons(system), !registered());
+  }
+
   /// Guards against a daemon without a configuration that cannot be stopped, or leaves its callers
   /// without an answer.
   void StopBeforeAConfigurationAnswersAndExits()
