--- a/packages/base/src/net_address.cpp
+++ b/packages/base/src/net_address.cpp
@@ -4,26 +4,53 @@
 
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace skylarkwind {
 
-bool
-IsIpPort(std::string_view aText)
+namespace {
+
+struct ip_port
+{
+  in_addr mIp{};
+  std::uint16_t mPort = 0;
+};
+
+std::optional<ip_port>
+Parse(std::string_view aText)
 {
   const auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
+  // The system's parser would end at a null character.
+  if (colon == std::string_view::npos || aText.find('\0') != std::string_view::npos) {
+    return std::nullopt;
   }
+  ip_port parsed;
   const std::string ip{ aText.substr(0, colon) };
-  in_addr parsed{};
-  if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1) {
-    return false;
+  if (inet_pton(AF_INET, ip.c_str(), &parsed.mIp) != 1) {
+    return std::nullopt;
   }
   const auto port = aText.substr(colon + 1);
-  std::uint16_t number = 0;
-  const auto [rest, error] = std::from_chars(port.data(), port.data() + port.size(), number);
-  return error == std::errc{} && rest == port.data() + port.size();
+  const auto [rest, error] = std::from_chars(port.data(), port.data() + port.size(), parsed.mPort);
+  if (error != std::errc{} || rest != port.data() + port.size()) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+} // namespace
+
+bool
+IsIpPort(std::string_view aText)
+{
+  return Parse(aText).has_value();
+}
+
+bool
+IsReachableIpPort(std::string_view aText)
+{
+  const auto parsed = Parse(aText);
+  return parsed && parsed->mPort != 0 && parsed->mIp.s_addr != INADDR_ANY;
 }
 
 } // namespace skylarkwind
--- a/standins/store_double.cpp
+++ b/standins/store_double.cpp
@@ -17,6 +17,10 @@
     OnFaults(aRequest, aReply);
     return;
   }
+  if (aRequest.mPath == "/standin/raw") {
+    OnRaw(aRequest, aReply);
+    return;
+  }
   if (aRequest.mPath == "/standin/calls") {
     aReply.Send(200, json{ { "calls", mCalls } }.dump());
     return;
@@ -36,6 +40,33 @@
   aReply.Send(404, "{}");
 }
 
+void
+store_double::OnRaw(const standin_request& aRequest, const standin_reply& aReply)
+{
+  const auto kind = aRequest.mQuery.at("kind");
+  const auto name = aRequest.mQuery.at("name");
+  ++mRevision;
+  const auto marker = "raw-" + std::to_string(mRevision);
+  mRawSpecs['"' + marker + '"'] = aRequest.mBody;
+  mObjects[kind][name] = { { "Metadata", { { "Name", name }, { "Revision", mRevision } } },
+                           { "Spec", marker } };
+  Record(kind, mObjects[kind][name], false);
+  aReply.Send(200, "{}");
+}
+
+std::string
+store_double::Render(const json& aValue) const
+{
+  auto text = aValue.dump();
+  for (const auto& [marker, spec] : mRawSpecs) {
+    for (auto at = text.find(marker); at != std::string::npos;
+         at = text.find(marker, at + spec.size())) {
+      text.replace(at, marker.size(), spec);
+    }
+  }
+  return text;
+}
+
 void
 store_double::OnFaults(const standin_request& aRequest, const standin_reply& aReply)
 {
@@ -69,7 +100,7 @@
     if (found == mObjects[kind].end()) {
       aReply.Send(404, "{}");
     } else {
-      aReply.Send(200, found->second.dump());
+      aReply.Send(200, Render(found->second));
     }
     return;
   }
@@ -101,8 +132,8 @@
   for (const auto& [name, object] : mObjects[aKind]) {
     items.push_back(object);
   }
-  aReply.Send(
-    200, json{ { "items", std::move(items) }, { "HasMore", false }, { "At", mRevision } }.dump());
+  aReply.Send(200,
+              Render({ { "items", std::move(items) }, { "HasMore", false }, { "At", mRevision } }));
 }
 
 void
@@ -120,7 +151,7 @@
   const auto meta = body.value("Metadata", json::object());
   const auto expected = meta.value("Revision", aRequest.QueryNumber("Revision", 0));
   if ((aRequest.mMethod == "POST" && exists) || (expected != 0 && expected != stored)) {
-    aReply.Send(409, exists ? found->second.dump() : "{}");
+    aReply.Send(409, exists ? Render(found->second) : "{}");
     return;
   }
   if (aRequest.mMethod != "POST" && !exists) {
@@ -161,7 +192,7 @@
   if (events.empty()) {
     return false;
   }
-  aWatch.mReply.Send(200, json{ { "events", std::move(events) }, { "At", mRevision } }.dump());
+  aWatch.mReply.Send(200, Render({ { "events", std::move(events) }, { "At", mRevision } }));
   return true;
 }
 
--- a/standins/store_double.h
+++ b/standins/store_double.h
@@ -16,6 +16,8 @@
 /// counter, conditional writes, lists and watches.
 /// `POST /standin/faults` sets {"mode": "none" | "busy" | "silent", "lose_answers": bool,
 /// "drop_history": bool}; `GET /standin/calls` counts calls.
+/// `POST /standin/raw?kind=KIND&name=NAME` writes an object whose Spec is the body as it stands,
+/// valid or not.
 class store_double : public standin_app
 {
 public:
@@ -38,6 +40,7 @@
     standin_reply mReply;
   };
 
+  void OnRaw(const standin_request& aRequest, const standin_reply& aReply);
   void OnFaults(const standin_request& aRequest, const standin_reply& aReply);
   void OnObjects(const standin_request& aRequest, const standin_reply& aReply);
   void List(const std::string& aKind, const standin_request& aRequest, const standin_reply& aReply);
@@ -46,10 +49,14 @@
              const standin_request& aRequest,
              const standin_reply& aReply);
   void Record(const std::string& aKind, const nlohmann::json& aObject, bool aRemoved);
+  /// The value's text, with the raw texts in place of their markers.
+  std::string Render(const nlohmann::json& aValue) const;
   /// Answers the watch if there is news for it.
   bool TryAnswer(const open_watch& aWatch) const;
 
   std::map<std::string, std::map<std::string, nlohmann::json>> mObjects;
+  std::map<std::string, std::string>
+    mRawSpecs; ///< by the marker that stands for each in its object
   std::uint64_t mRevision = 100;
   std::uint64_t mHistoryFrom = 100; ///< older revisions can't be watched
   std::vector<change> mHistory;
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -163,6 +163,16 @@
   Store("DELETE", "/skylarkwind/objects/servers/" + aId, json::object());
 }
 
+void
+gateway_system::PutRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec)
+{
+  const auto reply =
+    Call("POST", mStore->Url("/standin/raw?kind=" + aKind + "&name=" + aName), {}, aSpec);
+  if (reply.mStatus != 200) {
+    throw std::runtime_error("the store did not take a raw object: " + reply.mBody);
+  }
+}
+
 void
 gateway_system::StoreFaults(const json& aFaults)
 {
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -54,6 +54,8 @@
   /// Writes a server's entry with this state.
   void List(const std::string& aId, const std::string& aState);
   void Unlist(const std::string& aId);
+  /// Writes an object as another writer of the store may do: its Spec is this text, valid or not.
+  void PutRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec);
   void StoreFaults(const nlohmann::json& aFaults);
   /// Calls that the store has received.
   std::uint64_t StoreCalls() const;
