Accept no unusable objects of the daemons' own kinds

What callers would see: a registration or a command lease of another writer ended the daemons, or no daemon changed the roles of engines any more.

Cause: both were parsed without a bound on their depth, and a lease that could not be read counted as absent: it was created again and again, which the store refuses. A peer's port above 65535 was cut to 16 bits, so that messages went to another port.

Change: registrations need a reachable IPv4 address, and names that fit into a summary. A lease that no daemon can have written is taken over after the usual wait, by its revision. Its fencing number is then taken from the revision: each number takes a write, so that no number exceeds the revision of its write.

Evidence: UnusableObjectsOfDaemonsAreReplaced failed on the code before in each of its six cases: no role command was accepted, and the daemon ended (signal 11) in the five with a deep object.

--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -1,7 +1,9 @@
 #include "daemon_registry_p.h"
 
 #include "skylarkwind/http_pool.h"
+#include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/net_address.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,6 +21,10 @@
 /// Interval between lists while other daemons are missing; it doubles up to the maximum.
 constexpr milliseconds kMinListInterval{ 1'500 };
 constexpr milliseconds kMaxListInterval{ 24'000 };
+/// Longest name of a daemon or a data centre that is accepted.
+constexpr std::size_t kMaxNameBytes = 128;
+/// Largest CPU share that is accepted, in thousandths of a core.
+constexpr std::uint64_t kMaxCpuMillicores = 1'000'000;
 
 } // namespace
 
@@ -162,18 +168,23 @@
 void
 daemon_registry::OnListed(const stored_object& aObject)
 {
-  const auto value = nlohmann::json::parse(aObject.mValue, nullptr, false);
+  const auto value = ParseUntrustedJson(aObject.mValue);
   const auto text = [&](const char* aName) {
     return value.contains(aName) && value[aName].is_string() ? value[aName].get<std::string>()
                                                              : std::string{};
   };
-  if (!value.is_object() || text("address").empty()) {
+  // Names and data centres are sent in every summary, whose size is limited.
+  if (!value.is_object() || !IsReachableIpPort(text("address")) ||
+      std::max(aObject.mName.size(), text("data_centre").size()) > kMaxNameBytes) {
     Log(log_level::Debug, "peers", "malformed registration of daemon " + aObject.mName);
     return;
   }
   fleet_member member{ aObject.mName, text("address"), text("data_centre") };
   const auto strength = value.value("strength", nlohmann::json{});
-  member.mCpuMillicores = strength.is_number_unsigned() ? strength.get<std::uint32_t>() : 0;
+  member.mCpuMillicores = strength.is_number_unsigned()
+                            ? static_cast<std::uint32_t>(std::min<std::uint64_t>(
+                                strength.get<std::uint64_t>(), kMaxCpuMillicores))
+                            : 0;
   // Assumed until its messages tell whether it reaches the store.
   member.mReachesStore = true;
   if (member.mName != mSelf.mName) {
--- a/packages/gateway/src/peer_transport.cpp
+++ b/packages/gateway/src/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/net_address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -136,16 +137,15 @@
   if (const auto known = mParsedAddresses.find(aAddress); known != mParsedAddresses.end()) {
     return known->second.get();
   }
-  const auto colon = aAddress.rfind(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  if (colon == std::string::npos ||
-      inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+  if (!IsReachableIpPort(aAddress)) {
     Log(log_level::Debug, "peers", "invalid peer address " + aAddress);
     return nullptr;
   }
-  address.sin_port =
-    htons(static_cast<std::uint16_t>(std::strtoul(aAddress.c_str() + colon + 1, nullptr, 10)));
+  const auto colon = aAddress.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
+  address.sin_port = htons(static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1))));
   if (mParsedAddresses.size() >= kMaxParsedAddresses) {
     mParsedAddresses.clear();
   }
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "server_signals_p.h"
 
+#include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
 
 #include <nlohmann/json.hpp>
@@ -39,17 +40,20 @@
   return "unknown";
 }
 
-std::optional<command_lease>
+command_lease
 ParseLease(const stored_object& aObject)
 {
-  const auto value = json::parse(aObject.mValue, nullptr, false);
-  if (!value.is_object() || !value.contains("holder") || !value["holder"].is_string() ||
-      !value.contains("fencing") || !value["fencing"].is_number_unsigned()) {
-    return std::nullopt;
+  const auto value = ParseUntrustedJson(aObject.mValue);
+  const auto holder = value.is_object() ? value.value("holder", json{}) : json{};
+  const auto fencing = value.is_object() ? value.value("fencing", json{}) : json{};
+  // Each fencing number takes a write, so that none exceeds the revision of its own write. A lease
+  // that no daemon can have written is taken over like one of another holder, above all earlier
+  // numbers.
+  if (!holder.is_string() || !fencing.is_number_unsigned() ||
+      fencing.get<std::uint64_t>() > aObject.mRevision) {
+    return { aObject.mRevision, {}, aObject.mRevision };
   }
-  return command_lease{ aObject.mRevision,
-                        value["holder"].get<std::string>(),
-                        value["fencing"].get<std::uint64_t>() };
+  return { aObject.mRevision, holder.get<std::string>(), fencing.get<std::uint64_t>() };
 }
 
 } // namespace
--- a/tests/sessions/gateway_entries_test.cpp
+++ b/tests/sessions/gateway_entries_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(UnusableServerEntriesLeaveOthersInUse);
   CPPUNIT_TEST(UnusableEntriesPassBetweenDaemons);
   CPPUNIT_TEST(UnusableConfigurationIsNotApplied);
+  CPPUNIT_TEST(UnusableObjectsOfDaemonsAreReplaced);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t kDeep = 100'000;
@@ -231,6 +232,47 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string{}, problems);
   }
+
+  /// Guards against unusable objects of the daemons' own kinds, which end the daemons that read
+  /// them or keep them from changing the roles of engines: the lease is taken over.
+  void UnusableObjectsOfDaemonsAreReplaced()
+  {
+    struct unusable
+    {
+      std::string mName;
+      std::string mLease;
+      std::string mRegistration;
+    };
+    const std::vector<unusable> cases{
+      { "null", "null", "null" },
+      { "deep", Nested(kDeep), R"({"address":"127.0.0.1:70000","strength":1e300})" },
+      { "deep-holder",
+        R"({"fencing":3,"holder":)" + Nested(kDeep) + "}",
+        "{\"address\":\"\xff:1\",\"data_centre\":\"z\"}" },
+      { "large-fencing",
+        R"({"fencing":18446744073709551615,"holder":"vm-9"})",
+        R"({"address":"127.0.0.1:9","strength":)" + Nested(kDeep) + "}" },
+      { "large-number", R"({"fencing":1e999,"holder":"vm-9"})", Nested(kDeep) },
+      { "deep-registration", "{}", R"({"address":)" + NestedObjects(kDeep) + "}" },
+    };
+    std::string problems;
+    for (const auto& [name, lease, registration] : cases) {
+      gateway_options options;
+      options.mBackends = { { "d1" }, { "d2" }, { "s1", "plain" }, { "s2", "plain" } };
+      gateway_system system{ options };
+      system.PutRaw("skylarkwind-daemons", "vm-9", registration);
+      system.PutRaw("skylarkwind-leases", "engine-orders", lease);
+      Restart(system);
+      // Half of the two engines are to be prefill engines, so that the daemon needs the lease.
+      if (!WaitUntil(
+            [&] { return system.DaemonLog().find("answer=accepted") != std::string::npos; },
+            seconds{ 12 })) {
+        problems += name + ": no role command is accepted\n";
+      }
+      problems += Problem(system, name);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string{}, problems);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_entries_test);
