--- a/packages/gateway/tests/change_batch_test.cpp
+++ b/packages/gateway/tests/change_batch_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(BatchIsReassembledInAnyFragmentOrder);
   CPPUNIT_TEST(MessageWithLostFragmentIsDropped);
   CPPUNIT_TEST(DamagedFragmentsAreDropped);
+  CPPUNIT_TEST(UnboundedMessagesAreDropped);
   CPPUNIT_TEST_SUITE_END();
 
   static change_batch MakeBatch(std::size_t aValueBytes)
@@ -79,6 +80,29 @@
     });
     CPPUNIT_ASSERT(holds);
   }
+
+  /// Guards against messages to the daemons' port that overflow the call stack or make the JSON
+  /// library throw, which ended the process or the receiving of messages.
+  void UnboundedMessagesAreDropped()
+  {
+    const std::size_t bytes = 400'000;
+    const std::string count = "\x7f\xff\xff\xff\xff\xff\xff\xff";
+    for (const auto& message : { std::string(bytes, '\x81'), // nested arrays
+                                 std::string(bytes, '\x9f'), // of indefinite length
+                                 std::string(bytes, '\x7f'), // parts of a text
+                                 std::string(bytes, '\x5f'), // parts of a byte string
+                                 std::string(bytes, '\xc1'), // tags
+                                 std::string(bytes, '\xbf'), // maps
+                                 '\x9b' + count,
+                                 '\xbb' + count, // huge counts
+                                 '\x7b' + count,
+                                 '\x5b' + count,
+                                 std::string{} }) {
+      CPPUNIT_ASSERT(!DecodeBatch(message));
+      fragment_reassembler reassembler;
+      CPPUNIT_ASSERT(!reassembler.Add('F' + message));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(change_batch_test);
