Return every failure of an HTTP call as its result

What callers would see: a request to an engine that carries an invalid header value ended without the handling of a failed attempt.

Cause: http_pool::Call may throw, at once or from its promise, since the HTTP library throws for some header values. Callers of the pool handle failures of the result only.

Change: what connecting throws is a failure before sending, and what sending throws is one after it, as it cannot be told whether a part was sent.

Evidence: UnusableHeaderIsFailureOfResult failed with an uncaught exception on the code before.

--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -130,13 +130,22 @@
 kj::Promise<http_result>
 http_pool::Call(http_call aCall)
 {
+  // The library throws at once for some addresses and header values. Callers handle failures of the
+  // promise's result only.
+  const auto send = [this](kj::Own<pooled_connection> aConnection, http_call aSent) {
+    return kj::evalNow([&] { return Send(kj::mv(aConnection), std::move(aSent)); })
+      .catch_([](kj::Exception&& aError) -> kj::Promise<http_result> {
+        return http_result{ MakeFailure(aError, true) };
+      });
+  };
   KJ_IF_MAYBE (idle, TakeIdle(aCall)) {
-    return Send(kj::mv(*idle), std::move(aCall));
+    return send(kj::mv(*idle), std::move(aCall));
   }
-  auto connecting = mTimer.timeoutAfter(ToKj(mSettings.mConnectLimit), Connect(aCall.mAddress));
+  auto connecting = mTimer.timeoutAfter(ToKj(mSettings.mConnectLimit),
+                                        kj::evalNow([&] { return Connect(aCall.mAddress); }));
   return connecting.then(
-    [this, call = std::move(aCall)](kj::Own<pooled_connection> aConnection) mutable {
-      return Send(kj::mv(aConnection), std::move(call));
+    [send, call = std::move(aCall)](kj::Own<pooled_connection> aConnection) mutable {
+      return send(kj::mv(aConnection), std::move(call));
     },
     [](kj::Exception&& aError) -> kj::Promise<http_result> {
       return http_result{ MakeFailure(aError, false) };
