Count the reads that wait on a connection

Whether the HTTP client reads on an idle connection was kept as a flag that the end of any read cleared. Should a read begin before the last one is destroyed, the flag would be wrong and a usable connection would be closed. A count does not depend on that order.

The new ConnectionIsReusedAfterAResponseInPieces, whose responses arrive byte by byte, passed with the flag too: the wrong order was not seen.

--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -98,13 +98,13 @@
       return ReadMore(aBuffer, aFilled, aMinBytes, aMaxBytes);
     });
   }
-  mReading = true;
+  ++mPendingReads;
   return mInner->tryRead(aBuffer + aFilled, aMinBytes - aFilled, aMaxBytes - aFilled)
     .then([this, aFilled](size_t aBytes) {
       RecordInput(aBytes);
       return aFilled + aBytes;
     })
-    .attach(kj::defer([this] { mReading = false; }));
+    .attach(kj::defer([this] { --mPendingReads; }));
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -23,7 +23,7 @@
   bool HasUnexpectedInput() const { return mUnexpectedInput; }
   /// Whether a read waits for bytes. kj's client always reads while no request is open, unless it
   /// still holds bytes that came after the last response.
-  bool Reading() const { return mReading; }
+  bool Reading() const { return mPendingReads > 0; }
   /// Whether the peer has closed the connection or the connection has failed.
   bool Ended() const { return mEnded; }
   /// Whether the kernel has reported that the peer can no longer receive.
@@ -62,8 +62,8 @@
   kj::byte mScratch[512]{};
   kj::Maybe<kj::ForkedPromise<void>> mReadAhead; ///< the latest one
   bool mReadAheadPending = false;
+  int mPendingReads = 0;
   bool mIdle = false;
-  bool mReading = false;
   bool mUnexpectedInput = false;
   bool mEnded = false;
   bool mAborted = false;
--- a/packages/gateway/tests/http_pool_test.cpp
+++ b/packages/gateway/tests/http_pool_test.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST_SUITE(http_pool_test);
   CPPUNIT_TEST(ConnectionCarriesAnIdOnce);
   CPPUNIT_TEST(ConnectionIsReusedForOtherIds);
+  CPPUNIT_TEST(ConnectionIsReusedAfterAResponseInPieces);
   CPPUNIT_TEST(ZeroIdleTimeOpensAConnection);
   CPPUNIT_TEST(ConnectionWithLateRepeatedResponseIsNotReused);
   CPPUNIT_TEST(ResponseRepeatedAtOnceIsNotReadAsTheNext);
@@ -201,6 +202,39 @@
     }
   }
 
+  /// Guards against a connection that is taken for one that holds bytes, because its last response
+  /// arrived in pieces.
+  void ConnectionIsReusedAfterAResponseInPieces()
+  {
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "3\r\nran\r\n0\r\n\r\n";
+    for (const auto& response : { Response("200 OK", "ran"), chunked }) {
+      world all{ [](std::size_t, std::size_t) { return std::string{}; } };
+      for (const auto* id : { "a", "b", "c" }) {
+        auto calling = all.mPool.Call(all.MakeCall(id)).eagerlyEvaluate(nullptr);
+        CPPUNIT_ASSERT(!calling.poll(all.mIo.waitScope));
+        const auto bodyAt = response.find("\r\n\r\n") + 4;
+        for (std::size_t at = 0; at < bodyAt; ++at) {
+          all.mServer.Write(0, response.substr(at, 1)).wait(all.mIo.waitScope);
+          all.mIo.waitScope.poll();
+        }
+        auto answer = std::get<std::unique_ptr<http_answer>>(calling.wait(all.mIo.waitScope));
+        auto reading = answer->Body().readAllText().eagerlyEvaluate(nullptr);
+        for (std::size_t at = bodyAt; at < response.size(); ++at) {
+          all.mServer.Write(0, response.substr(at, 1)).wait(all.mIo.waitScope);
+          all.mIo.waitScope.poll();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{ "ran" },
+                             std::string{ reading.wait(all.mIo.waitScope).cStr() });
+        all.mPool.Release(std::move(answer), false, std::nullopt);
+        all.mIo.waitScope.poll();
+        all.mClock.Advance(milliseconds{ 100 });
+        all.mPool.OnTick(all.mClock.Now());
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::size_t{ 1 }, all.mServer.Connections());
+    }
+  }
+
   /// Guards against a request that must not share a connection with earlier ones, and that gets one
   /// that was released at the same instant of the clock.
   void ZeroIdleTimeOpensAConnection()
