Apply the signals of a response only if it answers the request

A repeated response to an earlier request extended the back-off that its server had asked for, and renewed an old load. Found by reading; ids are compared before its signals are applied now.

--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -72,6 +72,10 @@
 {
   mResponseHead =
     mContext.mProtocolAdapter.ParseResponse(mBackendResponse->mStatus, mBackendResponse->mHeaders);
+  if (BelongsToOtherRequest(mResponseHead)) {
+    // Its load, back-off and leaving may be of an earlier time, too.
+    return;
+  }
   ApplyServerSignals(mResponseHead,
                      mTarget,
                      mContext.mDirectory,
