Take the times of a shutdown as of SIGTERM

Cause: the shutdown read its times from the settings at every tick. SIGKILL comes at the time that was in force at SIGTERM, and the load balancer has begun to react.

Change: the times are kept when SIGTERM arrives.

StopDuringTheStart sends its signals over a longer time: a planted abort during the start escaped it.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -379,6 +379,7 @@
   {
     Log(log_level::Info, "daemon", "shutdown requested vm=" + mSettings.mVm);
     mStoppingSince = mClock.Now();
+    mShutdownTimes = { mSettings.mBalancerReaction, mSettings.mShutdownGrace };
     mShutdown.Enter(shutdown_stage::Closing);
     mTasks.add(mRegistry.Leave());
   }
@@ -400,7 +401,7 @@
   void ContinueShutdown(instant aNow)
   {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(aNow - *mStoppingSince);
-    mShutdown.Enter(StageAt({ mSettings.mBalancerReaction, mSettings.mShutdownGrace },
+    mShutdown.Enter(StageAt(mShutdownTimes,
                             elapsed,
                             { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
     if (mShutdown.Reached(shutdown_stage::Refusing) && mCallerPort.get() != nullptr) {
@@ -556,6 +557,7 @@
   kj::Promise<void> mAcceptLoop = nullptr;
   kj::PromiseFulfillerPair<void> mShutdownComplete = kj::newPromiseAndFulfiller<void>();
   std::optional<instant> mStoppingSince;
+  shutdown_times mShutdownTimes; ///< as in force at SIGTERM
   instant mNextDutyCheck{};
   /// Versions of the configuration and the directory at the last update of the capacities.
   std::pair<std::uint64_t, std::uint64_t> mCapacityVersions{};
--- a/tests/sessions/gateway_stop_signals_test.cpp
+++ b/tests/sessions/gateway_stop_signals_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST_SUITE(gateway_stop_signals_test);
   CPPUNIT_TEST(FurtherSignalsDoNotCutStreams);
   CPPUNIT_TEST(SettingsChangesDoNotCutStreams);
+  CPPUNIT_TEST(GraceChangedDuringStopDoesNotCutStreams);
   CPPUNIT_TEST(ConfigurationChangesDoNotCutStreams);
   CPPUNIT_TEST(ServerChangesDoNotCutStreams);
   CPPUNIT_TEST(UnavailableStoreDoesNotDisturbTheStop);
@@ -239,6 +240,27 @@
     });
   }
 
+  /// Guards against a stop that ends streams at once because a shorter grace period is read while
+  /// it goes on. The process is killed when the period of the time of SIGTERM is over.
+  void GraceChangedDuringStopDoesNotCutStreams()
+  {
+    gateway_system system{ Options() };
+    const auto file = system.Directory() + "/vm-0.yaml";
+    StopDuring(system, [&] {
+      std::ostringstream text;
+      text << std::ifstream{ file }.rdbuf();
+      auto changed = text.str();
+      const std::string key = "shutdown_grace_s: ";
+      const auto at = changed.find(key) + key.size();
+      changed.replace(at, changed.find('\n', at) - at, "0.5");
+      std::ofstream{ file } << changed;
+      system.Daemon().Signal(SIGHUP);
+      CPPUNIT_ASSERT(
+        WaitUntil([&] { return LogHas(system, "reloaded file=", "in_force=shutdown_grace_s"); },
+                  seconds{ 2 }));
+    });
+  }
+
   /// Guards against a configuration that drops the routes of open streams, shortens their limits or
   /// is invalid, and ends them during a stop.
   void ConfigurationChangesDoNotCutStreams()
@@ -425,13 +447,19 @@
     gateway_system system{ Options() };
     system.Daemon().Signal(SIGKILL);
     CPPUNIT_ASSERT(system.Daemon().WaitForExit(seconds{ 5 }));
-    for (const auto delay : { 0, 1, 2, 4, 6, 8, 10, 13, 16, 20, 30 }) {
+    // From a signal before the daemon captures it to some after it serves.
+    constexpr milliseconds kStep{ 3 };
+    constexpr milliseconds kLongest{ 3'000 };
+    constexpr int kEnough = 4;
+    int stopped = 0;
+    for (milliseconds delay{ 0 }; stopped < kEnough; delay += kStep) {
+      CPPUNIT_ASSERT(delay < kLongest);
       unread_daemon daemon{ system.Directory() + "/vm-0.yaml", 0 };
-      std::this_thread::sleep_for(milliseconds{ delay });
+      std::this_thread::sleep_for(delay);
       kill(daemon.mPid, SIGTERM);
       const auto log = daemon.ReadToExit();
-      auto what = std::to_string(delay) + " ms, status " + std::to_string(daemon.mStatus) + '\n';
-      what += log;
+      auto what = std::to_string(delay.count()) + " ms, status " + std::to_string(daemon.mStatus);
+      what += '\n' + log;
       CPPUNIT_ASSERT_EQUAL_MESSAGE(what, -1, daemon.mPid);
       if (log.find("started vm=") == std::string::npos && WIFSIGNALED(daemon.mStatus)) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(what, SIGTERM, WTERMSIG(daemon.mStatus));
@@ -439,6 +467,7 @@
       }
       CPPUNIT_ASSERT_MESSAGE(what, WIFEXITED(daemon.mStatus) && WEXITSTATUS(daemon.mStatus) == 0);
       CPPUNIT_ASSERT_MESSAGE(what, log.find("stopped vm=") != std::string::npos);
+      ++stopped;
     }
   }
 
