--- a/standins/standin_relay_main.cpp
+++ b/standins/standin_relay_main.cpp
@@ -20,7 +20,7 @@
 
 /// POST /standin/faults
 /// {"cut":bool,"reset":bool,"delay_ms":n,"silence_open":bool,"silence_all":bool,
-/// "silence_up":bool,"silence_down":bool}, and GET /standin/state.
+/// "silence_up":bool,"silence_down":bool,"bytes_per_second":n}, and GET /standin/state.
 class relay_control : public standin_app
 {
 public:
@@ -40,6 +40,7 @@
       faults.mSilenceUp = body.value("silence_up", faults.mSilenceUp);
       faults.mSilenceDown = body.value("silence_down", faults.mSilenceDown);
       faults.mReset = body.value("reset", faults.mReset);
+      faults.mBytesPerSecond = body.value("bytes_per_second", faults.mBytesPerSecond);
       mRelay.SetFaults(faults);
       if (body.contains("silence_open")) {
         mRelay.SilenceOpen(body["silence_open"].get<bool>());
--- a/standins/tcp_relay.cpp
+++ b/standins/tcp_relay.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <stdexcept>
 
@@ -19,6 +20,10 @@
 constexpr int kStepMs = 2;
 /// Above this, a direction is not read, so that a slow receiver slows its sender.
 constexpr std::size_t kMaxQueued = 1U << 20U;
+/// The same with a limit of the rate, also for the receive buffer of its socket.
+constexpr int kMaxQueuedLimited = 8 << 10;
+/// With a limit of the rate, the most that is written at once lasts this long.
+constexpr std::int64_t kBurstMs = 20;
 constexpr std::size_t kReadBytes = 64U << 10U;
 
 sockaddr_in
@@ -121,6 +126,13 @@
   return oneWay || mActive.mSilenceAll || aConnection.mNumber <= mSilentUpTo;
 }
 
+std::size_t
+tcp_relay::MostQueued(const direction& aDirection, const connection& aConnection) const
+{
+  const bool limited = mActive.mBytesPerSecond > 0 && &aDirection == &aConnection.mDown;
+  return limited ? static_cast<std::size_t>(kMaxQueuedLimited) : kMaxQueued;
+}
+
 /// One round: what was read is written when its delay has passed.
 void
 tcp_relay::Step()
@@ -139,7 +151,8 @@
   std::vector<pollfd> ready{ { mListener, POLLIN, 0 } };
   for (const auto& connection : mConnections) {
     for (const auto* way : { &connection.mUp, &connection.mDown }) {
-      bool reads = !way->mEnded && way->mQueued < kMaxQueued && !Silent(connection, *way);
+      bool reads =
+        !way->mEnded && way->mQueued < MostQueued(*way, connection) && !Silent(connection, *way);
       ready.push_back({ reads ? way->mFrom : -1, POLLIN, 0 });
     }
   }
@@ -178,6 +191,9 @@
     return;
   }
   int target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (mActive.mBytesPerSecond > 0) {
+    setsockopt(target, SOL_SOCKET, SO_RCVBUF, &kMaxQueuedLimited, sizeof(kMaxQueuedLimited));
+  }
   // The target is on loopback, so connecting does not block for long.
   if (connect(target, reinterpret_cast<const sockaddr*>(&mTarget), sizeof(mTarget)) != 0) {
     close(target);
@@ -214,11 +230,23 @@
 {
   while (!aDirection.mParts.empty() && aDirection.mParts.front().mAtMs <= aNowMs) {
     auto& bytes = aDirection.mParts.front().mBytes;
-    auto count = send(aDirection.mTo, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    auto most = bytes.size();
+    const bool limited = mActive.mBytesPerSecond > 0 && &aDirection == &aConnection.mDown;
+    if (limited) {
+      if (aNowMs < aDirection.mNextMs) {
+        return;
+      }
+      const auto burst = std::max<std::int64_t>(1, mActive.mBytesPerSecond * kBurstMs / 1'000);
+      most = std::min(most, static_cast<std::size_t>(burst));
+    }
+    auto count = send(aDirection.mTo, bytes.data(), most, MSG_NOSIGNAL);
     if (count < 0) {
       aConnection.mBroken = aConnection.mBroken || (errno != EAGAIN && errno != EINTR);
       return;
     }
+    if (limited) {
+      aDirection.mNextMs = aNowMs + count * 1'000 / mActive.mBytesPerSecond;
+    }
     mBytes += static_cast<std::uint64_t>(count);
     aDirection.mQueued -= static_cast<std::size_t>(count);
     bytes.erase(0, static_cast<std::size_t>(count));
--- a/standins/tcp_relay.h
+++ b/standins/tcp_relay.h
@@ -23,6 +23,8 @@
   bool mSilenceUp = false;   ///< nothing passes to the target; its answers do
   bool mSilenceDown = false; ///< nothing passes from the target; requests to it do
   bool mReset = false;       ///< closed connections end with a reset
+  /// Limit of each connection towards the caller; 0: none.
+  std::int64_t mBytesPerSecond = 0;
 };
 
 struct relay_state
@@ -63,8 +65,9 @@
     int mTo = -1;
     std::deque<part> mParts;
     std::size_t mQueued = 0;
-    bool mEnded = false;     ///< the sender closed its side
-    bool mForwarded = false; ///< and so did we towards the receiver
+    bool mEnded = false;      ///< the sender closed its side
+    bool mForwarded = false;  ///< and so did we towards the receiver
+    std::int64_t mNextMs = 0; ///< with a limit: when more may be written
   };
   struct connection
   {
@@ -80,6 +83,8 @@
   void Write(direction& aDirection, connection& aConnection, std::int64_t aNowMs);
   bool Silent(const connection& aConnection, const direction& aDirection) const;
   void Listen();
+  /// Bytes that a direction may hold; above this it is not read.
+  std::size_t MostQueued(const direction& aDirection, const connection& aConnection) const;
   void Close(const connection& aConnection) const;
 
   sockaddr_in mOwn{};
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -77,9 +77,7 @@
     mBackends.push_back(std::move(entry));
     List(options.mId, "ready");
   }
-  auto configuration = FirstConfiguration();
-  configuration["Limits"]["MaxBodyBytes"] = mOptions.mMaxBodyBytes;
-  Configure(configuration);
+  Configure(Configuration());
   for (int i = 0; i < mOptions.mDaemons; ++i) {
     AddDaemon();
   }
@@ -119,6 +117,17 @@
   };
 }
 
+json
+gateway_system::Configuration() const
+{
+  auto configuration = FirstConfiguration();
+  configuration["Limits"]["MaxBodyBytes"] = mOptions.mMaxBodyBytes;
+  for (auto& route : configuration["Routes"]) {
+    route["TimeoutMs"] = mOptions.mRouteTimeoutMs;
+  }
+  return configuration;
+}
+
 http_reply
 gateway_system::Store(const std::string& aMethod, const std::string& aPath, const json& aBody) const
 {
@@ -147,7 +156,7 @@
   const auto& entry = Find(aId);
   json spec{ { "Service", entry.mOptions.mService },
              { "Address", entry.mAddress },
-             { "Zone", "z" },
+             { "Zone", entry.mOptions.mDataCentre },
              { "Slots", 8 },
              { "State", aState },
              { "Seq", 1 } };
@@ -191,7 +200,7 @@
                                       "--event_bytes=" +
                                         std::to_string(aBackend.mOptions.mEventBytes),
                                       "--listen=" + aBackend.mListen };
-  if (mOptions.mRelays) {
+  if (mOptions.mRelays || mOptions.mRecords) {
     arguments.push_back("--log_file=" + LogFile(aBackend.mOptions.mId));
   }
   return child_process::Start(Program("standin_backend"), arguments);
@@ -218,8 +227,9 @@
 void
 gateway_system::StartDaemon(daemon_entry& aDaemon) const
 {
-  aDaemon.mProcess =
-    child_process::Start(Program("skylarkwindd"), { "--settings=" + WriteSettings(aDaemon) });
+  const auto program =
+    mOptions.mDaemonProgram.empty() ? Program("skylarkwindd") : mOptions.mDaemonProgram;
+  aDaemon.mProcess = child_process::Start(program, { "--settings=" + WriteSettings(aDaemon) });
   aDaemon.mProcess->KeepOutput(mDirectory + "/" + aDaemon.mName + ".out");
 }
 
@@ -243,6 +253,12 @@
   SetFaults(*mDaemons[static_cast<std::size_t>(aDaemon)].mStoreRelay, aFaults);
 }
 
+void
+gateway_system::DisturbCallers(int aDaemon, const json& aFaults)
+{
+  SetFaults(*mDaemons[static_cast<std::size_t>(aDaemon)].mCallerRelay, aFaults);
+}
+
 std::vector<json>
 gateway_system::Records() const
 {
@@ -280,7 +296,8 @@
 gateway_system::WriteSettings(const daemon_entry& aDaemon) const
 {
   auto file = mDirectory + "/" + aDaemon.mName + ".yaml";
-  std::ofstream{ file } << "gateway:\n  vm: " << aDaemon.mName << "\n  data_centre: z\n"
+  std::ofstream{ file } << "gateway:\n  vm: " << aDaemon.mName
+                        << "\n  data_centre: " << aDaemon.mDataCentre << "\n"
                         << "  callers_address: " << aDaemon.mCallers << "\n"
                         << "  ready_address: " << aDaemon.mReady << "\n"
                         << "  store_address: " << aDaemon.mStore << "\n"
@@ -299,9 +316,24 @@
 void
 gateway_system::AddDaemon()
 {
-  daemon_entry daemon{
-    "vm-" + std::to_string(mDaemons.size()), Loopback(), Loopback(), Loopback(), {}, {}, {}
-  };
+  daemon_entry daemon{ "vm-" + std::to_string(mDaemons.size()),
+                       Loopback(),
+                       Loopback(),
+                       Loopback(),
+                       {},
+                       {},
+                       {},
+                       "z",
+                       {},
+                       {} };
+  if (const auto centre = mDaemons.size() % static_cast<std::size_t>(mOptions.mDataCentres);
+      centre > 0) {
+    daemon.mDataCentre += std::to_string(centre);
+  }
+  if (mOptions.mCallerRelays) {
+    daemon.mCallerRelay = StartRelay(daemon.mCallers);
+    daemon.mRelayedCallers = RelayAddress(*daemon.mCallerRelay);
+  }
   daemon.mStore = mStore->Address();
   if (mOptions.mRelays) {
     daemon.mStoreRelay = StartRelay(daemon.mStore);
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -17,6 +17,7 @@
   std::string mStage = "decode"; ///< model servers only
   int mEventMs = 5;
   int mEventBytes = 0; ///< each event is padded to this size with a comment; 0: not padded
+  std::string mDataCentre = "z";
 };
 
 struct gateway_options
@@ -35,6 +36,15 @@
   double mShutdownGraceS = 8;
   int mBalancerNoticesMs = 300;
   std::size_t mMaxBodyBytes = 10'000;
+  int mRouteTimeoutMs = 4'000;
+  /// Daemons are spread over this many data centres: z, z1, z2 and so on.
+  int mDataCentres = 1;
+  /// Each daemon has a relay for callers as well.
+  bool mCallerRelays = false;
+  /// Backend servers keep their records in files, also without relays before them.
+  bool mRecords = false;
+  /// Program of the daemons; empty: that of this build.
+  std::string mDaemonProgram;
 };
 
 /// Daemons before a stand-in of the users' platform: its store, engines and plain servers.
@@ -51,6 +61,8 @@
   /// What the daemons at this place have printed so far, those that have ended included.
   std::string DaemonLog(int aIndex = 0) const;
   void Configure(const nlohmann::json& aConfiguration);
+  /// The first configuration with the limits of this system's options.
+  nlohmann::json Configuration() const;
   /// Writes a server's entry with this state.
   void List(const std::string& aId, const std::string& aState);
   void Unlist(const std::string& aId);
@@ -79,10 +91,17 @@
   {
     return mDaemons[static_cast<std::size_t>(aIndex)].mCallers;
   }
+  /// With caller relays: the relay's address, and its faults.
+  const std::string& RelayedCallersAddress(int aIndex) const
+  {
+    return mDaemons[static_cast<std::size_t>(aIndex)].mRelayedCallers;
+  }
+  void DisturbCallers(int aDaemon, const nlohmann::json& aFaults);
   /// Where logs and records are; removed at the end unless KeepFiles was called.
   const std::string& Directory() const { return mDirectory; }
   void KeepFiles() { mKeepsFiles = true; }
-  /// With relays: everything that backend servers recorded, also before they were killed.
+  /// With relays or mRecords: everything that backend servers recorded, also before they were
+  /// killed.
   std::vector<nlohmann::json> Records() const;
 
   /// A request with a new id; further headers may be given.
@@ -107,6 +126,9 @@
     std::unique_ptr<child_process> mStoreRelay;
     std::string mStore;
     std::unique_ptr<child_process> mProcess;
+    std::string mDataCentre;
+    std::unique_ptr<child_process> mCallerRelay;
+    std::string mRelayedCallers;
   };
   struct backend_entry
   {
