Play series of planned stops in the soak

The soak stopped a daemon with SIGTERM about once in four seeds, beside 14 kinds of other faults, and left requests out of the check whenever another fault was near, so it could not find answers lost around a stop.

Callers keep connections until they end, send bodies of up to 120 KB in parts for up to 2.8 s, read late with small receive buffers, send further input behind a request, and reach daemons also through relays that delay or limit the rate. `--daemon` plays another build of the daemon.

The check of events now accepts comment lines, with which the stand-in pads events; comments are part of the event stream format and carry no event, and all other lines are checked as before.

--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -4,12 +4,14 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
 #include <chrono>
 #include <cstdlib>
+#include <thread>
 #include <utility>
 
 namespace skylarkwind::soak {
@@ -39,7 +41,7 @@
 }
 
 std::optional<caller_connection>
-caller_connection::Open(const std::string& aAddress)
+caller_connection::Open(const std::string& aAddress, int aReceiveBytes)
 {
   const auto colon = aAddress.rfind(':');
   sockaddr_in address{};
@@ -47,6 +49,11 @@
   address.sin_port = htons(static_cast<std::uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
   inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
   const int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{ kPatienceMs / 1'000, 0 };
+  setsockopt(made, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+  if (aReceiveBytes > 0) {
+    setsockopt(made, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof(aReceiveBytes));
+  }
   if (connect(made, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
     close(made);
     return std::nullopt;
@@ -67,19 +74,53 @@
 {
 }
 
+bool
+caller_connection::Send(const std::string& aText, const caller_habits& aHabits) const
+{
+  const auto size = (aText.size() + aHabits.mParts - 1) / aHabits.mParts;
+  for (std::size_t at = 0; at < aText.size(); at += size) {
+    if (at > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{ aHabits.mPartPauseMs });
+    }
+    const auto count = std::min(size, aText.size() - at);
+    if (send(mSocket, aText.data() + at, count, MSG_NOSIGNAL) != static_cast<ssize_t>(count)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::optional<std::int64_t>
+caller_connection::AwaitReading(std::int64_t aForMs) const
+{
+  const auto until = NowMs() + aForMs;
+  pollfd end{ mSocket, POLLRDHUP, 0 };
+  if (aForMs <= 0 || poll(&end, 1, static_cast<int>(aForMs)) != 1) {
+    return std::nullopt;
+  }
+  const auto closed = NowMs();
+  std::this_thread::sleep_for(std::chrono::milliseconds{ until - closed });
+  return closed;
+}
+
 bool
 caller_connection::Ask(const std::string& aText,
-                       std::optional<std::int64_t> aLeaveMs,
+                       const caller_habits& aHabits,
                        request_record& aRecord)
 {
   aRecord.mSentMs = NowMs();
-  const auto until = aRecord.mSentMs + aLeaveMs.value_or(kPatienceMs);
-  const auto sent = send(mSocket, aText.data(), aText.size(), MSG_NOSIGNAL);
-  const bool usable = sent == static_cast<ssize_t>(aText.size()) && ReadHead(until, aRecord) &&
-                      ReadBody(until, aRecord);
+  const auto until = aRecord.mSentMs + aHabits.mLeaveMs.value_or(kPatienceMs);
+  // A request that is refused early may have its answer although it can't be sent to its end.
+  aRecord.mSentWhole = Send(aText, aHabits);
+  aRecord.mLastByteMs = NowMs();
+  // What doesn't fit into the socket's buffer is left out; nobody waits for its answer.
+  send(mSocket, aHabits.mNext.data(), aHabits.mNext.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  const auto closed = aRecord.mSentWhole ? AwaitReading(aHabits.mReadAfterMs) : std::nullopt;
+  const bool read = ReadHead(until, aRecord) && ReadBody(until, aRecord);
   aRecord.mEndedMs = NowMs();
-  aRecord.mLeft = aLeaveMs && !aRecord.mWhole && aRecord.mEndedMs >= until;
-  return usable;
+  aRecord.mClosedMs = closed.value_or(aRecord.mEndedMs);
+  aRecord.mLeft = aHabits.mLeaveMs && !aRecord.mWhole && aRecord.mEndedMs >= until;
+  return read && aRecord.mSentWhole && aHabits.mNext.empty();
 }
 
 bool
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Ids of the events of a stream in order; empty when an event is malformed.
+/// Ids of the events of a stream in order; empty when an event is malformed. Comments are part of
+/// the format; the stand-ins pad events with them.
 std::optional<std::vector<int>>
 EventIds(const std::string& aBody)
 {
@@ -21,7 +22,7 @@
       if (ids.empty() || line != "data: token" + std::to_string(ids.back())) {
         return std::nullopt;
       }
-    } else if (!line.empty()) {
+    } else if (!line.empty() && !line.starts_with(':')) {
       return std::nullopt;
     }
   }
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -29,7 +29,12 @@
   int mDaemon = 0;
   int mEventsAsked = 0;
   std::int64_t mSentMs = 0;
+  std::int64_t mLastByteMs = 0; ///< when the last byte was handed to the socket
+  bool mSentWhole = false;
+  std::int64_t mLinkMs = 0; ///< delay between the caller and the daemon, one way
   std::int64_t mEndedMs = 0;
+  /// When the connection ended, if it did; a caller that reads late sees it later.
+  std::int64_t mClosedMs = 0;
   bool mLeft = false;                          ///< the caller closed the connection before the end
   bool mWhole = false;                         ///< the answer had its end
   int mStatus = 0;                             ///< 0: no answer began
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "soak_run.h"
+#include "stop_run.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -17,6 +18,14 @@
 ABSL_FLAG(std::uint64_t, first, 0, "First of a range of seeds.");
 ABSL_FLAG(std::uint64_t, count, 0, "Number of seeds of the range.");
 ABSL_FLAG(int, seconds, 10, "Time with disturbances, for each seed.");
+ABSL_FLAG(std::string,
+          plan,
+          "mixed",
+          "mixed: faults of all kinds; stops: series of planned stops.");
+ABSL_FLAG(std::string,
+          daemon,
+          "",
+          "With stops: program of the daemons; empty: that of this build.");
 
 namespace {
 
@@ -50,6 +59,16 @@
   return seeds;
 }
 
+skylarkwind::soak::soak_result
+Play(std::uint64_t aSeed)
+{
+  const auto length = absl::GetFlag(FLAGS_seconds) * 1'000L;
+  if (absl::GetFlag(FLAGS_plan) == "stops") {
+    return skylarkwind::soak::RunStops(aSeed, length, absl::GetFlag(FLAGS_daemon));
+  }
+  return skylarkwind::soak::RunSoak(aSeed, length);
+}
+
 void
 Print(std::uint64_t aSeed, const skylarkwind::soak::soak_result& aResult)
 {
@@ -79,9 +98,14 @@
   absl::ParseCommandLine(aArgc, aArgv);
   std::signal(SIGPIPE, SIG_IGN);
   std::size_t failed = 0;
+  const auto plan = absl::GetFlag(FLAGS_plan);
+  if (plan != "mixed" && plan != "stops") {
+    std::cerr << "soak: not a plan: " << plan << '\n';
+    return 2;
+  }
   const auto seeds = Seeds();
   for (const auto seed : seeds) {
-    const auto result = skylarkwind::soak::RunSoak(seed, absl::GetFlag(FLAGS_seconds) * 1'000L);
+    const auto result = Play(seed);
     Print(seed, result);
     failed += result.mBroken.empty() ? 0 : 1;
   }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -133,11 +133,11 @@
         Make(std::to_string(mSeed) + "-" + std::to_string(aNumber) + "-" + std::to_string(i),
              daemon,
              random);
-      std::optional<std::int64_t> leave;
+      caller_habits habits;
       if (std::bernoulli_distribution{ 0.1 }(random)) {
-        leave = std::uniform_int_distribution<std::int64_t>{ 5, 400 }(random);
+        habits.mLeaveMs = std::uniform_int_distribution<std::int64_t>{ 5, 400 }(random);
       }
-      if (!open->second.Ask(RequestText(record, random), leave, record)) {
+      if (!open->second.Ask(RequestText(record, random), habits, record)) {
         connections.erase(open);
       }
       const std::lock_guard guard{ mMutex };
@@ -336,7 +336,7 @@
       aResult.mBroken.push_back(record.mId + ": a daemon refuses connections after recovery");
       continue;
     }
-    connection->Ask(RequestText(record, random), std::nullopt, record);
+    connection->Ask(RequestText(record, random), {}, record);
     if (record.mStatus != 200 || !record.mWhole) {
       aResult.mBroken.push_back(record.mId + " at daemon " + std::to_string(record.mDaemon) +
                                 ": not served after recovery, status " +
