Log dropped requests as warnings; accept only the padding of the stand-in in events

Warnings have a reserve of the log's rate and queue. The soak's check of events had been widened to any comment line for the padded events of the stop series; it accepts the padding alone now.

--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -195,7 +195,8 @@
   text += " reason=\"";
   text += aReason;
   text += '"';
-  Log(log_level::Info, "request", text);
+  // Nothing but this line tells of a dropped request, so it must not be lost among others.
+  Log(aOutcome == "dropped" ? log_level::Warning : log_level::Info, "request", text);
 }
 
 } // namespace skylarkwind
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// Whether the line is the comment with which the backend stand-in pads an event.
+bool
+IsPadding(const std::string& aLine)
+{
+  return aLine.starts_with(':') && aLine.find_first_not_of('.', 1) == std::string::npos;
+}
+
 /// Ids of the events of a stream in order; empty when an event is malformed. Comments are part of
 /// the format; the stand-ins pad events with them.
 std::optional<std::vector<int>>
@@ -22,7 +29,7 @@
       if (ids.empty() || line != "data: token" + std::to_string(ids.back())) {
         return std::nullopt;
       }
-    } else if (!line.empty() && !line.starts_with(':')) {
+    } else if (!line.empty() && !IsPadding(line)) {
       return std::nullopt;
     }
   }
