Log clients that leave the internal HTTP servers instead of printing errors

Callers' connections do not go through it.

Change: an accept loop of our own, which logs it at the level of debugging.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "caller_listener_p.h"
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
+#include "http_listener_p.h"
 #include "peer_snapshots_p.h"
 #include "peer_transport_p.h"
 #include "role_driver_p.h"
@@ -104,6 +105,7 @@
                   mClock,
                   mTasks)
     , mReadyServer(mTimer, mTable, *this)
+    , mReadyListener("ready", mReadyServer)
     , mReplication(ReplicationSettings(),
                    *mStore,
                    mTimer,
@@ -139,7 +141,7 @@
       mCallerListener.Accept(*mCallerPort).eagerlyEvaluate([this](kj::Exception&& aError) {
         taskFailed(kj::mv(aError));
       });
-    mTasks.add(mReadyServer.listenHttp(*mReadyPort));
+    mTasks.add(mReadyListener.Accept(*mReadyPort));
     mTasks.add(mPeerTransport.Run(mSettings.mPeerAddress));
     mTasks.add(mPeerSnapshots.Serve(mSettings.mPeerAddress));
     mTasks.add(mReplication.Run());
@@ -401,9 +403,8 @@
   void ContinueShutdown(instant aNow)
   {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(aNow - *mStoppingSince);
-    mShutdown.Enter(StageAt(mShutdownTimes,
-                            elapsed,
-                            { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
+    mShutdown.Enter(StageAt(
+      mShutdownTimes, elapsed, { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
     if (mShutdown.Reached(shutdown_stage::Refusing) && mCallerPort.get() != nullptr) {
       Log(log_level::Info, "daemon", "stopped accepting connections");
       mAcceptLoop = nullptr;
@@ -549,6 +550,7 @@
   peer_transport mPeerTransport;
   role_driver mRoleDriver;
   kj::HttpServer mReadyServer;
+  http_listener mReadyListener;
   store_replication mReplication;
   peer_snapshots mPeerSnapshots;
   daemon_registry mRegistry;
--- a/packages/gateway/src/peer_snapshots.cpp
+++ b/packages/gateway/src/peer_snapshots.cpp
@@ -46,6 +46,7 @@
   , mPool(aNetwork, aTimer, aClock, aTable, PoolSettings())
   , mBodyBudget(2 * kMaxBodyBytes)
   , mServer(aTimer, aTable, *this)
+  , mListener("peers", mServer)
 {
 }
 
@@ -54,7 +55,7 @@
 {
   return mNetwork.parseAddress(ToKj(aAddress)).then([this](kj::Own<kj::NetworkAddress> aParsed) {
     mPort = aParsed->listen();
-    return mServer.listenHttp(*mPort);
+    return mListener.Accept(*mPort);
   });
 }
 
--- a/packages/gateway/src/peer_snapshots_p.h
+++ b/packages/gateway/src/peer_snapshots_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "change_batch_p.h"
+#include "http_listener_p.h"
 
 #include "skylarkwind/body_reader.h"
 #include "skylarkwind/http_pool.h"
@@ -60,6 +61,7 @@
   http_pool mPool;
   byte_budget mBodyBudget;
   kj::HttpServer mServer;
+  http_listener mListener;
   kj::Own<kj::ConnectionReceiver> mPort;
 };
 
