End open requests before the exit of a daemon that was held up

A daemon whose loop stalled past the time to end requests went straight to its exit and dropped them (review; by reading). NextStage ends them first and exits one round later. Connections that the kernel has completed are accepted for one round after refusing began, rather than reset with the listener.

DelayedDaemonEndsRequestsBeforeItsExit states the first; the second has no test.

An error in a tick is logged and no longer ends the ticks that drive the shutdown.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -319,7 +319,10 @@
   kj::Promise<void> RunTicks()
   {
     return mTimer.afterDelay(ToKj(kTickPeriod)).then([this] {
-      OnTick(mClock.Now());
+      // The shutdown is driven by ticks, so an error in one must not end them.
+      KJ_IF_MAYBE (error, kj::runCatchingExceptions([this] { OnTick(mClock.Now()); })) {
+        Log(log_level::Error, "daemon", error->getDescription().cStr());
+      }
       return RunTicks();
     });
   }
@@ -403,9 +406,14 @@
   void ContinueShutdown(instant aNow)
   {
     const auto elapsed = std::chrono::duration_cast<milliseconds>(aNow - *mStoppingSince);
-    mShutdown.Enter(StageAt(
-      mShutdownTimes, elapsed, { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
-    if (mShutdown.Reached(shutdown_stage::Refusing) && mCallerPort.get() != nullptr) {
+    const bool refused = mShutdown.Reached(shutdown_stage::Refusing);
+    mShutdown.Enter(NextStage(mShutdown.Stage(),
+                              mShutdownTimes,
+                              elapsed,
+                              { mCallerListener.OpenRequests(), mCallerListener.Connections() }));
+    if (refused && mCallerPort.get() != nullptr) {
+      // One round after refusing began, so that connections that the kernel had completed are
+      // accepted and refused rather than reset.
       Log(log_level::Info, "daemon", "stopped accepting connections");
       mAcceptLoop = nullptr;
       mCallerPort = nullptr;
--- a/packages/gateway/src/shutdown_sequence.cpp
+++ b/packages/gateway/src/shutdown_sequence.cpp
@@ -40,4 +40,18 @@
   return aElapsed >= aTimes.mBalancerReaction ? shutdown_stage::Refusing : shutdown_stage::Closing;
 }
 
+shutdown_stage
+NextStage(shutdown_stage aCurrent,
+          const shutdown_times& aTimes,
+          milliseconds aElapsed,
+          const open_work& aOpen)
+{
+  const auto stage = StageAt(aTimes, aElapsed, aOpen);
+  if (stage == shutdown_stage::Exiting && aCurrent < shutdown_stage::Ending &&
+      aOpen.mRequests > 0) {
+    return shutdown_stage::Ending;
+  }
+  return stage;
+}
+
 } // namespace skylarkwind
--- a/packages/gateway/src/shutdown_sequence_p.h
+++ b/packages/gateway/src/shutdown_sequence_p.h
@@ -34,4 +34,11 @@
                        std::chrono::milliseconds aElapsed,
                        const open_work& aOpen);
 
+/// The same for a daemon that is in the stage `aCurrent`: while requests are open, the exit waits
+/// for one round after they were ended, also when the daemon was held up past the time to end them.
+shutdown_stage NextStage(shutdown_stage aCurrent,
+                         const shutdown_times& aTimes,
+                         std::chrono::milliseconds aElapsed,
+                         const open_work& aOpen);
+
 } // namespace skylarkwind
--- a/packages/gateway/src/shutdown_signal_p.h
+++ b/packages/gateway/src/shutdown_signal_p.h
@@ -19,6 +19,7 @@
 {
 public:
   bool Reached(shutdown_stage aStage) const { return mStage >= aStage; }
+  shutdown_stage Stage() const { return mStage; }
   /// Stages are never left for an earlier one.
   void Enter(shutdown_stage aStage)
   {
--- a/packages/gateway/tests/shutdown_sequence_test.cpp
+++ b/packages/gateway/tests/shutdown_sequence_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ExitWaitsForRequestsAndConnections);
   CPPUNIT_TEST(ShortGracePeriodStillEndsRequests);
   CPPUNIT_TEST(StreamsGoOnIntoTheLastSixthOfAnyGracePeriod);
+  CPPUNIT_TEST(DelayedDaemonEndsRequestsBeforeItsExit);
   CPPUNIT_TEST(StagesAreNeverLeftForEarlierOnes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,20 @@
     }
   }
 
+  /// Guards against an exit that drops requests without a response because the daemon was held up
+  /// from before the time to end them until after the time to exit.
+  void DelayedDaemonEndsRequestsBeforeItsExit()
+  {
+    const shutdown_times times{ milliseconds{ 2'600 }, milliseconds{ 8'000 } };
+    const milliseconds late{ 7'900 };
+    CPPUNIT_ASSERT(NextStage(shutdown_stage::Refusing, times, late, { 1, 1 }) ==
+                   shutdown_stage::Ending);
+    CPPUNIT_ASSERT(NextStage(shutdown_stage::Ending, times, late, { 1, 1 }) ==
+                   shutdown_stage::Exiting);
+    CPPUNIT_ASSERT(NextStage(shutdown_stage::Refusing, times, late, { 0, 1 }) ==
+                   shutdown_stage::Exiting);
+  }
+
   void StagesAreNeverLeftForEarlierOnes()
   {
     kj::EventLoop loop;
