End an exchange after an error by what has run, and tell what was not delivered

Found by review. An error that no other end covers, such as an invalid chunk in a caller's body, closed the connection without a response; it now goes through Finish like every end. A whole response that the exit, a slow caller or a lost connection cuts had only the line outcome=answered; it now has outcome=undelivered as well. The content type of a resumed stream is compared as a media type, without parameters and case. The head counts as sent only once its headers are valid.

--- a/packages/gateway/src/caller_response.cpp
+++ b/packages/gateway/src/caller_response.cpp
@@ -23,7 +23,8 @@
                            std::string aBody)
 {
   auto body = kj::heap<std::string>(std::move(aBody));
-  auto out = TakeUnsent().send(aStatus, ToKj(aStatusText), ToKj(aHeaders, mTable), body->size());
+  const auto headers = ToKj(aHeaders, mTable);
+  auto out = TakeUnsent().send(aStatus, ToKj(aStatusText), headers, body->size());
   auto& stream = *out;
   return stream.write(body->data(), body->size()).attach(kj::mv(out), kj::mv(body));
 }
@@ -33,7 +34,8 @@
                              const std::string& aStatusText,
                              const header_list& aHeaders)
 {
-  auto parts = TakeUnsent().send(aStatus, ToKj(aStatusText), ToKj(aHeaders, mTable));
+  const auto headers = ToKj(aHeaders, mTable);
+  auto parts = TakeUnsent().send(aStatus, ToKj(aStatusText), headers);
   mState.emplace<streaming>(streaming{ kj::mv(parts) });
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -38,7 +38,7 @@
 
 exchange::~exchange()
 {
-  if (!mOutcomeLogged) {
+  if (!mOutcomeLogged || mReplying) {
     LogDropped();
   }
   CloseAttempt(backend_outcome::Cancelled);
@@ -53,9 +53,23 @@
 {
   mRequest = std::move(aRequest);
   mConfiguration = mContext.mRoutes.Current();
-  return ReadRequestBody(aBody).exclusiveJoin(EndOfService()).then([this](exchange_end aEnd) {
-    return Finish(std::move(aEnd));
-  });
+  return ReadRequestBody(aBody)
+    .exclusiveJoin(EndOfService())
+    .catch_([this](kj::Exception&& aError) { return EndOfFailure(aError); })
+    .then([this](exchange_end aEnd) { return Finish(std::move(aEnd)); });
+}
+
+exchange_end
+exchange::EndOfFailure(const kj::Exception& aError) const
+{
+  if (mBodyComplete) {
+    return no_answer{ aError.getDescription().cStr() };
+  }
+  if (aError.getType() == kj::Exception::Type::DISCONNECTED) {
+    return caller_left{};
+  }
+  constexpr unsigned int kBadRequest = 400;
+  return request_rejected{ kBadRequest, aError.getDescription().cStr() };
 }
 
 kj::Promise<exchange_end>
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -1,5 +1,6 @@
 #include "exchange_p.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 #include <algorithm>
@@ -42,12 +43,14 @@
   return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
 }
 
+/// The media type of a response in lower case, without parameters.
 std::string
-ContentType(const response_head& aHead)
+MediaType(const response_head& aHead)
 {
   for (const auto& [name, value] : aHead.mHeaders) {
     if (absl::EqualsIgnoreCase(name, "Content-Type")) {
-      return value;
+      const auto type = absl::StripAsciiWhitespace(value.substr(0, value.find(';')));
+      return absl::AsciiStrToLower(type);
     }
   }
   return {};
@@ -298,7 +301,7 @@
   }
   if (success && mRoute->mKind == route_kind::Streaming) {
     mMayHaveExecuted = true;
-    if (mResponse.Started() && ContentType(mResponseHead) != mStreamType) {
+    if (mResponse.Started() && MediaType(mResponseHead) != mStreamType) {
       mBackendResponse = nullptr;
       CloseAttempt(backend_outcome::Failed);
       return OnAttemptFailed("the resumed stream is of another content type");
@@ -394,7 +397,7 @@
         return RelayStream();
       }
       if (!mResponse.Started()) {
-        mStreamType = ContentType(mResponseHead);
+        mStreamType = MediaType(mResponseHead);
         mResponse.StartStream(static_cast<unsigned int>(mResponseHead.mStatus),
                               mBackendResponse->mStatusText,
                               mResponseHead.mHeaders);
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -29,6 +29,8 @@
   switch (aStatus) {
     case 200:
       return "OK";
+    case 400:
+      return "Bad Request";
     case 404:
       return "Not Found";
     case 413:
@@ -121,8 +123,10 @@
 {
   const std::string text{ StatusText(aStatus) };
   const auto limit = std::max(milliseconds{ 0 }, TimeLeft()) + kSlowCallerLimit;
-  return mContext.mTimer.timeoutAfter(
-    ToKj(limit), mResponse.SendWhole(aStatus, text, aHeaders, std::move(aBody)));
+  mReplying = true;
+  return mContext.mTimer
+    .timeoutAfter(ToKj(limit), mResponse.SendWhole(aStatus, text, aHeaders, std::move(aBody)))
+    .then([this] { mReplying = false; });
 }
 
 void
@@ -155,7 +159,7 @@
     : mConnection.Disconnected()                        ? "the connection to the caller failed"
     : mConnection.Ended()                               ? "the caller closed its connection"
                                                         : "the exchange failed";
-  LogOutcome("dropped", reason);
+  LogOutcome(mReplying ? "undelivered" : "dropped", reason);
 }
 
 void
@@ -186,7 +190,8 @@
     text += " first_ms=" + since(mArrivedAt, *mFirstEventAt);
     text += " gap_ms=" + since(instant{}, instant{} + mLongestEventGap);
   }
-  if (aOutcome == "dropped" || aOutcome == "broken") {
+  const bool unfinished = aOutcome == "dropped" || aOutcome == "undelivered";
+  if (unfinished || aOutcome == "broken") {
     text += " body=" + std::to_string(mBody.Text().size());
     text += " received=" + std::to_string(mBytesReceived);
     text += " sent=" + std::to_string(mConnection.WrittenBytes() - mSentBefore);
@@ -195,8 +200,8 @@
   text += " reason=\"";
   text += aReason;
   text += '"';
-  // Nothing but this line tells of a dropped request, so it must not be lost among others.
-  Log(aOutcome == "dropped" ? log_level::Warning : log_level::Info, "request", text);
+  // Nothing but this line tells of such a request, so it must not be lost among others.
+  Log(unfinished ? log_level::Warning : log_level::Info, "request", text);
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -170,6 +170,8 @@
   /// Asks the prefill engine to free a KV cache that no decode engine will fetch.
   void ReleaseUnusedKv();
   exchange_end TimeLimitEnd() const;
+  /// The end after an error that no other end covers, e.g. a body that is not valid HTTP.
+  exchange_end EndOfFailure(const kj::Exception& aError) const;
   /// Resolves when a shutdown of the daemon ends this exchange. A request that has not arrived
   /// whole when the daemon begins to refuse might not finish in time. One whose response has not
   /// begun when the grace period is nearly over is ended while its caller can still be told.
@@ -206,7 +208,8 @@
   http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
   void CloseAttempt(backend_outcome aOutcome);
-  /// Logs that the exchange is destroyed before it has ended: nothing else tells of it.
+  /// Logs that the exchange is destroyed before it has ended, or before the caller has received all
+  /// of its response: nothing else tells of it.
   void LogDropped();
   /// Logs and counts the outcome of the request, or of an attempt that is retried.
   void LogOutcome(std::string_view aOutcome, std::string_view aReason);
@@ -233,6 +236,7 @@
   bool mBodyComplete = false;
   bool mMayHaveExecuted = false;
   bool mAttemptOpen = false;   ///< sent to a server that has not answered yet
+  bool mReplying = false;      ///< a whole response is being written
   bool mOutcomeLogged = false; ///< the request has ended, as far as the log tells
 
   std::optional<kv_source> mUnusedKv; ///< prefilled, not yet fetched by a decode engine
@@ -254,7 +258,7 @@
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
   std::unique_ptr<http_answer> mBackendResponse;
   response_head mResponseHead;
-  std::string mStreamType; ///< content type of the stream that has begun
+  std::string mStreamType; ///< media type of the stream that has begun
   sse_splitter mEvents;
   kj::Array<kj::byte> mReadBuffer;
 };
