Linger while the caller sends, and find connections idle twice before closing them

Change: lingering ends after a second without input, at the latest after five. A connection is closed when two checks in a row find it idle. Connections that cannot be accepted, e.g. for want of descriptors, no longer end the accept loop.

The tests of idle connections make two checks. The accept loop has no test.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -5,6 +5,7 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -14,8 +15,13 @@
 constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
 /// Time from the end of a response that announces the close of its connection to the close.
 constexpr std::chrono::milliseconds kAnnouncedCloseDelay{ 50 };
-/// How long a connection that the daemon closes stays open for reading.
-constexpr std::chrono::milliseconds kLingerLimit{ 1'000 };
+/// A connection that the daemon closes stays open for reading until the caller has sent nothing for
+/// the first time, and for the second time at most.
+constexpr std::chrono::milliseconds kLingerSilence{ 1'000 };
+constexpr std::chrono::milliseconds kLingerLimit{ 5'000 };
+constexpr std::size_t kDiscardBytes = 4 * 1'024;
+/// Pause after connections could not be accepted, e.g. for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
 /// Time without a request in which a caller has to take the rest of a response.
 constexpr std::chrono::milliseconds kSlowCallerLimit{ 5'000 };
 
@@ -100,13 +106,15 @@
       mIdleSince = aNow;
     }
     if (mActiveRequests > 0) {
+      mSeemedIdle = false;
       return false;
     }
     auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
     if (mCloseAnnounced && mStream->UnwrittenBytes() == 0) {
       limit = std::min(limit, kAnnouncedCloseDelay);
     }
-    return aNow - mIdleSince >= limit;
+    // The second check in a row decides: a request may have arrived and not been read yet.
+    return std::exchange(mSeemedIdle, aNow - mIdleSince >= limit) && mSeemedIdle;
   }
 
 private:
@@ -139,6 +147,7 @@
       // The caller has left already.
       Log(log_level::Debug, "callers", error->getDescription().cStr());
     } else {
+      mDiscarded = kj::heapArray<kj::byte>(kDiscardBytes);
       discarding =
         DiscardInput().exclusiveJoin(mOwner.mContext.mTimer.afterDelay(ToKj(kLingerLimit)));
     }
@@ -147,9 +156,12 @@
 
   kj::Promise<void> DiscardInput()
   {
-    return mStream->tryRead(mDiscarded, 1, sizeof(mDiscarded))
+    auto silence =
+      mOwner.mContext.mTimer.afterDelay(ToKj(kLingerSilence)).then([] { return std::size_t{ 0 }; });
+    return mStream->tryRead(mDiscarded.begin(), 1, mDiscarded.size())
+      .exclusiveJoin(kj::mv(silence))
       .then(
-        [this](size_t aBytes) -> kj::Promise<void> {
+        [this](std::size_t aBytes) -> kj::Promise<void> {
           if (aBytes == 0) {
             return kj::READY_NOW;
           }
@@ -175,10 +187,11 @@
   std::size_t mActiveRequests = 0;
   instant mIdleSince;
   std::uint64_t mReadBefore = 0; ///< bytes read at the last check for idleness
+  bool mSeemedIdle = false;      ///< at the last check
   bool mCloseAnnounced = false;  ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
-  kj::byte mDiscarded[4'096]{};
+  kj::Array<kj::byte> mDiscarded;
   kj::Promise<void> mServing = nullptr;
 };
 
@@ -192,11 +205,18 @@
 kj::Promise<void>
 caller_listener::Accept(kj::ConnectionReceiver& aPort)
 {
-  return aPort.accept().then([this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
-    mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
-    mConnections.back()->Start();
-    return Accept(aPort);
-  });
+  return aPort.accept().then(
+    [this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
+      mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
+      mConnections.back()->Start();
+      return Accept(aPort);
+    },
+    [this, &aPort](kj::Exception&& aError) {
+      Log(log_level::Error, "callers", aError.getDescription().cStr());
+      return mContext.mTimer.afterDelay(ToKj(kAcceptRetryPause)).then([this, &aPort] {
+        return Accept(aPort);
+      });
+    });
 }
 
 std::uint64_t
--- a/packages/gateway/tests/caller_listener_test.cpp
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(CallerThatNeverReadsIsClosed);
   CPPUNIT_TEST(ConnectionIsNotIdleWhileARequestArrives);
   CPPUNIT_TEST(IdleConnectionIsClosedGracefully);
+  CPPUNIT_TEST(RequestThatMeetsTheIdleLimitIsServed);
+  CPPUNIT_TEST(LingerLastsWhileTheCallerSends);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kHead = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
@@ -43,6 +45,15 @@
     return caller;
   }
 
+  /// Two rounds of the check for idle connections.
+  static void CheckTwice(exchange_fixture& aFixture)
+  {
+    for (int i = 0; i < 2; ++i) {
+      aFixture.mListener.CloseIdle(milliseconds{ 300 }, aFixture.mClock.Now());
+      aFixture.Run();
+    }
+  }
+
   /// Guards against a stream that loses its last chunk because its connection counts as idle, or
   /// the daemon exits, while a slow caller has not read all of it.
   void SlowCallerReceivesTheLastChunk()
@@ -52,8 +63,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.OpenRequests());
     CPPUNIT_ASSERT(fixture.mListener.UnwrittenBytes() > 0);
     fixture.Advance(seconds{ 2 });
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
-    fixture.Run();
+    CheckTwice(fixture);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.Connections());
     CPPUNIT_ASSERT_EQUAL(std::string{ "0\r\n\r\n" }, fixture.Read(*caller));
   }
@@ -79,7 +89,7 @@
     fixture.Advance(milliseconds{ 250 });
     fixture.Write(*caller, "POST /stream/a HTTP/1.1\r\nHost: a.ex");
     fixture.Advance(milliseconds{ 100 });
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    CheckTwice(fixture);
     fixture.Write(*caller, "ample\r\nId: r1\r\nContent-Length: 1\r\n\r\nb");
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mServers.size());
@@ -91,7 +101,7 @@
     auto caller = fixture.mPort.Connect();
     fixture.Run();
     fixture.Advance(milliseconds{ 400 });
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    CheckTwice(fixture);
     CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
     // What the caller sends at the same moment is read and discarded.
     fixture.Write(*caller, kHead);
@@ -101,6 +111,50 @@
     fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
   }
+
+  /// Guards against a request that is discarded because it has arrived, and has not been read, when
+  /// its connection is found idle.
+  void RequestThatMeetsTheIdleLimitIsServed()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Run();
+    fixture.Advance(milliseconds{ 400 });
+    const std::string request{ kHead };
+    auto writing = caller->write(request.data(), request.size()).eagerlyEvaluate(nullptr);
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.Run();
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
+  }
+
+  /// Guards against a refusal that is lost to a reset because its caller goes on sending its body
+  /// for longer than the daemon reads it.
+  void LingerLastsWhileTheCallerSends()
+  {
+    exchange_fixture fixture;
+    fixture.mShutdown.Enter(shutdown_stage::Refusing);
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller,
+                  "POST /order/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
+                  "Content-Length: 200000\r\n\r\n");
+    CPPUNIT_ASSERT(fixture.Read(*caller).starts_with("HTTP/1.1 503 "));
+    for (int i = 0; i < 30; ++i) {
+      fixture.Write(*caller, std::string(1'000, 'x'));
+      fixture.Advance(milliseconds{ 100 });
+      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        std::to_string(i), std::size_t{ 1 }, fixture.mListener.Connections());
+    }
+    for (int i = 0; i < 30; ++i) {
+      fixture.Advance(milliseconds{ 100 });
+      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.Run();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_listener_test);
