Remove the object of a daemon that leaves during a list

Found by review: a list that had begun before the daemon was told to stop found its object again, and the registration that follows returned early.

--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -86,7 +86,11 @@
 kj::Promise<void>
 daemon_registry::Register()
 {
-  if (mRevision || mLeaving) {
+  if (mLeaving) {
+    // A list may have found the object after the daemon began to leave.
+    return Deregister();
+  }
+  if (mRevision) {
     return kj::READY_NOW;
   }
   return Write(false)
