--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -49,8 +49,8 @@
 {
   for (const auto& [name, value] : aHead.mHeaders) {
     if (absl::EqualsIgnoreCase(name, "Content-Type")) {
-      const auto type = absl::StripAsciiWhitespace(value.substr(0, value.find(';')));
-      return absl::AsciiStrToLower(type);
+      const absl::string_view whole{ value };
+      return absl::AsciiStrToLower(absl::StripAsciiWhitespace(whole.substr(0, whole.find(';'))));
     }
   }
   return {};
--- a/packages/gateway/tests/exchange_test.cpp
+++ b/packages/gateway/tests/exchange_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(EndOfServiceAnswersByWhatHasRun);
   CPPUNIT_TEST(EndOfServiceLeavesBegunStreams);
   CPPUNIT_TEST(BegunStreamTakesNoTextOfAnotherType);
+  CPPUNIT_TEST(StreamIsResumedWithAnEqualMediaType);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Request(const std::string& aRoute)
@@ -119,6 +120,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.OpenRequests());
   }
+
+  /// Guards against a resumed stream that is refused for the case or the parameters of its content
+  /// type.
+  void StreamIsResumedWithAnEqualMediaType()
+  {
+    exchange_fixture fixture;
+    fixture.AddServer("s2");
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, Request("resumed"));
+    const auto stream = [](const std::string& aType) {
+      return "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Type: " + aType +
+             "\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string{ kEvent };
+    };
+    auto& first = *fixture.mServers.front();
+    fixture.Read(first);
+    fixture.Write(first, stream("text/event-stream"));
+    CPPUNIT_ASSERT(fixture.Read(*caller).ends_with(kEvent));
+    first.shutdownWrite();
+    fixture.Run();
+    auto& second = *fixture.mServers.back();
+    fixture.Read(second);
+    fixture.Write(second, stream("Text/Event-Stream; charset=utf-8") + "0\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string{ kEvent } + "0\r\n\r\n", fixture.Read(*caller));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_test);
