Keep the limit for slow callers in one place

The time in which a caller has to take a response stood as two constants of the same name and value, in the exchange and in the listener. Behaviour does not change.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t kDiscardBytes = 4 * 1'024;
 /// Pause after connections could not be accepted, e.g. for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
-/// Time without a request in which a caller has to take the rest of a response.
-constexpr std::chrono::milliseconds kSlowCallerLimit{ 5'000 };
 
 } // namespace
 
--- a/packages/gateway/src/caller_response_p.h
+++ b/packages/gateway/src/caller_response_p.h
@@ -5,12 +5,17 @@
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <variant>
 
 namespace skylarkwind {
 
+/// Time in which a caller has to take the rest of a response that is ready: beyond the limit of its
+/// request, and before its connection counts as idle.
+inline constexpr std::chrono::milliseconds kSlowCallerLimit{ 5'000 };
+
 /// The response to one request of a caller. Its head is sent once: either with a whole body, or
 /// before a stream of parts. A second head would reach the caller as part of the first response.
 class caller_response
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -14,8 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/// Time beyond the request's own limit in which a caller has to take a response that is ready.
-constexpr milliseconds kSlowCallerLimit{ 5'000 };
 /// Upper bounds of the buckets of the latency histogram.
 constexpr std::array kLatencyBounds{ milliseconds{ 50 },    milliseconds{ 100 },
                                      milliseconds{ 200 },   milliseconds{ 300 },
