Keep a silent stream open until a replacement delivers an event

Callers saw a stream break off in the middle, with most of its time limit left, because its engine had sent nothing for the larger of 700 ms and four event gaps and went on a little later. The daemon cancelled the read, which closes the connection and ends the work at the engine, before it knew whether another engine would take the stream. Without room, attempts or retry budget elsewhere, nothing could bring the answer back.

The silent stream now stays open and is read while a replacement is sought. Whichever delivers a complete event first is kept, and the other one is cancelled in the same turn of the event loop, so that no event is relayed twice. When no replacement can be had, the silent stream is waited for until the time limit.

A second fault of the same timer goes with it: time in which the caller had not taken the last event counted as silence of the engine.

The log has an outcome "silent" when a replacement is sought, then "continued" or "replaced".

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,6 +46,8 @@
   std::string mEchoedId;
   /// Longest idle time of a connection that may be reused; zero forces a new one.
   std::chrono::milliseconds mMaxIdleForReuse{ 60'000 };
+  /// Called when the server may begin to receive the request, if set.
+  std::function<void()> mOnSend;
 };
 
 /// Why a request got no response.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -41,7 +41,7 @@
   if (!mOutcomeLogged || mReplying) {
     LogDropped();
   }
-  CloseAttempt(backend_outcome::Cancelled);
+  EndAttempts();
   ReleaseUnusedKv();
   if (mResponse.Streaming()) {
     mConnection.Abort();
@@ -175,6 +175,7 @@
 kj::Promise<exchange_end>
 exchange::Attempt()
 {
+  mOverlapLimit = nullptr;
   if (TimeLeft() < kMinTimeLeft) {
     return TimeLimitEnd();
   }
@@ -238,10 +239,16 @@
 }
 
 bool
-exchange::MayRetry()
+exchange::HasAttemptsLeft() const
 {
   return mAttemptsSent < mRoute->mMaxAttempts && mExcludedServers.size() < kMaxServersTried &&
-         TimeLeft() >= kMinTimeLeft &&
+         TimeLeft() >= kMinTimeLeft;
+}
+
+bool
+exchange::MayRetry()
+{
+  return HasAttemptsLeft() &&
          mContext.mRetryBudget.CanTake(mService->mName, 1, Daemons(), mContext.mClock.Now());
 }
 
@@ -257,7 +264,7 @@
 kj::Promise<exchange_end>
 exchange::OnNotExecuted(std::string_view aReason, bool aSent)
 {
-  mExcludedServers.push_back(mTarget.mId);
+  mExcludedServers.push_back(mAttempt->mTarget.mId);
   const bool mayRetry =
     aSent ? MayRetry() : mExcludedServers.size() < kMaxServersTried && TimeLeft() >= kMinTimeLeft;
   if (mayRetry) {
@@ -280,8 +287,8 @@
 kj::Promise<exchange_end>
 exchange::OnAttemptFailed(std::string_view aReason)
 {
-  mEvents.DiscardIncomplete();
-  mExcludedServers.push_back(mTarget.mId);
+  mAttempt->mEvents.DiscardIncomplete();
+  mExcludedServers.push_back(mAttempt->mTarget.mId);
   if (mRoute->IsRetryable() && MayRetry()) {
     LogOutcome("repeat", aReason);
     return Attempt();
@@ -300,11 +307,11 @@
 }
 
 void
-exchange::CloseAttempt(backend_outcome aOutcome)
+exchange::CloseAttempt(backend_attempt& aAttempt, backend_outcome aOutcome)
 {
-  if (mTicket) {
-    mContext.mLoadTracker.End(*mTicket, aOutcome, mContext.mClock.Now());
-    mTicket.reset();
+  if (aAttempt.mTicket) {
+    mContext.mLoadTracker.End(*aAttempt.mTicket, aOutcome, mContext.mClock.Now());
+    aAttempt.mTicket.reset();
   }
 }
 
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -1,8 +1,5 @@
 #include "exchange_p.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
-
 #include <algorithm>
 
 namespace skylarkwind {
@@ -12,22 +9,16 @@
 using std::chrono::milliseconds;
 using milliseconds_f = std::chrono::duration<double, std::milli>;
 
-constexpr std::size_t kReadBufferBytes = 8 * 1'024;
 /// Responses that are not streamed are buffered until they are complete.
 constexpr std::size_t kMaxResponseBytes = 1'024 * 1'024;
 /// The response to a prefill holds a handle and two numbers.
 constexpr std::size_t kMaxPrefillResponseBytes = 16 * 1'024;
-/// Limit of one event, and of the comments between two events. An event holds the tokens of a few
-/// decoding steps.
-constexpr std::size_t kMaxEventBytes = 64 * 1'024;
-/// A resumable stream moves to another engine when its engine sends no complete event for longer
-/// than this and than `kSilenceGapFactor` times the route's target event gap.
-constexpr milliseconds kMinSilenceTimeout{ 700 };
-constexpr int kSilenceGapFactor = 4;
 /// A prefill times out after this multiple of its predicted time, but not before
 /// `kMinPrefillTimeout`. Work that is abandoned too early is done twice.
 constexpr double kPrefillTimeoutFactor = 4;
 constexpr milliseconds kMinPrefillTimeout{ 1'300 };
+/// Limit of the call that frees a KV cache.
+constexpr milliseconds kReleaseTimeout{ 700 };
 /// Requests that must not be retried reuse only connections that were idle for less than this time,
 /// because a server may have closed its end.
 constexpr milliseconds kMaxIdleForNonRetryable{ 1'000 };
@@ -43,19 +34,6 @@
   return aStatus == 429 || aStatus == 503 || aStatus == 408 || aStatus == 421;
 }
 
-/// The media type of a response in lower case, without parameters.
-std::string
-MediaType(const response_head& aHead)
-{
-  for (const auto& [name, value] : aHead.mHeaders) {
-    if (absl::EqualsIgnoreCase(name, "Content-Type")) {
-      const absl::string_view whole{ value };
-      return absl::AsciiStrToLower(absl::StripAsciiWhitespace(whole.substr(0, whole.find(';'))));
-    }
-  }
-  return {};
-}
-
 } // namespace
 
 bool
@@ -73,14 +51,14 @@
 void
 exchange::ReadResponseHead()
 {
-  mResponseHead =
-    mContext.mProtocolAdapter.ParseResponse(mBackendResponse->mStatus, mBackendResponse->mHeaders);
-  if (BelongsToOtherRequest(mResponseHead)) {
+  mAttempt->mResponseHead = mContext.mProtocolAdapter.ParseResponse(
+    mAttempt->mBackendResponse->mStatus, mAttempt->mBackendResponse->mHeaders);
+  if (BelongsToOtherRequest(mAttempt->mResponseHead)) {
     // Its load, back-off and leaving may be of an earlier time, too.
     return;
   }
-  ApplyServerSignals(mResponseHead,
-                     mTarget,
+  ApplyServerSignals(mAttempt->mResponseHead,
+                     mAttempt->mTarget,
                      mContext.mDirectory,
                      mContext.mLoadTracker,
                      mContext.mLoadExchange,
@@ -110,7 +88,7 @@
 {
   const auto& engine = *aPlacement.mPrefill;
   const auto now = mContext.mClock.Now();
-  mTicket = mContext.mLoadTracker.Begin(
+  mAttempt->mTicket = mContext.mLoadTracker.Begin(
     engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
   ++mPrefillsSent;
   mContext.mPrefixCacheIndex.OnPrefillStarted(
@@ -123,15 +101,15 @@
   if (aPlacement.mFetchFrom != nullptr) {
     attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
   }
-  mSentAt = now;
-  mTargetFetches = false;
+  mAttempt->mSentAt = now;
+  mAttempt->mTargetFetches = false;
   auto call = BuildCall(engine, attempt);
   auto plan = kj::heap<placement>(aPlacement);
-  mTarget = engine;
+  mAttempt->mTarget = engine;
   // The target is copied, as the directory may change before the prefill ends.
   auto target = kj::heap<backend_server>(*aPlacement.mTarget);
   plan->mTarget = target.get();
-  plan->mPrefill = &mTarget;
+  plan->mPrefill = &mAttempt->mTarget;
   const auto limit = std::max(
     kMinPrefillTimeout,
     std::chrono::duration_cast<milliseconds>(kPrefillTimeoutFactor * aPlacement.mPrefillTime));
@@ -149,21 +127,22 @@
         }
         return OnNotExecuted(failure->mReason, failure->mSent);
       }
-      mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
+      mAttempt->mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
       ReadResponseHead();
-      if (BelongsToOtherRequest(mResponseHead)) {
-        mBackendResponse = nullptr;
+      if (BelongsToOtherRequest(mAttempt->mResponseHead)) {
+        mAttempt->mBackendResponse = nullptr;
         CloseAttempt(backend_outcome::Failed);
         return OnNotExecuted("the answer to the prefill belongs to another request", true);
       }
-      return ReadBodyOrThrow(
-               mBackendResponse->Body(), kMaxPrefillResponseBytes, mContext.mResponseBodies)
+      return ReadBodyOrThrow(mAttempt->mBackendResponse->Body(),
+                             kMaxPrefillResponseBytes,
+                             mContext.mResponseBodies)
         .then(
           [this, plan = kj::mv(plan), target = kj::mv(target)](
             buffered_body aText) mutable -> kj::Promise<exchange_end> {
-            mContext.mPool.Release(std::move(mBackendResponse),
-                                   mResponseHead.mClosesConnection,
-                                   mResponseHead.mKeepAlive);
+            mContext.mPool.Release(std::move(mAttempt->mBackendResponse),
+                                   mAttempt->mResponseHead.mClosesConnection,
+                                   mAttempt->mResponseHead.mKeepAlive);
             auto prefilled = OnPrefilled(*plan, aText.Text());
             return prefilled.attach(kj::mv(plan), kj::mv(target));
           },
@@ -178,12 +157,12 @@
 exchange::LearnPromptTime(const placement& aPlacement, instant aNow)
 {
   auto& model = mContext.mEngineModels.At(mService->mName);
-  const milliseconds_f taken = aNow - mSentAt;
-  if (mTargetFetches) {
+  const milliseconds_f taken = aNow - mAttempt->mSentAt;
+  if (mAttempt->mTargetFetches) {
     model.OnFetchedStreamStarted((taken - aPlacement.mHandoverTime).count());
     return;
   }
-  model.OnPromptComputed(mTarget.mRole,
+  model.OnPromptComputed(mAttempt->mTarget.mRole,
                          static_cast<double>(aPlacement.mComputeTokens) + aPlacement.mQueuedTokens,
                          (taken - aPlacement.mFetchTime).count());
 }
@@ -193,24 +172,26 @@
 {
   const auto now = mContext.mClock.Now();
   auto handle = mContext.mProtocolAdapter.ParsePrefillHandle(aBody);
-  if (mResponseHead.mStatus != 200 || !handle.ok()) {
-    CloseAttempt(mResponseHead.mNotExecuted ? backend_outcome::Refused : backend_outcome::Failed);
+  if (mAttempt->mResponseHead.mStatus != 200 || !handle.ok()) {
+    CloseAttempt(mAttempt->mResponseHead.mNotExecuted ? backend_outcome::Refused
+                                                      : backend_outcome::Failed);
     if (mPrefillsSent == 1) {
       // A first prefill costs no retry budget, but only if the engine accepts it.
       mContext.mRetryBudget.RecordRetry(mService->mName, now);
     }
-    return OnNotExecuted(
-      "the prefill was refused with status " + std::to_string(mResponseHead.mStatus), true);
+    return OnNotExecuted("the prefill was refused with status " +
+                           std::to_string(mAttempt->mResponseHead.mStatus),
+                         true);
   }
-  mContext.mLoadTracker.OnFirstResponse(*mTicket, now);
+  mContext.mLoadTracker.OnFirstResponse(*mAttempt->mTicket, now);
   LearnPromptTime(aPlacement, now);
-  mContext.mPrefixCacheIndex.OnCached(mTarget.mId, mRequest.mGeneration->mSegments, now);
+  mContext.mPrefixCacheIndex.OnCached(mAttempt->mTarget.mId, mRequest.mGeneration->mSegments, now);
   mContext.mPrefixUpdates.Notify();
-  mContext.mPrefixCacheIndex.OnTokensAdded(mTarget.mId, AddedTokens(aPlacement));
-  const kv_source source{ mTarget.mAddress, *handle };
+  mContext.mPrefixCacheIndex.OnTokensAdded(mAttempt->mTarget.mId, AddedTokens(aPlacement));
+  const kv_source source{ mAttempt->mTarget.mAddress, *handle };
   CloseAttempt(backend_outcome::Answered);
   mUnusedKv = source;
-  mUnusedKvEngine = mTarget.mId;
+  mUnusedKvEngine = mAttempt->mTarget.mId;
   return Send(aPlacement, source);
 }
 
@@ -225,31 +206,34 @@
   if (mContext.mClock.Now() < mContext.mLoadTracker.BackoffUntil(listed->mId)) {
     return OnNotExecuted("the chosen server wants no requests for a time", false);
   }
-  mTarget = *listed;
-  mTargetAddedTokens = 0;
+  mAttempt->mTarget = *listed;
+  mAttempt->mTargetAddedTokens = 0;
   if (mRequest.mGeneration) {
-    mTargetAddedTokens = aKv ? mRequest.mGeneration->mPromptTokens : AddedTokens(aPlacement);
+    mAttempt->mTargetAddedTokens =
+      aKv ? mRequest.mGeneration->mPromptTokens : AddedTokens(aPlacement);
   }
   const auto now = mContext.mClock.Now();
   const bool prefilled = aKv.has_value();
-  mPlacement = aPlacement;
-  mPlacement.mTarget = nullptr;
-  mPlacement.mPrefill = nullptr;
-  mPlacement.mFetchFrom = nullptr;
-  mSentAt = now;
-  mTargetFetches = prefilled;
-  mTicket = mContext.mLoadTracker.Begin(mTarget.mId,
-                                        prefilled ? 0 : aPlacement.mComputeTokens,
-                                        prefilled ? milliseconds_f{ 0 } : aPlacement.mPrefillTime,
-                                        now);
+  mAttempt->mPlacement = aPlacement;
+  mAttempt->mPlacement.mTarget = nullptr;
+  mAttempt->mPlacement.mPrefill = nullptr;
+  mAttempt->mPlacement.mFetchFrom = nullptr;
+  mAttempt->mSentAt = now;
+  mAttempt->mTargetFetches = prefilled;
+  mAttempt->mTicket =
+    mContext.mLoadTracker.Begin(mAttempt->mTarget.mId,
+                                prefilled ? 0 : aPlacement.mComputeTokens,
+                                prefilled ? milliseconds_f{ 0 } : aPlacement.mPrefillTime,
+                                now);
   forward_attempt attempt;
-  attempt.mBackendId = mTarget.mId;
+  attempt.mBackendId = mAttempt->mTarget.mId;
   attempt.mTimeLeft = TimeLeft();
-  attempt.mResumeAfter = mEvents.LastId().empty() ? mRequest.mResumeAfter : mEvents.LastId();
+  attempt.mResumeAfter =
+    mAttempt->mEvents.LastId().empty() ? mRequest.mResumeAfter : mAttempt->mEvents.LastId();
   attempt.mKv = std::move(aKv);
   if (mRequest.mGeneration) {
     if (!prefilled) {
-      mContext.mPrefixCacheIndex.OnPrefillStarted(mTarget.mId,
+      mContext.mPrefixCacheIndex.OnPrefillStarted(mAttempt->mTarget.mId,
                                                   mRequest.mGeneration->mSegments,
                                                   kPrefillWaitFactor * aPlacement.mPrefillTime,
                                                   now);
@@ -259,9 +243,12 @@
       attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
     }
   }
-  auto call = BuildCall(mTarget, attempt);
+  auto call = BuildCall(mAttempt->mTarget, attempt);
   call.mMaxIdleForReuse = std::min(
     call.mMaxIdleForReuse, mRoute->IsRetryable() ? kMaxIdleForRetryable : kMaxIdleForNonRetryable);
+  if (mSilentAttempt) {
+    call.mOnSend = [this] { OnReplacementSent(); };
+  }
   ++mAttemptsSent;
   mAttemptOpen = true;
   auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
@@ -284,47 +271,41 @@
     mMayHaveExecuted = true;
     return OnAttemptFailed(failure->mReason);
   }
-  mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
+  mAttempt->mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
   ReadResponseHead();
-  if (BelongsToOtherRequest(mResponseHead)) {
+  if (BelongsToOtherRequest(mAttempt->mResponseHead)) {
     mMayHaveExecuted = true;
-    mBackendResponse = nullptr;
+    mAttempt->mBackendResponse = nullptr;
     CloseAttempt(backend_outcome::Failed);
     return OnAttemptFailed("the answer belongs to another request");
   }
-  const bool success = mResponseHead.mStatus / 100 == 2;
-  if (success && !mResponseHead.mSigned) {
+  const bool success = mAttempt->mResponseHead.mStatus / 100 == 2;
+  if (success && !mAttempt->mResponseHead.mSigned) {
     mMayHaveExecuted = true;
-    mBackendResponse = nullptr;
+    mAttempt->mBackendResponse = nullptr;
     CloseAttempt(backend_outcome::Failed);
     return OnAttemptFailed("the answer carries no signature");
   }
   if (success && mRoute->mKind == route_kind::Streaming) {
     mMayHaveExecuted = true;
-    if (mResponse.Started() && MediaType(mResponseHead) != mStreamType) {
-      mBackendResponse = nullptr;
-      CloseAttempt(backend_outcome::Failed);
-      return OnAttemptFailed("the resumed stream is of another content type");
-    }
     mUnusedKv.reset();
-    mReadBuffer = kj::heapArray<kj::byte>(kReadBufferBytes);
-    mLastEventAt = mContext.mClock.Now();
-    mBytesWithoutEvent = 0;
     return RelayStream();
   }
-  mMayHaveExecuted = mMayHaveExecuted || !mResponseHead.mNotExecuted;
-  return ReadBodyOrThrow(mBackendResponse->Body(), kMaxResponseBytes, mContext.mResponseBodies)
+  mMayHaveExecuted = mMayHaveExecuted || !mAttempt->mResponseHead.mNotExecuted;
+  return ReadBodyOrThrow(
+           mAttempt->mBackendResponse->Body(), kMaxResponseBytes, mContext.mResponseBodies)
     .then(
       [this](buffered_body aBody) {
-        mContext.mLoadTracker.OnFirstResponse(*mTicket, mContext.mClock.Now());
-        mContext.mPool.Release(
-          std::move(mBackendResponse), mResponseHead.mClosesConnection, mResponseHead.mKeepAlive);
-        return OnBufferedResponse(mResponseHead, aBody.Text());
+        mContext.mLoadTracker.OnFirstResponse(*mAttempt->mTicket, mContext.mClock.Now());
+        mContext.mPool.Release(std::move(mAttempt->mBackendResponse),
+                               mAttempt->mResponseHead.mClosesConnection,
+                               mAttempt->mResponseHead.mKeepAlive);
+        return OnBufferedResponse(mAttempt->mResponseHead, aBody.Text());
       },
       [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
-        mBackendResponse = nullptr;
+        mAttempt->mBackendResponse = nullptr;
         CloseAttempt(backend_outcome::Failed);
-        if (mResponseHead.mNotExecuted) {
+        if (mAttempt->mResponseHead.mNotExecuted) {
           return OnNotExecuted("a refusal broke off", true);
         }
         return OnAttemptFailed(aError.getDescription().cStr());
@@ -341,7 +322,7 @@
   const bool failed = aHead.mStatus >= 500;
   CloseAttempt(failed ? backend_outcome::Failed : backend_outcome::Answered);
   if (failed && mRoute->IsRetryable() && MayRetry()) {
-    mExcludedServers.push_back(mTarget.mId);
+    mExcludedServers.push_back(mAttempt->mTarget.mId);
     LogOutcome("repeat", "status " + std::to_string(aHead.mStatus));
     return Attempt();
   }
@@ -356,98 +337,6 @@
   return exchange_end{ server_answer{ aHead.mStatus, aHead.mHeaders, std::move(aBody) } };
 }
 
-kj::Promise<exchange_end>
-exchange::RelayStream()
-{
-  auto reading = mBackendResponse->Body().tryRead(mReadBuffer.begin(), 1, mReadBuffer.size());
-  const auto* listed = mContext.mDirectory.Find(mTarget.mId);
-  const bool hasSilenceTimeout =
-    mRoute->IsRetryable() && mAttemptsSent < mRoute->mMaxAttempts && listed != nullptr;
-  auto timedReading = kj::mv(reading);
-  if (hasSilenceTimeout) {
-    // Only complete events count as progress: a stalled engine may still send comments or parts of
-    // an event.
-    const auto limit = std::max(kMinSilenceTimeout, mRoute->mTargetEventGap * kSilenceGapFactor);
-    const auto timeout = mEvents.Events() == 0 ? limit + mRoute->mTargetLatency : limit;
-    const auto silent =
-      std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mLastEventAt);
-    timedReading = mContext.mTimer.timeoutAfter(ToKj(std::max(milliseconds{ 0 }, timeout - silent)),
-                                                kj::mv(timedReading));
-  }
-  return timedReading.then(
-    [this](size_t aBytes) -> kj::Promise<exchange_end> {
-      if (aBytes == 0) {
-        return OnStreamEnd();
-      }
-      const auto before = mEvents.Events();
-      const auto complete =
-        mEvents.Feed({ reinterpret_cast<const char*>(mReadBuffer.begin()), aBytes });
-      mBytesWithoutEvent += aBytes;
-      mBytesReceived += aBytes;
-      if (mEvents.Events() > before) {
-        mBytesWithoutEvent = 0;
-        OnEvents(before == 0);
-      }
-      if (mBytesWithoutEvent > kMaxEventBytes || mEvents.Incomplete().size() > kMaxEventBytes) {
-        mBackendResponse = nullptr;
-        CloseAttempt(backend_outcome::Failed);
-        return OnAttemptFailed("the stream sends bytes without events");
-      }
-      if (complete.empty() || (!mResponse.Started() && mEvents.Events() == 0)) {
-        return RelayStream();
-      }
-      if (!mResponse.Started()) {
-        mStreamType = MediaType(mResponseHead);
-        mResponse.StartStream(static_cast<unsigned int>(mResponseHead.mStatus),
-                              mBackendResponse->mStatusText,
-                              mResponseHead.mHeaders);
-      }
-      return mResponse.Write(complete).then([this] { return RelayStream(); });
-    },
-    [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
-      mBackendResponse = nullptr;
-      CloseAttempt(aError.getType() == kj::Exception::Type::OVERLOADED ? backend_outcome::Silent
-                                                                       : backend_outcome::Failed);
-      return OnAttemptFailed(aError.getDescription().cStr());
-    });
-}
-
-void
-exchange::OnEvents(bool aFirst)
-{
-  const auto now = mContext.mClock.Now();
-  mContext.mLoadTracker.OnFirstResponse(*mTicket, now);
-  if (mFirstEventAt) {
-    mLongestEventGap = std::max(mLongestEventGap, now - mLastEventAt);
-  }
-  mFirstEventAt = mFirstEventAt.value_or(now);
-  mLastEventAt = now;
-  if (aFirst && mRequest.mGeneration) {
-    LearnPromptTime(mPlacement, now);
-    mContext.mPrefixCacheIndex.OnTokensAdded(mTarget.mId, mTargetAddedTokens);
-    mContext.mPrefixCacheIndex.OnCached(mTarget.mId, mRequest.mGeneration->mSegments, now);
-    mContext.mPrefixUpdates.Notify();
-  }
-}
-
-kj::Promise<exchange_end>
-exchange::OnStreamEnd()
-{
-  if (!mEvents.Incomplete().empty() || !mResponse.Started()) {
-    mBackendResponse = nullptr;
-    CloseAttempt(backend_outcome::Failed);
-    return OnAttemptFailed("the stream ended within an event");
-  }
-  mContext.mPool.Release(
-    std::move(mBackendResponse), mResponseHead.mClosesConnection, mResponseHead.mKeepAlive);
-  CloseAttempt(backend_outcome::Answered);
-  if (mRequest.mGeneration && mEvents.Events() > 1) {
-    mContext.mEngineModels.At(mService->mName)
-      .OnLongestEventGap(milliseconds_f{ mLongestEventGap }.count());
-  }
-  return exchange_end{ stream_complete{} };
-}
-
 void
 exchange::ReleaseUnusedKv()
 {
@@ -471,7 +360,7 @@
   auto calling = mContext.mPool.Call(std::move(call)).then([](const http_result&) {
     // Best effort: on an error the engine frees the cache by itself when the handle expires.
   });
-  mContext.mTasks.add(mContext.mTimer.timeoutAfter(ToKj(kMinSilenceTimeout), kj::mv(calling))
+  mContext.mTasks.add(mContext.mTimer.timeoutAfter(ToKj(kReleaseTimeout), kj::mv(calling))
                         .catch_([](kj::Exception&&) {
                           // The same applies when no response arrives.
                         }));
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -21,6 +21,13 @@
                                      milliseconds{ 1'500 }, milliseconds{ 3'000 },
                                      milliseconds{ 8'000 } };
 
+/// Outcomes of attempts and streams after which the request goes on.
+constexpr std::array<std::string_view, 5> kOpenOutcomes{ "retry",
+                                                         "repeat",
+                                                         "silent",
+                                                         "replaced",
+                                                         "continued" };
+
 std::string_view
 StatusText(unsigned int aStatus)
 {
@@ -57,8 +64,7 @@
 kj::Promise<void>
 exchange::Finish(exchange_end aEnd)
 {
-  mBackendResponse = nullptr;
-  CloseAttempt(backend_outcome::Cancelled);
+  EndAttempts();
   return std::visit([this](auto&& aOne) { return Finish(std::forward<decltype(aOne)>(aOne)); },
                     std::move(aEnd));
 }
@@ -163,7 +169,8 @@
 void
 exchange::LogOutcome(std::string_view aOutcome, std::string_view aReason)
 {
-  mOutcomeLogged = aOutcome != "retry" && aOutcome != "repeat";
+  mOutcomeLogged =
+    std::find(kOpenOutcomes.begin(), kOpenOutcomes.end(), aOutcome) == kOpenOutcomes.end();
   CountOutcome(aOutcome);
   const auto elapsed =
     std::chrono::duration_cast<milliseconds>(mContext.mClock.Now() - mArrivedAt).count();
@@ -173,7 +180,7 @@
   text += aOutcome;
   text += " ms=" + std::to_string(elapsed);
   text += " sends=" + std::to_string(mAttemptsSent);
-  text += " backend=" + mTarget.mId;
+  text += " backend=" + mAttempt->mTarget.mId;
   text += " route=";
   text += mRoute != nullptr ? mRoute->mName : "-";
   text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -57,6 +57,27 @@
   kj::Own<kj::PromiseFulfiller<void>> mFulfiller;
 };
 
+/// One call of an exchange to a server and, if its response is streamed, the reading of it.
+struct backend_attempt
+{
+  backend_server mTarget; ///< a copy: the directory may change during the attempt
+  std::optional<backend_load_tracker::ticket> mTicket;
+  placement mPlacement;        ///< its pointers are not kept
+  instant mSentAt{};           ///< when its last call was sent
+  bool mTargetFetches = false; ///< the prompt was computed by another engine than the target
+  std::uint32_t mTargetAddedTokens = 0; ///< tokens added to the target's KV cache
+  std::unique_ptr<http_answer> mBackendResponse;
+  response_head mResponseHead;
+  bool mStreaming = false;     ///< events of its response are being relayed
+  bool mWriting = false;       ///< the caller has not taken the last events yet
+  instant mLastEventAt{};      ///< or the start of the stream
+  instant mSilentSince{};      ///< the last event, or when the caller had taken it
+  bool mSilenceLogged = false; ///< since the last event
+  sse_splitter mEvents;        ///< of the whole response, so also of earlier attempts
+  std::size_t mBytesWithoutEvent = 0;
+  kj::Array<kj::byte> mReadBuffer;
+};
+
 /// State that all exchanges of a daemon share.
 struct exchange_context
 {
@@ -148,21 +169,49 @@
   kj::Promise<exchange_end> Send(const placement& aPlacement, std::optional<kv_source> aKv);
   kj::Promise<exchange_end> OnResponse(http_result aResult);
   kj::Promise<exchange_end> OnBufferedResponse(const response_head& aHead, std::string aBody);
-  /// Relays the server's stream of events to the caller until it ends.
+  /// Relays the server's stream of events to the caller until it ends. When the server falls
+  /// silent, a replacement is sought while its stream stays open; whichever of the two delivers an
+  /// event first is kept.
   kj::Promise<exchange_end> RelayStream();
+  kj::Promise<exchange_end> ReadEvents(backend_attempt& aAttempt);
+  kj::Promise<exchange_end> OnStreamBytes(backend_attempt& aAttempt, std::size_t aBytes);
+  /// Decides between a silent stream and its replacement, if both are open, for the one given.
+  void SelectStream(const backend_attempt& aAttempt);
+  /// The stream of the attempt cannot be continued.
+  kj::Promise<exchange_end> OnStreamFailed(backend_attempt& aAttempt, std::string_view aReason);
+
+  /// Time without a complete event after which a replacement is sought. The first event may take
+  /// the route's target latency longer.
+  std::chrono::milliseconds SilenceLimit() const;
+  bool MayReplace() const;
+  kj::Promise<void> WatchSilence();
+  void SeekReplacement();
+  /// The calls of a replacement have begun to reach its server.
+  void OnReplacementSent();
+  /// Gives up the silent stream for its replacement.
+  void TakeReplacement();
+  /// Gives up the replacement, if there still is one, and goes on with the silent stream.
+  void KeepSilentStream(std::string_view aReason);
+  /// All attempts that began with the current one have ended.
+  void OnAttemptsEnd(exchange_end aEnd);
+  /// Cancels all reading from servers and closes their connections.
+  void EndAttempts();
+
   /// Adds the time of the prompt's computation, or of the start of a stream that fetched it, to the
   /// model of the service's engines.
   void LearnPromptTime(const placement& aPlacement, instant aNow);
   /// Complete events have arrived; `aFirst` when they are the first ones of this request.
   void OnEvents(bool aFirst);
-  kj::Promise<exchange_end> OnStreamEnd();
+  kj::Promise<exchange_end> OnStreamEnd(backend_attempt& aAttempt);
 
   /// The attempt was not executed: tries another server or ends. `aSent` tells whether the server
   /// may have received bytes of it; if so, the next attempt needs retry budget.
   kj::Promise<exchange_end> OnNotExecuted(std::string_view aReason, bool aSent);
   /// The attempt may have been executed: retries only where the route allows it.
   kj::Promise<exchange_end> OnAttemptFailed(std::string_view aReason);
-  /// Whether the limits of attempts, time and retry budget allow another attempt.
+  /// Whether the limits of attempts and time allow another attempt.
+  bool HasAttemptsLeft() const;
+  /// The same with the retry budget.
   bool MayRetry();
   /// Takes the retry budget that the next attempt needs: one for each prefill and each attempt
   /// after the first one. False when the budget is used up.
@@ -207,7 +256,8 @@
   /// Builds the request to a server; its body is a view of the buffered body of this exchange.
   http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
-  void CloseAttempt(backend_outcome aOutcome);
+  void CloseAttempt(backend_outcome aOutcome) { CloseAttempt(*mAttempt, aOutcome); }
+  void CloseAttempt(backend_attempt& aAttempt, backend_outcome aOutcome);
   /// Logs that the exchange is destroyed before it has ended, or before the caller has received all
   /// of its response: nothing else tells of it.
   void LogDropped();
@@ -242,25 +292,25 @@
   std::optional<kv_source> mUnusedKv; ///< prefilled, not yet fetched by a decode engine
   std::string mUnusedKvEngine;        ///< id of the engine that holds `mUnusedKv`
   std::uint32_t mKvOffers = 0;        ///< further decode engines tried, after the first one refused
-  backend_server mTarget;             ///< a copy: the directory may change during the attempt
-  std::optional<backend_load_tracker::ticket> mTicket;
-  placement mPlacement;        ///< of the open attempt; its pointers are not kept
-  instant mSentAt{};           ///< when its last call was sent
-  bool mTargetFetches = false; ///< the prompt was computed by another engine than the target
-  std::uint32_t mTargetAddedTokens = 0; ///< tokens added to the target's KV cache
+  std::unique_ptr<backend_attempt> mAttempt = std::make_unique<backend_attempt>();
+  /// The attempt before, whose stream is silent and open, while `mAttempt` is its replacement.
+  std::unique_ptr<backend_attempt> mSilentAttempt;
   instant mAttemptStartedAt{};          ///< of the last attempt, its prefill included
   std::optional<instant> mFirstEventAt; ///< first event or whole response
-  instant mLastEventAt{};               ///< or the start of the stream
   instant::duration mLongestEventGap{}; ///< longest pause between events
-  std::size_t mBytesWithoutEvent = 0;
-  std::uint64_t mBytesReceived = 0; ///< of bodies of responses
+  std::uint64_t mBytesReceived = 0;     ///< of bodies of responses
   std::uint64_t mSentBefore = 0; ///< bytes written to the caller's connection before this request
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
-  std::unique_ptr<http_answer> mBackendResponse;
-  response_head mResponseHead;
-  std::string mStreamType; ///< media type of the stream that has begun
-  sse_splitter mEvents;
-  kj::Array<kj::byte> mReadBuffer;
+  std::string mStreamType;       ///< media type of the stream that has begun
+  instant mNextReplacementAt{};  ///< no replacement is sought before
+
+  /// Once a stream is open, each chain of attempts runs in a promise of its own, so that one can be
+  /// cancelled from the other, and the end of the exchange is passed on by `mStreamEnd`.
+  kj::Own<kj::PromiseFulfiller<exchange_end>> mStreamEnd;
+  kj::Promise<void> mRelaying = nullptr;    ///< the current stream, or the silent one
+  kj::Promise<void> mReplacement = nullptr; ///< attempts to replace a silent stream
+  kj::Promise<void> mSilenceWatch = nullptr;
+  kj::Promise<void> mOverlapLimit = nullptr;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -183,6 +183,9 @@
   headers.set(kj::HttpHeaderId::HOST, kj::str(aCall.mHost.c_str()));
   const auto method = ParseMethod(aCall.mMethod);
   const bool bodyless = method == kj::HttpMethod::GET || method == kj::HttpMethod::HEAD;
+  if (aCall.mOnSend) {
+    aCall.mOnSend();
+  }
   kj::Maybe<kj::HttpClient::Request> sentRequest;
   auto sendError = kj::runCatchingExceptions([&] {
     kj::Maybe<std::uint64_t> size = nullptr;
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -81,6 +81,7 @@
 {
 public:
   std::function<void(kj::Own<kj::AsyncIoStream>)> mAccept;
+  bool mConnects = true; ///< if not, nobody answers an attempt to connect
 
   kj::Promise<kj::Own<kj::NetworkAddress>> parseAddress(kj::StringPtr, kj::uint) override
   {
@@ -99,6 +100,9 @@
 
   kj::Promise<kj::Own<kj::AsyncIoStream>> connect() override
   {
+    if (!mConnects) {
+      return kj::NEVER_DONE;
+    }
     auto pipe = kj::newTwoWayPipe();
     mAccept(kj::mv(pipe.ends[1]));
     return kj::mv(pipe.ends[0]);
