Let a begun stream wait for a place instead of refusing it

Callers saw a stream break off right after its engine had failed or fallen silent: the rest of the stream was judged as a new request, and refused for the predicted time of its first token, for want of an engine with room at that moment, or because the retry budget of its service was used up. Beside a change of the configuration the budget of a fresh service is small and its engines have just started.

A stream whose caller has received events is no longer refused for lateness. Without a place or retry budget it looks for them every 50 ms until its time limit, and it is sent with a more urgent priority than streams that have not begun. The limits of attempts and of the retry budget hold as before.

BegunStreamIsNotRefusedForLateness shows the refusal and the placement of the same prompt in one state of the engines.

--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -76,6 +76,7 @@
   std::span<const std::string> mExcludedIds; ///< ids of servers not to be tried again
   std::chrono::milliseconds mTimeLeft{};
   std::uint64_t mRandomBits = 0; ///< random bits, new for each attempt
+  bool mBegun = false;  ///< its caller has received events, so that lateness is no reason to refuse
   bool mMayWait = true; ///< false once the request has waited for a prefix as long as it may
 };
 
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -411,7 +411,7 @@
   const auto maxQueueWait =
     std::max(kMinQueueTargets * target, kMaxQueueTargets * target - ownTime);
   const bool late = best.mWait > maxQueueWait;
-  if (late || best.mFirstToken > kUsableTimeoutFraction * timeout) {
+  if (!aQuery.mBegun && (late || best.mFirstToken > kUsableTimeoutFraction * timeout)) {
     const auto excess = best.mFirstToken - milliseconds_f{ aQuery.mRoute->mTargetLatency };
     const auto jitter = 0.75 + 0.5 * static_cast<double>(affinities[chosen] >> 11U) /
                                  static_cast<double>(1ULL << 53U);
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(RequestThatWouldTimeOutIsRefusedAtOnce);
   CPPUNIT_TEST(QueueingTimeIsBoundedByTheTarget);
   CPPUNIT_TEST(LongPromptIsNotRefusedForItsComputeTime);
+  CPPUNIT_TEST(BegunStreamIsNotRefusedForLateness);
   CPPUNIT_TEST(RetryAfterGrowsWithTheBacklog);
   CPPUNIT_TEST(BurstSpreadsOverAllPrefillEngines);
   CPPUNIT_TEST(DaemonsDoNotAllChooseTheSameEngine);
@@ -92,7 +93,7 @@
     return shape;
   }
 
-  placement_result Place(const generation_spec* aShape, bool aMayWait = true)
+  placement_result Place(const generation_spec* aShape, bool aMayWait = true, bool aBegun = false)
   {
     std::vector<const backend_server*> usable;
     for (const auto& server : mServers) {
@@ -105,6 +106,7 @@
     query.mServers = usable;
     query.mTimeLeft = seconds{ 8 };
     query.mMayWait = aMayWait;
+    query.mBegun = aBegun;
     query.mRandomBits = mRandomBits;
     return mPlacer->Place(query, mNow);
   }
@@ -224,6 +226,18 @@
     CPPUNIT_ASSERT(Placed(Shape(1, 26'700)).mFirstToken > mRoute.mTargetLatency);
   }
 
+  /// Guards against a stream that is broken off in the middle because its server fails while all
+  /// engines have a queue.
+  void BegunStreamIsNotRefusedForLateness()
+  {
+    for (const auto& server : mServers) {
+      mLoadTracker->Begin(server.mId, 200'000, milliseconds{ 4'000 }, mNow);
+    }
+    const auto shape = Shape(1);
+    CPPUNIT_ASSERT(std::holds_alternative<placement_refusal>(Place(&shape, false, false)));
+    CPPUNIT_ASSERT(std::holds_alternative<placement>(Place(&shape, false, true)));
+  }
+
   /// Pattern: burst of long prompts while all decode engines stream. The engines are six times as
   /// fast as the initial figures. Guards against decode engines that stay idle while the prefill
   /// engines have a queue, and against streams whose gaps grow over a series of prompts of which
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -3,6 +3,7 @@
 #include "skylarkwind/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -21,6 +22,8 @@
 /// Bounds of one wait for a shared prefix that is being computed for another request.
 constexpr milliseconds kMinPrefixWait{ 10 };
 constexpr milliseconds kMaxPrefixWait{ 300 };
+/// How often a stream that has begun looks for a place while it waits for one.
+constexpr milliseconds kPlacePause{ 50 };
 
 } // namespace
 
@@ -167,6 +170,7 @@
   query.mExcludedIds = mExcludedServers;
   query.mTimeLeft = TimeLeft();
   query.mRandomBits = Hash64(mRequest.mId) + mAttemptsSent + mPrefillsSent;
+  query.mBegun = MayAwaitPlace();
   query.mMayWait =
     !mPrefixWaitSince || mContext.mClock.Now() - *mPrefixWaitSince < mRoute->mTargetLatency;
   return query;
@@ -185,6 +189,9 @@
     if (none->mBest) {
       RecordPlacement(*none->mBest);
     }
+    if (MayAwaitPlace()) {
+      return AwaitPlace(none->mReason);
+    }
     return exchange_end{ no_answer{ std::string{ none->mReason }, none->mRetryAfter } };
   }
   if (const auto* prefix = std::get_if<await_prefix>(&result)) {
@@ -192,7 +199,11 @@
   }
   const auto& chosen = std::get<placement>(result);
   if (!TakeRetries(chosen)) {
-    return exchange_end{ no_answer{ "no repeats are left" } };
+    constexpr std::string_view kNoRepeats = "no repeats are left";
+    if (MayAwaitPlace()) {
+      return AwaitPlace(kNoRepeats);
+    }
+    return exchange_end{ no_answer{ std::string{ kNoRepeats } } };
   }
   mAttemptStartedAt = mContext.mClock.Now();
   RecordPlacement(chosen);
@@ -238,6 +249,17 @@
   return mContext.mLoadExchange.DaemonCount();
 }
 
+kj::Promise<exchange_end>
+exchange::AwaitPlace(std::string_view aReason)
+{
+  if (!std::exchange(mAwaitsPlace, true)) {
+    LogOutcome("waiting", aReason);
+  }
+  // What did not serve before may do so by then, e.g. a server that was full.
+  mExcludedServers.clear();
+  return mContext.mTimer.afterDelay(ToKj(kPlacePause)).then([this] { return Attempt(); });
+}
+
 bool
 exchange::HasAttemptsLeft() const
 {
@@ -248,6 +270,9 @@
 bool
 exchange::MayRetry()
 {
+  if (MayAwaitPlace()) {
+    return HasAttemptsLeft();
+  }
   return HasAttemptsLeft() &&
          mContext.mRetryBudget.CanTake(mService->mName, 1, Daemons(), mContext.mClock.Now());
 }
@@ -281,6 +306,9 @@
     return Attempt();
   }
   ReleaseUnusedKv();
+  if (MayAwaitPlace() && mAttemptsSent < mRoute->mMaxAttempts) {
+    return AwaitPlace(aReason);
+  }
   return exchange_end{ no_answer{ std::string{ aReason } } };
 }
 
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -48,6 +48,15 @@
   return aPlacement.mComputeTokens + aPlacement.mFetchTokens;
 }
 
+std::uint32_t
+exchange::EnginePriority() const
+{
+  // A stream that is resumed goes ahead of those that have not begun.
+  constexpr std::uint32_t kNotBegun = 3;
+  constexpr std::uint32_t kLeastUrgent = 9;
+  return std::min(kLeastUrgent, mRoute->mPriority + (mResponse.Started() ? 0 : kNotBegun));
+}
+
 void
 exchange::ReadResponseHead()
 {
@@ -97,7 +106,7 @@
   attempt.mBackendId = engine.mId;
   attempt.mTimeLeft = TimeLeft();
   attempt.mPrefillOnly = true;
-  attempt.mEnginePriority = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
+  attempt.mEnginePriority = EnginePriority();
   if (aPlacement.mFetchFrom != nullptr) {
     attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
   }
@@ -238,7 +247,7 @@
                                                   kPrefillWaitFactor * aPlacement.mPrefillTime,
                                                   now);
     }
-    attempt.mEnginePriority = std::min<std::uint32_t>(9, mRoute->mPriority + 3);
+    attempt.mEnginePriority = EnginePriority();
     if (!prefilled && aPlacement.mFetchFrom != nullptr) {
       attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
     }
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -22,11 +22,8 @@
                                      milliseconds{ 8'000 } };
 
 /// Outcomes of attempts and streams after which the request goes on.
-constexpr std::array<std::string_view, 5> kOpenOutcomes{ "retry",
-                                                         "repeat",
-                                                         "silent",
-                                                         "replaced",
-                                                         "continued" };
+constexpr std::array<std::string_view, 6> kOpenOutcomes{ "retry",    "repeat",    "silent",
+                                                         "replaced", "continued", "waiting" };
 
 std::string_view
 StatusText(unsigned int aStatus)
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -211,8 +211,12 @@
   kj::Promise<exchange_end> OnAttemptFailed(std::string_view aReason);
   /// Whether the limits of attempts and time allow another attempt.
   bool HasAttemptsLeft() const;
-  /// The same with the retry budget.
+  /// The same with the retry budget. A stream that has begun waits for the budget instead.
   bool MayRetry();
+  /// A stream that has begun and has no open server is not refused: it waits for a place or for
+  /// retry budget until its time limit.
+  bool MayAwaitPlace() const { return mResponse.Started() && !mSilentAttempt; }
+  kj::Promise<exchange_end> AwaitPlace(std::string_view aReason);
   /// Takes the retry budget that the next attempt needs: one for each prefill and each attempt
   /// after the first one. False when the budget is used up.
   bool TakeRetries(const placement& aPlacement);
@@ -253,6 +257,8 @@
   std::uint32_t AddedTokens(const placement& aPlacement) const;
   /// Formats the inputs of a placement for the request's log line.
   void RecordPlacement(const placement& aPlacement);
+  /// From 0, the most urgent, to 9.
+  std::uint32_t EnginePriority() const;
   /// Builds the request to a server; its body is a view of the buffered body of this exchange.
   http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
@@ -302,6 +308,7 @@
   std::uint64_t mSentBefore = 0; ///< bytes written to the caller's connection before this request
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
   std::string mStreamType;       ///< media type of the stream that has begun
+  bool mAwaitsPlace = false;     ///< a begun stream has been waiting for a place
   instant mNextReplacementAt{};  ///< no replacement is sought before
 
   /// Once a stream is open, each chain of attempts runs in a promise of its own, so that one can be
--- a/packages/gateway/tests/exchange_silence_test.cpp
+++ b/packages/gateway/tests/exchange_silence_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(ReplacementLeftAloneThatFallsSilentIsReplaced);
   CPPUNIT_TEST(SlowCallerIsNotTakenForASilentServer);
   CPPUNIT_TEST(CallerThatLeavesEndsBothStreams);
+  CPPUNIT_TEST(BegunStreamWaitsForAPlace);
+  CPPUNIT_TEST(BegunStreamWaitsForRetryBudget);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRequest =
@@ -266,6 +268,40 @@
     CPPUNIT_ASSERT(stream.Closed(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, stream.mFixture.mListener.OpenRequests());
   }
+
+  /// Guards against a begun stream that is broken off because no server has a place at the moment
+  /// at which its own one fails.
+  void BegunStreamWaitsForAPlace()
+  {
+    begun_stream stream{ 1 };
+    stream.Server(0).shutdownWrite();
+    stream.Pass(milliseconds{ 500 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, stream.mFixture.mListener.OpenRequests());
+    stream.mFixture.AddServer("s2");
+    stream.Pass(milliseconds{ 100 });
+    stream.mFixture.Read(stream.Server(1));
+    stream.mFixture.Write(stream.Server(1), kHead + Event(2) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
+  /// Guards against a begun stream that is broken off because others have used up the retry budget.
+  void BegunStreamWaitsForRetryBudget()
+  {
+    begun_stream stream{ 2 };
+    auto& budget = stream.mFixture.mRetryBudget;
+    while (budget.TryTake("service", 1, 1, stream.mFixture.mClock.Now())) {
+    }
+    stream.Server(0).shutdownWrite();
+    stream.Pass(milliseconds{ 500 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, stream.mFixture.mServers.size());
+    for (int i = 0; i < 100; ++i) {
+      budget.OnRequest("service", stream.mFixture.mClock.Now());
+    }
+    stream.Pass(milliseconds{ 100 });
+    stream.mFixture.Read(stream.Server(1));
+    stream.mFixture.Write(stream.Server(1), kHead + Event(2) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_silence_test);
