Count and log what arrives on closed connections

A request that arrived on a connection which the daemon had just closed as idle was read and discarded: the caller got no answer, and neither the log nor the counters showed it, so that such a loss couldn't be told from any other. The bytes are now counted by the cause of the close (skylarkwind_discarded_input_bytes_total), and each such connection logs one line; if it was closed as idle, with the begin of the request's first line, at most 80 characters, without its query. Test: DiscardedRequestIsCounted; it can't pass on the older code, which has no such counter.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -5,6 +5,8 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace skylarkwind {
@@ -20,9 +22,47 @@
 constexpr std::chrono::milliseconds kLingerSilence{ 1'000 };
 constexpr std::chrono::milliseconds kLingerLimit{ 5'000 };
 constexpr std::size_t kDiscardBytes = 4 * 1'024;
+/// Limit of discarded text in a line of the log.
+constexpr std::size_t kLoggedBytes = 80;
 /// Pause after connections could not be accepted, e.g. for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
 
+/// Why the daemon closes a connection.
+enum class close_cause
+{
+  Idle,      ///< no request was open for too long
+  Announced, ///< the last response said so
+  Response   ///< after a response to a request that was not read whole, or the caller left
+};
+
+std::string_view
+Name(close_cause aCause)
+{
+  switch (aCause) {
+    case close_cause::Idle:
+      return "idle";
+    case close_cause::Announced:
+      return "announced";
+    case close_cause::Response:
+      return "response";
+  }
+  return {};
+}
+
+/// The first line up to its query, shortened, without what could be taken for a part of the log
+/// line.
+std::string
+LoggedBegin(std::string_view aText)
+{
+  std::string begin{ aText.substr(0, std::min(aText.find_first_of("?\r\n"), kLoggedBytes)) };
+  std::replace_if(
+    begin.begin(),
+    begin.end(),
+    [](char aCharacter) { return aCharacter < ' ' || aCharacter > '~' || aCharacter == '"'; },
+    '.');
+  return begin;
+}
+
 } // namespace
 
 class caller_listener::connection final
@@ -38,6 +78,9 @@
     , mIdleSince(aOwner.mContext.mClock.Now())
   {
   }
+  ~connection() noexcept { LogDiscarded(); }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
 
   void Start()
   {
@@ -48,7 +91,9 @@
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged the reason; the connection is closed in any case.
                  })
-                 .then([this] { return Linger(); })
+                 .then([this] {
+                   return Linger(mCloseAnnounced ? close_cause::Announced : close_cause::Response);
+                 })
                  .eagerlyEvaluate(nullptr);
   }
 
@@ -60,7 +105,8 @@
     }
     // The server reads from the stream until it is dropped.
     mServing = nullptr;
-    mServing = Linger().eagerlyEvaluate(nullptr);
+    mServing =
+      Linger(mCloseAnnounced ? close_cause::Announced : close_cause::Idle).eagerlyEvaluate(nullptr);
   }
 
   kj::Promise<void> request(kj::HttpMethod aMethod,
@@ -137,9 +183,11 @@
   /// Closes the connection towards the caller and discards what the caller still sends: a socket
   /// that is closed with unread input resets the connection, and the caller loses what it has not
   /// received yet.
-  kj::Promise<void> Linger()
+  kj::Promise<void> Linger(close_cause aCause)
   {
     mLingering = true;
+    mCloseCause = aCause;
+    mClosedAt = mOwner.mContext.mClock.Now();
     kj::Promise<void> discarding = kj::READY_NOW;
     KJ_IF_MAYBE (error, kj::runCatchingExceptions([this] { mStream->shutdownWrite(); })) {
       // The caller has left already.
@@ -163,6 +211,7 @@
           if (aBytes == 0) {
             return kj::READY_NOW;
           }
+          OnDiscarded(aBytes);
           return DiscardInput();
         },
         [](kj::Exception&&) -> kj::Promise<void> {
@@ -171,6 +220,38 @@
         });
   }
 
+  void OnDiscarded(std::size_t aBytes)
+  {
+    mOwner.mContext.mCounters
+      .Get("skylarkwind_discarded_input_bytes_total",
+           "Bytes that callers sent on connections that the daemon had closed towards them.",
+           "cause=\"" + std::string{ Name(mCloseCause) } + '"')
+      .Add(static_cast<std::int64_t>(aBytes));
+    if (mDiscardedBytes == 0) {
+      mFirstDiscardedAt = mOwner.mContext.mClock.Now();
+      // What follows a response may be the rest of a body; only requests are logged.
+      if (mCloseCause == close_cause::Idle) {
+        mDiscardedBegin = LoggedBegin({ mDiscarded.asChars().begin(), aBytes });
+      }
+    }
+    mDiscardedBytes += aBytes;
+  }
+
+  /// A request may be among the discarded bytes, which no other line mentions.
+  void LogDiscarded() const
+  {
+    if (mDiscardedBytes == 0) {
+      return;
+    }
+    const auto after =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mFirstDiscardedAt - mClosedAt);
+    Log(log_level::Info,
+        "callers",
+        "discarded bytes=" + std::to_string(mDiscardedBytes) +
+          " cause=" + std::string{ Name(mCloseCause) } +
+          " after_ms=" + std::to_string(after.count()) + " begins=\"" + mDiscardedBegin + '"');
+  }
+
   kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
     if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
@@ -189,7 +270,12 @@
   bool mCloseAnnounced = false;  ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
+  close_cause mCloseCause = close_cause::Idle;
+  instant mClosedAt{};
   kj::Array<kj::byte> mDiscarded;
+  std::size_t mDiscardedBytes = 0;
+  instant mFirstDiscardedAt{};
+  std::string mDiscardedBegin;
   kj::Promise<void> mServing = nullptr;
 };
 
--- a/packages/gateway/tests/caller_listener_test.cpp
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(CallerThatNeverReadsIsClosed);
   CPPUNIT_TEST(ConnectionIsNotIdleWhileARequestArrives);
   CPPUNIT_TEST(IdleConnectionIsClosedGracefully);
+  CPPUNIT_TEST(DiscardedRequestIsCounted);
   CPPUNIT_TEST(RequestThatMeetsTheIdleLimitIsServed);
   CPPUNIT_TEST(LingerLastsWhileTheCallerSends);
   CPPUNIT_TEST_SUITE_END();
@@ -112,6 +113,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
   }
 
+  static std::string DiscardedRow(const std::string& aCause, std::size_t aBytes)
+  {
+    return "skylarkwind_discarded_input_bytes_total{cause=\"" + aCause + "\"} " +
+           std::to_string(aBytes) + '\n';
+  }
+
+  /// Guards against a request that arrives on a connection that the daemon has closed, gets no
+  /// answer and leaves no trace.
+  void DiscardedRequestIsCounted()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Run();
+    fixture.Advance(milliseconds{ 400 });
+    CheckTwice(fixture);
+    const std::string request{ kHead };
+    fixture.Write(*caller, request);
+    const auto text = fixture.mCounters.PrometheusText();
+    CPPUNIT_ASSERT_MESSAGE(text,
+                           text.find(DiscardedRow("idle", request.size())) != std::string::npos);
+  }
+
   /// Guards against a request that is discarded because it has arrived, and has not been read, when
   /// its connection is found idle.
   void RequestThatMeetsTheIdleLimitIsServed()
