Hold the longer idle limit while callers may know it

Callers whose connection had been idle for longer than a new, lower IdleTimeoutMs lost it at the next tick (25 ms), although they may reuse it up to four fifths of the limit that they know, and may know the older one until the configuration deadline has passed. A request sent meanwhile was read, discarded and not answered. A fall of the limit now takes effect when the configuration deadline after it has passed, and a second more, since the deadline runs from the store's acknowledgement; a rise at once. Of several changes in that time the longest limit holds.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -10,6 +10,7 @@
 #include "shutdown_sequence_p.h"
 #include "store_replication_p.h"
 
+#include "skylarkwind/falling_limit.h"
 #include "skylarkwind/hash.h"
 #include "skylarkwind/log.h"
 
@@ -31,6 +32,9 @@
 /// Limit of the bodies that are buffered at the same time, one for responses of servers and one for
 /// requests of callers. Each is a fifth of the memory of the smallest VM (160 MB).
 constexpr std::size_t kMaxBufferedBodyBytes = 32 * 1'024 * 1'024;
+/// The deadline of a change runs from the store's acknowledgement, which may come this much later
+/// than the change itself.
+constexpr milliseconds kAcknowledgementDelay{ 1'000 };
 /// How often the settings file is checked for changes.
 constexpr milliseconds kSettingsPollPeriod{ 1'000 };
 /// How often a daemon decides whether it watches the store, and compares the roles of engines with
@@ -244,6 +248,10 @@
     const auto version = configuration->mVersion;
     const auto routes = configuration->mRoutes.size();
     if (mRoutes.Apply(std::move(configuration))) {
+      // Callers reuse connections by the limit that they know, which may be the one of before.
+      mIdleLimit.Set(mRoutes.Current()->mLimits.mIdleTimeout,
+                     mSettings.mConfigurationDeadline + kAcknowledgementDelay,
+                     mClock.Now());
       Log(log_level::Info,
           "configuration",
           "applied version=" + std::to_string(version) + " routes=" + std::to_string(routes));
@@ -332,9 +340,7 @@
     mDirectory.OnTick(aNow);
     mPool.OnTick(aNow);
     mStorePool.OnTick(aNow);
-    const auto& configuration = mRoutes.Current();
-    const auto idle =
-      configuration ? configuration->mLimits.mIdleTimeout : caller_limits{}.mIdleTimeout;
+    const auto idle = mIdleLimit.At(aNow);
     const bool closing = mShutdown.Reached(shutdown_stage::Refusing);
     mCallerListener.CloseIdle(closing ? std::min(idle, kShutdownIdleLimit) : idle, aNow);
     ExchangeLoad(aNow);
@@ -541,6 +547,7 @@
   http_pool mStorePool;
   std::unique_ptr<object_store> mStore;
   route_index mRoutes;
+  falling_limit mIdleLimit{ caller_limits{}.mIdleTimeout }; ///< of callers' connections
   backend_directory mDirectory;
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
--- a/tests/sessions/raw_caller.h
+++ b/tests/sessions/raw_caller.h
@@ -75,6 +75,8 @@
     return mEnded;
   }
 
+  /// Forgets the response that has been read, before the next request.
+  void TakeAnswer() { mReceived.clear(); }
   const std::string& Received() const { return mReceived; }
   /// Whether the connection ended with a reset instead of its end.
   bool Reset() const { return mReset; }
