End an idle connection when bytes cross its close

A caller whose request crossed the close of an idle connection could wait up to a second for the connection's end: the daemon had shut its own side, but went on reading and discarding. The linger is for responses that a reset would destroy, and there is none here. Bytes that arrive on a connection closed as idle now end it at the next tick. After an announced close, and while a response isn't taken whole, the linger is as before. Evidence: RequestAfterAnIdleCloseEndsTheConnection fails on the code before (one connection left) and passes now.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -32,7 +32,8 @@
 {
   Idle,      ///< no request was open for too long
   Announced, ///< the last response said so
-  Response   ///< after a response to a request that was not read whole, or the caller left
+  Response   ///< after a response that the caller has not taken whole, or to a request that was not
+             ///< read whole, or the caller left
 };
 
 std::string_view
@@ -103,10 +104,12 @@
     if (mLingering) {
       return;
     }
+    const auto cause = mCloseAnnounced                 ? close_cause::Announced
+                       : mStream->UnwrittenBytes() > 0 ? close_cause::Response
+                                                       : close_cause::Idle;
     // The server reads from the stream until it is dropped.
     mServing = nullptr;
-    mServing =
-      Linger(mCloseAnnounced ? close_cause::Announced : close_cause::Idle).eagerlyEvaluate(nullptr);
+    mServing = Linger(cause).eagerlyEvaluate(nullptr);
   }
 
   kj::Promise<void> request(kj::HttpMethod aMethod,
@@ -182,7 +185,8 @@
 
   /// Closes the connection towards the caller and discards what the caller still sends: a socket
   /// that is closed with unread input resets the connection, and the caller loses what it has not
-  /// received yet.
+  /// received yet. An idle connection has nothing to lose: when bytes arrive on it, it ends, so
+  /// that the caller does not wait for a response to a request that crossed the close.
   kj::Promise<void> Linger(close_cause aCause)
   {
     mLingering = true;
@@ -212,6 +216,9 @@
             return kj::READY_NOW;
           }
           OnDiscarded(aBytes);
+          if (mCloseCause == close_cause::Idle) {
+            return kj::READY_NOW;
+          }
           return DiscardInput();
         },
         [](kj::Exception&&) -> kj::Promise<void> {
--- a/packages/gateway/tests/caller_listener_test.cpp
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ConnectionIsNotIdleWhileARequestArrives);
   CPPUNIT_TEST(IdleConnectionIsClosedGracefully);
   CPPUNIT_TEST(DiscardedRequestIsCounted);
+  CPPUNIT_TEST(RequestAfterAnIdleCloseEndsTheConnection);
   CPPUNIT_TEST(RequestThatMeetsTheIdleLimitIsServed);
   CPPUNIT_TEST(LingerLastsWhileTheCallerSends);
   CPPUNIT_TEST_SUITE_END();
@@ -135,6 +136,22 @@
                            text.find(DiscardedRow("idle", request.size())) != std::string::npos);
   }
 
+  /// Guards against a caller that waits for a response on a connection that the daemon has closed
+  /// as idle and goes on reading from.
+  void RequestAfterAnIdleCloseEndsTheConnection()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Run();
+    fixture.Advance(milliseconds{ 400 });
+    CheckTwice(fixture);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.Connections());
+    fixture.Write(*caller, kHead);
+    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
+    CPPUNIT_ASSERT(fixture.mServers.empty());
+  }
+
   /// Guards against a request that is discarded because it has arrived, and has not been read, when
   /// its connection is found idle.
   void RequestThatMeetsTheIdleLimitIsServed()
