Read what has arrived before a connection's time is over

While a daemon was held up (paused, busy) for longer than HeaderTimeoutMs, the whole first request of a fresh connection could lie unread in the kernel. Once the daemon went on, the HTTP library's timer for heads won against the read: the connection was closed without an answer. The check for idle connections had the same hole if both of its rounds ran before the read. Both limits are now checked in one place, which first looks for bytes that wait in the kernel for a pending read; it is only asked for connections that reach a limit. The limit for heads runs as before from the connection's start or the head's begin, and its fall waits like that of the idle limit. ConnectionWithUnreadInputIsNotIdle fails without the look into the kernel, HeadThatDoesNotEndIsClosed when the limit runs from the last byte; both plants were tried and taken out.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -5,6 +5,7 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -13,8 +14,11 @@
 
 namespace {
 
-/// Idle connections are closed by `CloseIdle`, whose limit may change while a connection is open.
-constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
+/// Connections without a request are closed by `CloseIdle`, whose limits may change while a
+/// connection is open, and which finds a request that has arrived and not been read.
+constexpr auto kNoTimeout = 1 * kj::HOURS;
+/// The last line end of a chunked body may arrive after the response.
+constexpr std::uint64_t kLineEndBytes = 2;
 /// Time from the end of a response that announces the close of its connection to the close.
 constexpr std::chrono::milliseconds kAnnouncedCloseDelay{ 50 };
 /// A connection that the daemon closes stays open for reading until the caller has sent nothing for
@@ -77,6 +81,7 @@
     , mStream(kj::heap<monitored_stream>(kj::mv(aStream)))
     , mServer(aOwner.mContext.mTimer, aOwner.mContext.mTable, *this, Settings())
     , mIdleSince(aOwner.mContext.mClock.Now())
+    , mHeadSince(mIdleSince)
   {
   }
   ~connection() noexcept { LogDiscarded(); }
@@ -140,12 +145,14 @@
                             --mOwner.mOpenRequests;
                             --mActiveRequests;
                             mIdleSince = mOwner.mContext.mClock.Now();
+                            mReadAtEnd = mStream->ReadBytes();
+                            mHeadSince.reset();
                           }));
   }
 
   bool Done() const { return mDone; }
   std::uint64_t UnwrittenBytes() const { return mStream->UnwrittenBytes(); }
-  bool IdleFor(std::chrono::milliseconds aLimit, instant aNow)
+  bool IdleFor(const connection_limits& aLimits, instant aNow)
   {
     if (mStream->ReadBytes() != mReadBefore) {
       // A request is arriving.
@@ -156,22 +163,40 @@
       mSeemedIdle = false;
       return false;
     }
-    auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
-    if (mCloseAnnounced && mStream->UnwrittenBytes() == 0) {
-      limit = std::min(limit, kAnnouncedCloseDelay);
-    }
-    // The second check in a row decides: a request may have arrived and not been read yet.
-    return std::exchange(mSeemedIdle, aNow - mIdleSince >= limit) && mSeemedIdle;
+    // When the daemon was held up, a request may have arrived and not been read yet.
+    const bool idle = Expired(aLimits, aNow) && !mStream->InputIsDue();
+    // The second check in a row decides, because what was read may not have been handled yet.
+    return std::exchange(mSeemedIdle, idle) && mSeemedIdle;
   }
 
 private:
+  bool Expired(const connection_limits& aLimits, instant aNow)
+  {
+    const auto pause = aNow - mIdleSince;
+    if (mStream->UnwrittenBytes() > 0) {
+      return pause >= std::max(aLimits.mIdle, kSlowCallerLimit);
+    }
+    if (mCloseAnnounced) {
+      return pause >= kAnnouncedCloseDelay;
+    }
+    const bool begun = mStream->ReadBytes() > mReadAtEnd + kLineEndBytes;
+    if (begun && !mHeadSince) {
+      mHeadSince = aNow;
+    }
+    if (pause >= aLimits.mIdle) {
+      return true;
+    }
+    if (!mHeadSince) {
+      return false;
+    }
+    return aNow - *mHeadSince >= aLimits.mHead;
+  }
+
   kj::HttpServerSettings Settings()
   {
     kj::HttpServerSettings settings;
-    const auto& configuration = mOwner.mContext.mRoutes.Current();
-    const auto limits = configuration ? configuration->mLimits : caller_limits{};
-    settings.headerTimeout = ToKj(limits.mHeaderTimeout);
-    settings.pipelineTimeout = kNoPipelineTimeout;
+    settings.headerTimeout = kNoTimeout;
+    settings.pipelineTimeout = kNoTimeout;
     settings.errorHandler = static_cast<kj::HttpServerErrorHandler&>(*this);
     settings.callbacks = static_cast<kj::HttpServerCallbacks&>(*this);
     return settings;
@@ -273,8 +298,11 @@
   std::size_t mActiveRequests = 0;
   instant mIdleSince;
   std::uint64_t mReadBefore = 0; ///< bytes read at the last check for idleness
-  bool mSeemedIdle = false;      ///< at the last check
-  bool mCloseAnnounced = false;  ///< the last response said that the connection is closed
+  std::uint64_t mReadAtEnd = 0;  ///< bytes read when the last request ended
+  /// When the head of a request began to arrive; the first one may begin with the connection.
+  std::optional<instant> mHeadSince;
+  bool mSeemedIdle = false;     ///< at the last check
+  bool mCloseAnnounced = false; ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
   close_cause mCloseCause = close_cause::Idle;
@@ -321,10 +349,10 @@
 }
 
 void
-caller_listener::CloseIdle(std::chrono::milliseconds aLimit, instant aNow)
+caller_listener::CloseIdle(const connection_limits& aLimits, instant aNow)
 {
   for (const auto& open : mConnections) {
-    if (open->IdleFor(aLimit, aNow)) {
+    if (open->IdleFor(aLimits, aNow)) {
       open->Close();
     }
   }
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -13,6 +13,13 @@
 
 namespace skylarkwind {
 
+/// How long a connection may stay open without a request.
+struct connection_limits
+{
+  std::chrono::milliseconds mIdle{}; ///< nothing of a request has arrived
+  std::chrono::milliseconds mHead{}; ///< from the begin of a head to its end
+};
+
 /// Accepts callers' connections and starts an exchange for each request.
 class caller_listener final
 {
@@ -22,9 +29,9 @@
 
   /// Accepts connections until the promise is dropped; open connections stay open.
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
-  /// Begins to close connections that were idle for at least the limit, and frees those that have
-  /// ended. A connection that still carries a response is not idle.
-  void CloseIdle(std::chrono::milliseconds aLimit, instant aNow);
+  /// Begins to close connections that have reached a limit, and frees those that have ended. A
+  /// connection that still carries a response is not idle.
+  void CloseIdle(const connection_limits& aLimits, instant aNow);
   std::size_t OpenRequests() const { return mOpenRequests; }
   std::size_t Connections() const { return mConnections.size(); }
   /// Bytes of responses that the kernel has not taken yet.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -248,16 +248,22 @@
     const auto version = configuration->mVersion;
     const auto routes = configuration->mRoutes.size();
     if (mRoutes.Apply(std::move(configuration))) {
-      // Callers reuse connections by the limit that they know, which may be the one of before.
-      mIdleLimit.Set(mRoutes.Current()->mLimits.mIdleTimeout,
-                     mSettings.mConfigurationDeadline + kAcknowledgementDelay,
-                     mClock.Now());
+      SetLimits(mRoutes.Current()->mLimits);
       Log(log_level::Info,
           "configuration",
           "applied version=" + std::to_string(version) + " routes=" + std::to_string(routes));
     }
   }
 
+  /// Callers keep to the limits that they know, which may be those of before.
+  void SetLimits(const caller_limits& aLimits)
+  {
+    const auto hold = mSettings.mConfigurationDeadline + kAcknowledgementDelay;
+    const auto now = mClock.Now();
+    mIdleLimit.Set(aLimits.mIdleTimeout, hold, now);
+    mHeadLimit.Set(aLimits.mHeaderTimeout, hold, now);
+  }
+
   void OnServers(const std::vector<stored_object>& aObjects, bool aAfterOutage)
   {
     std::vector<backend_server> servers;
@@ -340,9 +346,11 @@
     mDirectory.OnTick(aNow);
     mPool.OnTick(aNow);
     mStorePool.OnTick(aNow);
-    const auto idle = mIdleLimit.At(aNow);
-    const bool closing = mShutdown.Reached(shutdown_stage::Refusing);
-    mCallerListener.CloseIdle(closing ? std::min(idle, kShutdownIdleLimit) : idle, aNow);
+    connection_limits limits{ mIdleLimit.At(aNow), mHeadLimit.At(aNow) };
+    if (mShutdown.Reached(shutdown_stage::Refusing)) {
+      limits.mIdle = std::min(limits.mIdle, kShutdownIdleLimit);
+    }
+    mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
       mNextDutyCheck = aNow + kDutyCheckPeriod;
@@ -547,7 +555,8 @@
   http_pool mStorePool;
   std::unique_ptr<object_store> mStore;
   route_index mRoutes;
-  falling_limit mIdleLimit{ caller_limits{}.mIdleTimeout }; ///< of callers' connections
+  falling_limit mIdleLimit{ caller_limits{}.mIdleTimeout };
+  falling_limit mHeadLimit{ caller_limits{}.mHeaderTimeout };
   backend_directory mDirectory;
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <kj/debug.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cstring>
 
@@ -31,6 +33,19 @@
   return ReadAhead().then([this] { return WhenPeerCloses(); });
 }
 
+bool
+monitored_stream::InputIsDue() const
+{
+  if (mPendingReads == 0 && !mReadAheadPending) {
+    return false;
+  }
+  KJ_IF_MAYBE (descriptor, mInner->getFd()) {
+    char byte = 0;
+    return recv(*descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+  return false;
+}
+
 kj::Promise<void>
 monitored_stream::ReadAhead()
 {
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -24,6 +24,8 @@
   /// Whether a read waits for bytes. kj's client always reads while no request is open, unless it
   /// still holds bytes that came after the last response.
   bool Reading() const { return mPendingReads > 0; }
+  /// Whether bytes wait in the kernel that a pending read will take.
+  bool InputIsDue() const;
   /// Whether the peer has closed the connection or the connection has failed.
   bool Ended() const { return mEnded; }
   /// Whether the kernel has reported that the peer can no longer receive.
--- a/packages/gateway/tests/caller_listener_test.cpp
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -2,11 +2,52 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
 namespace skylarkwind {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// A connection whose input stays in the kernel, as while the daemon is held up.
+class unread_stream final : public kj::AsyncIoStream
+{
+public:
+  explicit unread_stream(bool& aClosed)
+    : mClosed(aClosed)
+  {
+    CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, mSockets.data()));
+  }
+  ~unread_stream() noexcept
+  {
+    close(mSockets[0]);
+    close(mSockets[1]);
+  }
+  unread_stream(const unread_stream&) = delete;
+  unread_stream& operator=(const unread_stream&) = delete;
+
+  int CallersEnd() const { return mSockets[1]; }
+  int DaemonsEnd() const { return mSockets[0]; }
+
+  kj::Promise<size_t> read(void*, size_t, size_t) override { return kj::NEVER_DONE; }
+  kj::Promise<size_t> tryRead(void*, size_t, size_t) override { return kj::NEVER_DONE; }
+  kj::Promise<void> write(const void*, size_t) override { return kj::READY_NOW; }
+  kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>>) override
+  {
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
+  void shutdownWrite() override { mClosed = true; }
+  kj::Maybe<int> getFd() const override { return mSockets[0]; }
+
+private:
+  bool& mClosed;
+  std::array<int, 2> mSockets{};
+};
+
 /// Connections of callers around responses, in one event loop.
 class caller_listener_test : public CppUnit::TestFixture
 {
@@ -18,9 +59,13 @@
   CPPUNIT_TEST(DiscardedRequestIsCounted);
   CPPUNIT_TEST(RequestAfterAnIdleCloseEndsTheConnection);
   CPPUNIT_TEST(RequestThatMeetsTheIdleLimitIsServed);
+  CPPUNIT_TEST(ConnectionWithUnreadInputIsNotIdle);
+  CPPUNIT_TEST(HeadThatDoesNotEndIsClosed);
   CPPUNIT_TEST(LingerLastsWhileTheCallerSends);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr connection_limits kLimits{ .mIdle = milliseconds{ 300 },
+                                              .mHead = milliseconds{ 1'000 } };
   static constexpr const char* kHead = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
                                        "Content-Length: 1\r\n\r\nb";
   static constexpr const char* kEvents = "id: 1\ndata: one\n\n";
@@ -51,7 +96,7 @@
   static void CheckTwice(exchange_fixture& aFixture)
   {
     for (int i = 0; i < 2; ++i) {
-      aFixture.mListener.CloseIdle(milliseconds{ 300 }, aFixture.mClock.Now());
+      aFixture.mListener.CloseIdle(kLimits, aFixture.mClock.Now());
       aFixture.Run();
     }
   }
@@ -76,7 +121,7 @@
     auto caller = StreamWithoutLastChunk(fixture);
     for (int i = 0; i < 8; ++i) {
       fixture.Advance(seconds{ 1 });
-      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
       fixture.Run();
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
@@ -110,7 +155,7 @@
     CPPUNIT_ASSERT(fixture.mServers.empty());
     caller->shutdownWrite();
     fixture.Run();
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
   }
 
@@ -147,7 +192,7 @@
     CheckTwice(fixture);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.Connections());
     fixture.Write(*caller, kHead);
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
     CPPUNIT_ASSERT(fixture.mServers.empty());
   }
@@ -162,13 +207,52 @@
     fixture.Advance(milliseconds{ 400 });
     const std::string request{ kHead };
     auto writing = caller->write(request.data(), request.size()).eagerlyEvaluate(nullptr);
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
     fixture.Run();
-    fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+    fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
     fixture.Run();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
   }
 
+  /// Guards against a request that is discarded because the checks for idle connections run before
+  /// the daemon, which was held up, reads from the kernel.
+  void ConnectionWithUnreadInputIsNotIdle()
+  {
+    exchange_fixture fixture;
+    bool closed = false;
+    auto connection = kj::heap<unread_stream>(closed);
+    const auto& sockets = *connection;
+    fixture.mPort.Connect(kj::mv(connection));
+    fixture.Run();
+    fixture.Advance(seconds{ 5 });
+    CPPUNIT_ASSERT_EQUAL(ssize_t{ 1 }, send(sockets.CallersEnd(), "P", 1, MSG_NOSIGNAL));
+    CheckTwice(fixture);
+    CPPUNIT_ASSERT(!closed);
+    char byte = 0;
+    CPPUNIT_ASSERT_EQUAL(ssize_t{ 1 }, recv(sockets.DaemonsEnd(), &byte, 1, MSG_DONTWAIT));
+    CheckTwice(fixture);
+    CPPUNIT_ASSERT(closed);
+  }
+
+  /// The limit for a head runs from its begin, however steadily its bytes arrive.
+  void HeadThatDoesNotEndIsClosed()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, "POST /stream/a HTTP/1.1\r\nA: ");
+    for (int i = 0; i < 9; ++i) {
+      fixture.Advance(milliseconds{ 100 });
+      fixture.Write(*caller, "x");
+      CheckTwice(fixture);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.Connections());
+    fixture.Advance(milliseconds{ 100 });
+    CheckTwice(fixture);
+    fixture.Write(*caller, "x");
+    CheckTwice(fixture);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
+  }
+
   /// Guards against a refusal that is lost to a reset because its caller goes on sending its body
   /// for longer than the daemon reads it.
   void LingerLastsWhileTheCallerSends()
@@ -183,14 +267,14 @@
     for (int i = 0; i < 30; ++i) {
       fixture.Write(*caller, std::string(1'000, 'x'));
       fixture.Advance(milliseconds{ 100 });
-      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
       fixture.Run();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
         std::to_string(i), std::size_t{ 1 }, fixture.mListener.Connections());
     }
     for (int i = 0; i < 30; ++i) {
       fixture.Advance(milliseconds{ 100 });
-      fixture.mListener.CloseIdle(milliseconds{ 300 }, fixture.mClock.Now());
+      fixture.mListener.CloseIdle(kLimits, fixture.mClock.Now());
       fixture.Run();
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -128,9 +128,11 @@
   kj::Own<kj::AsyncIoStream> Connect()
   {
     auto pipe = kj::newTwoWayPipe();
-    mWaiting->fulfill(kj::mv(pipe.ends[1]));
+    Connect(kj::mv(pipe.ends[1]));
     return kj::mv(pipe.ends[0]);
   }
+  /// The same with the daemon's end given.
+  void Connect(kj::Own<kj::AsyncIoStream> aDaemonEnd) { mWaiting->fulfill(kj::mv(aDaemonEnd)); }
 
 private:
   kj::Own<kj::PromiseFulfiller<kj::Own<kj::AsyncIoStream>>> mWaiting;
--- a/tests/sessions/gateway_limits_test.cpp
+++ b/tests/sessions/gateway_limits_test.cpp
@@ -19,6 +19,7 @@
 {
   CPPUNIT_TEST_SUITE(gateway_limits_test);
   CPPUNIT_TEST(KeptConnectionOutlivesAFallOfTheIdleLimit);
+  CPPUNIT_TEST(RequestOfAHeldUpDaemonIsServed);
   CPPUNIT_TEST_SUITE_END();
 
   static gateway_options Options()
@@ -75,6 +76,50 @@
     // The new limit is in force once callers know it.
     CPPUNIT_ASSERT(caller.ReadToEnd(seconds{ 6 }));
   }
+
+  /// Guards against a request that the daemon could not read in time, because it was held up, and
+  /// whose connection it then takes for idle.
+  void RequestOfAHeldUpDaemonIsServed()
+  {
+    gateway_system system{ Options() };
+    SetLimits(system, 5, { { "IdleTimeoutMs", 500 }, { "HeaderTimeoutMs", 500 } });
+    constexpr int kRounds = 4;
+    constexpr int kCallers = 10;
+    for (int round = 0; round < kRounds; ++round) {
+      std::vector<std::unique_ptr<raw_caller>> callers;
+      callers.reserve(2 * kCallers);
+      const auto id = [&](const char* aName, int aIndex) {
+        return aName + std::to_string(round) + "-" + std::to_string(aIndex);
+      };
+      for (int i = 0; i < kCallers; ++i) {
+        callers.push_back(std::make_unique<raw_caller>(system.CallersAddress(0)));
+      }
+      for (int i = 0; i < kCallers; ++i) {
+        auto& caller = *callers[static_cast<std::size_t>(i)];
+        AssertServed(Ask(caller, Post(id("first", i), "b")), system);
+        caller.TakeAnswer();
+      }
+      // Fresh connections have not had a request yet.
+      for (int i = 0; i < kCallers; ++i) {
+        callers.push_back(std::make_unique<raw_caller>(system.CallersAddress(0)));
+      }
+      AssertServed(Ask(*callers.front(), Post(id("last", 0), "b")), system);
+      callers.front()->TakeAnswer();
+      system.Daemon().Signal(SIGSTOP);
+      for (int i = 0; i < 2 * kCallers; ++i) {
+        CPPUNIT_ASSERT(callers[static_cast<std::size_t>(i)]->Send(Post(id("held", i), "b")));
+      }
+      CPPUNIT_ASSERT(!callers.front()->ReadToEnd(milliseconds{ 900 }));
+      system.Daemon().Signal(SIGCONT);
+      for (int i = 0; i < 2 * kCallers; ++i) {
+        auto& caller = *callers[static_cast<std::size_t>(i)];
+        const auto answer = caller.ReadAnswer(seconds{ 4 });
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          id("held", i) + '\n' + system.DaemonLog(), 200, answer.mStatus);
+        CPPUNIT_ASSERT(answer.mWhole);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_limits_test);
