Give the head of a request its own time

A head that arrived in parts, with a pause longer than the idle limit, lost its connection as idle, although the limit for heads allowed it: seen when a change lowered IdleTimeoutMs to 300 ms while a head was arriving under HeaderTimeoutMs 3,000. The rest of the request got no answer. A connection on which a head has begun is held to the limit for heads, the longest one since the begin, and not to the idle limit. During a stop the pause between two parts is bounded as before. HeadMayPauseLongerThanTheIdleLimit fails when the idle limit is applied to begun heads, FallingHeadLimitSparesABegunHead when only the current limit counts; both plants were tried and taken out.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -147,6 +147,7 @@
                             mIdleSince = mOwner.mContext.mClock.Now();
                             mReadAtEnd = mStream->ReadBytes();
                             mHeadSince.reset();
+                            mHeadLimit = {};
                           }));
   }
 
@@ -183,13 +184,15 @@
     if (begun && !mHeadSince) {
       mHeadSince = aNow;
     }
-    if (pause >= aLimits.mIdle) {
+    if (pause >= (begun ? aLimits.mHeadPause : aLimits.mIdle)) {
       return true;
     }
     if (!mHeadSince) {
       return false;
     }
-    return aNow - *mHeadSince >= aLimits.mHead;
+    // A limit that falls while the head arrives does not shorten its time.
+    mHeadLimit = std::max(mHeadLimit, aLimits.mHead);
+    return aNow - *mHeadSince >= mHeadLimit;
   }
 
   kj::HttpServerSettings Settings()
@@ -301,8 +304,9 @@
   std::uint64_t mReadAtEnd = 0;  ///< bytes read when the last request ended
   /// When the head of a request began to arrive; the first one may begin with the connection.
   std::optional<instant> mHeadSince;
-  bool mSeemedIdle = false;     ///< at the last check
-  bool mCloseAnnounced = false; ///< the last response said that the connection is closed
+  std::chrono::milliseconds mHeadLimit{}; ///< the longest one since then
+  bool mSeemedIdle = false;               ///< at the last check
+  bool mCloseAnnounced = false;           ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
   close_cause mCloseCause = close_cause::Idle;
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -16,8 +16,9 @@
 /// How long a connection may stay open without a request.
 struct connection_limits
 {
-  std::chrono::milliseconds mIdle{}; ///< nothing of a request has arrived
-  std::chrono::milliseconds mHead{}; ///< from the begin of a head to its end
+  std::chrono::milliseconds mIdle{};      ///< nothing of a request has arrived
+  std::chrono::milliseconds mHead{};      ///< from the begin of a head to its end
+  std::chrono::milliseconds mHeadPause{}; ///< between two parts of a head
 };
 
 /// Accepts callers' connections and starts an exchange for each request.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -346,9 +346,10 @@
     mDirectory.OnTick(aNow);
     mPool.OnTick(aNow);
     mStorePool.OnTick(aNow);
-    connection_limits limits{ mIdleLimit.At(aNow), mHeadLimit.At(aNow) };
+    connection_limits limits{ mIdleLimit.At(aNow), mHeadLimit.At(aNow), mHeadLimit.At(aNow) };
     if (mShutdown.Reached(shutdown_stage::Refusing)) {
       limits.mIdle = std::min(limits.mIdle, kShutdownIdleLimit);
+      limits.mHeadPause = std::min(limits.mHeadPause, kShutdownIdleLimit);
     }
     mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
--- a/packages/gateway/tests/caller_listener_test.cpp
+++ b/packages/gateway/tests/caller_listener_test.cpp
@@ -60,12 +60,15 @@
   CPPUNIT_TEST(RequestAfterAnIdleCloseEndsTheConnection);
   CPPUNIT_TEST(RequestThatMeetsTheIdleLimitIsServed);
   CPPUNIT_TEST(ConnectionWithUnreadInputIsNotIdle);
+  CPPUNIT_TEST(HeadMayPauseLongerThanTheIdleLimit);
   CPPUNIT_TEST(HeadThatDoesNotEndIsClosed);
+  CPPUNIT_TEST(FallingHeadLimitSparesABegunHead);
   CPPUNIT_TEST(LingerLastsWhileTheCallerSends);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr connection_limits kLimits{ .mIdle = milliseconds{ 300 },
-                                              .mHead = milliseconds{ 1'000 } };
+                                              .mHead = milliseconds{ 1'000 },
+                                              .mHeadPause = milliseconds{ 1'000 } };
   static constexpr const char* kHead = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
                                        "Content-Length: 1\r\n\r\nb";
   static constexpr const char* kEvents = "id: 1\ndata: one\n\n";
@@ -234,6 +237,20 @@
     CPPUNIT_ASSERT(closed);
   }
 
+  /// Guards against a connection that is closed as idle between two parts of a head, within the
+  /// time that a head may take.
+  void HeadMayPauseLongerThanTheIdleLimit()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, "POST /stream/a HTTP/1.1\r\nHost: a.ex");
+    CheckTwice(fixture);
+    fixture.Advance(milliseconds{ 900 });
+    CheckTwice(fixture);
+    fixture.Write(*caller, "ample\r\nId: r1\r\nContent-Length: 1\r\n\r\nb");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
+  }
+
   /// The limit for a head runs from its begin, however steadily its bytes arrive.
   void HeadThatDoesNotEndIsClosed()
   {
@@ -253,6 +270,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.Connections());
   }
 
+  /// A head is held to the longest limit since its begin.
+  void FallingHeadLimitSparesABegunHead()
+  {
+    exchange_fixture fixture;
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, "POST /stream/a HTTP/1.1\r\nHost: a.ex");
+    CheckTwice(fixture);
+    auto lower = kLimits;
+    lower.mHead = milliseconds{ 200 };
+    fixture.Advance(milliseconds{ 250 });
+    for (int i = 0; i < 2; ++i) {
+      fixture.mListener.CloseIdle(lower, fixture.mClock.Now());
+      fixture.Run();
+    }
+    fixture.Write(*caller, "ample\r\nId: r1\r\nContent-Length: 1\r\n\r\nb");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mListener.OpenRequests());
+  }
+
   /// Guards against a refusal that is lost to a reset because its caller goes on sending its body
   /// for longer than the daemon reads it.
   void LingerLastsWhileTheCallerSends()
--- a/tests/sessions/gateway_limits_test.cpp
+++ b/tests/sessions/gateway_limits_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST_SUITE(gateway_limits_test);
   CPPUNIT_TEST(KeptConnectionOutlivesAFallOfTheIdleLimit);
   CPPUNIT_TEST(RequestOfAHeldUpDaemonIsServed);
+  CPPUNIT_TEST(HeadIsHeldToTheLimitsOfItsBegin);
   CPPUNIT_TEST_SUITE_END();
 
   static gateway_options Options()
@@ -120,6 +121,29 @@
       }
     }
   }
+
+  /// Guards against a head that arrives in parts and whose connection falls under a lower limit
+  /// meanwhile, the one for idle connections or the one for heads.
+  void HeadIsHeldToTheLimitsOfItsBegin()
+  {
+    gateway_system system{ Options() };
+    raw_caller fresh{ system.CallersAddress(0) };
+    raw_caller kept{ system.CallersAddress(0) };
+    AssertServed(Ask(kept, Post("first", "b")), system);
+    kept.TakeAnswer();
+    constexpr std::size_t kPart = 40;
+    const auto first = Post("fresh", "b");
+    const auto second = Post("kept", "b");
+    CPPUNIT_ASSERT(fresh.Send(first.substr(0, kPart)));
+    CPPUNIT_ASSERT(kept.Send(second.substr(0, kPart)));
+    SetLimits(system,
+              5,
+              { { "IdleTimeoutMs", 300 }, { "HeaderTimeoutMs", 300 }, { "MaxHeaderBytes", 64 } });
+    CPPUNIT_ASSERT(!fresh.ReadToEnd(milliseconds{ 700 }));
+    CPPUNIT_ASSERT(!kept.ReadToEnd(milliseconds{ 1 }));
+    AssertServed(Ask(fresh, first.substr(kPart)), system);
+    AssertServed(Ask(kept, second.substr(kPart)), system);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_limits_test);
