Test bodies and addresses across changes of limits and settings

A body whose head came before MaxBodyBytes fell is held to the older limit and served; a later one is refused with 413. Other addresses in the settings file need a restart: the daemon says so, goes on at its addresses and keeps its connections. Both tests pass on the code before as well; no fault was found here.

--- a/tests/sessions/gateway_limits_test.cpp
+++ b/tests/sessions/gateway_limits_test.cpp
@@ -20,7 +20,9 @@
   CPPUNIT_TEST_SUITE(gateway_limits_test);
   CPPUNIT_TEST(KeptConnectionOutlivesAFallOfTheIdleLimit);
   CPPUNIT_TEST(RequestOfAHeldUpDaemonIsServed);
+  CPPUNIT_TEST(BodyIsHeldToTheLimitOfItsHead);
   CPPUNIT_TEST(HeadIsHeldToTheLimitsOfItsBegin);
+  CPPUNIT_TEST(OtherAddressesKeepConnectionsOpen);
   CPPUNIT_TEST_SUITE_END();
 
   static gateway_options Options()
@@ -122,6 +124,34 @@
     }
   }
 
+  /// A body whose head came under the older limit is held to that one, a later body to the new one.
+  /// Both callers get a whole answer.
+  void BodyIsHeldToTheLimitOfItsHead()
+  {
+    gateway_system system{ Options() };
+    raw_caller sized{ system.CallersAddress(0) };
+    raw_caller chunked{ system.CallersAddress(0) };
+    const std::string body(4'000, 'x');
+    const auto request = Post("sized", body);
+    const auto sent = request.size() - 1'000;
+    CPPUNIT_ASSERT(sized.Send(request.substr(0, sent)));
+    CPPUNIT_ASSERT(chunked.Send(
+      "POST /order/a HTTP/1.1\r\nHost: a.example\r\nX-Skylarkwind-Request-Id: chunked\r\n"
+      "X-Skylarkwind-Deadline-Ms: 4000\r\nTransfer-Encoding: chunked\r\n\r\nbb8\r\n" +
+      std::string(3'000, 'x') + "\r\n"));
+    // A request on another connection shows that the daemon has read what was sent before it.
+    CPPUNIT_ASSERT_EQUAL(
+      200, system.Send("GET", "/lookup/a", { "X-Skylarkwind-Request-Id: other" }).mStatus);
+    SetLimits(system, 5, { { "MaxBodyBytes", 1'000 } });
+    AssertServed(Ask(sized, request.substr(sent)), system);
+    AssertServed(Ask(chunked, "3e8\r\n" + std::string(1'000, 'x') + "\r\n0\r\n\r\n"), system);
+    raw_caller later{ system.CallersAddress(0) };
+    const auto refused = Ask(later, Post("later", body));
+    CPPUNIT_ASSERT_EQUAL(413, refused.mStatus);
+    CPPUNIT_ASSERT(refused.mWhole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, system.Count("ran"));
+  }
+
   /// Guards against a head that arrives in parts and whose connection falls under a lower limit
   /// meanwhile, the one for idle connections or the one for heads.
   void HeadIsHeldToTheLimitsOfItsBegin()
@@ -144,6 +174,31 @@
     AssertServed(Ask(fresh, first.substr(kPart)), system);
     AssertServed(Ask(kept, second.substr(kPart)), system);
   }
+
+  /// The daemon goes on at its addresses until it is restarted, and keeps its connections.
+  void OtherAddressesKeepConnectionsOpen()
+  {
+    gateway_system system{ Options() };
+    raw_caller kept{ system.CallersAddress(0) };
+    AssertServed(Ask(kept, Post("first", "b")), system);
+    kept.TakeAnswer();
+    const auto file = system.Directory() + "/vm-0.yaml";
+    std::ostringstream text;
+    text << std::ifstream{ file }.rdbuf();
+    auto changed = text.str();
+    const auto at = changed.find(system.CallersAddress(0));
+    CPPUNIT_ASSERT(at != std::string::npos);
+    changed.replace(at, system.CallersAddress(0).size(), "127.0.0.1:1");
+    std::ofstream{ file } << changed;
+    system.Daemon().Signal(SIGHUP);
+    CPPUNIT_ASSERT_MESSAGE(system.DaemonLog(), WaitUntil([&] {
+                             return system.DaemonLog().find("need_restart=callers_address") !=
+                                    std::string::npos;
+                           }));
+    AssertServed(Ask(kept, Post("second", "b")), system);
+    raw_caller later{ system.CallersAddress(0) };
+    AssertServed(Ask(later, Post("third", "b")), system);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_limits_test);
