--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -5,14 +5,20 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace skylarkwind {
 
 namespace {
 
-/// Idle connections are closed by `CloseIdle`, whose limit may change while a connection is open.
-constexpr auto kNoPipelineTimeout = 1 * kj::HOURS;
+/// Connections without a request are closed by `CloseIdle`, whose limits may change while a
+/// connection is open, and which finds a request that has arrived and not been read.
+constexpr auto kNoTimeout = 1 * kj::HOURS;
+/// The last line end of a chunked body may arrive after the response.
+constexpr std::uint64_t kLineEndBytes = 2;
 /// Time from the end of a response that announces the close of its connection to the close.
 constexpr std::chrono::milliseconds kAnnouncedCloseDelay{ 50 };
 /// A connection that the daemon closes stays open for reading until the caller has sent nothing for
@@ -20,9 +26,48 @@
 constexpr std::chrono::milliseconds kLingerSilence{ 1'000 };
 constexpr std::chrono::milliseconds kLingerLimit{ 5'000 };
 constexpr std::size_t kDiscardBytes = 4 * 1'024;
+/// Limit of discarded text in a line of the log.
+constexpr std::size_t kLoggedBytes = 80;
 /// Pause after connections could not be accepted, e.g. for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
 
+/// Why the daemon closes a connection.
+enum class close_cause
+{
+  Idle,      ///< no request was open for too long
+  Announced, ///< the last response said so
+  Response   ///< after a response that the caller has not taken whole, or to a request that was not
+             ///< read whole, or the caller left
+};
+
+std::string_view
+Name(close_cause aCause)
+{
+  switch (aCause) {
+    case close_cause::Idle:
+      return "idle";
+    case close_cause::Announced:
+      return "announced";
+    case close_cause::Response:
+      return "response";
+  }
+  return {};
+}
+
+/// The first line up to its query, shortened, without what could be taken for a part of the log
+/// line.
+std::string
+LoggedBegin(std::string_view aText)
+{
+  std::string begin{ aText.substr(0, std::min(aText.find_first_of("?\r\n"), kLoggedBytes)) };
+  std::replace_if(
+    begin.begin(),
+    begin.end(),
+    [](char aCharacter) { return aCharacter < ' ' || aCharacter > '~' || aCharacter == '"'; },
+    '.');
+  return begin;
+}
+
 } // namespace
 
 class caller_listener::connection final
@@ -36,8 +81,12 @@
     , mStream(kj::heap<monitored_stream>(kj::mv(aStream)))
     , mServer(aOwner.mContext.mTimer, aOwner.mContext.mTable, *this, Settings())
     , mIdleSince(aOwner.mContext.mClock.Now())
+    , mHeadSince(mIdleSince)
   {
   }
+  ~connection() noexcept { LogDiscarded(); }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
 
   void Start()
   {
@@ -48,7 +97,9 @@
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged the reason; the connection is closed in any case.
                  })
-                 .then([this] { return Linger(); })
+                 .then([this] {
+                   return Linger(mCloseAnnounced ? close_cause::Announced : close_cause::Response);
+                 })
                  .eagerlyEvaluate(nullptr);
   }
 
@@ -58,9 +109,12 @@
     if (mLingering) {
       return;
     }
+    const auto cause = mCloseAnnounced                 ? close_cause::Announced
+                       : mStream->UnwrittenBytes() > 0 ? close_cause::Response
+                                                       : close_cause::Idle;
     // The server reads from the stream until it is dropped.
     mServing = nullptr;
-    mServing = Linger().eagerlyEvaluate(nullptr);
+    mServing = Linger(cause).eagerlyEvaluate(nullptr);
   }
 
   kj::Promise<void> request(kj::HttpMethod aMethod,
@@ -91,12 +145,15 @@
                             --mOwner.mOpenRequests;
                             --mActiveRequests;
                             mIdleSince = mOwner.mContext.mClock.Now();
+                            mReadAtEnd = mStream->ReadBytes();
+                            mHeadSince.reset();
+                            mHeadLimit = {};
                           }));
   }
 
   bool Done() const { return mDone; }
   std::uint64_t UnwrittenBytes() const { return mStream->UnwrittenBytes(); }
-  bool IdleFor(std::chrono::milliseconds aLimit, instant aNow)
+  bool IdleFor(const connection_limits& aLimits, instant aNow)
   {
     if (mStream->ReadBytes() != mReadBefore) {
       // A request is arriving.
@@ -107,22 +164,42 @@
       mSeemedIdle = false;
       return false;
     }
-    auto limit = mStream->UnwrittenBytes() > 0 ? std::max(aLimit, kSlowCallerLimit) : aLimit;
-    if (mCloseAnnounced && mStream->UnwrittenBytes() == 0) {
-      limit = std::min(limit, kAnnouncedCloseDelay);
-    }
-    // The second check in a row decides: a request may have arrived and not been read yet.
-    return std::exchange(mSeemedIdle, aNow - mIdleSince >= limit) && mSeemedIdle;
+    // When the daemon was held up, a request may have arrived and not been read yet.
+    const bool idle = Expired(aLimits, aNow) && !mStream->InputIsDue();
+    // The second check in a row decides, because what was read may not have been handled yet.
+    return std::exchange(mSeemedIdle, idle) && mSeemedIdle;
   }
 
 private:
+  bool Expired(const connection_limits& aLimits, instant aNow)
+  {
+    const auto pause = aNow - mIdleSince;
+    if (mStream->UnwrittenBytes() > 0) {
+      return pause >= std::max(aLimits.mIdle, kSlowCallerLimit);
+    }
+    if (mCloseAnnounced) {
+      return pause >= kAnnouncedCloseDelay;
+    }
+    const bool begun = mStream->ReadBytes() > mReadAtEnd + kLineEndBytes;
+    if (begun && !mHeadSince) {
+      mHeadSince = aNow;
+    }
+    if (pause >= (begun ? aLimits.mHeadPause : aLimits.mIdle)) {
+      return true;
+    }
+    if (!mHeadSince) {
+      return false;
+    }
+    // A limit that falls while the head arrives does not shorten its time.
+    mHeadLimit = std::max(mHeadLimit, aLimits.mHead);
+    return aNow - *mHeadSince >= mHeadLimit;
+  }
+
   kj::HttpServerSettings Settings()
   {
     kj::HttpServerSettings settings;
-    const auto& configuration = mOwner.mContext.mRoutes.Current();
-    const auto limits = configuration ? configuration->mLimits : caller_limits{};
-    settings.headerTimeout = ToKj(limits.mHeaderTimeout);
-    settings.pipelineTimeout = kNoPipelineTimeout;
+    settings.headerTimeout = kNoTimeout;
+    settings.pipelineTimeout = kNoTimeout;
     settings.errorHandler = static_cast<kj::HttpServerErrorHandler&>(*this);
     settings.callbacks = static_cast<kj::HttpServerCallbacks&>(*this);
     return settings;
@@ -136,10 +213,13 @@
 
   /// Closes the connection towards the caller and discards what the caller still sends: a socket
   /// that is closed with unread input resets the connection, and the caller loses what it has not
-  /// received yet.
-  kj::Promise<void> Linger()
+  /// received yet. An idle connection has nothing to lose: when bytes arrive on it, it ends, so
+  /// that the caller does not wait for a response to a request that crossed the close.
+  kj::Promise<void> Linger(close_cause aCause)
   {
     mLingering = true;
+    mCloseCause = aCause;
+    mClosedAt = mOwner.mContext.mClock.Now();
     kj::Promise<void> discarding = kj::READY_NOW;
     KJ_IF_MAYBE (error, kj::runCatchingExceptions([this] { mStream->shutdownWrite(); })) {
       // The caller has left already.
@@ -163,6 +243,10 @@
           if (aBytes == 0) {
             return kj::READY_NOW;
           }
+          OnDiscarded(aBytes);
+          if (mCloseCause == close_cause::Idle) {
+            return kj::READY_NOW;
+          }
           return DiscardInput();
         },
         [](kj::Exception&&) -> kj::Promise<void> {
@@ -171,6 +255,38 @@
         });
   }
 
+  void OnDiscarded(std::size_t aBytes)
+  {
+    mOwner.mContext.mCounters
+      .Get("skylarkwind_discarded_input_bytes_total",
+           "Bytes that callers sent on connections that the daemon had closed towards them.",
+           "cause=\"" + std::string{ Name(mCloseCause) } + '"')
+      .Add(static_cast<std::int64_t>(aBytes));
+    if (mDiscardedBytes == 0) {
+      mFirstDiscardedAt = mOwner.mContext.mClock.Now();
+      // What follows a response may be the rest of a body; only requests are logged.
+      if (mCloseCause == close_cause::Idle) {
+        mDiscardedBegin = LoggedBegin({ mDiscarded.asChars().begin(), aBytes });
+      }
+    }
+    mDiscardedBytes += aBytes;
+  }
+
+  /// A request may be among the discarded bytes, which no other line mentions.
+  void LogDiscarded() const
+  {
+    if (mDiscardedBytes == 0) {
+      return;
+    }
+    const auto after =
+      std::chrono::duration_cast<std::chrono::milliseconds>(mFirstDiscardedAt - mClosedAt);
+    Log(log_level::Info,
+        "callers",
+        "discarded bytes=" + std::to_string(mDiscardedBytes) +
+          " cause=" + std::string{ Name(mCloseCause) } +
+          " after_ms=" + std::to_string(after.count()) + " begins=\"" + mDiscardedBegin + '"');
+  }
+
   kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
     if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
@@ -185,11 +301,20 @@
   std::size_t mActiveRequests = 0;
   instant mIdleSince;
   std::uint64_t mReadBefore = 0; ///< bytes read at the last check for idleness
-  bool mSeemedIdle = false;      ///< at the last check
-  bool mCloseAnnounced = false;  ///< the last response said that the connection is closed
+  std::uint64_t mReadAtEnd = 0;  ///< bytes read when the last request ended
+  /// When the head of a request began to arrive; the first one may begin with the connection.
+  std::optional<instant> mHeadSince;
+  std::chrono::milliseconds mHeadLimit{}; ///< the longest one since then
+  bool mSeemedIdle = false;               ///< at the last check
+  bool mCloseAnnounced = false;           ///< the last response said that the connection is closed
   bool mLingering = false;
   bool mDone = false;
+  close_cause mCloseCause = close_cause::Idle;
+  instant mClosedAt{};
   kj::Array<kj::byte> mDiscarded;
+  std::size_t mDiscardedBytes = 0;
+  instant mFirstDiscardedAt{};
+  std::string mDiscardedBegin;
   kj::Promise<void> mServing = nullptr;
 };
 
@@ -228,10 +353,10 @@
 }
 
 void
-caller_listener::CloseIdle(std::chrono::milliseconds aLimit, instant aNow)
+caller_listener::CloseIdle(const connection_limits& aLimits, instant aNow)
 {
   for (const auto& open : mConnections) {
-    if (open->IdleFor(aLimit, aNow)) {
+    if (open->IdleFor(aLimits, aNow)) {
       open->Close();
     }
   }
