Resume a begun stream whose engine's reset arrives between two reads

What callers saw: a resumable stream that had begun was broken off although another engine could have gone on with it. By reading the code, in the same way a lookup whose engine reset the connection between the head and the read of its body was answered 502 instead of being repeated.

Cause: a socket on which a reset has arrived throws from the call of tryRead itself, not from its promise. monitored_stream passed that on, so that the handlers of the promise (OnStreamFailed, the repeat in OnResponse) were skipped and only the outermost handler of the exchange ended the request. This happens whenever nobody reads at that moment, e.g. while the caller takes an event slowly.

Fix: monitored_stream turns such an exception into a failure of the promise, for reads and for reading ahead.

--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -38,19 +38,19 @@
     return KJ_ASSERT_NONNULL(mReadAhead).addBranch();
   }
   mReadAheadPending = true;
-  auto& fork =
-    mReadAhead.emplace(mInner->tryRead(mScratch, 1, sizeof(mScratch))
-                         .then(
-                           [this](size_t aBytes) {
-                             mBuffered.append(reinterpret_cast<const char*>(mScratch), aBytes);
-                             RecordInput(aBytes);
-                             mReadAheadPending = false;
-                           },
-                           [this](kj::Exception&&) {
-                             RecordInput(0);
-                             mReadAheadPending = false;
-                           })
-                         .fork());
+  auto& fork = mReadAhead.emplace(
+    kj::evalNow([this] { return mInner->tryRead(mScratch, 1, sizeof(mScratch)); })
+      .then(
+        [this](size_t aBytes) {
+          mBuffered.append(reinterpret_cast<const char*>(mScratch), aBytes);
+          RecordInput(aBytes);
+          mReadAheadPending = false;
+        },
+        [this](kj::Exception&&) {
+          RecordInput(0);
+          mReadAheadPending = false;
+        })
+      .fork());
   return fork.addBranch();
 }
 
@@ -99,7 +99,11 @@
     });
   }
   ++mPendingReads;
-  return mInner->tryRead(aBuffer + aFilled, aMinBytes - aFilled, aMaxBytes - aFilled)
+  // A socket throws from the call itself when the connection has failed before. Callers handle
+  // failures of the promise only.
+  return kj::evalNow([&] {
+           return mInner->tryRead(aBuffer + aFilled, aMinBytes - aFilled, aMaxBytes - aFilled);
+         })
     .then([this, aFilled](size_t aBytes) {
       RecordInput(aBytes);
       return aFilled + aBytes;
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -82,6 +82,8 @@
 public:
   std::function<void(kj::Own<kj::AsyncIoStream>)> mAccept;
   bool mConnects = true; ///< if not, nobody answers an attempt to connect
+  /// What the daemon gets instead of its end of the pipe, if set.
+  std::function<kj::Own<kj::AsyncIoStream>(kj::Own<kj::AsyncIoStream>)> mWrap;
 
   kj::Promise<kj::Own<kj::NetworkAddress>> parseAddress(kj::StringPtr, kj::uint) override
   {
@@ -105,7 +107,7 @@
     }
     auto pipe = kj::newTwoWayPipe();
     mAccept(kj::mv(pipe.ends[1]));
-    return kj::mv(pipe.ends[0]);
+    return mWrap ? mWrap(kj::mv(pipe.ends[0])) : kj::mv(pipe.ends[0]);
   }
   kj::Own<kj::ConnectionReceiver> listen() override { Unused(); }
   kj::Own<kj::NetworkAddress> clone() override { Unused(); }
