Tell a reset during the upload from the end of a body without a length

What callers saw: by the test, an answer without a length could be delivered as whole although its connection was reset in the middle.

Cause: a socket reports a reset once. While the body of the request is still being sent and nobody reads, the write that fails takes the error; the read after it sees an orderly end, which for an answer without a length is the end of its body.

Fix: the pool wraps a body that ends with its connection; its end is a failure when the upload has failed. An engine that closes in order after an early answer, and whose kernel then resets the upload, also counts as failed: the two can't be told apart afterwards.

Evidence: ResetDuringTheUploadIsNotTheEndOfTheBody failed before (the body was taken for whole).

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -77,6 +77,14 @@
   std::vector<std::uint64_t> mCarriedIds; ///< hashes of the ids of the requests sent on it
 };
 
+/// How far the sending of a request's body has come.
+enum class upload_progress
+{
+  Open,
+  Done,
+  Failed
+};
+
 /// A response: status, headers and a stream of the body. Dropping it before the end closes the
 /// connection, which cancels the work at the server.
 class http_answer
@@ -95,7 +103,8 @@
   kj::Own<pooled_connection> mConnection;
   kj::Own<kj::AsyncInputStream> mBody;
   kj::Maybe<kj::Promise<void>> mUpload;
-  std::shared_ptr<bool> mUploaded;
+  std::shared_ptr<upload_progress> mUploaded;
+  bool mEndsWithConnection = false;
 };
 
 using http_result = std::variant<std::unique_ptr<http_answer>, http_failure>;
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -49,6 +49,48 @@
   return kj::HttpMethod::GET;
 }
 
+/// Whether the body of the response ends with the connection, as it states no length.
+bool
+HasNoLength(kj::HttpMethod aMethod, const kj::HttpClient::Response& aResponse)
+{
+  constexpr kj::uint kNoContent = 204;
+  constexpr kj::uint kResetContent = 205;
+  constexpr kj::uint kNotModified = 304;
+  const auto status = aResponse.statusCode;
+  return aMethod != kj::HttpMethod::HEAD && status != kNoContent && status != kResetContent &&
+         status != kNotModified &&
+         aResponse.headers->get(kj::HttpHeaderId::CONTENT_LENGTH) == nullptr &&
+         aResponse.headers->get(kj::HttpHeaderId::TRANSFER_ENCODING) == nullptr;
+}
+
+/// A body that ends with its connection. A write that fails takes the error of a reset from the
+/// socket, and reads see an orderly end afterwards; so that end counts only while no write failed.
+class body_without_length final : public kj::AsyncInputStream
+{
+public:
+  body_without_length(kj::Own<kj::AsyncInputStream> aInner,
+                      std::shared_ptr<const upload_progress> aUpload)
+    : mInner(kj::mv(aInner))
+    , mUpload(std::move(aUpload))
+  {
+  }
+
+  kj::Promise<size_t> tryRead(void* aBuffer, size_t aMinBytes, size_t aMaxBytes) override
+  {
+    return mInner->tryRead(aBuffer, aMinBytes, aMaxBytes).then([this, aMinBytes](size_t aBytes) {
+      if (aBytes < aMinBytes && *mUpload == upload_progress::Failed) {
+        kj::throwFatalException(
+          KJ_EXCEPTION(DISCONNECTED, "the connection failed while the request was sent"));
+      }
+      return aBytes;
+    });
+  }
+
+private:
+  kj::Own<kj::AsyncInputStream> mInner;
+  std::shared_ptr<const upload_progress> mUpload;
+};
+
 http_failure
 MakeFailure(const kj::Exception& aError, bool aSent)
 {
@@ -178,7 +220,7 @@
   }
   auto answer = std::make_unique<http_answer>();
   answer->mConnection = kj::mv(aConnection);
-  answer->mUploaded = std::make_shared<bool>(true);
+  answer->mUploaded = std::make_shared<upload_progress>(upload_progress::Done);
   auto headers = ToKj(aCall.mHeaders, mTable);
   headers.set(kj::HttpHeaderId::HOST, kj::str(aCall.mHost.c_str()));
   const auto method = ParseMethod(aCall.mMethod);
@@ -200,21 +242,27 @@
   }
   auto& request = KJ_ASSERT_NONNULL(sentRequest);
   if (!aCall.mBody.empty()) {
-    *answer->mUploaded = false;
+    *answer->mUploaded = upload_progress::Open;
     auto upload = request.body->write(aCall.mBody.data(), aCall.mBody.size());
     answer->mUpload = upload.attach(kj::mv(request.body))
-                        .then([done = answer->mUploaded] { *done = true; },
-                              [](kj::Exception&&) {
+                        .then([progress = answer->mUploaded] { *progress = upload_progress::Done; },
+                              [progress = answer->mUploaded](kj::Exception&&) {
                                 // The response, or its failure, tells the request's outcome.
+                                *progress = upload_progress::Failed;
                               })
                         .eagerlyEvaluate(nullptr);
   }
   return request.response.then(
-    [answer = std::move(answer)](kj::HttpClient::Response aResponse) mutable -> http_result {
+    [answer = std::move(answer),
+     method](kj::HttpClient::Response aResponse) mutable -> http_result {
       answer->mStatus = static_cast<int>(aResponse.statusCode);
       answer->mStatusText = ToStd(aResponse.statusText);
       answer->mHeaders = FromKj(*aResponse.headers);
+      answer->mEndsWithConnection = HasNoLength(method, aResponse);
       answer->mBody = kj::mv(aResponse.body);
+      if (answer->mEndsWithConnection) {
+        answer->mBody = kj::heap<body_without_length>(kj::mv(answer->mBody), answer->mUploaded);
+      }
       return std::move(answer);
     },
     [](kj::Exception&& aError) -> http_result { return MakeFailure(aError, true); });
@@ -225,7 +273,7 @@
                    bool aServerCloses,
                    std::optional<std::chrono::milliseconds> aIdleLimit)
 {
-  const bool uploaded = *aAnswer->mUploaded;
+  const bool uploaded = *aAnswer->mUploaded == upload_progress::Done;
   aAnswer->mBody = nullptr;
   aAnswer->mUpload = nullptr;
   auto connection = kj::mv(aAnswer->mConnection);
--- a/packages/gateway/tests/exchange_cut_test.cpp
+++ b/packages/gateway/tests/exchange_cut_test.cpp
@@ -172,6 +172,7 @@
   CPPUNIT_TEST(CutStreamLooksIncomplete);
   CPPUNIT_TEST(ResetAnswerNeverLooksWhole);
   CPPUNIT_TEST(StreamIsResumedAfterAResetBeforeTheNextRead);
+  CPPUNIT_TEST(ResetDuringTheUploadIsNotTheEndOfTheBody);
   CPPUNIT_TEST(CutHeadIsAFailureOfTheCall);
   CPPUNIT_TEST(CutBodyIsAFailureOfTheCall);
   CPPUNIT_TEST_SUITE_END();
@@ -418,6 +419,35 @@
       }
     }
   }
+
+  /// Guards against an answer whose connection was reset while its request was still being sent:
+  /// the failed write takes the error from the socket, and the read sees an orderly end.
+  void ResetDuringTheUploadIsNotTheEndOfTheBody()
+  {
+    pool_loop loop;
+    const std::string large(8 * 1'024 * 1'024, 'x');
+    auto call = loop.Call();
+    call.mBody = large;
+    auto calling = loop.mPool.Call(std::move(call)).eagerlyEvaluate(nullptr);
+    auto server = loop.Accept();
+    const std::string part =
+      "HTTP/1.1 200 OK\r\n" + std::string{ kHeaders } + "\r\n" + "half of the body";
+    server->write(part.data(), part.size()).wait(loop.mIo.waitScope);
+    auto result = calling.wait(loop.mIo.waitScope);
+    auto& answer = std::get<std::unique_ptr<http_answer>>(result);
+    // The server closes with unread input, which resets the connection. The pool learns of it from
+    // the upload, as nobody reads.
+    server = nullptr;
+    for (int i = 0; i < 10; ++i) {
+      loop.mIo.waitScope.poll();
+    }
+    byte_budget budget{ 64 * 1'024 };
+    bool failed = false;
+    ReadBodyOrThrow(answer->Body(), 16 * 1'024, budget)
+      .then([](const buffered_body&) {}, [&failed](kj::Exception&&) { failed = true; })
+      .wait(loop.mIo.waitScope);
+    CPPUNIT_ASSERT(failed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_cut_test);
