Don't deliver an empty success whose engine stated no length

What callers saw: a 200 with Content-Length 0 from an engine that closed its connection right after its head, or before the first byte of its body.

Cause: an answer without a length ends with its connection, so an orderly close after the head is the same on the wire as an empty body. The daemon framed it with a length of its own.

Fix: a success without a length and without a body counts as broken off: 502, or a repeat where the request may be repeated. Stated empty bodies (Content-Length 0, no chunk, 204) are delivered as before, failures and refusals too.

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -96,6 +96,8 @@
 
   /// The body. A read returns 0 at the end and throws when the connection fails.
   kj::AsyncInputStream& Body() { return *mBody; }
+  /// Whether the server has stated no length: the body ends with the connection.
+  bool EndsWithConnection() const { return mEndsWithConnection; }
 
 private:
   friend class http_pool;
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -304,7 +304,13 @@
   return ReadBodyOrThrow(
            mAttempt->mBackendResponse->Body(), kMaxResponseBytes, mContext.mResponseBodies)
     .then(
-      [this](buffered_body aBody) {
+      [this, success](const buffered_body& aBody) {
+        // A server that stops right after its head cannot be told from one with an empty body.
+        if (success && aBody.Text().empty() && mAttempt->mBackendResponse->EndsWithConnection()) {
+          mAttempt->mBackendResponse = nullptr;
+          CloseAttempt(backend_outcome::Failed);
+          return OnAttemptFailed("the answer states no length and has no body");
+        }
         mContext.mLoadTracker.OnFirstResponse(*mAttempt->mTicket, mContext.mClock.Now());
         mContext.mPool.Release(std::move(mAttempt->mBackendResponse),
                                mAttempt->mResponseHead.mClosesConnection,
--- a/packages/gateway/tests/exchange_cut_test.cpp
+++ b/packages/gateway/tests/exchange_cut_test.cpp
@@ -169,10 +169,15 @@
 class exchange_cut_test : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(exchange_cut_test);
+  CPPUNIT_TEST(CutAnswerToAnOrderIsAFailure);
+  CPPUNIT_TEST(CutAnswerToALookupIsRepeated);
+  CPPUNIT_TEST(CutAnswerToALookupWithoutAnotherServerIsAFailure);
   CPPUNIT_TEST(CutStreamLooksIncomplete);
   CPPUNIT_TEST(ResetAnswerNeverLooksWhole);
   CPPUNIT_TEST(StreamIsResumedAfterAResetBeforeTheNextRead);
   CPPUNIT_TEST(ResetDuringTheUploadIsNotTheEndOfTheBody);
+  CPPUNIT_TEST(EmptyBodyWithoutLengthIsAFailure);
+  CPPUNIT_TEST(StatedEmptyBodyIsDelivered);
   CPPUNIT_TEST(CutHeadIsAFailureOfTheCall);
   CPPUNIT_TEST(CutBodyIsAFailureOfTheCall);
   CPPUNIT_TEST_SUITE_END();
@@ -260,6 +265,76 @@
     }
   }
 
+  /// Guards against a success with an empty or short body, and against an order that is sent twice.
+  void CutAnswerToAnOrderIsAFailure()
+  {
+    PlayCuts("order",
+             "twelve bytes",
+             kHeaders,
+             true,
+             [](const played& aRequest,
+                framing aFraming,
+                const whole_answer& aAnswer,
+                std::size_t aCut,
+                const caller_view& aView) {
+               const auto context = Context(aCut, aAnswer, aView.mText);
+               CPPUNIT_ASSERT_MESSAGE(context, aView.mWhole);
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::size_t{ 1 }, aRequest.Sent());
+               const bool told = CanBeTold(aFraming, aAnswer, aCut);
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, told ? 502 : 200, aView.mStatus);
+               if (aCut == aAnswer.Text().size()) {
+                 CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string{ "twelve bytes" }, aView.mBody);
+               }
+             });
+  }
+
+  /// Guards against a lookup that is not repeated elsewhere, or not at once, after its answer was
+  /// cut off.
+  void CutAnswerToALookupIsRepeated()
+  {
+    PlayCuts("lookup",
+             "twelve bytes",
+             kHeaders,
+             true,
+             [](played& aRequest,
+                framing aFraming,
+                const whole_answer& aAnswer,
+                std::size_t aCut,
+                const caller_view& aView) {
+               const auto context = Context(aCut, aAnswer, aView.mText);
+               if (!CanBeTold(aFraming, aAnswer, aCut)) {
+                 CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200, aView.mStatus);
+                 return;
+               }
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string{}, aView.mText);
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::size_t{ 2 }, aRequest.Sent());
+               auto& second = *aRequest.mFixture.mServers.back();
+               aRequest.mFixture.Read(second);
+               aRequest.mFixture.Write(second, Answer(framing::Length, "other", kHeaders).Text());
+               const caller_view repeated{ aRequest.Received() };
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200, repeated.mStatus);
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string{ "other" }, repeated.mBody);
+             });
+  }
+
+  void CutAnswerToALookupWithoutAnotherServerIsAFailure()
+  {
+    PlayCuts("lookup",
+             "twelve bytes",
+             kHeaders,
+             false,
+             [](const played&,
+                framing aFraming,
+                const whole_answer& aAnswer,
+                std::size_t aCut,
+                const caller_view& aView) {
+               const auto context = Context(aCut, aAnswer, aView.mText);
+               CPPUNIT_ASSERT_MESSAGE(context, aView.mWhole);
+               const bool told = CanBeTold(aFraming, aAnswer, aCut);
+               CPPUNIT_ASSERT_EQUAL_MESSAGE(context, told ? 502 : 200, aView.mStatus);
+             });
+  }
+
   /// Guards against a stream that ends as complete before its server has sent all of it.
   void CutStreamLooksIncomplete()
   {
@@ -448,6 +523,32 @@
       .wait(loop.mIo.waitScope);
     CPPUNIT_ASSERT(failed);
   }
+
+  /// Guards against a success without a body from a server that stopped after its head: with no
+  /// length stated, the end of the connection looked like the end of the body.
+  void EmptyBodyWithoutLengthIsAFailure()
+  {
+    const auto answer = Answer(framing::Connection, "", kHeaders);
+    played request{ "order", answer.Text(), true };
+    CPPUNIT_ASSERT_EQUAL(std::string{}, request.Received());
+    request.Close();
+    const caller_view view{ request.Received() };
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(view.mText, 502, view.mStatus);
+    CPPUNIT_ASSERT(view.mWhole);
+  }
+
+  void StatedEmptyBodyIsDelivered()
+  {
+    for (const auto* head :
+         { "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: 0\r\n\r\n",
+           "HTTP/1.1 204 No Content\r\nId: r1\r\nSignature: s\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: "
+           "chunked\r\n\r\n0\r\n\r\n" }) {
+      played request{ "order", head, true };
+      const caller_view view{ request.Received() };
+      CPPUNIT_ASSERT_MESSAGE(view.mText, view.Success());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_cut_test);
