--- a/tests/sessions/raw_caller.h
+++ b/tests/sessions/raw_caller.h
@@ -76,6 +76,9 @@
   }
 
   const std::string& Received() const { return mReceived; }
+  /// Forgets the response before, so that the next one can be read.
+  void Forget() { mReceived.clear(); }
+  bool Ended() const { return mEnded; }
   /// Whether the connection ended with a reset instead of its end.
   bool Reset() const { return mReset; }
 
