Let the soak record the exit of a stopped daemon itself

The soak noticed an exit only when its loop came by, and the same loop starts daemons and writes configurations, which blocks; so a late loop and a late exit looked alike. A late loop could also forgive an exit after the grace period, as the exit counted as seen in time.

A thread for each stop now waits for the process and records its end. An exit after the grace period is a broken promise, also where the soak was too late to send SIGKILL, and the message names the time of the exit.

WrongExitsAreFound covers the exit that was not killed; it needs the change of the check.

--- a/tests/soak/stop_checks.cpp
+++ b/tests/soak/stop_checks.cpp
@@ -96,8 +96,9 @@
   void CheckProcess(const daemon_stop& aStop)
   {
     const auto after = std::to_string(aStop.mExitMs - aStop.mTermMs) + " ms after SIGTERM";
-    if (aStop.mKilled) {
-      mBroken.push_back({ {}, aStop.mDaemon, "still ran at the end of the grace period" });
+    if (aStop.mKilled || aStop.mExitMs - aStop.mTermMs > mEvidence.mTimes.mGraceMs) {
+      mBroken.push_back(
+        { {}, aStop.mDaemon, "still ran at the end of the grace period; ended " + after });
     } else if (WIFSIGNALED(aStop.mStatus)) {
       mBroken.push_back(
         { {},
--- a/tests/soak/stop_checks_test.cpp
+++ b/tests/soak/stop_checks_test.cpp
@@ -157,6 +157,12 @@
     evidence.mStops[0].mStatus = 0;
     evidence.mStops[0].mKilled = true;
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Broken(evidence));
+    // The soak was late to kill it.
+    evidence.mStops[0].mKilled = false;
+    evidence.mStops[0].mExitMs = kTermMs + evidence.mTimes.mGraceMs + 1;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Broken(evidence));
+    evidence.mStops[0].mExitMs = kTermMs + evidence.mTimes.mGraceMs;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, Broken(evidence));
   }
 
   void PlansRepeatAndStopDaemonsTogether()
--- a/tests/soak/stop_run.cpp
+++ b/tests/soak/stop_run.cpp
@@ -6,11 +6,15 @@
 #include "stop_checks.h"
 #include "stop_plan.h"
 
+#include <sys/wait.h>
+
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <memory>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -80,6 +84,31 @@
   return delays;
 }
 
+/// Notices the end of a process at once, whatever else the soak does meanwhile. The process must
+/// be waited for only after that.
+class exit_watch
+{
+public:
+  explicit exit_watch(pid_t aPid)
+    : mThread([this, aPid] {
+      siginfo_t info{};
+      waitid(P_PID, static_cast<id_t>(aPid), &info, WEXITED | WNOWAIT);
+      mExitMs = NowMs();
+    })
+  {
+  }
+  ~exit_watch() { mThread.join(); }
+  exit_watch(const exit_watch&) = delete;
+  exit_watch& operator=(const exit_watch&) = delete;
+
+  /// 0: it still runs.
+  std::int64_t ExitMs() const { return mExitMs; }
+
+private:
+  std::atomic<std::int64_t> mExitMs = 0;
+  std::thread mThread;
+};
+
 /// Stops daemons as the platform does, and starts them anew.
 class stopper
 {
@@ -121,6 +150,7 @@
     bool mExited = false;
     daemon_stop mStop;
     std::int64_t mStartMs = 0; ///< earliest time of the next start
+    std::unique_ptr<exit_watch> mWatch;
   };
 
   void Begin(const fault& aFault)
@@ -131,8 +161,13 @@
     }
     ++mCounts[std::string{ FaultName(aFault.mKind) }];
     if (aFault.mKind == fault_kind::StopDaemon) {
-      stop = { true, false, { aFault.mTarget, NowMs() }, mStartMs + aFault.mToMs };
-      mSystem.Daemon(aFault.mTarget).Signal(SIGTERM);
+      auto& process = mSystem.Daemon(aFault.mTarget);
+      stop.mWatch = std::make_unique<exit_watch>(process.Pid());
+      stop.mOn = true;
+      stop.mExited = false;
+      stop.mStop = { aFault.mTarget, NowMs() };
+      stop.mStartMs = mStartMs + aFault.mToMs;
+      process.Signal(SIGTERM);
     } else if (aFault.mKind == fault_kind::HangUpDaemon) {
       mSystem.Daemon(aFault.mTarget).Signal(SIGHUP);
     } else {
@@ -150,9 +185,10 @@
     }
     auto& stop = aOpen.mStop;
     auto& process = mSystem.Daemon(stop.mDaemon);
-    if (!aOpen.mExited && process.WaitForExit(std::chrono::milliseconds{ 0 })) {
+    if (!aOpen.mExited && aOpen.mWatch->ExitMs() != 0) {
       aOpen.mExited = true;
-      stop.mExitMs = NowMs();
+      process.WaitForExit(std::chrono::seconds{ 1 });
+      stop.mExitMs = aOpen.mWatch->ExitMs();
       stop.mStatus = process.Status();
       mStops.push_back(stop);
     } else if (!aOpen.mExited && !stop.mKilled &&
