Seek no replacement in the turn that takes a stream

After a pause of the daemon longer than the limit of silence, beside a silent stream with an open replacement, callers saw the connection fail with the whole daemon, or a stream without one of its events. WatchSilence, called to begin a new watch, sought the next replacement at once: it destroyed the promise whose continuation ran (the silent server had failed), exchanged the attempt whose end was being handled (null answer released), or made the stream that had just delivered an event the silent one, so that the event was read and not relayed.

The watch now begins in a turn of its own, when the stream that has been taken is in place and its event counts as a sign of life.

--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -184,6 +184,7 @@
   /// the route's target latency longer.
   std::chrono::milliseconds SilenceLimit() const;
   bool MayReplace() const;
+  void StartSilenceWatch();
   kj::Promise<void> WatchSilence();
   void SeekReplacement();
   /// The calls of a replacement have begun to reach its server.
--- a/packages/gateway/src/exchange_stream.cpp
+++ b/packages/gateway/src/exchange_stream.cpp
@@ -57,7 +57,7 @@
   attempt.mBytesWithoutEvent = 0;
   attempt.mStreaming = true;
   if (!mSilentAttempt) {
-    mSilenceWatch = WatchSilence().eagerlyEvaluate(nullptr);
+    StartSilenceWatch();
   }
   if (mStreamEnd) {
     return ReadEvents(attempt);
@@ -133,7 +133,7 @@
     mSilentAttempt.reset();
     std::swap(mRelaying, mReplacement);
     if (mAttempt->mStreaming) {
-      mSilenceWatch = WatchSilence().eagerlyEvaluate(nullptr);
+      StartSilenceWatch();
     }
     return kj::NEVER_DONE;
   }
@@ -198,6 +198,13 @@
          mContext.mDirectory.Find(mAttempt->mTarget.mId) != nullptr;
 }
 
+void
+exchange::StartSilenceWatch()
+{
+  // Not in the turn of its caller, which still uses the attempts and their promises.
+  mSilenceWatch = kj::evalLater([this] { return WatchSilence(); }).eagerlyEvaluate(nullptr);
+}
+
 kj::Promise<void>
 exchange::WatchSilence()
 {
@@ -272,7 +279,7 @@
   CloseAttempt(*mSilentAttempt, backend_outcome::Silent);
   mSilentAttempt.reset();
   if (mAttempt->mStreaming) {
-    mSilenceWatch = WatchSilence().eagerlyEvaluate(nullptr);
+    StartSilenceWatch();
   }
 }
 
@@ -288,7 +295,7 @@
   mAttempt = std::move(mSilentAttempt);
   std::erase(mExcludedServers, mAttempt->mTarget.mId);
   mNextReplacementAt = mContext.mClock.Now() + kReplacementPause;
-  mSilenceWatch = WatchSilence().eagerlyEvaluate(nullptr);
+  StartSilenceWatch();
 }
 
 void
--- a/packages/gateway/tests/exchange_silence_test.cpp
+++ b/packages/gateway/tests/exchange_silence_test.cpp
@@ -25,6 +25,10 @@
   CPPUNIT_TEST(CallerThatLeavesEndsBothStreams);
   CPPUNIT_TEST(BegunStreamWaitsForAPlace);
   CPPUNIT_TEST(BegunStreamWaitsForRetryBudget);
+  CPPUNIT_TEST(HeldUpDaemonTakesAReplacementsFirstEvent);
+  CPPUNIT_TEST(HeldUpDaemonSeesTheSilentServerFail);
+  CPPUNIT_TEST(HeldUpDaemonEndsTheOverlap);
+  CPPUNIT_TEST(HeldUpDaemonTakesAReplacementsEnd);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRequest =
@@ -302,6 +306,61 @@
     stream.mFixture.Write(stream.Server(1), kHead + Event(2) + kEnd);
     CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
   }
+
+  /// A replacement has sent its head; then nothing of the daemon runs for longer than the limit of
+  /// silence.
+  struct held_up_stream : begun_stream
+  {
+    held_up_stream()
+      : begun_stream(3, 4)
+    {
+      Pass(milliseconds{ 750 });
+      mFixture.Read(Server(1));
+      mFixture.Write(Server(1), kHead);
+    }
+    /// Time that no timer sees before what has been written is read.
+    void HoldUp() { mFixture.mClock.Advance(milliseconds{ 900 }); }
+  };
+
+  /// Guards against an event that is lost when it takes the stream later than a silence lasts.
+  void HeldUpDaemonTakesAReplacementsFirstEvent()
+  {
+    held_up_stream stream;
+    stream.HoldUp();
+    stream.mFixture.Write(stream.Server(1), Event(2));
+    CPPUNIT_ASSERT_EQUAL(Event(2), stream.mFixture.Read(*stream.mCaller));
+    stream.mFixture.Write(stream.Server(1), Event(3) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(3) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
+  /// Guards against a promise that is destroyed by its own continuation.
+  void HeldUpDaemonSeesTheSilentServerFail()
+  {
+    held_up_stream stream;
+    stream.HoldUp();
+    stream.Server(0).shutdownWrite();
+    stream.mFixture.Run();
+    stream.mFixture.Write(stream.Server(1), Event(2) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
+  /// Guards against a promise that is destroyed by its own continuation.
+  void HeldUpDaemonEndsTheOverlap()
+  {
+    held_up_stream stream;
+    stream.mFixture.Advance(milliseconds{ 900 });
+    stream.mFixture.Write(stream.Server(1), Event(2) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
+  /// Guards against an end that is handled after another attempt has begun.
+  void HeldUpDaemonTakesAReplacementsEnd()
+  {
+    held_up_stream stream;
+    stream.HoldUp();
+    stream.mFixture.Write(stream.Server(1), kEnd);
+    CPPUNIT_ASSERT_EQUAL(std::string{ kEnd }, stream.mFixture.Read(*stream.mCaller));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_silence_test);
