Hold the limits of replacements after one of them has failed or was not sent

Three faults beside a silent stream. Callers saw a stream broken off with "no server admits the request" when its silent server failed in the turn after no place for a replacement had been found: the refusal was meant for a stream with an open server. They saw one broken off because a replacement that was cancelled while its connection was made had used up the last attempt, though no server had received it. And a silent server worked on beside a second replacement for up to 300 ms more after a first one had run and failed, together longer than the 400 ms.

The end of the attempts is now judged when it is handled, and a begun stream without an open server waits for a place; an attempt that has not been sent is taken back; the time since the first replacement that may have run counts for the next one.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -315,6 +315,7 @@
 kj::Promise<exchange_end>
 exchange::OnAttemptFailed(std::string_view aReason)
 {
+  RecordOverlap();
   mAttempt->mEvents.DiscardIncomplete();
   mExcludedServers.push_back(mAttempt->mTarget.mId);
   if (mRoute->IsRetryable() && MayRetry()) {
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -258,6 +258,7 @@
   if (mSilentAttempt) {
     call.mOnSend = [this] { OnReplacementSent(); };
   }
+  mAttempt->mCallSent = false;
   ++mAttemptsSent;
   mAttemptOpen = true;
   auto calling = mContext.mPool.Call(std::move(call)).then([this](http_result aResult) {
@@ -328,6 +329,7 @@
     CloseAttempt(backend_outcome::Refused);
     return OnNotExecuted("the server refused with status " + std::to_string(aHead.mStatus), true);
   }
+  RecordOverlap();
   const bool failed = aHead.mStatus >= 500;
   CloseAttempt(failed ? backend_outcome::Failed : backend_outcome::Answered);
   if (failed && mRoute->IsRetryable() && MayRetry()) {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -64,6 +64,7 @@
   std::optional<backend_load_tracker::ticket> mTicket;
   placement mPlacement;        ///< its pointers are not kept
   instant mSentAt{};           ///< when its last call was sent
+  bool mCallSent = false;      ///< of a replacement: its server may have received its call
   bool mTargetFetches = false; ///< the prompt was computed by another engine than the target
   std::uint32_t mTargetAddedTokens = 0; ///< tokens added to the target's KV cache
   std::unique_ptr<http_answer> mBackendResponse;
@@ -189,12 +190,16 @@
   void SeekReplacement();
   /// The calls of a replacement have begun to reach its server.
   void OnReplacementSent();
+  /// The replacement may have run, so that the time since it was sent counts for the next one, too.
+  void RecordOverlap();
   /// Gives up the silent stream for its replacement.
   void TakeReplacement();
   /// Gives up the replacement, if there still is one, and goes on with the silent stream.
   void KeepSilentStream(std::string_view aReason);
   /// All attempts that began with the current one have ended.
-  void OnAttemptsEnd(exchange_end aEnd);
+  kj::Promise<void> OnAttemptsEnd(exchange_end aEnd);
+  /// Goes on with the silent stream, if there is one, or ends the exchange.
+  void EndStream(exchange_end aEnd);
   /// Cancels all reading from servers and closes their connections.
   void EndAttempts();
 
@@ -311,6 +316,8 @@
   std::string mStreamType;       ///< media type of the stream that has begun
   bool mAwaitsPlace = false;     ///< a begun stream has been waiting for a place
   instant mNextReplacementAt{};  ///< no replacement is sought before
+  /// When a replacement was sent that has failed and may have run beside the silent stream.
+  std::optional<instant> mOverlapSince;
 
   /// Once a stream is open, each chain of attempts runs in a promise of its own, so that one can be
   /// cancelled from the other, and the end of the exchange is passed on by `mStreamEnd`.
--- a/packages/gateway/src/exchange_stream.cpp
+++ b/packages/gateway/src/exchange_stream.cpp
@@ -66,8 +66,8 @@
   mStreamEnd = kj::mv(end.fulfiller);
   mRelaying =
     ReadEvents(attempt)
-      .then([this](exchange_end aEnd) { OnAttemptsEnd(std::move(aEnd)); })
-      .eagerlyEvaluate([this](kj::Exception&& aError) { OnAttemptsEnd(EndOfFailure(aError)); });
+      .then([this](exchange_end aEnd) { return OnAttemptsEnd(std::move(aEnd)); })
+      .eagerlyEvaluate([this](kj::Exception&& aError) { EndStream(EndOfFailure(aError)); });
   return kj::mv(end.promise);
 }
 
@@ -233,6 +233,7 @@
     LogOutcome("silent", "no event; seeking a replacement");
   }
   mOverlapLimit = nullptr;
+  mOverlapSince.reset();
   mExcludedServers.push_back(mAttempt->mTarget.mId);
   mSilentAttempt = std::move(mAttempt);
   mAttempt = std::make_unique<backend_attempt>();
@@ -240,14 +241,18 @@
   mAttempt->mEvents.DiscardIncomplete();
   mReplacement =
     Attempt()
-      .then([this](exchange_end aEnd) { OnAttemptsEnd(std::move(aEnd)); })
-      .eagerlyEvaluate([this](kj::Exception&& aError) { OnAttemptsEnd(EndOfFailure(aError)); });
+      .then([this](exchange_end aEnd) { return OnAttemptsEnd(std::move(aEnd)); })
+      .eagerlyEvaluate([this](kj::Exception&& aError) { EndStream(EndOfFailure(aError)); });
 }
 
 void
 exchange::OnReplacementSent()
 {
-  mOverlapLimit = mContext.mTimer.afterDelay(ToKj(kMaxOverlap))
+  const auto now = mContext.mClock.Now();
+  const auto over = mOverlapSince.value_or(now) + kMaxOverlap;
+  const auto left = std::max(milliseconds{ 0 }, std::chrono::ceil<milliseconds>(over - now));
+  mAttempt->mCallSent = true;
+  mOverlapLimit = mContext.mTimer.afterDelay(ToKj(left))
                     .then([this] {
                       if (mSilentAttempt) {
                         TakeReplacement();
@@ -256,6 +261,14 @@
                     .eagerlyEvaluate(nullptr);
 }
 
+void
+exchange::RecordOverlap()
+{
+  if (mSilentAttempt && !mOverlapSince) {
+    mOverlapSince = mAttempt->mSentAt;
+  }
+}
+
 void
 exchange::SelectStream(const backend_attempt& aAttempt)
 {
@@ -288,7 +301,9 @@
 {
   CloseAttempt(backend_outcome::Cancelled);
   ReleaseUnusedKv();
-  mAttemptOpen = false;
+  if (std::exchange(mAttemptOpen, false) && !mAttempt->mCallSent) {
+    --mAttemptsSent;
+  }
   if (!mAttempt->mTarget.mId.empty()) {
     LogOutcome("continued", aReason);
   }
@@ -298,8 +313,22 @@
   StartSilenceWatch();
 }
 
-void
+kj::Promise<void>
 exchange::OnAttemptsEnd(exchange_end aEnd)
+{
+  // The silent server may have failed after it was decided that there is no replacement.
+  const auto* none = std::get_if<no_answer>(&aEnd);
+  if (none != nullptr && MayAwaitPlace() && mRoute->IsRetryable() && HasAttemptsLeft()) {
+    return AwaitPlace(none->mReason).then([this](exchange_end aNext) {
+      return OnAttemptsEnd(std::move(aNext));
+    });
+  }
+  EndStream(std::move(aEnd));
+  return kj::READY_NOW;
+}
+
+void
+exchange::EndStream(exchange_end aEnd)
 {
   if (mSilentAttempt) {
     const auto* none = std::get_if<no_answer>(&aEnd);
--- a/packages/gateway/tests/exchange_silence_test.cpp
+++ b/packages/gateway/tests/exchange_silence_test.cpp
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(HeldUpDaemonSeesTheSilentServerFail);
   CPPUNIT_TEST(HeldUpDaemonEndsTheOverlap);
   CPPUNIT_TEST(HeldUpDaemonTakesAReplacementsEnd);
+  CPPUNIT_TEST(OverlapCountsOverSeveralReplacements);
+  CPPUNIT_TEST(CancelledConnectUsesNoAttempt);
+  CPPUNIT_TEST(ServerFailsWhileNoReplacementIsFound);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char* kRequest =
@@ -361,6 +364,54 @@
     stream.mFixture.Write(stream.Server(1), kEnd);
     CPPUNIT_ASSERT_EQUAL(std::string{ kEnd }, stream.mFixture.Read(*stream.mCaller));
   }
+
+  /// Guards against a silent server that works on beside one replacement after another.
+  void OverlapCountsOverSeveralReplacements()
+  {
+    begun_stream stream{ 3, 4 };
+    stream.Pass(milliseconds{ 800 });
+    stream.mFixture.Read(stream.Server(1));
+    stream.Pass(milliseconds{ 150 });
+    stream.mFixture.Write(stream.Server(1), kHead);
+    stream.Server(1).shutdownWrite();
+    stream.mFixture.Run();
+    stream.Pass(milliseconds{ 250 });
+    stream.mFixture.Read(stream.Server(2));
+    CPPUNIT_ASSERT(stream.Closed(0));
+  }
+
+  /// Guards against attempts that are used up by servers that have received nothing.
+  void CancelledConnectUsesNoAttempt()
+  {
+    begun_stream stream{ 2 };
+    stream.mFixture.mNetwork.mConnects = false;
+    stream.Pass(milliseconds{ 800 });
+    stream.mFixture.Write(stream.Server(0), Event(2));
+    CPPUNIT_ASSERT_EQUAL(Event(2), stream.mFixture.Read(*stream.mCaller));
+    stream.mFixture.mNetwork.mConnects = true;
+    stream.Server(0).shutdownWrite();
+    stream.Pass(milliseconds{ 200 });
+    stream.mFixture.Read(stream.Server(1));
+    stream.mFixture.Write(stream.Server(1), kHead + Event(3) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(3) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
+  /// Guards against a stream that is broken off because its server fails at the moment at which a
+  /// replacement is looked for and none has a place.
+  void ServerFailsWhileNoReplacementIsFound()
+  {
+    for (int turns = 0; turns < 40; ++turns) {
+      begun_stream stream{ 1 };
+      stream.Pass(milliseconds{ 650 });
+      stream.mFixture.mClock.Advance(milliseconds{ 50 });
+      stream.Server(0).shutdownWrite();
+      stream.mFixture.mLoop.run(static_cast<kj::uint>(turns));
+      stream.mFixture.mTimer.advanceTo(stream.mFixture.mTimer.now() + ToKj(milliseconds{ 50 }));
+      stream.mFixture.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        std::to_string(turns), std::size_t{ 1 }, stream.mFixture.mListener.OpenRequests());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_silence_test);
