--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -14,6 +14,8 @@
 namespace skylarkwind {
 
 /// Protocol of the tests: a request's id is its header `Id`, a response's signature `Signature`.
+/// Servers are told their id in `Backend`, and in `Resume-After` the last event that they need not
+/// send.
 class plain_protocol final : public protocol_adapter
 {
 public:
@@ -30,9 +32,13 @@
     return request;
   }
   header_list MakeAttemptHeaders(const forward_request& aRequest,
-                                 const forward_attempt&) const override
+                                 const forward_attempt& aAttempt) const override
   {
-    return { { "Id", aRequest.mId } };
+    header_list headers{ { "Id", aRequest.mId }, { "Backend", aAttempt.mBackendId } };
+    if (!aAttempt.mResumeAfter.empty()) {
+      headers.emplace_back("Resume-After", aAttempt.mResumeAfter);
+    }
+    return headers;
   }
   response_head ParseResponse(int aStatus, const header_list& aHeaders) const override
   {
