--- a/packages/gateway/tests/exchange_schedule_test.cpp
+++ b/packages/gateway/tests/exchange_schedule_test.cpp
@@ -306,6 +306,20 @@
     }
   }
 
+  /// Nothing of the daemon runs for a time; what has arrived is read before the timers catch up, or
+  /// after that.
+  void HoldUp()
+  {
+    const milliseconds pause{ Pick(2, 12) * 100 };
+    mJournal += " held" + std::to_string(pause.count());
+    mFixture.mClock.Advance(pause);
+    if (Chance(50)) {
+      mFixture.Run();
+    }
+    mFixture.mTimer.advanceTo(mFixture.mTimer.now() + ToKj(pause));
+    mFixture.Run();
+  }
+
   void Act()
   {
     const int kind = Pick(1, 100);
@@ -318,16 +332,16 @@
       }
       if (!open.empty()) {
         ActServer(*open[static_cast<std::size_t>(Pick(0, static_cast<int>(open.size()) - 1))]);
+        if (open.size() > 1 && Chance(15)) {
+          HoldUp();
+        }
       }
     } else if (kind <= 60) {
       Receive(Chance(70) ? 64 * 1'024 : static_cast<std::size_t>(Pick(1, 40)));
     } else if (kind <= 92) {
       Pass(milliseconds{ Pick(1, 16) * 25 });
     } else if (kind <= 94) {
-      // The daemon is held up.
-      const milliseconds pause{ Pick(2, 12) * 100 };
-      mJournal += " held" + std::to_string(pause.count());
-      mFixture.Advance(pause);
+      HoldUp();
     } else if (kind <= 96) {
       mJournal += " configure";
       Configure(static_cast<std::uint32_t>(Pick(1, 4)));
