Keep a server in service after one silent stream

Callers saw "no engine admits the request" from a sound service while a share of its engines paused for a second: one silent stream took its whole engine out of service at this daemon, and two daemons that reported one silent stream each opened the circuit of the engine for the whole fleet.

One silent stream, or silent prefill, now lowers the rank of its server like a failure ratio of one half. Three in a row without a sign of life between, or together with other failures, take it out; a failed connection still does so alone. Any event, answer or refusal ends the suspicion at once. A server that is out only because of silence is used when no other server admits the request. Silence is reported to other daemons as a failure, which lowers the rank, and no longer as a loss, which opens the circuit. So that failed connections to a crashed server open its circuit as fast as before beside many silent streams, failures no longer count against the opening; answers do.

An ejection that has ended with an answer leaves no trace now: before, a later single failure let the server have one request at a time.

Evidence, on the code before (mOnlySilent left out of the tests): OneSilentStreamLowersTheRankOnly, SignOfLifeEndsTheSuspicionOfSilence, SilentStreamsOpenNoCircuit, SilentEnginesAreUsedWhenNoOtherAdmits, SilentPlainServersAreUsedWhenNoOtherAdmits and PrefilledPromptGoesToASilentEngineWhenNoOtherAdmits fail.

--- a/packages/core/include/skylarkwind/backend_load_tracker.h
+++ b/packages/core/include/skylarkwind/backend_load_tracker.h
@@ -49,7 +49,8 @@
                std::uint32_t aPrefillTokens,
                std::chrono::duration<double, std::milli> aExpected,
                instant aNow);
-  /// The first token of the request arrived, or its response.
+  /// The first token of the request arrived, or its response. To be called for later tokens as
+  /// well: any sign of life ends the suspicion that silence has raised.
   void OnFirstResponse(ticket aTicket, instant aNow);
   /// The request ended. Removes it from the load and counts the outcome.
   void End(ticket aTicket, backend_outcome aOutcome, instant aNow);
@@ -75,6 +76,9 @@
     double mSlowdown = 1;       ///< actual / expected time, 1 before any measurement
     double mFailureRatio = 0;   ///< fraction of recent requests that failed, 0 to 1
     bool mAdmits = true;        ///< false if ejected, circuit open, changing role or in back-off
+    /// Ejected only because it was silent: it may work, so it is used when no other server admits
+    /// the request.
+    bool mOnlySilent = false;
   };
   view View(std::string_view aBackendId, instant aNow) const;
   /// Prompt tokens whose computation at the server ended after `aSince`, at most
@@ -127,6 +131,12 @@
     instant mBeganAt;
     bool mHasFirstToken = false;
   };
+  /// Consecutive failures of one kind, and the ejection by this daemon alone that they led to.
+  struct failure_run
+  {
+    std::uint32_t mCount = 0;
+    instant mEjectedUntil{};
+  };
   struct backend_state
   {
     /// Prompt tokens whose computation ended recently, by time.
@@ -143,8 +153,8 @@
     double mOwnLogSlowdown = 0; ///< smoothed natural logarithm of the slowdown
     backend_statistics mRecord;
     double mOwnFailureRatio = 0;
-    std::uint32_t mConsecutiveFailures = 0;
-    instant mEjectedUntil{}; ///< ejected by this daemon alone
+    failure_run mFailures; ///< ended by an answer
+    failure_run mSilences; ///< ended by any sign of life
     /// A request that can end an ejection is in flight: set by each request sent, cleared when any
     /// request ends.
     bool mProbeInFlight = false;
@@ -155,10 +165,13 @@
   };
 
   backend_state& StateOf(std::string_view aBackendId) { return mStates[BackendKey(aBackendId)]; }
+  /// Whether the server admits requests, apart from its silences.
   bool Admits(backend_key aBackend, const backend_state& aState, instant aNow) const;
+  /// Whether the server is in service in spite of these failures.
+  static bool Admits(const failure_run& aRun, const backend_state& aState, instant aNow);
   double Slowdown(const backend_state& aState) const;
   static void OnFinished(backend_state& aState, double aTokens, instant aNow);
-  static void OnFailure(backend_state& aState, bool aUnreachable, instant aNow);
+  static void OnFailure(backend_state& aState, backend_outcome aOutcome, instant aNow);
   void MarkOwnChange(backend_state& aState, instant aNow);
   /// Whether it is this daemon's turn to probe a server with an open circuit.
   bool MayProbe(backend_key aBackend, instant aNow) const;
--- a/packages/core/include/skylarkwind/circuit_breaker.h
+++ b/packages/core/include/skylarkwind/circuit_breaker.h
@@ -13,8 +13,8 @@
 {
   std::uint32_t mAnswered = 0;
   std::uint32_t mRefused = 0; ///< the server said that it did not run the request
-  std::uint32_t mFailed = 0;  ///< the server failed the request or broke it off
-  std::uint32_t mLost = 0;    ///< no connection, or no sign of life in time
+  std::uint32_t mFailed = 0;  ///< the server failed the request, broke it off or fell silent
+  std::uint32_t mLost = 0;    ///< no connection
   bool operator==(const server_outcomes&) const = default;
 
   std::uint32_t Sum() const { return mAnswered + mRefused + mFailed + mLost; }
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -111,7 +111,15 @@
     backend_load_tracker::view mView;
     std::uint32_t mCachedTokens = 0; ///< length of the prompt prefix that it caches
   };
-  std::vector<candidate> Candidates(const placement_query& aQuery, instant aNow) const;
+  /// Which servers may be chosen.
+  enum class eligibility
+  {
+    Admitting,    ///< those that admit requests
+    OrOnlySilent, ///< also those that do not because they were silent
+  };
+  std::vector<candidate> Candidates(const placement_query& aQuery,
+                                    eligibility aEligibility,
+                                    instant aNow) const;
   /// Chooses the engine to fetch from among those that cache the longest prefix, preferring the
   /// data centre of the computing engine. The random choice spreads requests over several sources,
   /// because the requests to one source share its link.
@@ -134,8 +142,15 @@
                                 std::string_view aReason,
                                 std::chrono::milliseconds aRetryAfter,
                                 instant aNow) const;
-  placement_result PlacePlain(const placement_query& aQuery, instant aNow) const;
-  placement_result PlaceGeneration(const placement_query& aQuery, instant aNow) const;
+  placement_result Place(const placement_query& aQuery,
+                         eligibility aEligibility,
+                         instant aNow) const;
+  placement_result PlacePlain(const placement_query& aQuery,
+                              eligibility aEligibility,
+                              instant aNow) const;
+  placement_result PlaceGeneration(const placement_query& aQuery,
+                                   eligibility aEligibility,
+                                   instant aNow) const;
   /// Predicts latency and cost of the prefill on one engine, given the prefix that it caches and
   /// the one that it can fetch from aSource.
   option EvaluatePrefill(const placement_query& aQuery,
--- a/packages/core/src/backend_load_tracker.cpp
+++ b/packages/core/src/backend_load_tracker.cpp
@@ -35,8 +35,10 @@
 constexpr milliseconds_f kRateDecayTime{ 3'000 };
 /// Shorter expected times are not measured, because network latency dominates them.
 constexpr milliseconds_f kMinMeasuredTime{ 5 };
-/// Consecutive failures that eject a server; one failed connection or time-out is enough.
+/// Consecutive failures or silences that eject a server; one failed connection is enough.
 constexpr std::uint32_t kFailuresToEject = 3;
+/// A server that has been silent is ranked like one that fails this fraction of its requests.
+constexpr double kSilentFailureRatio = 0.5;
 constexpr std::chrono::milliseconds kFirstEjection{ 400 };
 constexpr std::chrono::milliseconds kMaxEjection{ 3'200 };
 /// Longest back-off that a server can ask for; longer ones are cut to this, so that a wrong value
@@ -83,11 +85,15 @@
 backend_load_tracker::OnFirstResponse(ticket aTicket, instant aNow)
 {
   const auto found = mInFlight.find(aTicket);
-  if (found == mInFlight.end() || found->second.mHasFirstToken) {
+  if (found == mInFlight.end()) {
     return;
   }
   auto& work = found->second;
   auto& state = mStates[work.mBackend];
+  state.mSilences = {};
+  if (work.mHasFirstToken) {
+    return;
+  }
   work.mHasFirstToken = true;
   state.mOwnTokens -= work.mPrefillTokens;
   OnFinished(state, work.mPrefillTokens, aNow);
@@ -132,10 +138,12 @@
       ++outcomes.mRefused;
       break;
     case backend_outcome::Failed:
+    case backend_outcome::Silent:
+      // Silence is reported as a failure and not as a loss, because it must not open the circuit
+      // of a server that only pauses.
       ++outcomes.mFailed;
       break;
     case backend_outcome::Unreachable:
-    case backend_outcome::Silent:
       ++outcomes.mLost;
       break;
     case backend_outcome::Cancelled:
@@ -144,27 +152,33 @@
   }
   if (aOutcome == backend_outcome::Answered || aOutcome == backend_outcome::Refused) {
     state.mProbeInFlight = false;
+    state.mSilences = {};
     if (aOutcome == backend_outcome::Answered) {
-      state.mConsecutiveFailures = 0;
+      state.mFailures = {};
       state.mOwnFailureRatio -= kFailureWeight * state.mOwnFailureRatio;
     }
     return;
   }
-  OnFailure(state, aOutcome != backend_outcome::Failed, aNow);
+  OnFailure(state, aOutcome, aNow);
 }
 
 void
-backend_load_tracker::OnFailure(backend_state& aState, bool aUnreachable, instant aNow)
+backend_load_tracker::OnFailure(backend_state& aState, backend_outcome aOutcome, instant aNow)
 {
   aState.mProbeInFlight = false;
-  aState.mConsecutiveFailures += 1;
-  aState.mOwnFailureRatio += kFailureWeight * (1 - aState.mOwnFailureRatio);
-  const auto threshold = aUnreachable ? 1U : kFailuresToEject;
-  if (aState.mConsecutiveFailures < threshold || aNow < aState.mEjectedUntil) {
+  const bool silent = aOutcome == backend_outcome::Silent;
+  auto& run = silent ? aState.mSilences : aState.mFailures;
+  run.mCount += 1;
+  if (!silent) {
+    aState.mOwnFailureRatio += kFailureWeight * (1 - aState.mOwnFailureRatio);
+  }
+  const auto count = aState.mFailures.mCount + aState.mSilences.mCount;
+  const auto threshold = aOutcome == backend_outcome::Unreachable ? 1U : kFailuresToEject;
+  if (count < threshold || aNow < run.mEjectedUntil) {
     return;
   }
-  const auto doublings = std::min(aState.mConsecutiveFailures - threshold, 3U);
-  aState.mEjectedUntil = aNow + std::min(kMaxEjection, kFirstEjection * (1U << doublings));
+  const auto doublings = std::min(count - threshold, 3U);
+  run.mEjectedUntil = aNow + std::min(kMaxEjection, kFirstEjection * (1U << doublings));
 }
 
 void
@@ -202,13 +216,13 @@
 backend_load_tracker::Reset(std::string_view aBackendId)
 {
   auto& state = StateOf(aBackendId);
-  state.mConsecutiveFailures = 0;
+  state.mFailures = {};
+  state.mSilences = {};
   state.mOwnFailureRatio = 0;
   state.mFleetSlowdown = 0;
   state.mFleetCircuitOpen = false;
   state.mOwnLogSlowdown = 0;
   state.mRecord.mSlowdownCount = 0;
-  state.mEjectedUntil = {};
   state.mBackoffUntil = {};
 }
 
@@ -248,14 +262,17 @@
   if (circuitOpen && (aState.mProbeInFlight || !MayProbe(aBackend, aNow))) {
     return false;
   }
-  if (aState.mConsecutiveFailures == 0) {
+  return Admits(aState.mFailures, aState, aNow);
+}
+
+bool
+backend_load_tracker::Admits(const failure_run& aRun, const backend_state& aState, instant aNow)
+{
+  if (aRun.mEjectedUntil == instant{}) {
     return true;
   }
-  if (aNow < aState.mEjectedUntil) {
-    return false;
-  }
   // When the ejection expires, one probe request is admitted; further ones only after its result.
-  return aState.mEjectedUntil == instant{} || !aState.mProbeInFlight;
+  return aNow >= aRun.mEjectedUntil && !aState.mProbeInFlight;
 }
 
 backend_load_tracker::view
@@ -283,7 +300,12 @@
   if (aNow - state.mPeerAt < mSettings.mPeerLoadTtl) {
     snapshot.mFailureRatio = std::max(snapshot.mFailureRatio, state.mFleetFailureRatio);
   }
-  snapshot.mAdmits = Admits(key, state, aNow);
+  if (state.mSilences.mCount > 0) {
+    snapshot.mFailureRatio = std::max(snapshot.mFailureRatio, kSilentFailureRatio);
+  }
+  const bool otherwise = Admits(key, state, aNow);
+  snapshot.mAdmits = otherwise && Admits(state.mSilences, state, aNow);
+  snapshot.mOnlySilent = otherwise && !snapshot.mAdmits;
   return snapshot;
 }
 
--- a/packages/core/src/circuit_breaker.cpp
+++ b/packages/core/src/circuit_breaker.cpp
@@ -12,7 +12,8 @@
 /// Outcomes lose half of their weight in this time.
 constexpr seconds_f kHalfLife{ 0.6 };
 /// The circuit opens when the decayed count of refusals and losses reaches this minimum and this
-/// fraction of all outcomes of the server.
+/// fraction of their sum with the answers. Failures are not counted: they include silent streams,
+/// and a server that has crashed leaves those beside the connections that fail.
 constexpr double kMinRefusedOrLostToOpen = 1.5;
 constexpr double kOpenFraction = 0.75;
 /// An open circuit closes when nobody has probed the server for this long.
@@ -58,7 +59,8 @@
   mFirstReporter = mFirstReporter == 0 ? aReporter : mFirstReporter;
   const double refusedOrLost = mRecent.mRefused + mRecent.mLost;
   const bool open = refusedOrLost >= kMinRefusedOrLostToOpen &&
-                    refusedOrLost >= kOpenFraction * mRecent.Sum() && mTwoReporters;
+                    refusedOrLost >= kOpenFraction * (refusedOrLost + mRecent.mAnswered) &&
+                    mTwoReporters;
   if (open || IsOpen(aNow)) {
     mOpenedAt = aNow;
   }
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -131,7 +131,7 @@
 }
 
 std::vector<placer::candidate>
-placer::Candidates(const placement_query& aQuery, instant aNow) const
+placer::Candidates(const placement_query& aQuery, eligibility aEligibility, instant aNow) const
 {
   cached_prefixes cached;
   if (aQuery.mGeneration != nullptr) {
@@ -144,7 +144,7 @@
       continue;
     }
     auto view = mLoadTracker.View(server->mId, aNow);
-    if (view.mAdmits) {
+    if (view.mAdmits || (view.mOnlySilent && aEligibility == eligibility::OrOnlySilent)) {
       candidates.push_back({ server, view, cached.At(BackendKey(server->mId)) });
     }
   }
@@ -154,8 +154,18 @@
 placement_result
 placer::Place(const placement_query& aQuery, instant aNow) const
 {
-  return aQuery.mGeneration != nullptr && aQuery.mService->mEngine ? PlaceGeneration(aQuery, aNow)
-                                                                   : PlacePlain(aQuery, aNow);
+  auto result = Place(aQuery, eligibility::Admitting, aNow);
+  const auto* none = std::get_if<placement_refusal>(&result);
+  // A server that was silent may work; a refusal certainly serves nobody.
+  return none != nullptr && !none->mBest ? Place(aQuery, eligibility::OrOnlySilent, aNow) : result;
+}
+
+placement_result
+placer::Place(const placement_query& aQuery, eligibility aEligibility, instant aNow) const
+{
+  return aQuery.mGeneration != nullptr && aQuery.mService->mEngine
+           ? PlaceGeneration(aQuery, aEligibility, aNow)
+           : PlacePlain(aQuery, aEligibility, aNow);
 }
 
 double
@@ -198,11 +208,11 @@
 }
 
 placement_result
-placer::PlacePlain(const placement_query& aQuery, instant aNow) const
+placer::PlacePlain(const placement_query& aQuery, eligibility aEligibility, instant aNow) const
 {
   const backend_server* best = nullptr;
   double bestCost = std::numeric_limits<double>::infinity();
-  for (const auto& [server, view, cached] : Candidates(aQuery, aNow)) {
+  for (const auto& [server, view, cached] : Candidates(aQuery, aEligibility, aNow)) {
     const double slots = std::max<double>(1, server->mSlots);
     const double over = view.mRunning - slots;
     const double cost = view.mRunning * kPlainRequestCostMs / slots +
@@ -317,18 +327,22 @@
 const backend_server*
 placer::PlaceStream(const placement_query& aQuery, instant aNow) const
 {
-  const auto candidates = Candidates(aQuery, aNow);
-  const auto* engine = ChooseStream(aQuery, candidates, aNow).mEngine;
-  return engine == nullptr ? nullptr : engine->mServer;
+  for (const auto eligible : { eligibility::Admitting, eligibility::OrOnlySilent }) {
+    const auto candidates = Candidates(aQuery, eligible, aNow);
+    if (const auto* engine = ChooseStream(aQuery, candidates, aNow).mEngine) {
+      return engine->mServer;
+    }
+  }
+  return nullptr;
 }
 
 placement_result
-placer::PlaceGeneration(const placement_query& aQuery, instant aNow) const
+placer::PlaceGeneration(const placement_query& aQuery, eligibility aEligibility, instant aNow) const
 {
   const auto& generation = *aQuery.mGeneration;
   const auto& traits = *aQuery.mService->mEngine;
   const auto affinityKey = std::to_string(AffinityKey(generation));
-  const auto candidates = Candidates(aQuery, aNow);
+  const auto candidates = Candidates(aQuery, aEligibility, aNow);
   // The engines that cache the longest prefix of the prompt.
   std::vector<const candidate*> sources;
   const auto [decode, decodeCost] = ChooseStream(aQuery, candidates, aNow);
--- a/packages/core/tests/backend_load_tracker_test.cpp
+++ b/packages/core/tests/backend_load_tracker_test.cpp
@@ -16,6 +16,11 @@
   CPPUNIT_TEST(FirstTokenRemovesThePromptFromTheQueue);
   CPPUNIT_TEST(UnreachableServerIsEjectedAndProbedOnce);
   CPPUNIT_TEST(SingleFailureDoesNotEject);
+  CPPUNIT_TEST(OneSilentStreamLowersTheRankOnly);
+  CPPUNIT_TEST(SignOfLifeEndsTheSuspicionOfSilence);
+  CPPUNIT_TEST(SilentStreamsInARowEject);
+  CPPUNIT_TEST(SilenceAndFailuresAddUp);
+  CPPUNIT_TEST(FailedConnectionBesideSilenceEjects);
   CPPUNIT_TEST(SlowdownOfAServerIsMeasured);
   CPPUNIT_TEST(MeasurementsCorrectAWrongConfiguredRate);
   CPPUNIT_TEST(ServerWithOpenCircuitIsProbedByFewDaemons);
@@ -95,6 +100,89 @@
     CPPUNIT_ASSERT(tracker.View("e1", mNow).mFailureRatio > 0);
   }
 
+  void EndWith(backend_load_tracker& aTracker, backend_outcome aOutcome, int aCount = 1)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      aTracker.End(aTracker.Begin("e1", 0, {}, mNow), aOutcome, mNow);
+    }
+  }
+
+  /// Guards against a sound server that is out of service because one stream paused.
+  void OneSilentStreamLowersTheRankOnly()
+  {
+    auto tracker = MakeLoadTracker();
+    EndWith(tracker, backend_outcome::Silent);
+    CPPUNIT_ASSERT(tracker.View("e1", mNow).mAdmits);
+    CPPUNIT_ASSERT(tracker.View("e1", mNow).mFailureRatio >= 0.5);
+    // That an earlier ejection has ended makes no difference.
+    EndWith(tracker, backend_outcome::Unreachable);
+    mNow += seconds{ 1 };
+    EndWith(tracker, backend_outcome::Answered);
+    tracker.Begin("e1", 0, {}, mNow);
+    EndWith(tracker, backend_outcome::Silent);
+    tracker.Begin("e1", 0, {}, mNow);
+    CPPUNIT_ASSERT(tracker.View("e1", mNow).mAdmits);
+  }
+
+  /// Guards against a server that stays suspected although it goes on.
+  void SignOfLifeEndsTheSuspicionOfSilence()
+  {
+    for (const int silences : { 1, 4 }) {
+      auto tracker = MakeLoadTracker();
+      const auto running = tracker.Begin("e1", 0, {}, mNow);
+      tracker.OnFirstResponse(running, mNow);
+      EndWith(tracker, backend_outcome::Silent, silences);
+      CPPUNIT_ASSERT_EQUAL(silences < 3, tracker.View("e1", mNow).mAdmits);
+      tracker.OnFirstResponse(running, mNow);
+      CPPUNIT_ASSERT(tracker.View("e1", mNow).mAdmits);
+      CPPUNIT_ASSERT_EQUAL(0.0, tracker.View("e1", mNow).mFailureRatio);
+      for (const auto outcome : { backend_outcome::Answered, backend_outcome::Refused }) {
+        EndWith(tracker, backend_outcome::Silent, silences);
+        EndWith(tracker, outcome);
+        CPPUNIT_ASSERT(tracker.View("e1", mNow).mAdmits);
+        CPPUNIT_ASSERT_EQUAL(0.0, tracker.View("e1", mNow).mFailureRatio);
+      }
+    }
+  }
+
+  /// Guards against a server that has crashed without a reset and goes on to attract work.
+  void SilentStreamsInARowEject()
+  {
+    auto tracker = MakeLoadTracker();
+    EndWith(tracker, backend_outcome::Silent, 3);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mAdmits);
+    CPPUNIT_ASSERT(tracker.View("e1", mNow).mOnlySilent);
+    const auto later = mNow + seconds{ 1 };
+    CPPUNIT_ASSERT(tracker.View("e1", later).mAdmits);
+    const auto probe = tracker.Begin("e1", 0, {}, later);
+    CPPUNIT_ASSERT(!tracker.View("e1", later).mAdmits);
+    tracker.End(probe, backend_outcome::Silent, later);
+    CPPUNIT_ASSERT(!tracker.View("e1", later + milliseconds{ 500 }).mAdmits);
+  }
+
+  void SilenceAndFailuresAddUp()
+  {
+    auto tracker = MakeLoadTracker();
+    EndWith(tracker, backend_outcome::Silent, 2);
+    EndWith(tracker, backend_outcome::Failed);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mAdmits);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mOnlySilent);
+  }
+
+  void FailedConnectionBesideSilenceEjects()
+  {
+    auto tracker = MakeLoadTracker();
+    const auto running = tracker.Begin("e1", 0, {}, mNow);
+    tracker.OnFirstResponse(running, mNow);
+    EndWith(tracker, backend_outcome::Silent);
+    EndWith(tracker, backend_outcome::Unreachable);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mAdmits);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mOnlySilent);
+    // The stream that runs shows nothing of new connections.
+    tracker.OnFirstResponse(running, mNow);
+    CPPUNIT_ASSERT(!tracker.View("e1", mNow).mAdmits);
+  }
+
   void SlowdownOfAServerIsMeasured()
   {
     auto tracker = MakeLoadTracker();
--- a/packages/core/tests/circuit_breaker_test.cpp
+++ b/packages/core/tests/circuit_breaker_test.cpp
@@ -1,3 +1,4 @@
+#include "skylarkwind/backend_load_tracker.h"
 #include "skylarkwind/circuit_breaker.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(RefusalsOfAllRequestsOpenTheCircuit);
   CPPUNIT_TEST(CircuitClosesAfterAResponseOrATimeout);
   CPPUNIT_TEST(FailureRatioFollowsRecentRequests);
+  CPPUNIT_TEST(SilentStreamsOpenNoCircuit);
+  CPPUNIT_TEST(FailedConnectionsBesideSilentStreamsOpenTheCircuit);
   CPPUNIT_TEST_SUITE_END();
 
   instant mNow{ seconds{ 100 } };
@@ -93,6 +96,36 @@
     CPPUNIT_ASSERT(ratio > 0.4 && ratio < 0.6);
     CPPUNIT_ASSERT(mCircuitBreaker.FailureRatio(mNow + seconds{ 6 }) < 0.05);
   }
+
+  /// Feeds the circuit breaker with what a daemon reports of requests that ended so.
+  void Report(backend_outcome aOutcome, std::uint32_t aCount, std::uint64_t aReporter)
+  {
+    backend_load_tracker tracker{ {} };
+    for (std::uint32_t i = 0; i < aCount; ++i) {
+      tracker.End(tracker.Begin("e1", 0, {}, mNow), aOutcome, mNow);
+    }
+    mCircuitBreaker.OnOutcomes(tracker.OwnStatistics(mNow).at(0).mOutcomes, aReporter, mNow);
+  }
+
+  /// Guards against a sound server that no daemon uses because its streams paused for a second.
+  void SilentStreamsOpenNoCircuit()
+  {
+    for (std::uint64_t reporter = 1; reporter <= 4; ++reporter) {
+      Report(backend_outcome::Silent, 5, reporter);
+      CPPUNIT_ASSERT(!mCircuitBreaker.IsOpen(mNow));
+    }
+    CPPUNIT_ASSERT(mCircuitBreaker.FailureRatio(mNow) > 0.5);
+  }
+
+  /// Guards against a server that has crashed without a reset and is tried by all daemons.
+  void FailedConnectionsBesideSilentStreamsOpenTheCircuit()
+  {
+    for (std::uint64_t reporter = 1; reporter <= 2; ++reporter) {
+      Report(backend_outcome::Silent, 5, reporter);
+      Report(backend_outcome::Unreachable, 1, reporter);
+    }
+    CPPUNIT_ASSERT(mCircuitBreaker.IsOpen(mNow));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(circuit_breaker_test);
--- a/packages/core/tests/placement_test.cpp
+++ b/packages/core/tests/placement_test.cpp
@@ -31,6 +31,10 @@
   CPPUNIT_TEST(PlainRequestsSpreadOverServers);
   CPPUNIT_TEST(OwnDataCentreIsPreferredAtEqualLoad);
   CPPUNIT_TEST(FailingServerIsAvoided);
+  CPPUNIT_TEST(ServerWithASilentStreamIsRankedLower);
+  CPPUNIT_TEST(SilentEnginesAreUsedWhenNoOtherAdmits);
+  CPPUNIT_TEST(SilentPlainServersAreUsedWhenNoOtherAdmits);
+  CPPUNIT_TEST(PrefilledPromptGoesToASilentEngineWhenNoOtherAdmits);
   CPPUNIT_TEST(BurstUsesDecodeEnginesWithinTheGapOfTheirStreams);
   CPPUNIT_TEST(RetryAfterIsTheEndOfTheEarliestBackoff);
   CPPUNIT_TEST_SUITE_END();
@@ -432,6 +436,69 @@
       CPPUNIT_ASSERT(std::get<placement>(Place(nullptr)).mTarget->mId != "d0");
     }
   }
+
+  void EndAt(const std::string& aId, backend_outcome aOutcome, int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mLoadTracker->End(mLoadTracker->Begin(aId, 0, {}, mNow), aOutcome, mNow);
+    }
+  }
+
+  void ServerWithASilentStreamIsRankedLower()
+  {
+    mService.mEngine.reset();
+    EndAt("d0", backend_outcome::Silent, 1);
+    for (int i = 0; i < 30; ++i) {
+      CPPUNIT_ASSERT(std::get<placement>(Place(nullptr)).mTarget->mId != "d0");
+    }
+  }
+
+  /// Guards against a refusal while all engines of one role pause for a second.
+  void SilentEnginesAreUsedWhenNoOtherAdmits()
+  {
+    const auto shape = Shape(1);
+    for (const auto* id : { "d0", "d1", "d2" }) {
+      EndAt(id, backend_outcome::Silent, 5);
+    }
+    CPPUNIT_ASSERT(Placed(shape).mTarget->mId.starts_with("d"));
+    // One that admits requests is preferred.
+    EndAt("d1", backend_outcome::Answered, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "d1" }, Placed(shape).mTarget->mId);
+    // Engines that cannot be reached are not used.
+    for (const auto& server : mServers) {
+      EndAt(server.mId, backend_outcome::Unreachable, 1);
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<placement_refusal>(Place(&shape)));
+  }
+
+  void SilentPlainServersAreUsedWhenNoOtherAdmits()
+  {
+    mService.mEngine.reset();
+    for (const auto& server : mServers) {
+      EndAt(server.mId, backend_outcome::Silent, 5);
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<placement>(Place(nullptr)));
+    EndAt("p4", backend_outcome::Answered, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "p4" }, std::get<placement>(Place(nullptr)).mTarget->mId);
+  }
+
+  void PrefilledPromptGoesToASilentEngineWhenNoOtherAdmits()
+  {
+    for (const auto* id : { "d0", "d1", "d2" }) {
+      EndAt(id, backend_outcome::Silent, 5);
+    }
+    std::vector<const backend_server*> usable;
+    for (const auto& server : mServers) {
+      usable.push_back(&server);
+    }
+    placement_query query;
+    query.mRoute = &mRoute;
+    query.mService = &mService;
+    query.mServers = usable;
+    CPPUNIT_ASSERT(mPlacer->PlaceStream(query, mNow) != nullptr);
+    EndAt("d2", backend_outcome::Answered, 1);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "d2" }, mPlacer->PlaceStream(query, mNow)->mId);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
