Keep a slow prefill open until another engine has the request

An engine's prefill was cancelled after the larger of 1.3 s and four times its predicted time, before it was known that another engine would take the request. Callers saw "no repeats are left" or "no engine admits the request" where the engine would have answered a little later, and the prompt was read in vain.

The call now stays open while another engine is sought. Whichever is first is kept: the handle of the slow engine cancels a prefill elsewhere; a handle or a run elsewhere cancels the slow one. A run that has been sent is not cancelled for a handle, which waits until the run is taken or refused. No more than two prefills of a request are open.

Evidence: exchange_prefill_test, in one event loop; the protocol of the fixture has generations and prefills for it.

--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -11,21 +11,12 @@
 
 /// Responses that are not streamed are buffered until they are complete.
 constexpr std::size_t kMaxResponseBytes = 1'024 * 1'024;
-/// The response to a prefill holds a handle and two numbers.
-constexpr std::size_t kMaxPrefillResponseBytes = 16 * 1'024;
-/// A prefill times out after this multiple of its predicted time, but not before
-/// `kMinPrefillTimeout`. Work that is abandoned too early is done twice.
-constexpr double kPrefillTimeoutFactor = 4;
-constexpr milliseconds kMinPrefillTimeout{ 1'300 };
 /// Limit of the call that frees a KV cache.
 constexpr milliseconds kReleaseTimeout{ 700 };
 /// Requests that must not be retried reuse only connections that were idle for less than this time,
 /// because a server may have closed its end.
 constexpr milliseconds kMaxIdleForNonRetryable{ 1'000 };
 constexpr milliseconds kMaxIdleForRetryable{ 60'000 };
-/// Other requests stop waiting for a shared prefix when its prefill takes this many times as long
-/// as predicted.
-constexpr double kPrefillWaitFactor = 1.5;
 
 /// Whether a caller would take the status to mean that the request was not executed.
 bool
@@ -92,76 +83,6 @@
   return call;
 }
 
-kj::Promise<exchange_end>
-exchange::Prefill(const placement& aPlacement)
-{
-  const auto& engine = *aPlacement.mPrefill;
-  const auto now = mContext.mClock.Now();
-  mAttempt->mTicket = mContext.mLoadTracker.Begin(
-    engine.mId, aPlacement.mComputeTokens, aPlacement.mPrefillTime, now);
-  ++mPrefillsSent;
-  mContext.mPrefixCacheIndex.OnPrefillStarted(
-    engine.mId, mRequest.mGeneration->mSegments, kPrefillWaitFactor * aPlacement.mPrefillTime, now);
-  forward_attempt attempt;
-  attempt.mBackendId = engine.mId;
-  attempt.mTimeLeft = TimeLeft();
-  attempt.mPrefillOnly = true;
-  attempt.mEnginePriority = EnginePriority();
-  if (aPlacement.mFetchFrom != nullptr) {
-    attempt.mFetchFrom = aPlacement.mFetchFrom->mAddress;
-  }
-  mAttempt->mSentAt = now;
-  mAttempt->mTargetFetches = false;
-  auto call = BuildCall(engine, attempt);
-  auto plan = kj::heap<placement>(aPlacement);
-  mAttempt->mTarget = engine;
-  // The target is copied, as the directory may change before the prefill ends.
-  auto target = kj::heap<backend_server>(*aPlacement.mTarget);
-  plan->mTarget = target.get();
-  plan->mPrefill = &mAttempt->mTarget;
-  const auto limit = std::max(
-    kMinPrefillTimeout,
-    std::chrono::duration_cast<milliseconds>(kPrefillTimeoutFactor * aPlacement.mPrefillTime));
-  return mContext.mTimer.timeoutAfter(ToKj(limit), mContext.mPool.Call(std::move(call)))
-    .then([](http_result aResult) { return aResult; },
-          [](kj::Exception&&) -> http_result {
-            return http_failure{ true, "the engine was silent" };
-          })
-    .then([this, plan = kj::mv(plan), target = kj::mv(target)](
-            http_result aResult) mutable -> kj::Promise<exchange_end> {
-      if (const auto* failure = std::get_if<http_failure>(&aResult)) {
-        CloseAttempt(failure->mSent ? backend_outcome::Silent : backend_outcome::Unreachable);
-        if (!failure->mSent) {
-          --mPrefillsSent;
-        }
-        return OnNotExecuted(failure->mReason, failure->mSent);
-      }
-      mAttempt->mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
-      ReadResponseHead();
-      if (BelongsToOtherRequest(mAttempt->mResponseHead)) {
-        mAttempt->mBackendResponse = nullptr;
-        CloseAttempt(backend_outcome::Failed);
-        return OnNotExecuted("the answer to the prefill belongs to another request", true);
-      }
-      return ReadBodyOrThrow(mAttempt->mBackendResponse->Body(),
-                             kMaxPrefillResponseBytes,
-                             mContext.mResponseBodies)
-        .then(
-          [this, plan = kj::mv(plan), target = kj::mv(target)](
-            buffered_body aText) mutable -> kj::Promise<exchange_end> {
-            mContext.mPool.Release(std::move(mAttempt->mBackendResponse),
-                                   mAttempt->mResponseHead.mClosesConnection,
-                                   mAttempt->mResponseHead.mKeepAlive);
-            auto prefilled = OnPrefilled(*plan, aText.Text());
-            return prefilled.attach(kj::mv(plan), kj::mv(target));
-          },
-          [this](kj::Exception&& aError) -> kj::Promise<exchange_end> {
-            CloseAttempt(backend_outcome::Failed);
-            return OnNotExecuted(aError.getDescription().cStr(), true);
-          });
-    });
-}
-
 void
 exchange::LearnPromptTime(const placement& aPlacement, instant aNow)
 {
@@ -215,6 +136,9 @@
   if (mContext.mClock.Now() < mContext.mLoadTracker.BackoffUntil(listed->mId)) {
     return OnNotExecuted("the chosen server wants no requests for a time", false);
   }
+  if (aKv) {
+    GiveUpOpenPrefill();
+  }
   mAttempt->mTarget = *listed;
   mAttempt->mTargetAddedTokens = 0;
   if (mRequest.mGeneration) {
@@ -277,11 +201,15 @@
       --mAttemptsSent;
       return OnNotExecuted(failure->mReason, false);
     }
+    GiveUpOpenPrefill();
     mMayHaveExecuted = true;
     return OnAttemptFailed(failure->mReason);
   }
   mAttempt->mBackendResponse = std::get<std::unique_ptr<http_answer>>(std::move(aResult));
   ReadResponseHead();
+  if (BelongsToOtherRequest(mAttempt->mResponseHead) || !mAttempt->mResponseHead.mNotExecuted) {
+    GiveUpOpenPrefill();
+  }
   if (BelongsToOtherRequest(mAttempt->mResponseHead)) {
     mMayHaveExecuted = true;
     mAttempt->mBackendResponse = nullptr;
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -78,6 +78,10 @@
   kj::Array<kj::byte> mReadBuffer;
 };
 
+/// Other requests stop waiting for a shared prefix when its prefill takes this many times as long
+/// as predicted.
+constexpr double kPrefillWaitFactor = 1.5;
+
 /// State that all exchanges of a daemon share.
 struct exchange_context
 {
@@ -163,8 +167,36 @@
   /// Waits until the shared prefix of the prompt is computed or a timeout passes, then places the
   /// request again.
   kj::Promise<exchange_end> AwaitPrefix(const await_prefix& aPrefix);
-  /// Has an engine compute the prompt's KV cache before the request goes to a decode engine.
+  /// Has an engine compute the prompt's KV cache before the request goes to a decode engine. When
+  /// the engine takes too long, another one is sought while the call stays open; whichever brings
+  /// the request forward first is kept.
   kj::Promise<exchange_end> Prefill(const placement& aPlacement);
+  /// A call for a prefill whose response has not begun. Owned by the promise of the prefill.
+  struct open_prefill
+  {
+    explicit open_prefill(exchange& aOwner)
+      : mOwner(aOwner)
+    {
+    }
+    KJ_DISALLOW_COPY(open_prefill);
+    ~open_prefill();
+
+    exchange& mOwner;
+    kj::Canceler mCall;
+    /// The attempt of the call, while another engine is sought for the request.
+    std::unique_ptr<backend_attempt> mAttempt;
+  };
+  using prefill_end = std::variant<http_result, exchange_end>;
+  /// The engine has taken too long: seeks another one.
+  kj::Promise<exchange_end> OnPrefillSilent(open_prefill& aOpen);
+  kj::Promise<exchange_end> SeekAnotherEngine();
+  /// The call has ended. Does not resolve while another engine is at work on the request.
+  kj::Promise<prefill_end> OnPrefillCallEnd(open_prefill& aOpen, http_result aResult);
+  /// The call has brought a response: gives up all attempts that began meanwhile. False when the
+  /// request may not be sent again.
+  bool ReturnToPrefill(open_prefill& aOpen);
+  /// Another engine has the request.
+  void GiveUpOpenPrefill();
   kj::Promise<exchange_end> OnPrefilled(const placement& aPlacement, std::string_view aBody);
   kj::Promise<exchange_end> Send(const placement& aPlacement, std::optional<kv_source> aKv);
   kj::Promise<exchange_end> OnResponse(http_result aResult);
@@ -215,7 +247,10 @@
   bool MayRetry();
   /// A stream that has begun and has no open server is not refused: it waits for a place or for
   /// retry budget until its time limit.
-  bool MayAwaitPlace() const { return mResponse.Started() && !mSilentAttempt; }
+  bool MayAwaitPlace() const
+  {
+    return mResponse.Started() && !mSilentAttempt && mOpenPrefill == nullptr;
+  }
   kj::Promise<exchange_end> AwaitPlace(std::string_view aReason);
   /// Takes the retry budget that the next attempt needs: one for each prefill and each attempt
   /// after the first one. False when the budget is used up.
@@ -301,10 +336,13 @@
   std::unique_ptr<backend_attempt> mAttempt = std::make_unique<backend_attempt>();
   /// The attempt before, whose stream is silent and open, while `mAttempt` is its replacement.
   std::unique_ptr<backend_attempt> mSilentAttempt;
-  instant mAttemptStartedAt{};          ///< of the last attempt, its prefill included
-  std::optional<instant> mFirstEventAt; ///< first event or whole response
-  instant::duration mLongestEventGap{}; ///< longest pause between events
-  std::uint64_t mBytesReceived = 0;     ///< of bodies of responses
+  /// A prefill that has taken too long and stays open while `mAttempt` looks for another engine.
+  open_prefill* mOpenPrefill = nullptr;
+  std::uint32_t mSentBeforeSilentPrefill = 0; ///< value of `mAttemptsSent`
+  instant mAttemptStartedAt{};                ///< of the last attempt, its prefill included
+  std::optional<instant> mFirstEventAt;       ///< first event or whole response
+  instant::duration mLongestEventGap{};       ///< longest pause between events
+  std::uint64_t mBytesReceived = 0;           ///< of bodies of responses
   std::uint64_t mSentBefore = 0; ///< bytes written to the caller's connection before this request
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
   std::string mStreamType;       ///< media type of the stream that has begun
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -8,12 +8,15 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
 namespace skylarkwind {
 
-/// Protocol of the tests: a request's id is its header `Id`, a response's signature `Signature`.
+/// Protocol of the tests: a request's id is its header `Id`, a response's signature `Signature`. A
+/// request with a header `Prompt` is a generation with so many tokens; `Stage: prefill` asks an
+/// engine for the prompt alone, whose handle is the body of the response and is passed on as `Kv`.
 class plain_protocol final : public protocol_adapter
 {
 public:
@@ -27,12 +30,25 @@
     request.mHost = std::move(aHost);
     request.mTarget = std::move(aTarget);
     request.mId = Header(aHeaders, "Id");
+    if (const auto prompt = Header(aHeaders, "Prompt"); !prompt.empty()) {
+      request.mGeneration.emplace();
+      request.mGeneration->mPromptTokens = static_cast<std::uint32_t>(std::stoul(prompt));
+      request.mGeneration->mSegments = { { 1, request.mGeneration->mPromptTokens } };
+      request.mGeneration->mOutputTokens = 10;
+    }
     return request;
   }
   header_list MakeAttemptHeaders(const forward_request& aRequest,
-                                 const forward_attempt&) const override
+                                 const forward_attempt& aAttempt) const override
   {
-    return { { "Id", aRequest.mId } };
+    header_list headers{ { "Id", aRequest.mId } };
+    if (aAttempt.mPrefillOnly) {
+      headers.emplace_back("Stage", "prefill");
+    }
+    if (aAttempt.mKv) {
+      headers.emplace_back("Kv", aAttempt.mKv->mAddress + '/' + aAttempt.mKv->mHandle);
+    }
+    return headers;
   }
   response_head ParseResponse(int aStatus, const header_list& aHeaders) const override
   {
@@ -45,9 +61,9 @@
     return head;
   }
   header_list RemoveSignature(const header_list& aHeaders) const override { return aHeaders; }
-  absl::StatusOr<std::string> ParsePrefillHandle(std::string_view) const override
+  absl::StatusOr<std::string> ParsePrefillHandle(std::string_view aBody) const override
   {
-    return absl::UnimplementedError("the tests compute no prompts");
+    return std::string{ aBody };
   }
   control_request ReleaseHandleRequest(std::string_view) const override { return {}; }
   control_request StateRequest() const override { return {}; }
@@ -186,7 +202,7 @@
     Run();
   }
 
-  void AddServer(const std::string& aId)
+  void AddServer(const std::string& aId, std::optional<engine_role> aRole = std::nullopt)
   {
     backend_server server;
     server.mId = aId;
@@ -194,6 +210,7 @@
     server.mAddress = aId + ":1";
     server.mDataCentre = "z";
     server.mSlots = 8;
+    server.mRole = aRole;
     mDirectory.Upsert(server);
   }
 
--- /dev/null
+++ b/packages/gateway/tests/exchange_prefill_test.cpp
@@ -0,0 +1,225 @@
+#include "exchange_fixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace skylarkwind {
+
+using std::chrono::milliseconds;
+
+/// Prompts that are computed at one engine and streamed by another one, in one event loop.
+class exchange_prefill_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(exchange_prefill_test);
+  CPPUNIT_TEST(PrefillGoesToTheDecodeEngine);
+  CPPUNIT_TEST(SilentPrefillIsKeptWhenNoBudgetIsLeft);
+  CPPUNIT_TEST(SilentPrefillIsKeptWhenTheOtherEngineRefuses);
+  CPPUNIT_TEST(SilentPrefillThatEndsCancelsTheOther);
+  CPPUNIT_TEST(OtherPrefillThatEndsCancelsTheSilentOne);
+  CPPUNIT_TEST(OtherEngineGoesOnWhenTheSilentPrefillFails);
+  CPPUNIT_TEST(SilentPrefillIsKeptWhileARunMayBeRefused);
+  CPPUNIT_TEST(RunThatIsTakenCancelsTheSilentPrefill);
+  CPPUNIT_TEST(CallerThatLeavesEndsBothPrefills);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr const char* kRequest =
+    "POST /resumed/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nPrompt: 20000\r\nContent-Length: "
+    "1\r\n\r\nb";
+  static constexpr const char* kHandle = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nkv";
+  static constexpr const char* kRefusal =
+    "HTTP/1.1 503 Full\r\nId: r1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  static constexpr const char* kStream =
+    "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Type: text/event-stream"
+    "\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n";
+
+  /// A request whose prompt is being computed by the first connection. `aPrefills` engines
+  /// compute prompts, one streams. Connections are counted in the order in which they are opened.
+  struct open_request
+  {
+    explicit open_request(int aPrefills)
+    {
+      forward_configuration configuration = *mFixture.mRoutes.Current();
+      ++configuration.mVersion;
+      for (auto& route : configuration.mRoutes) {
+        route.mTargetLatency = milliseconds{ 1'000 };
+        route.mMaxAttempts = 3;
+      }
+      auto& engine = configuration.mServices.front().mEngine.emplace();
+      engine.mSlots = 8;
+      engine.mKvTokens = 400'000;
+      engine.mKvBytesPerToken = 1'000;
+      engine.mLinkMbps = 100'000;
+      mFixture.mRoutes.Apply(std::make_shared<const forward_configuration>(configuration));
+      mFixture.mDirectory.Remove("s1", false, mFixture.mClock.Now());
+      for (int i = 1; i <= aPrefills; ++i) {
+        mFixture.AddServer('p' + std::to_string(i), engine_role::Prefill);
+      }
+      mFixture.AddServer("d1", engine_role::Decode);
+      mCaller = mFixture.mPort.Connect();
+      mFixture.Write(*mCaller, kRequest);
+      const auto request = mFixture.Read(Server(0));
+      CPPUNIT_ASSERT_MESSAGE(request, request.find("Stage: prefill") != std::string::npos);
+    }
+    kj::AsyncIoStream& Server(std::size_t aIndex)
+    {
+      CPPUNIT_ASSERT_GREATER(aIndex, mFixture.mServers.size());
+      return **std::next(mFixture.mServers.begin(), static_cast<std::ptrdiff_t>(aIndex));
+    }
+    void Pass(milliseconds aTime)
+    {
+      for (milliseconds passed{ 0 }; passed < aTime; passed += milliseconds{ 50 }) {
+        mFixture.Advance(milliseconds{ 50 });
+      }
+    }
+    /// Passes time until the pool has opened one more connection, and reads the request on it.
+    std::string NextRequest()
+    {
+      const auto before = mFixture.mServers.size();
+      for (int i = 0; i < 60 && mFixture.mServers.size() == before; ++i) {
+        Pass(milliseconds{ 50 });
+      }
+      return mFixture.Read(Server(before));
+    }
+    bool Closed(std::size_t aIndex)
+    {
+      bool closed = false;
+      char byte = 0;
+      auto reading = Server(aIndex)
+                       .tryRead(&byte, 1, 1)
+                       .then([&closed](std::size_t aBytes) { closed = aBytes == 0; },
+                             [&closed](kj::Exception&&) { closed = true; })
+                       .eagerlyEvaluate(nullptr);
+      mFixture.Run();
+      return closed;
+    }
+    /// Plays the decode engine on connection `aIndex`, which must get a prefilled prompt.
+    void FinishWithKv(std::size_t aIndex)
+    {
+      const auto run = mFixture.Read(Server(aIndex));
+      CPPUNIT_ASSERT_MESSAGE(run, run.find("Kv: ") != std::string::npos);
+      Finish(aIndex);
+    }
+    void Finish(std::size_t aIndex)
+    {
+      mFixture.Write(Server(aIndex), kStream);
+      const auto response = mFixture.Read(*mCaller);
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("0\r\n\r\n"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, mFixture.mListener.OpenRequests());
+      for (const auto& load : mFixture.mLoadTracker.OwnLoad(mFixture.mClock.Now())) {
+        CPPUNIT_ASSERT_EQUAL(0U, load.mRunning);
+      }
+    }
+    exchange_fixture mFixture;
+    kj::Own<kj::AsyncIoStream> mCaller;
+  };
+
+  static bool IsPrefill(const std::string& aRequest)
+  {
+    return aRequest.find("Stage: prefill") != std::string::npos;
+  }
+
+  void PrefillGoesToTheDecodeEngine()
+  {
+    open_request request{ 1 };
+    request.mFixture.Write(request.Server(0), kHandle);
+    request.FinishWithKv(1);
+  }
+
+  /// Guards against a prefill that is given up though no other engine may compute the prompt.
+  void SilentPrefillIsKeptWhenNoBudgetIsLeft()
+  {
+    open_request request{ 2 };
+    auto& budget = request.mFixture.mRetryBudget;
+    while (budget.TryTake("service", 1, 1, request.mFixture.mClock.Now())) {
+    }
+    request.Pass(milliseconds{ 2'500 });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, request.mFixture.mServers.size());
+    CPPUNIT_ASSERT(!request.Closed(0));
+    request.mFixture.Write(request.Server(0), kHandle);
+    request.FinishWithKv(1);
+  }
+
+  /// Guards against a prefill that is given up before another engine has taken the request.
+  void SilentPrefillIsKeptWhenTheOtherEngineRefuses()
+  {
+    open_request request{ 2 };
+    CPPUNIT_ASSERT(IsPrefill(request.NextRequest()));
+    request.mFixture.Write(request.Server(1), kRefusal);
+    CPPUNIT_ASSERT(!IsPrefill(request.mFixture.Read(request.Server(2))));
+    request.mFixture.Write(request.Server(2), kRefusal);
+    request.Pass(milliseconds{ 500 });
+    CPPUNIT_ASSERT(!request.Closed(0));
+    request.mFixture.Write(request.Server(0), kHandle);
+    request.Pass(milliseconds{ 50 });
+    request.FinishWithKv(3);
+  }
+
+  void SilentPrefillThatEndsCancelsTheOther()
+  {
+    open_request request{ 2 };
+    CPPUNIT_ASSERT(IsPrefill(request.NextRequest()));
+    request.mFixture.Write(request.Server(0), kHandle);
+    CPPUNIT_ASSERT(request.Closed(1));
+    request.FinishWithKv(2);
+  }
+
+  void OtherPrefillThatEndsCancelsTheSilentOne()
+  {
+    open_request request{ 2 };
+    CPPUNIT_ASSERT(IsPrefill(request.NextRequest()));
+    CPPUNIT_ASSERT(!request.Closed(0));
+    request.mFixture.Write(request.Server(1), kHandle);
+    CPPUNIT_ASSERT(request.Closed(0));
+    request.FinishWithKv(2);
+  }
+
+  void OtherEngineGoesOnWhenTheSilentPrefillFails()
+  {
+    open_request request{ 2 };
+    CPPUNIT_ASSERT(IsPrefill(request.NextRequest()));
+    request.Server(0).shutdownWrite();
+    request.mFixture.Run();
+    CPPUNIT_ASSERT(!request.Closed(1));
+    request.mFixture.Write(request.Server(1), kHandle);
+    request.FinishWithKv(2);
+  }
+
+  /// Guards against a run that is cancelled for a prefill, and a prefill that is given up for a run
+  /// that is refused.
+  void SilentPrefillIsKeptWhileARunMayBeRefused()
+  {
+    open_request request{ 1 };
+    CPPUNIT_ASSERT(!IsPrefill(request.NextRequest()));
+    request.mFixture.Write(request.Server(0), kHandle);
+    request.Pass(milliseconds{ 100 });
+    CPPUNIT_ASSERT(!request.Closed(1));
+    request.mFixture.Write(request.Server(1), kRefusal);
+    request.Pass(milliseconds{ 50 });
+    request.FinishWithKv(2);
+  }
+
+  void RunThatIsTakenCancelsTheSilentPrefill()
+  {
+    open_request request{ 1 };
+    CPPUNIT_ASSERT(!IsPrefill(request.NextRequest()));
+    CPPUNIT_ASSERT(!request.Closed(0));
+    request.Finish(1);
+    CPPUNIT_ASSERT(request.Closed(0));
+  }
+
+  void CallerThatLeavesEndsBothPrefills()
+  {
+    open_request request{ 2 };
+    CPPUNIT_ASSERT(IsPrefill(request.NextRequest()));
+    request.mCaller = nullptr;
+    request.mFixture.Run();
+    CPPUNIT_ASSERT(request.Closed(0));
+    CPPUNIT_ASSERT(request.Closed(1));
+    for (const auto& load : request.mFixture.mLoadTracker.OwnLoad(request.mFixture.mClock.Now())) {
+      CPPUNIT_ASSERT_EQUAL(0U, load.mRunning);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(exchange_prefill_test);
+
+} // namespace skylarkwind
