Send first attempts whatever the retry budget

Callers saw "no repeats are left" for requests that had never been sent. A first attempt takes no retry budget, but the check of a request for none of it failed while the retries of the last window exceeded the bound: after a refused first prefill, which is counted without a check, when requests became rarer, or when more daemons shared the budget.

Evidence: FirstAttemptsNeedNoBudget fails on the code before. The property AllDaemonsTogetherStayWithinTheBound holds as before.

--- a/packages/core/src/fleet_retry_budget.cpp
+++ b/packages/core/src/fleet_retry_budget.cpp
@@ -34,9 +34,12 @@
                             std::uint32_t aDaemons,
                             instant aNow)
 {
+  if (aCount == 0) {
+    return true;
+  }
   const auto found = mServices.find(aService);
   if (found == mServices.end()) {
-    return aCount == 0;
+    return false;
   }
   auto& counts = found->second;
   Trim(counts, aNow);
--- a/packages/core/tests/fleet_retry_budget_test.cpp
+++ b/packages/core/tests/fleet_retry_budget_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(fleet_retry_budget_test);
   CPPUNIT_TEST(AllDaemonsTogetherStayWithinTheBound);
   CPPUNIT_TEST(ServiceWithoutRequestsAllowsNoRetries);
+  CPPUNIT_TEST(FirstAttemptsNeedNoBudget);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a retry storm: in any window, for any schedule of requests and retries at
@@ -64,6 +65,21 @@
     allowance.OnRequest("s", instant{ seconds{ 1 } });
     CPPUNIT_ASSERT(allowance.TryTake("s", 1, 1, instant{ seconds{ 1 } }));
   }
+
+  /// Guards against requests that are refused without having been sent, because the retries of a
+  /// busier time, or of fewer daemons, exceed the bound of now.
+  void FirstAttemptsNeedNoBudget()
+  {
+    fleet_retry_budget allowance{ { 0.2, 52, seconds{ 10 } } };
+    const instant now{ seconds{ 100 } };
+    allowance.OnRequest("s", now);
+    while (allowance.TryTake("s", 1, 1, now)) {
+    }
+    constexpr std::uint32_t kManyDaemons = 100;
+    allowance.OnRequest("s", now);
+    CPPUNIT_ASSERT(!allowance.TryTake("s", 1, kManyDaemons, now));
+    CPPUNIT_ASSERT(allowance.TryTake("s", 0, kManyDaemons, now));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_retry_budget_test);
