--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -160,7 +160,7 @@
              { "Slots", 8 },
              { "State", aState },
              { "Seq", 1 } };
-  if (entry.mOptions.mService == "model") {
+  if (!entry.mOptions.mService.starts_with("plain")) {
     spec["Stage"] = entry.mOptions.mStage;
   }
   Put("servers", aId, spec);
