Soak plan of silent servers beside changes of the configuration

No process ends, so each request without an answer before its time limit counts.

The other plans are checked as before.

--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -123,6 +123,13 @@
   return read && aRecord.mSentWhole && aHabits.mNext.empty();
 }
 
+bool
+caller_connection::Ended() const
+{
+  pollfd ready{ mSocket, POLLIN | POLLRDHUP, 0 };
+  return !mBuffer.empty() || poll(&ready, 1, 0) != 0;
+}
+
 bool
 caller_connection::Fill(std::int64_t aUntilMs)
 {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -36,6 +36,8 @@
   /// Sends the request and reads its answer into the record. False when the connection can't be
   /// used again.
   bool Ask(const std::string& aText, const caller_habits& aHabits, request_record& aRecord);
+  /// Whether the other side has ended the connection, or sent what nobody asked for.
+  bool Ended() const;
 
 private:
   explicit caller_connection(int aSocket)
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -70,6 +70,12 @@
                       aWhat);
   }
 
+  bool Refused(const request_record& aRequest) const
+  {
+    return std::find(mBounds.mRefusals.begin(), mBounds.mRefusals.end(), aRequest.mStatus) !=
+           mBounds.mRefusals.end();
+  }
+
   std::size_t Runs(const std::string& aId) const
   {
     const auto found = mRuns.find(aId);
@@ -97,7 +103,7 @@
     } else if (runs > static_cast<std::size_t>(mBounds.mMostRuns)) {
       Broken(aRequest, "ran " + std::to_string(runs) + " times");
     }
-    if (aRequest.mStatus == 503 && runs > 0) {
+    if (Refused(aRequest) && runs > 0) {
       Broken(aRequest, "was refused as not run, but ran");
     }
   }
@@ -112,7 +118,8 @@
           0, std::min(fault.mToMs, aRequest.mEndedMs) - std::max(fault.mFromMs, aRequest.mSentMs));
       }
     }
-    const auto taken = aRequest.mEndedMs - aRequest.mSentMs;
+    const auto taken =
+      aRequest.mEndedMs - (mBounds.mSentInParts ? aRequest.mLastByteMs : aRequest.mSentMs);
     if (taken > allowed) {
       Broken(aRequest, "ended after " + std::to_string(taken) + " ms");
     }
@@ -131,7 +138,7 @@
     }
     if (aRequest.mStatus != 200) {
       const bool known = aRequest.mStatus == 500 || aRequest.mStatus == 502 ||
-                         aRequest.mStatus == 503 || aRequest.mStatus == 504;
+                         aRequest.mStatus == 504 || Refused(aRequest);
       if (!known) {
         Broken(aRequest, "unexpected status " + std::to_string(aRequest.mStatus));
       }
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -64,10 +64,14 @@
   std::int64_t mDeadlineMs = 4'000; ///< that callers state
   /// An answer may come this much later, beyond pauses of its daemon.
   std::int64_t mDeadlineSlackMs = 700;
+  /// Heads may arrive in parts; their time limit begins at the latest with the last byte.
+  bool mSentInParts = false;
   int mMostRuns = 2;         ///< attempts that the routes allow
   double mRepeatRatio = 0.2; ///< repeats that all daemons may add, for each request
   double mRepeatFloor = 40;  ///< and in each window
   std::int64_t mRepeatWindowMs = 10'000;
+  /// Answers that say that the request has not run.
+  std::vector<int> mRefusals{ 503 };
   std::int64_t mDrainMs = 2'000; ///< from the entry that says draining to the last request
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,3 +1,4 @@
+#include "silence_run.h"
 #include "soak_run.h"
 #include "stop_run.h"
 
@@ -21,11 +22,12 @@
 ABSL_FLAG(std::string,
           plan,
           "mixed",
-          "mixed: faults of all kinds; stops: series of planned stops.");
+          "mixed: faults of all kinds; stops: series of planned stops; silence: silent servers "
+          "beside changes of the configuration.");
 ABSL_FLAG(std::string,
           daemon,
           "",
-          "With stops: program of the daemons; empty: that of this build.");
+          "With stops and silence: program of the daemons; empty: that of this build.");
 
 namespace {
 
@@ -66,6 +68,9 @@
   if (absl::GetFlag(FLAGS_plan) == "stops") {
     return skylarkwind::soak::RunStops(aSeed, length, absl::GetFlag(FLAGS_daemon));
   }
+  if (absl::GetFlag(FLAGS_plan) == "silence") {
+    return skylarkwind::soak::RunSilences(aSeed, length, absl::GetFlag(FLAGS_daemon));
+  }
   return skylarkwind::soak::RunSoak(aSeed, length);
 }
 
@@ -99,7 +104,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::size_t failed = 0;
   const auto plan = absl::GetFlag(FLAGS_plan);
-  if (plan != "mixed" && plan != "stops") {
+  if (plan != "mixed" && plan != "stops" && plan != "silence") {
     std::cerr << "soak: not a plan: " << plan << '\n';
     return 2;
   }
--- a/tests/soak/stop_callers.cpp
+++ b/tests/soak/stop_callers.cpp
@@ -92,11 +92,13 @@
 stop_callers::stop_callers(const sessions::gateway_system& aSystem,
                            std::uint64_t aSeed,
                            const stop_shape& aShape,
-                           std::vector<std::int64_t> aRelayMs)
+                           std::vector<std::int64_t> aRelayMs,
+                           std::function<std::int64_t()> aMayIdleMs)
   : mSystem(aSystem)
   , mSeed(aSeed)
   , mShape(aShape)
   , mRelayMs(std::move(aRelayMs))
+  , mMayIdleMs(std::move(aMayIdleMs))
   , mUsed(static_cast<std::size_t>(aShape.mDaemons))
 {
   for (auto& used : mUsed) {
@@ -154,7 +156,12 @@
   choices choices{ random };
   const bool relayed = aNumber % 2 == 0;
   const bool slow = aNumber % 5 == 0;
-  std::map<int, caller_connection> connections;
+  struct kept
+  {
+    caller_connection mConnection;
+    std::int64_t mUsedMs;
+  };
+  std::map<int, kept> connections;
   for (int i = 0; !mStopping; ++i) {
     // A kept connection is used wherever it leads.
     int daemon = PickDaemon(random);
@@ -163,7 +170,15 @@
                          choices.Number(0, static_cast<std::int64_t>(connections.size()) - 1))
                  ->first;
     }
+    if (mMayIdleMs && choices.Chance(0.25)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds{ choices.Number(0, mMayIdleMs()) });
+    }
     auto open = connections.find(daemon);
+    if (open != connections.end() && mMayIdleMs &&
+        (NowMs() - open->second.mUsedMs > mMayIdleMs() || open->second.mConnection.Ended())) {
+      connections.erase(open);
+      open = connections.end();
+    }
     if (open == connections.end()) {
       auto made = caller_connection::Open(relayed ? mSystem.RelayedCallersAddress(daemon)
                                                   : mSystem.CallersAddress(daemon),
@@ -172,7 +187,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
         continue;
       }
-      open = connections.emplace(daemon, std::move(*made)).first;
+      open = connections.emplace(daemon, kept{ std::move(*made), NowMs() }).first;
     }
     auto record = MakeRequest("s" + std::to_string(mSeed) + "-" + std::to_string(aNumber) + "-" +
                                 std::to_string(i),
@@ -195,7 +210,9 @@
       habits.mReadAfterMs = choices.Number(0, 1'500);
     }
     const auto text = Text(record, BodyBytes(record.mKind, choices), choices);
-    const bool usable = open->second.Ask(text, habits, record);
+    const bool usable = open->second.mConnection.Ask(text, habits, record);
+    // What a slow caller reads last may have been sent long before.
+    open->second.mUsedMs = slow ? record.mSentMs : record.mEndedMs;
     const auto connection = record.mHeaders.find("connection");
     const bool announced = connection != record.mHeaders.end() && connection->second == "close";
     // Some callers don't look at the announcement and send until the connection ends.
--- a/tests/soak/stop_callers.h
+++ b/tests/soak/stop_callers.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -17,13 +18,16 @@
 
 /// The load balancer and the callers behind it. Callers keep connections open, also to daemons that
 /// stop, and use them until they end; new connections go to the daemons that the balancer uses.
+/// `aMayIdleMs` tells how long a connection may be idle before it is used again; with it, callers
+/// pause between requests, and look whether a connection has ended before they use it.
 class stop_callers
 {
 public:
   stop_callers(const sessions::gateway_system& aSystem,
                std::uint64_t aSeed,
                const stop_shape& aShape,
-               std::vector<std::int64_t> aRelayMs);
+               std::vector<std::int64_t> aRelayMs,
+               std::function<std::int64_t()> aMayIdleMs = {});
 
   /// Ends after the open requests, and returns all.
   std::vector<request_record> Stop();
@@ -37,7 +41,8 @@
   const sessions::gateway_system& mSystem;
   std::uint64_t mSeed;
   stop_shape mShape;
-  std::vector<std::int64_t> mRelayMs;   ///< by daemon: delay of its relay for callers
+  std::vector<std::int64_t> mRelayMs; ///< by daemon: delay of its relay for callers
+  std::function<std::int64_t()> mMayIdleMs;
   std::vector<std::atomic<bool>> mUsed; ///< by daemon: the balancer sends it new connections
   std::atomic<bool> mStopping{ false };
   std::mutex mMutex;
--- a/tests/soak/stop_run.cpp
+++ b/tests/soak/stop_run.cpp
@@ -176,20 +176,6 @@
   int mVersion = 10;
 };
 
-/// The lines of a daemon's log that contain the text, each on a line of its own.
-std::string
-LogLines(const gateway_system& aSystem, int aDaemon, const std::string& aText)
-{
-  std::string lines;
-  std::istringstream log{ aSystem.DaemonLog(aDaemon) };
-  for (std::string line; std::getline(log, line);) {
-    if (line.find(aText) != std::string::npos) {
-      lines += "\n    " + line;
-    }
-  }
-  return lines;
-}
-
 std::string
 Describe(const gateway_system& aSystem, const broken_stop& aBroken)
 {
@@ -212,8 +198,29 @@
     stops << stop.mTermMs << ' ' << stop.mExitMs << " daemon " << stop.mDaemon << " status "
           << stop.mStatus << (stop.mKilled ? " killed" : "") << '\n';
   }
+  WriteRequests(aEvidence.mRequests, aDirectory);
+}
+
+} // namespace
+
+std::string
+LogLines(const gateway_system& aSystem, int aDaemon, const std::string& aText)
+{
+  std::string lines;
+  std::istringstream log{ aSystem.DaemonLog(aDaemon) };
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(aText) != std::string::npos) {
+      lines += "\n    " + line;
+    }
+  }
+  return lines;
+}
+
+void
+WriteRequests(const std::vector<request_record>& aRequests, const std::string& aDirectory)
+{
   std::ofstream requests{ aDirectory + "/requests.txt" };
-  for (const auto& request : aEvidence.mRequests) {
+  for (const auto& request : aRequests) {
     requests << request.mSentMs << ' ' << request.mLastByteMs << ' ' << request.mEndedMs << ' '
              << request.mId << " daemon " << request.mDaemon << " kind "
              << static_cast<int>(request.mKind) << " events " << request.mEventsAsked << " status "
@@ -221,8 +228,6 @@
   }
 }
 
-} // namespace
-
 soak_result
 RunStops(std::uint64_t aSeed, std::int64_t aLengthMs, const std::string& aDaemonProgram)
 {
