Time the overlap of a prefilled replacement from its own send

A replacement that was refused and offered to a further decode engine kept the limit of the one before, so that the silent stream could be given up before the new one had been sent. Found by reading, in the review; not seen in a run.

--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -139,6 +139,7 @@
   if (aKv) {
     GiveUpOpenPrefill();
   }
+  mOverlapLimit = nullptr;
   mAttempt->mTarget = *listed;
   mAttempt->mTargetAddedTokens = 0;
   if (mRequest.mGeneration) {
