Let comments not end the silence of a server

A stalled stream whose server sends comments now and then was never replaced: since the watch of silences was taken apart from the reads, the time at which the caller had taken any bytes, comments included, counted as a sign of life. Only the time that a write takes is left out now.

--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -72,7 +72,7 @@
   bool mStreaming = false;     ///< events of its response are being relayed
   bool mWriting = false;       ///< the caller has not taken the last events yet
   instant mLastEventAt{};      ///< or the start of the stream
-  instant mSilentSince{};      ///< the last event, or when the caller had taken it
+  instant mSilentSince{};      ///< the last event, without the time that the caller took
   bool mSilenceLogged = false; ///< since the last event
   sse_splitter mEvents;        ///< of the whole response, so also of earlier attempts
   std::size_t mBytesWithoutEvent = 0;
--- a/packages/gateway/src/exchange_stream.cpp
+++ b/packages/gateway/src/exchange_stream.cpp
@@ -115,9 +115,11 @@
                           aAttempt.mResponseHead.mHeaders);
   }
   aAttempt.mWriting = true;
-  return mResponse.Write(complete).then([this, &aAttempt] {
+  return mResponse.Write(complete).then([this, &aAttempt, since = mContext.mClock.Now()] {
     aAttempt.mWriting = false;
-    aAttempt.mSilentSince = mContext.mClock.Now();
+    // Nothing is read from the server while the caller takes what was sent. Comments do not end a
+    // silence.
+    aAttempt.mSilentSince += mContext.mClock.Now() - since;
     return ReadEvents(aAttempt);
   });
 }
--- a/packages/gateway/tests/exchange_silence_test.cpp
+++ b/packages/gateway/tests/exchange_silence_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(ReplacementThatFallsSilentIsReplaced);
   CPPUNIT_TEST(ReplacementLeftAloneThatFallsSilentIsReplaced);
   CPPUNIT_TEST(SlowCallerIsNotTakenForASilentServer);
+  CPPUNIT_TEST(ServerThatSendsOnlyCommentsIsReplaced);
   CPPUNIT_TEST(CallerThatLeavesEndsBothStreams);
   CPPUNIT_TEST(BegunStreamWaitsForAPlace);
   CPPUNIT_TEST(BegunStreamWaitsForRetryBudget);
@@ -263,6 +264,20 @@
     CPPUNIT_ASSERT_EQUAL(Event(3) + kEnd, stream.mFixture.Read(*stream.mCaller));
   }
 
+  /// Guards against a stalled stream whose server sends comments for ever.
+  void ServerThatSendsOnlyCommentsIsReplaced()
+  {
+    begun_stream stream{ 2 };
+    for (int i = 0; i < 8; ++i) {
+      stream.Pass(milliseconds{ 100 });
+      stream.mFixture.Write(stream.Server(0), "4\r\n: c\n\r\n4\r\n\n: c\r\n1\r\n\n\r\n");
+      stream.mFixture.Read(*stream.mCaller);
+    }
+    stream.mFixture.Read(stream.Server(1));
+    stream.mFixture.Write(stream.Server(1), kHead + Event(2) + kEnd);
+    CPPUNIT_ASSERT_EQUAL(Event(2) + kEnd, stream.mFixture.Read(*stream.mCaller));
+  }
+
   /// Guards against servers that work on for a caller that has left.
   void CallerThatLeavesEndsBothStreams()
   {
