Keep a run that has been taken when the handle of a prefill waited for it

Callers got a stream whose first event came twice, or one that broke off. While a slow prefill stayed open, a run was sent elsewhere; the handle arrived before the run was answered, and waited.

A response of a prefill that has been given up is dropped now.

RunThatIsTakenOutlivesAHandleThatWaits fails without the change.

--- a/packages/gateway/src/exchange_prefill.cpp
+++ b/packages/gateway/src/exchange_prefill.cpp
@@ -169,9 +169,13 @@
 kj::Promise<exchange::prefill_end>
 exchange::OnPrefillCallEnd(open_prefill& aOpen, http_result aResult)
 {
-  if (mOpenPrefill != &aOpen) {
+  if (!aOpen.mAttempt) {
     return prefill_end{ std::move(aResult) };
   }
+  if (mOpenPrefill != &aOpen) {
+    // Another engine has the request since the response arrived.
+    return kj::NEVER_DONE;
+  }
   constexpr int kOk = 200;
   const auto* response = std::get_if<std::unique_ptr<http_answer>>(&aResult);
   if (response == nullptr || (*response)->mStatus != kOk) {
--- a/packages/gateway/tests/exchange_prefill_test.cpp
+++ b/packages/gateway/tests/exchange_prefill_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(OtherEngineGoesOnWhenTheSilentPrefillFails);
   CPPUNIT_TEST(SilentPrefillIsKeptWhileARunMayBeRefused);
   CPPUNIT_TEST(RunThatIsTakenCancelsTheSilentPrefill);
+  CPPUNIT_TEST(RunThatIsTakenOutlivesAHandleThatWaits);
   CPPUNIT_TEST(CallerThatLeavesEndsBothPrefills);
   CPPUNIT_TEST_SUITE_END();
 
@@ -206,6 +207,26 @@
     CPPUNIT_ASSERT(request.Closed(0));
   }
 
+  /// Guards against a stream that is broken off, and begun anew, by the handle of a prefill that
+  /// arrived while the run had not been answered yet.
+  void RunThatIsTakenOutlivesAHandleThatWaits()
+  {
+    open_request request{ 1 };
+    CPPUNIT_ASSERT(!IsPrefill(request.NextRequest()));
+    request.mFixture.Write(request.Server(0), kHandle);
+    const std::string stream{ kStream };
+    const auto end = stream.rfind("0\r\n\r\n");
+    request.mFixture.Write(request.Server(1), stream.substr(0, end));
+    request.Pass(milliseconds{ 100 });
+    CPPUNIT_ASSERT(!request.Closed(1));
+    request.mFixture.Write(request.Server(1), stream.substr(end));
+    const auto response = request.mFixture.Read(*request.mCaller);
+    CPPUNIT_ASSERT_MESSAGE(response,
+                           response.ends_with(stream.substr(stream.find("\r\n\r\n") + 4)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, request.mFixture.mServers.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, request.mFixture.mListener.OpenRequests());
+  }
+
   void CallerThatLeavesEndsBothPrefills()
   {
     open_request request{ 2 };
