--- a/tests/soak/silence_run.cpp
+++ b/tests/soak/silence_run.cpp
@@ -329,6 +329,13 @@
   for (auto& line : BrokenPromises({ requests, system.Records(), {} }, bounds)) {
     result.mBroken.push_back(std::move(line));
   }
+  for (const auto& server : Servers()) {
+    auto& process = system.Backend(server.mId);
+    if (process.WaitForExit(std::chrono::milliseconds{ 0 })) {
+      result.mBroken.push_back("server " + server.mId + " ended by itself, wait status " +
+                               std::to_string(process.Status()));
+    }
+  }
   result.mRequests = requests.size();
   for (const auto& request : requests) {
     ++result.mStatuses[request.mStatus];
