--- a/packages/gateway/tests/exchange_patience_test.cpp
+++ b/packages/gateway/tests/exchange_slow_server_test.cpp
@@ -7,9 +7,9 @@
 using std::chrono::milliseconds;
 
 /// Requests whose server is slow to answer, or is no longer in the configuration or the list.
-class exchange_patience_test : public CppUnit::TestFixture
+class exchange_slow_server_test : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(exchange_patience_test);
+  CPPUNIT_TEST_SUITE(exchange_slow_server_test);
   CPPUNIT_TEST(SilentServerIsWaitedForUntilTheTimeLimit);
   CPPUNIT_TEST(OrderGoesToAnotherServerWhenOneCannotBeReached);
   CPPUNIT_TEST(OrderThatReachesNoServerIsRefused);
@@ -143,6 +143,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(exchange_patience_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(exchange_slow_server_test);
 
 } // namespace skylarkwind
