Share the steps of tests that play an exchange from both sides

exchange_silence_test and exchange_prefill_test had the same three functions: a server's connection by number, time that passes in steps, and whether the daemon has closed a connection.

--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -2,6 +2,8 @@
 
 #include "caller_listener_p.h"
 
+#include <cppunit/TestAssert.h>
+
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
@@ -293,4 +295,38 @@
   }
 };
 
+/// An exchange that a test plays from both sides: as its caller and as the servers.
+struct played_exchange
+{
+  /// The connection that the pool has opened as number `aIndex`.
+  kj::AsyncIoStream& Server(std::size_t aIndex)
+  {
+    CPPUNIT_ASSERT_GREATER(aIndex, mFixture.mServers.size());
+    return **std::next(mFixture.mServers.begin(), static_cast<std::ptrdiff_t>(aIndex));
+  }
+  void Pass(std::chrono::milliseconds aTime)
+  {
+    constexpr std::chrono::milliseconds kStep{ 50 };
+    for (std::chrono::milliseconds passed{ 0 }; passed < aTime; passed += kStep) {
+      mFixture.Advance(kStep);
+    }
+  }
+  /// Whether the daemon has closed its end of the connection to a server.
+  bool Closed(std::size_t aIndex)
+  {
+    bool closed = false;
+    char byte = 0;
+    auto reading = Server(aIndex)
+                     .tryRead(&byte, 1, 1)
+                     .then([&closed](std::size_t aBytes) { closed = aBytes == 0; },
+                           [&closed](kj::Exception&&) { closed = true; })
+                     .eagerlyEvaluate(nullptr);
+    mFixture.Run();
+    return closed;
+  }
+
+  exchange_fixture mFixture;
+  kj::Own<kj::AsyncIoStream> mCaller;
+};
+
 } // namespace skylarkwind
--- a/packages/gateway/tests/exchange_prefill_test.cpp
+++ b/packages/gateway/tests/exchange_prefill_test.cpp
@@ -34,7 +34,7 @@
 
   /// A request whose prompt is being computed by the first connection. `aPrefills` engines
   /// compute prompts, one streams. Connections are counted in the order in which they are opened.
-  struct open_request
+  struct open_request : played_exchange
   {
     explicit open_request(int aPrefills)
     {
@@ -60,17 +60,6 @@
       const auto request = mFixture.Read(Server(0));
       CPPUNIT_ASSERT_MESSAGE(request, request.find("Stage: prefill") != std::string::npos);
     }
-    kj::AsyncIoStream& Server(std::size_t aIndex)
-    {
-      CPPUNIT_ASSERT_GREATER(aIndex, mFixture.mServers.size());
-      return **std::next(mFixture.mServers.begin(), static_cast<std::ptrdiff_t>(aIndex));
-    }
-    void Pass(milliseconds aTime)
-    {
-      for (milliseconds passed{ 0 }; passed < aTime; passed += milliseconds{ 50 }) {
-        mFixture.Advance(milliseconds{ 50 });
-      }
-    }
     /// Passes time until the pool has opened one more connection, and reads the request on it.
     std::string NextRequest()
     {
@@ -80,18 +69,6 @@
       }
       return mFixture.Read(Server(before));
     }
-    bool Closed(std::size_t aIndex)
-    {
-      bool closed = false;
-      char byte = 0;
-      auto reading = Server(aIndex)
-                       .tryRead(&byte, 1, 1)
-                       .then([&closed](std::size_t aBytes) { closed = aBytes == 0; },
-                             [&closed](kj::Exception&&) { closed = true; })
-                       .eagerlyEvaluate(nullptr);
-      mFixture.Run();
-      return closed;
-    }
     /// Plays the decode engine on connection `aIndex`, which must get a prefilled prompt.
     void FinishWithKv(std::size_t aIndex)
     {
@@ -109,8 +86,6 @@
         CPPUNIT_ASSERT_EQUAL(0U, load.mRunning);
       }
     }
-    exchange_fixture mFixture;
-    kj::Own<kj::AsyncIoStream> mCaller;
   };
 
   static bool IsPrefill(const std::string& aRequest)
--- a/packages/gateway/tests/exchange_silence_test.cpp
+++ b/packages/gateway/tests/exchange_silence_test.cpp
@@ -50,7 +50,7 @@
   }
 
   /// A stream of one event at `s1`; the caller has read it.
-  struct begun_stream
+  struct begun_stream : played_exchange
   {
     explicit begun_stream(int aServers, std::uint32_t aMaxAttempts = 2)
     {
@@ -70,34 +70,6 @@
       const auto begun = mFixture.Read(*mCaller);
       CPPUNIT_ASSERT_MESSAGE(begun, begun.ends_with(Event(1)));
     }
-    /// The connection that the pool has opened as number `aIndex`.
-    kj::AsyncIoStream& Server(std::size_t aIndex)
-    {
-      CPPUNIT_ASSERT_GREATER(aIndex, mFixture.mServers.size());
-      return **std::next(mFixture.mServers.begin(), static_cast<std::ptrdiff_t>(aIndex));
-    }
-    void Pass(milliseconds aTime)
-    {
-      for (milliseconds passed{ 0 }; passed < aTime; passed += milliseconds{ 50 }) {
-        mFixture.Advance(milliseconds{ 50 });
-      }
-    }
-    /// Whether the daemon has closed its end.
-    bool Closed(std::size_t aIndex)
-    {
-      bool closed = false;
-      char byte = 0;
-      auto reading = Server(aIndex)
-                       .tryRead(&byte, 1, 1)
-                       .then([&closed](std::size_t aBytes) { closed = aBytes == 0; },
-                             [&closed](kj::Exception&&) { closed = true; })
-                       .eagerlyEvaluate(nullptr);
-      mFixture.Run();
-      return closed;
-    }
-
-    exchange_fixture mFixture;
-    kj::Own<kj::AsyncIoStream> mCaller;
   };
 
   /// Guards against a stream that is broken off because its only server is silent for a second.
