--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,11 @@
-"""Case 1: the loss of one of two daemons brings the other one to its limit of descriptors."""
+"""Case 1: the store is silent and the lease's holder freezes; its later orders bear old fences."""
 
+import http.server
+import json
 import os
-import selectors
 import signal
-import socket
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -12,232 +13,266 @@
 
 import deployment as d  # noqa: E402
 
-# Of the site gepm-encargos-grown.
+# Of the site tallow-creek.
 BOUNDS = {
-    "ConfigApplyMs": 3000,
-    "DrainMs": 3000,
+    "ConfigApplyMs": 2000,
+    "DrainMs": 2000,
     "GraceS": 8,
     "LeaseMs": 3000,
     "RetryBudgetRatio": 0.2,
-    "BudgetMinRetries": 222,
+    "BudgetMinRetries": 56,
     "BudgetWindowS": 10,
 }
-CONTACT_S = 4.0  # ContactMs
-MAX_FDS = 4100  # MaxFds of its smaller machines
-REQUESTS_PER_S = 400  # the sheet's five kinds add up to 408 a second
-IDLE_TIMEOUT_MS = 15000  # IdleTimeoutMs of the configuration
-KEPT_S = 12.0  # callers reuse channels up to four fifths of that, so they keep them so long
-CLIENTS = 4000  # ids of callers; each has a channel of its own
-READ_LIMIT_S = 1.0  # a caller gives an attempt up that has not been read after one second
-
-LOSS_AT = 14.0  # the other daemon's machine is lost for good
-CALM_AT = 32.0  # fewer callers, 40 requests a second
-CALM_PER_S = 40
-END_AT = 56.0
+THAW_SLACK_S = 0.3  # ThawSlackMs
+ROLE_SWITCH_S = 3.0  # RoleSwitchS
+STEP_S = 7.0  # between two changes of the fleet
+SILENT_AFTER_S = 0.25  # the store, after the change that calls for an order
+SILENT_S = 4.5  # `platform_down` silent
+FREEZE_AFTER_S = 1.1
+FREEZE_S = 4.1  # `node_freeze`; it ends 0.45 s after the store's outage
 
 CONFIGURATION = {
     "Version": 4,
     "Routes": [
         {
-            "Name": "status",
+            "Name": "survey",
             "Host": d.HOST,
-            "PathPrefix": "/status/",
-            "Kind": "idempotent",
-            "TimeoutMs": 1500,
-            "TargetLatencyMs": 150,
+            "PathPrefix": "/survey/",
+            "Kind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 600,
+            "TargetGapMs": 200,
             "Priority": 2,
             "MaxAttempts": 2,
-            "Service": "mesa",
+            "Sticky": True,
+            "Resumable": True,
+            "Service": "moss",
+        }
+    ],
+    "Services": [
+        {
+            "Name": "moss",
+            "HealthCheck": "/health",
+            "MaxConnections": 370,
+            "Engine": {
+                "Slots": 64,
+                "KvTokens": 473698,
+                "KvTokenBytes": 327680,
+                "LinkMbps": 3200000.0,
+                "Stride": 6,
+                "HandleTtlS": 5.0,
+                "RoleSwitchS": ROLE_SWITCH_S,
+                "Models": [{"Name": "m"}],
+            },
         }
     ],
-    "Services": [{"Name": "mesa", "HealthCheck": "/health", "MaxConnections": 610}],
     "Limits": {
         "MaxHeaderBytes": 16384,
         "MaxBodyBytes": 4194304,
         "HeaderTimeoutMs": 3000,
-        "IdleTimeoutMs": IDLE_TIMEOUT_MS,
+        "IdleTimeoutMs": 15000,
     },
 }
 
 
-class Caller:
-    """One attempt on a new channel, which stays open after its answer."""
+class Engine:
+    """A model engine without requests: it reports its state, takes orders and keeps its entry."""
 
-    def __init__(self, daemon, address, at, number, again):
-        self.daemon = daemon
-        self.sent_at = at
-        self.again = again
-        self.state = "waiting"
-        self.id = f"{number:016x}"
-        self.socket = socket.socket()
-        self.socket.setblocking(False)
-        self.socket.connect_ex(d.split(address))
-        self.request = (
-            f"GET /status/a HTTP/1.1\r\nHost: {d.HOST}\r\n"
-            f"X-Skylarkwind-Request-Id: {self.id}\r\nX-Skylarkwind-Deadline-Ms: 1500\r\n\r\n"
-        ).encode()
+    def __init__(self, identity, deployment, store):
+        self.identity = identity
+        self.deployment = deployment
+        self.store = store
+        self.stage, self.state = "decode", "ready"
+        self.busy, self.accepted = False, 0
+        self.born = int(time.time() * 1000)
+        self.orders = []  # (time, holder, fence, answer)
+        self.lock = threading.Lock()
+        engine = self
 
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
 
-class Balancer:
-    """Asks for readiness once a second; two misses take a daemon out until the next 200."""
+            def log_message(self, *_):
+                pass
 
-    def __init__(self, deployment, names):
-        self.deployment = deployment
-        self.misses = {name: 0 for name in names}
-        self.next_at = 0.0
-        self.answers = []  # (time, daemon, status)
+            def reply(self, status, body):
+                text = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text)
+
+            def do_GET(self):
+                self.reply(200, engine.report())
 
-    def poll(self, now):
-        if now < self.next_at:
-            return
-        self.next_at = now + 1.0
-        for name in self.misses:
-            status = self.deployment.ready(name, timeout=0.5)
-            self.answers.append((now, name, status))
-            self.misses[name] = 0 if status == 200 else self.misses[name] + 1
+            def do_POST(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                expected = self.headers.get("X-Skylarkwind-Expect-Instance", engine.identity)
+                if expected != engine.identity:
+                    self.reply(421, {})
+                else:
+                    self.reply(engine.order(json.loads(body)), {})
 
-    def choices(self):
-        used = [name for name, misses in self.misses.items() if misses < 2]
-        return used if 2 * len(used) >= len(self.misses) else list(self.misses)
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.publish()
+
+    def report(self):
+        with self.lock:
+            return {
+                "Stage": self.stage,
+                "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+                "Busy": self.busy,
+                "Seq": self.accepted,
+                "Waiting": 0,
+                "Running": 0,
+                "KvUsed": 0,
+                "KvTotal": 473698,
+                "KvHandles": 0,
+                "born": self.born,
+            }
+
+    def order(self, body):
+        with self.lock:
+            if body["Stage"] == self.stage:
+                answer = 200
+            elif self.busy or body.get("Expect", self.accepted) != self.accepted:
+                answer = 409
+            else:
+                answer = 202
+                self.busy = True
+                self.accepted += 1
+                threading.Thread(target=self.switch, args=(body["Stage"],), daemon=True).start()
+            now = self.deployment.record.now()
+            self.orders.append((now, body["Holder"], body["Fence"], answer))
+        self.deployment.record.say(
+            f"engine {self.identity} gets order stage={body['Stage']} holder={body['Holder']} "
+            f"fence={body['Fence']} answer={answer}"
+        )
+        return answer
+
+    def switch(self, stage):
+        time.sleep(ROLE_SWITCH_S)
+        with self.lock:
+            self.stage, self.busy = stage, False
+        self.publish()
+
+    def publish(self):
+        """Writes the entry, again until the store takes it."""
+        while True:
+            try:
+                self.deployment.put(
+                    self.store,
+                    "servers",
+                    self.identity,
+                    {
+                        "Service": "moss",
+                        "Address": self.address,
+                        "Zone": "ga-a",
+                        "Version": 1,
+                        "Slots": 64,
+                        "State": self.state,
+                        "ColdMs": 0,
+                        "Seq": 1,
+                        "Stage": self.stage,
+                        "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+                        "born": self.born,
+                    },
+                )
+                return
+            except (OSError, d.http.client.HTTPException):
+                time.sleep(0.3)
+
+    def leave(self):
+        self.state = "draining"
+        self.publish()
+
+
+def lease_of(store):
+    try:
+        status, body = d.call(store, "GET", "/skylarkwind/objects/skylarkwind-leases/engine-orders")
+    except (OSError, d.http.client.HTTPException):
+        return "unknown"
+    return json.loads(body).get("Spec") if status == 200 else "none"
 
 
 def run(deployment):
-    d.raise_descriptor_limit(9000)
     record = deployment.record
     _, store = deployment.start_standin("standin_store")
     deployment.put(store, "config", "main", CONFIGURATION)
-    for number in range(4):
-        identity = f"i-{number + 1}"
-        _, address = deployment.start_standin("standin_backend", f"--id={identity}")
-        deployment.put(
-            store,
-            "servers",
-            identity,
-            {
-                "Service": "mesa",
-                "Address": address,
-                "Zone": "quito-a",
-                "Version": 1,
-                "Slots": 6,
-                "State": "ready",
-                "ColdMs": 0,
-                "Seq": 1,
-            },
-        )
-    names = ["edge-1", "edge-2"]
-    for name in names:
-        deployment.start_daemon(name, store)
-    for name in names:
-        deployment.wait_ready(name)
-
-    selector = selectors.DefaultSelector()
-    balancer = Balancer(deployment, names)
-    started = time.monotonic()
-    waiting, kept, attempts = [], [], []
-    sent = 0
-    number = 0
-    lost = False
-
-    def attempt(now, again):
-        nonlocal number
-        number += 1
-        choices = balancer.choices()
-        name = choices[(number * 2654435761 >> 7) % len(choices)]
-        caller = Caller(name, deployment.daemons[name][1]["Front"], now, number, again)
-        selector.register(caller.socket, selectors.EVENT_WRITE, caller)
-        waiting.append(caller)
-        attempts.append(caller)
-
-    def finish(caller, state, now):
-        caller.state = state
-        caller.ended_at = now
-        if state == "answered":
-            selector.modify(caller.socket, selectors.EVENT_READ, caller)
-            kept.append(caller)
+    # Of four engines, two prefill. The two whose ids sort first are the ones that come and go.
+    engines = {name: Engine(name, deployment, store) for name in ("a1", "a2", "e3", "e4")}
+    deployment.start_daemon("edge-1", store, zone="ga-a")
+    deployment.wait_ready("edge-1")
+    frozen = []  # (from, to)
+
+    def fleet(step):
+        """Two engines leave, or two empty ones are added, so that e4 changes its stage."""
+        names = [f"a{2 * step - 1}", f"a{2 * step}"]
+        if step % 2 == 1:
+            for name in [f"a{2 * step - 1}", f"a{2 * step}"]:
+                engines[name].leave()
+            record.say(f"engines {names} leave")
         else:
-            selector.unregister(caller.socket)
-            caller.socket.close()
-            if not caller.again:
-                attempt(now, True)
-
-    while True:
-        now = time.monotonic() - started
-        if now >= END_AT:
-            break
-        balancer.poll(now)
-        if d.trouble() and not lost and now >= LOSS_AT:
-            lost = True
-            deployment.signal("edge-2", signal.SIGKILL)
-        due = REQUESTS_PER_S * min(now, CALM_AT) + CALM_PER_S * max(0.0, now - CALM_AT)
-        while sent < due:
-            sent += 1
-            attempt(now, False)
-        for key, events in selector.select(0.005):
-            caller = key.data
-            try:
-                if events & selectors.EVENT_WRITE:
-                    caller.socket.send(caller.request)
-                    selector.modify(caller.socket, selectors.EVENT_READ, caller)
-                    continue
-                data = caller.socket.recv(65536)
-            except OSError:
-                data = b""
-            if caller.state == "answered":
-                # Closed by the daemon, or bytes after the answer.
-                selector.unregister(caller.socket)
-                caller.socket.close()
-                caller.state = "closed"
-            elif data.startswith(b"HTTP/1.1 "):
-                caller.status = int(data[9:12])
-                finish(caller, "answered", now)
-            else:
-                finish(caller, "refused" if not data else "no answer", now)
-        while waiting and (waiting[0].state != "waiting"
-                           or now - waiting[0].sent_at >= READ_LIMIT_S):
-            caller = waiting.pop(0)
-            if caller.state == "waiting":
-                finish(caller, "not read", now)
-        while kept and now - kept[0].ended_at >= KEPT_S:
-            caller = kept.pop(0)
-            if caller.state == "answered":
-                selector.unregister(caller.socket)
-                caller.socket.close()
-                caller.state = "closed"
-
-    for caller in attempts:
-        status = getattr(caller, "status", "-")
-        ended = getattr(caller, "ended_at", now)
-        result = "answered" if status != "-" else caller.state
-        record.add(f"attempt {caller.id} at={caller.sent_at:.3f} daemon={caller.daemon} "
-                   f"{result} status={status} ms={1000 * (ended - caller.sent_at):.0f}")
-    for at, name, status in balancer.answers:
-        record.add(f"ready at={at:.3f} daemon={name} status={status}")
-    return judge(record, attempts, balancer.answers, now)
-
-
-def judge(record, attempts, answers, end):
-    """RECOVER: says it is ready, and takes no new channel for ContactMs while seven try.
-
-    A channel counts as taken when its request got any answer. The daemon that was lost isn't
-    judged, and no time within ContactMs of the loss.
-    """
-    mine = [one for one in attempts if one.daemon == "edge-1"]
-    taken = [one.sent_at for one in mine if hasattr(one, "status")]
-    polls = [(at, status) for at, name, status in answers if name == "edge-1"]
-    edges = [0.0] + taken + [end - READ_LIMIT_S]
+            names = [f"a{2 * step + 1}", f"a{2 * step + 2}"]
+            for name in names:
+                engines[name] = Engine(name, deployment, store)
+            record.say(f"engines {names} are added")
+
+    def wait_orders(name, count, limit):
+        until = time.monotonic() + limit
+        while time.monotonic() < until and len(engines[name].orders) < count:
+            time.sleep(0.05)
+
+    wait_orders("e4", 1, 8.0)
+    time.sleep(STEP_S)
+    for step in range(1, 7):
+        expected = len(engines["e4"].orders) + 1
+        troubled = d.trouble() and step == 4
+        fleet(step)
+        if troubled:
+            time.sleep(SILENT_AFTER_S)
+            d.call(store, "POST", "/standin/faults", {"mode": "silent"})
+            record.say("the store is silent")
+            begin = time.monotonic()
+            time.sleep(FREEZE_AFTER_S - SILENT_AFTER_S)
+            deployment.signal("edge-1", signal.SIGSTOP)
+            frozen_at = record.now()
+            time.sleep(SILENT_S - (time.monotonic() - begin))
+            d.call(store, "POST", "/standin/faults", {"mode": "none"})
+            record.say("the store answers again")
+            time.sleep(frozen_at + FREEZE_S - record.now())
+            deployment.signal("edge-1", signal.SIGCONT)
+            frozen.append((frozen_at, record.now()))
+        wait_orders("e4", expected, 12.0)
+        record.say(f"the stored lease: {lease_of(store)}")
+        time.sleep(STEP_S)
+
+    for line in deployment.log_of("edge-1").splitlines():
+        if " lease: " in line or " orders: " in line:
+            record.add("daemon " + line)
+    return judge(record, engines, frozen)
+
+
+def judge(record, engines, frozen):
+    """ONE: a lower fence after a higher one at one engine, but for orders soon after a thaw."""
     broken = False
-    for begin, until in zip(edges, edges[1:]):
-        if until - begin < CONTACT_S:
-            continue
-        tries = sum(begin < one.sent_at < until for one in mine)
-        says = [status for at, status in polls if begin <= at <= until]
-        record.say(f"edge-1 took no new channel from {begin:.3f} to {until:.3f}: {tries} tries, "
-                   f"readiness answers {sorted(set(says))} ({len(says)} of them)")
-        if tries >= 7 and says and all(status == 200 for status in says):
-            broken = True
-    record.say(f"edge-1: {len(taken)} of {len(mine)} attempts answered; "
-               f"last one sent at {max(taken, default=0):.3f}")
+    for engine in engines.values():
+        highest = 0
+        for at, holder, fence, _ in engine.orders:
+            excused = any(begin <= at <= end + THAW_SLACK_S for begin, end in frozen)
+            if fence < highest:
+                record.say(f"engine {engine.identity} got fence {fence} of {holder} at {at:.3f} "
+                           f"after fence {highest}" + (", soon after the thaw" if excused else ""))
+                broken = broken or not excused
+            if not excused:
+                highest = max(highest, fence)
+    record.say(f"orders to e4: {[order[2] for order in engines['e4'].orders]} (fences)")
+    if len(engines["e4"].orders) < 5:
+        raise d.CannotRun("too few orders")
     return broken
 
 
-d.run_case(FOLDER, BOUNDS, run, MAX_FDS)
+d.run_case(FOLDER, BOUNDS, run)
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Case 1: a daemon that once ran out of descriptors accepts no caller again and says it is ready.
+# Case 1: after a pause beside an outage of the store, the holder of the lease sends stale fences.
 cd "$(dirname "$0")" || exit 2
 exec python3 case.py
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -19,7 +19,7 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-STANDINS = os.path.join(ROOT, "build", "review", "bin")
+STANDINS = os.path.join(ROOT, "build-review", "bin")
 HOST = "desk.example"
 
 
@@ -128,7 +128,7 @@
         if call(store, "POST", path, body)[0] == 409:
             call(store, "PUT", f"{path}/{name}", body)
 
-    def start_daemon(self, name, store, zone="quito-a", front=None, addresses=None):
+    def start_daemon(self, name, store, zone="quito-a", addresses=None):
         """Starts a daemon, or starts one again at its addresses."""
         if addresses is None:
             addresses = {"Front": free_address(), "Ready": free_address()}
