--- a/review/deployment.py
+++ b/review/deployment.py
@@ -28,7 +28,8 @@
 
 
 def trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Whether the case's disruption is played; run.sh passes --calm for TROUBLE=0."""
+    return "--calm" not in sys.argv[1:]
 
 
 def raise_descriptor_limit(needed):
