Match results of the role controller's calls to their calls

Cause: the controller knew that a store call was in progress, not which. Two seconds after a call without a result it started another one, and the failure of the abandoned write then discarded the lease that the newer write was based on, so that the number that was held was computed as 1.

Calls now have ids, and a result with another id than the awaited one is ignored. An abandoned write has an unknown outcome, so the lease is read before the next write. The number held is the one that was written, and every number is above all that this daemon has read or written. State queries and commands of engines are matched in the same way.

--- a/packages/core/include/skylarkwind/role_controller.h
+++ b/packages/core/include/skylarkwind/role_controller.h
@@ -34,14 +34,21 @@
   std::uint64_t mFencing = 0;
 };
 
+/// Identifies a call of the role controller. Its result carries the same id, since the results of
+/// calls that were abandoned may arrive after those of newer ones.
+using role_call_id = std::uint64_t;
+
 /// Reads the stored lease. The result goes to `OnLeaseRead`.
 struct read_lease
-{};
+{
+  role_call_id mCall = 0;
+};
 
 /// Writes the lease if its stored revision is still `mRevision`, or creates it if that is 0. The
 /// result goes to `OnLeaseWritten`.
 struct write_lease
 {
+  role_call_id mCall = 0;
   std::uint64_t mRevision = 0;
   std::uint64_t mFencing = 0;
 };
@@ -49,12 +56,14 @@
 /// Requests an engine's state. The result goes to `OnEngineState`.
 struct query_engine_state
 {
+  role_call_id mCall = 0;
   std::string mBackendId;
 };
 
 /// Sends a role command, not later than `mNotAfter`. The result goes to `OnRoleCommandResult`.
 struct send_role_command
 {
+  role_call_id mCall = 0;
   role_command mOrder;
   instant mNotAfter{};
 };
@@ -71,6 +80,10 @@
 /// revision for that second plus the lease time and a margin for the transit of commands. Its
 /// conditional write then proves that nobody wrote in between, so commands of different holders are
 /// always at least a lease time apart.
+///
+/// The result of a call that is no longer awaited is ignored. A write without a result in time has
+/// an unknown outcome, and the lease is read before the next write. A fencing token is always
+/// higher than all that this daemon has read or written.
 class role_controller
 {
 public:
@@ -99,16 +112,23 @@
                                   std::size_t aRank,
                                   instant aNow);
   /// Result of `read_lease`: empty if there is no lease; `aFailed` if the store did not answer.
-  void OnLeaseRead(const std::optional<command_lease>& aLease, bool aFailed, instant aNow);
+  void OnLeaseRead(role_call_id aCall,
+                   const std::optional<command_lease>& aLease,
+                   bool aFailed,
+                   instant aNow);
   /// Result of `write_lease`: the new revision, empty if the write failed or its outcome is
   /// unknown.
-  void OnLeaseWritten(const std::optional<std::uint64_t>& aRevision, instant aNow);
+  void OnLeaseWritten(role_call_id aCall,
+                      const std::optional<std::uint64_t>& aRevision,
+                      instant aNow);
   /// Result of `query_engine_state`: the report, empty if the engine gave none.
-  std::vector<role_action> OnEngineState(const std::string& aBackendId,
+  std::vector<role_action> OnEngineState(role_call_id aCall,
+                                         const std::string& aBackendId,
                                          const std::optional<engine_state_report>& aReport,
                                          instant aNow);
   /// Result of `send_role_command`.
-  void OnRoleCommandResult(const std::string& aBackendId,
+  void OnRoleCommandResult(role_call_id aCall,
+                           const std::string& aBackendId,
                            role_command_result aAnswer,
                            instant aNow);
 
@@ -126,7 +146,26 @@
     engine_role mRole = engine_role::Both;
     std::chrono::milliseconds mDuration{};
   };
+  /// A planned change whose engine was called.
+  struct pending_change
+  {
+    role_call_id mCall = 0;
+    planned_change mChange;
+  };
+  /// A call to the store without a result so far.
+  struct pending_store_call
+  {
+    role_call_id mCall = 0;
+    std::uint64_t mFencing = 0; ///< of a write; 0 for a read
+    instant mStartedAt{};
+  };
 
+  /// Ends the wait for the call's result; empty if that is not awaited.
+  std::optional<pending_store_call> TakeStoreCall(role_call_id aCall);
+  /// Starts a call to the store and returns its id.
+  role_call_id StartStoreCall(std::uint64_t aFencing, instant aNow);
+  /// Discards what is known of the lease, so that it is read before the next write.
+  void ForgetLease();
   bool HoldsLease(instant aNow) const;
   /// Whether this daemon may write the lease now, judging by the last observed revision.
   bool MayAcquireLease(instant aNow) const;
@@ -140,14 +179,15 @@
   bool mLeaseAbsent = false; ///< the last read found no lease
   instant mObservedAt{};     ///< when the revision of `mObservedLease` was first observed
   instant mLastReadAt{};     ///< last successful read or write
-  bool mCallPending = false; ///< a store call is in progress
-  instant mCallStartedAt{};
-  std::uint64_t mHeldFencing = 0; ///< 0 while no lease is held
+  role_call_id mLastCall = 0;
+  std::optional<pending_store_call> mStoreCall;
+  std::uint64_t mHighestFencing = 0; ///< of all that were read or written
+  std::uint64_t mHeldFencing = 0;    ///< 0 while no lease is held
   instant mHeldUntil{};
   /// Planned changes for which the engine's state was requested, by engine id.
-  std::map<std::string, planned_change> mAwaitingState;
-  /// Duration of the role change for each unanswered command, by engine id.
-  std::map<std::string, std::chrono::milliseconds> mAwaitingReply;
+  std::map<std::string, pending_change> mAwaitingState;
+  /// Planned changes with an unanswered command, by engine id.
+  std::map<std::string, pending_change> mAwaitingReply;
   std::map<std::string, instant> mChanging;
   std::map<std::string, instant> mBackoffUntil; ///< engines that get no command before that time
 };
--- a/packages/core/src/role_controller.cpp
+++ b/packages/core/src/role_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -155,8 +156,8 @@
   }
   for (const auto& [id, change] : due) {
     mBackoffUntil[id] = aNow + kLeaseReadPeriod;
-    mAwaitingState[id] = change;
-    actions.emplace_back(query_engine_state{ id });
+    mAwaitingState[id] = { ++mLastCall, change };
+    actions.emplace_back(query_engine_state{ mLastCall, id });
   }
   return actions;
 }
@@ -173,31 +174,65 @@
           aNow - mObservedAt >= kCommandWindow + mSettings.mLease + kCommandTransitMargin);
 }
 
+role_call_id
+role_controller::StartStoreCall(std::uint64_t aFencing, instant aNow)
+{
+  mStoreCall = pending_store_call{ ++mLastCall, aFencing, aNow };
+  return mLastCall;
+}
+
+std::optional<role_controller::pending_store_call>
+role_controller::TakeStoreCall(role_call_id aCall)
+{
+  if (!mStoreCall || mStoreCall->mCall != aCall) {
+    return std::nullopt;
+  }
+  return std::exchange(mStoreCall, std::nullopt);
+}
+
+void
+role_controller::ForgetLease()
+{
+  mHeldFencing = 0;
+  mHeldUntil = {};
+  mLeaseAbsent = false;
+  mObservedLease.reset();
+  mLastReadAt = {};
+}
+
 std::optional<role_action>
 role_controller::AcquireOrReadLease(bool aDue, instant aNow)
 {
-  if (mCallPending && aNow - mCallStartedAt < kStoreCallTimeout) {
-    return std::nullopt;
+  if (mStoreCall) {
+    if (aNow - mStoreCall->mStartedAt < kStoreCallTimeout) {
+      return std::nullopt;
+    }
+    // The store may still execute an abandoned write.
+    if (mStoreCall->mFencing != 0) {
+      ForgetLease();
+    }
+    mStoreCall.reset();
   }
   if (aDue && MayAcquireLease(aNow)) {
-    mCallPending = true;
-    mCallStartedAt = aNow;
-    return write_lease{ mObservedLease ? mObservedLease->mRevision : 0,
-                        mObservedLease ? mObservedLease->mFencing + 1 : 1 };
+    const auto fencing = mHighestFencing + 1;
+    const auto call = StartStoreCall(fencing, aNow);
+    return write_lease{ call, mObservedLease ? mObservedLease->mRevision : 0, fencing };
   }
   if (aNow - mLastReadAt < (aDue ? kLeaseReadPeriod : kIdleLeaseReadPeriod)) {
     return std::nullopt;
   }
-  mCallPending = true;
-  mCallStartedAt = aNow;
-  return read_lease{};
+  return read_lease{ StartStoreCall(0, aNow) };
 }
 
 void
-role_controller::OnLeaseRead(const std::optional<command_lease>& aLease, bool aFailed, instant aNow)
+role_controller::OnLeaseRead(role_call_id aCall,
+                             const std::optional<command_lease>& aLease,
+                             bool aFailed,
+                             instant aNow)
 {
-  mCallPending = false;
-  if (aFailed) {
+  // Also of an abandoned read: the store has had this number.
+  mHighestFencing = std::max(mHighestFencing, aLease ? aLease->mFencing : 0);
+  if (!TakeStoreCall(aCall) || aFailed) {
     return;
   }
   mLastReadAt = aNow;
@@ -213,64 +248,68 @@
 }
 
 void
-role_controller::OnLeaseWritten(const std::optional<std::uint64_t>& aRevision, instant aNow)
+role_controller::OnLeaseWritten(role_call_id aCall,
+                                const std::optional<std::uint64_t>& aRevision,
+                                instant aNow)
 {
-  mCallPending = false;
+  const auto call = TakeStoreCall(aCall);
+  if (!call) {
+    return;
+  }
   if (!aRevision) {
     // Either the outcome of the write is unknown or another daemon wrote first: read again.
-    mHeldFencing = 0;
-    mHeldUntil = {};
-    mLeaseAbsent = false;
-    mObservedLease.reset();
-    mLastReadAt = {};
+    ForgetLease();
     return;
   }
-  mHeldFencing = mObservedLease ? mObservedLease->mFencing + 1 : 1;
+  mHeldFencing = call->mFencing;
+  mHighestFencing = std::max(mHighestFencing, call->mFencing);
   mObservedLease = command_lease{ *aRevision, mSettings.mSelf, mHeldFencing };
   mLeaseAbsent = false;
   mObservedAt = aNow;
   mLastReadAt = aNow;
   // Measured from the start of the write, since others may have observed the revision from then on.
-  mHeldUntil = mCallStartedAt + kCommandWindow;
+  mHeldUntil = call->mStartedAt + kCommandWindow;
 }
 
 std::vector<role_action>
-role_controller::OnEngineState(const std::string& aBackendId,
+role_controller::OnEngineState(role_call_id aCall,
+                               const std::string& aBackendId,
                                const std::optional<engine_state_report>& aReport,
                                instant aNow)
 {
   std::vector<role_action> actions;
   const auto awaiting = mAwaitingState.find(aBackendId);
-  if (awaiting == mAwaitingState.end()) {
+  if (awaiting == mAwaitingState.end() || awaiting->second.mCall != aCall) {
     return actions;
   }
-  const auto [role, changeTime] = awaiting->second;
+  const auto change = awaiting->second.mChange;
   mAwaitingState.erase(awaiting);
-  if (!aReport || aReport->mChanging || aReport->mRole == role || !HoldsLease(aNow)) {
+  if (!aReport || aReport->mChanging || aReport->mRole == change.mRole || !HoldsLease(aNow)) {
     return actions;
   }
   role_command command;
   command.mBackendId = aBackendId;
-  command.mRole = role;
+  command.mRole = change.mRole;
   command.mHolder = mSettings.mSelf;
   command.mFencing = mHeldFencing;
   command.mExpectedCommandCount = aReport->mOrders;
   mBackoffUntil[aBackendId] = aNow + kStoreCallTimeout;
-  mAwaitingReply[aBackendId] = changeTime;
-  actions.emplace_back(send_role_command{ command, mHeldUntil });
+  mAwaitingReply[aBackendId] = { ++mLastCall, change };
+  actions.emplace_back(send_role_command{ mLastCall, command, mHeldUntil });
   return actions;
 }
 
 void
-role_controller::OnRoleCommandResult(const std::string& aBackendId,
+role_controller::OnRoleCommandResult(role_call_id aCall,
+                                     const std::string& aBackendId,
                                      role_command_result aAnswer,
                                      instant aNow)
 {
   const auto awaiting = mAwaitingReply.find(aBackendId);
-  if (awaiting == mAwaitingReply.end()) {
+  if (awaiting == mAwaitingReply.end() || awaiting->second.mCall != aCall) {
     return;
   }
-  const auto changeTime = awaiting->second;
+  const auto changeTime = awaiting->second.mChange.mDuration;
   mAwaitingReply.erase(awaiting);
   if (aAnswer == role_command_result::Accepted) {
     mChanging[aBackendId] = aNow + changeTime;
--- a/packages/core/tests/role_controller_test.cpp
+++ b/packages/core/tests/role_controller_test.cpp
@@ -86,27 +86,32 @@
   struct daemon
   {
     role_controller mRoleController;
-    std::deque<role_action> mPendingReads;
-    std::deque<std::optional<std::uint64_t>> mPendingWrites;
-    std::deque<std::string> mPendingStates;
+    std::deque<role_call_id> mPendingReads;
+    std::deque<std::pair<role_call_id, std::optional<std::uint64_t>>> mPendingWrites;
+    std::deque<query_engine_state> mPendingStates;
   };
 
   void DeliverReplies(daemon& aDaemon, std::size_t aIndex)
   {
     while (!aDaemon.mPendingReads.empty()) {
+      const auto call = aDaemon.mPendingReads.front();
       aDaemon.mPendingReads.pop_front();
-      aDaemon.mRoleController.OnLeaseRead(mLease, false, mNow);
+      aDaemon.mRoleController.OnLeaseRead(call, mLease, false, mNow);
     }
     while (!aDaemon.mPendingWrites.empty()) {
-      aDaemon.mRoleController.OnLeaseWritten(aDaemon.mPendingWrites.front(), mNow);
+      const auto& [call, revision] = aDaemon.mPendingWrites.front();
+      aDaemon.mRoleController.OnLeaseWritten(call, revision, mNow);
       aDaemon.mPendingWrites.pop_front();
     }
     while (!aDaemon.mPendingStates.empty()) {
-      const auto id = aDaemon.mPendingStates.front();
+      const auto query = aDaemon.mPendingStates.front();
       aDaemon.mPendingStates.pop_front();
       engine_state_report report;
       report.mRole = engine_role::Decode;
-      Execute(aDaemon, aIndex, aDaemon.mRoleController.OnEngineState(id, report, mNow), false);
+      Execute(aDaemon,
+              aIndex,
+              aDaemon.mRoleController.OnEngineState(query.mCall, query.mBackendId, report, mNow),
+              false);
     }
   }
 
@@ -116,23 +121,23 @@
                bool aLoseReplies)
   {
     for (const auto& action : aActions) {
-      if (std::holds_alternative<read_lease>(action)) {
-        aDaemon.mPendingReads.push_back(action);
+      if (const auto* read = std::get_if<read_lease>(&action)) {
+        aDaemon.mPendingReads.push_back(read->mCall);
       } else if (const auto* write = std::get_if<write_lease>(&action)) {
         const bool done = write->mRevision == (mLease ? mLease->mRevision : 0);
         if (done) {
           mLease = command_lease{ ++mRevision, "d" + std::to_string(aIndex), write->mFencing };
         }
-        aDaemon.mPendingWrites.push_back(done && !aLoseReplies ? std::optional{ mRevision }
-                                                               : std::nullopt);
+        aDaemon.mPendingWrites.emplace_back(
+          write->mCall, done && !aLoseReplies ? std::optional{ mRevision } : std::nullopt);
       } else if (const auto* ask = std::get_if<query_engine_state>(&action)) {
-        aDaemon.mPendingStates.push_back(ask->mBackendId);
+        aDaemon.mPendingStates.push_back(*ask);
       } else if (const auto* give = std::get_if<send_role_command>(&action)) {
         if (mNow < give->mNotAfter) {
           mCommands.push_back({ aIndex, give->mOrder.mFencing, mNow });
         }
         aDaemon.mRoleController.OnRoleCommandResult(
-          give->mOrder.mBackendId, role_command_result::Unchanged, mNow);
+          give->mCall, give->mOrder.mBackendId, role_command_result::Unchanged, mNow);
       }
     }
   }
@@ -234,7 +239,7 @@
     // The first store call is the periodic read of the lease.
     const auto first = keeper.OnTick(services, 0, now);
     CPPUNIT_ASSERT(first.size() == 1 && std::holds_alternative<read_lease>(first[0]));
-    keeper.OnLeaseRead(std::nullopt, false, now);
+    keeper.OnLeaseRead(std::get<read_lease>(first[0]).mCall, std::nullopt, false, now);
     CPPUNIT_ASSERT(keeper.OnTick(services, 0, now + milliseconds{ 200 }).empty());
     const auto later = keeper.OnTick(services, 0, now + milliseconds{ 500 });
     CPPUNIT_ASSERT(later.size() == 1 && std::holds_alternative<write_lease>(later[0]));
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -124,17 +124,20 @@
 }
 
 void
-role_driver::Execute(const read_lease&)
+role_driver::Execute(const read_lease& aRead)
 {
-  mTasks.add(mStore.Read(kLeaseKind, kLeaseName).then([this](store_result<stored_object> aResult) {
-    const auto now = mClock.Now();
-    if (const auto* found = std::get_if<stored_object>(&aResult)) {
-      mController.OnLeaseRead(ParseLease(*found), false, now);
-      return;
-    }
-    const auto& failure = std::get<store_failure>(aResult);
-    mController.OnLeaseRead(std::nullopt, failure.mCause != store_failure::cause::Missing, now);
-  }));
+  const auto call = aRead.mCall;
+  mTasks.add(
+    mStore.Read(kLeaseKind, kLeaseName).then([this, call](store_result<stored_object> aResult) {
+      const auto now = mClock.Now();
+      if (const auto* found = std::get_if<stored_object>(&aResult)) {
+        mController.OnLeaseRead(call, ParseLease(*found), false, now);
+        return;
+      }
+      const auto& failure = std::get<store_failure>(aResult);
+      const bool failed = failure.mCause != store_failure::cause::Missing;
+      mController.OnLeaseRead(call, std::nullopt, failed, now);
+    }));
 }
 
 void
@@ -145,9 +148,10 @@
   if (aWrite.mRevision != 0) {
     revision = aWrite.mRevision;
   }
+  const auto call = aWrite.mCall;
   const auto fencing = aWrite.mFencing;
   mTasks.add(mStore.Write(kLeaseKind, kLeaseName, revision, value.dump())
-               .then([this, fencing](store_result<object_written> aResult) {
+               .then([this, call, fencing](store_result<object_written> aResult) {
                  std::optional<std::uint64_t> written;
                  if (const auto* done = std::get_if<object_written>(&aResult)) {
                    written = done->mRevision;
@@ -158,7 +162,7 @@
                        (written
                           ? " done revision=" + std::to_string(*written)
                           : " failed reason=\"" + std::get<store_failure>(aResult).mReason + '"'));
-                 mController.OnLeaseWritten(written, mClock.Now());
+                 mController.OnLeaseWritten(call, written, mClock.Now());
                }));
 }
 
@@ -209,25 +213,27 @@
 void
 role_driver::Execute(const query_engine_state& aQuery)
 {
+  const auto call = aQuery.mCall;
   const auto id = aQuery.mBackendId;
-  mTasks.add(
-    CallEngine(id, mProtocolAdapter.StateRequest()).then([this, id](engine_response aResponse) {
-      std::optional<engine_state_report> report;
-      if (aResponse && aResponse->first == 200) {
-        if (auto parsed = mProtocolAdapter.ParseState(aResponse->second); parsed.ok()) {
-          report = *parsed;
-        }
-      }
-      Execute(mController.OnEngineState(id, report, mClock.Now()));
-    }));
+  mTasks.add(CallEngine(id, mProtocolAdapter.StateRequest())
+               .then([this, call, id](engine_response aResponse) {
+                 std::optional<engine_state_report> report;
+                 if (aResponse && aResponse->first == 200) {
+                   if (auto parsed = mProtocolAdapter.ParseState(aResponse->second); parsed.ok()) {
+                     report = *parsed;
+                   }
+                 }
+                 Execute(mController.OnEngineState(call, id, report, mClock.Now()));
+               }));
 }
 
 void
 role_driver::Execute(const send_role_command& aSend)
 {
+  const auto call = aSend.mCall;
   const auto id = aSend.mOrder.mBackendId;
   if (mClock.Now() >= aSend.mNotAfter) {
-    mController.OnRoleCommandResult(id, role_command_result::Unknown, mClock.Now());
+    mController.OnRoleCommandResult(call, id, role_command_result::Unknown, mClock.Now());
     return;
   }
   const auto role = aSend.mOrder.mRole == engine_role::Prefill ? "prefill" : "decode";
@@ -236,7 +242,7 @@
       "sent id=" + id + " role=" + role + " fencing=" + std::to_string(aSend.mOrder.mFencing) +
         " expected=" + std::to_string(aSend.mOrder.mExpectedCommandCount));
   mTasks.add(CallEngine(id, mProtocolAdapter.RoleCommandRequest(aSend.mOrder))
-               .then([this, id](engine_response aResponse) {
+               .then([this, call, id](engine_response aResponse) {
                  const auto response = aResponse
                                          ? mProtocolAdapter.ParseRoleCommandResult(aResponse->first)
                                          : role_command_result::Unknown;
@@ -244,7 +250,7 @@
                  Log(log_level::Info,
                      "orders",
                      "id=" + id + " answer=" + std::string{ ResponseText(response) });
-                 mController.OnRoleCommandResult(id, response, now);
+                 mController.OnRoleCommandResult(call, id, response, now);
                  if (const auto changing = mController.Changing().find(id);
                      changing != mController.Changing().end()) {
                    mExchange.OnRoleChange(BackendKey(id), changing->second);
