Check status and header values of servers' responses

Cause: every status that is neither 2xx nor 5xx was taken for an answer, and the HTTP library takes any number for a status. Nothing checked what else a head contains: the reason phrase of a stream's server went into the status line of its caller, and so did control characters into header values.

The pool now takes a response whose status is not 200 to 599, or whose header values have characters that RFC 9110 excludes, for a failed call that may have been executed, for all calls alike. Reason phrases are the daemon's own. A stream is resumed only by a response with the status that it began with.

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -85,13 +85,12 @@
   Failed
 };
 
-/// A response: status, headers and a stream of the body. Dropping it before the end closes the
+/// A response: status (200 to 599), headers and a stream of the body. Dropping it before the end closes the
 /// connection, which cancels the work at the server.
 class http_answer
 {
 public:
   int mStatus = 0;
-  std::string mStatusText;
   header_list mHeaders;
 
   /// The body. A read returns 0 at the end and throws when the connection fails.
@@ -124,7 +123,8 @@
   ~http_pool();
 
   /// Sends a request on an idle connection or a new one. The promise resolves when the headers of
-  /// the response have arrived or the request has failed.
+  /// the response have arrived or the request has failed. A response whose status or headers violate
+  /// HTTP is a failure of the request, and so is an interim one.
   kj::Promise<http_result> Call(http_call aCall);
   /// Returns the connection of a response whose body was read to its end to the pool.
   /// `aServerCloses` tells that the server closes it. `aIdleLimit` is the idle time after which the
--- a/packages/gateway/src/caller_response.cpp
+++ b/packages/gateway/src/caller_response.cpp
@@ -6,6 +6,46 @@
 
 namespace skylarkwind {
 
+namespace {
+
+/// The reason phrase of a status line. That of a server is never forwarded, as it may contain any
+/// bytes.
+kj::StringPtr
+ReasonPhrase(unsigned int aStatus)
+{
+  constexpr unsigned int kFirstError = 400;
+  switch (aStatus) {
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 304:
+      return "Not Modified";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 413:
+      return "Payload Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return aStatus >= kFirstError ? "Error" : "Other";
+  }
+}
+
+} // namespace
+
 kj::HttpService::Response&
 caller_response::TakeUnsent()
 {
@@ -17,25 +57,20 @@
 }
 
 kj::Promise<void>
-caller_response::SendWhole(unsigned int aStatus,
-                           const std::string& aStatusText,
-                           const header_list& aHeaders,
-                           std::string aBody)
+caller_response::SendWhole(unsigned int aStatus, const header_list& aHeaders, std::string aBody)
 {
   auto body = kj::heap<std::string>(std::move(aBody));
   const auto headers = ToKj(aHeaders, mTable);
-  auto out = TakeUnsent().send(aStatus, ToKj(aStatusText), headers, body->size());
+  auto out = TakeUnsent().send(aStatus, ReasonPhrase(aStatus), headers, body->size());
   auto& stream = *out;
   return stream.write(body->data(), body->size()).attach(kj::mv(out), kj::mv(body));
 }
 
 void
-caller_response::StartStream(unsigned int aStatus,
-                             const std::string& aStatusText,
-                             const header_list& aHeaders)
+caller_response::StartStream(unsigned int aStatus, const header_list& aHeaders)
 {
   const auto headers = ToKj(aHeaders, mTable);
-  auto parts = TakeUnsent().send(aStatus, ToKj(aStatusText), headers);
+  auto parts = TakeUnsent().send(aStatus, ReasonPhrase(aStatus), headers);
   mState.emplace<streaming>(streaming{ kj::mv(parts) });
 }
 
--- a/packages/gateway/src/caller_response_p.h
+++ b/packages/gateway/src/caller_response_p.h
@@ -33,14 +33,9 @@
   bool Streaming() const { return std::holds_alternative<streaming>(mState); }
 
   /// Sends head and body. Fails when a head has been sent before.
-  kj::Promise<void> SendWhole(unsigned int aStatus,
-                              const std::string& aStatusText,
-                              const header_list& aHeaders,
-                              std::string aBody);
+  kj::Promise<void> SendWhole(unsigned int aStatus, const header_list& aHeaders, std::string aBody);
   /// Sends the head of a stream of unknown length. Fails when a head has been sent before.
-  void StartStream(unsigned int aStatus,
-                   const std::string& aStatusText,
-                   const header_list& aHeaders);
+  void StartStream(unsigned int aStatus, const header_list& aHeaders);
   /// Adds a part to the stream; the bytes must stay valid until the promise resolves.
   kj::Promise<void> Write(std::string_view aPart);
   /// Ends the stream as complete.
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -25,29 +25,6 @@
 constexpr std::array<std::string_view, 6> kOpenOutcomes{ "retry",    "repeat",    "silent",
                                                          "replaced", "continued", "waiting" };
 
-std::string_view
-StatusText(unsigned int aStatus)
-{
-  switch (aStatus) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 413:
-      return "Payload Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Error";
-  }
-}
-
 std::string
 Seconds(milliseconds aTime)
 {
@@ -122,11 +99,10 @@
 kj::Promise<void>
 exchange::Reply(unsigned int aStatus, const header_list& aHeaders, std::string aBody)
 {
-  const std::string text{ StatusText(aStatus) };
   const auto limit = std::max(milliseconds{ 0 }, TimeLeft()) + kSlowCallerLimit;
   mReplying = true;
   return mContext.mTimer
-    .timeoutAfter(ToKj(limit), mResponse.SendWhole(aStatus, text, aHeaders, std::move(aBody)))
+    .timeoutAfter(ToKj(limit), mResponse.SendWhole(aStatus, aHeaders, std::move(aBody)))
     .then([this] { mReplying = false; });
 }
 
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -353,7 +353,8 @@
   std::uint64_t mBytesReceived = 0;           ///< of bodies of responses
   std::uint64_t mSentBefore = 0; ///< bytes written to the caller's connection before this request
   std::string mPlacementLog;     ///< inputs of the last placement, as log text
-  std::string mStreamType;       ///< media type of the stream that has begun
+  int mStreamStatus = 0;         ///< of the stream that has begun
+  std::string mStreamType;       ///< its media type
   bool mAwaitsPlace = false;     ///< a begun stream has been waiting for a place
   instant mNextReplacementAt{};  ///< no replacement is sought before
   /// When a replacement was sent that has failed and may have run beside the silent stream.
--- a/packages/gateway/src/exchange_stream.cpp
+++ b/packages/gateway/src/exchange_stream.cpp
@@ -45,10 +45,11 @@
 kj::Promise<exchange_end>
 exchange::RelayStream()
 {
-  if (mResponse.Started() && MediaType(mAttempt->mResponseHead) != mStreamType) {
+  const auto& head = mAttempt->mResponseHead;
+  if (mResponse.Started() && (head.mStatus != mStreamStatus || MediaType(head) != mStreamType)) {
     mAttempt->mBackendResponse = nullptr;
     CloseAttempt(backend_outcome::Failed);
-    return OnAttemptFailed("the resumed stream is of another content type");
+    return OnAttemptFailed("the resumed stream has another status or content type");
   }
   auto& attempt = *mAttempt;
   attempt.mReadBuffer = kj::heapArray<kj::byte>(kReadBufferBytes);
@@ -109,9 +110,9 @@
     return ReadEvents(aAttempt);
   }
   if (!mResponse.Started()) {
+    mStreamStatus = aAttempt.mResponseHead.mStatus;
     mStreamType = MediaType(aAttempt.mResponseHead);
-    mResponse.StartStream(static_cast<unsigned int>(aAttempt.mResponseHead.mStatus),
-                          aAttempt.mBackendResponse->mStatusText,
+    mResponse.StartStream(static_cast<unsigned int>(mStreamStatus),
                           aAttempt.mResponseHead.mHeaders);
   }
   aAttempt.mWriting = true;
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -91,6 +91,37 @@
   std::shared_ptr<const upload_progress> mUpload;
 };
 
+/// Whether the value has only characters that a field value may have (RFC 9110, 5.5). Bytes of
+/// other encodings than ASCII are allowed.
+bool
+IsFieldValue(kj::StringPtr aValue)
+{
+  constexpr kj::byte kDelete = 0x7f;
+  return std::all_of(aValue.begin(), aValue.end(), [](char aCharacter) {
+    const auto byte = static_cast<kj::byte>(aCharacter);
+    return (byte >= ' ' && byte != kDelete) || byte == '\t';
+  });
+}
+
+/// What no final response may have in its head; empty if there is nothing. The HTTP library takes
+/// any number for a status, and any character but a line end in a value.
+std::string
+HeadProblem(const kj::HttpClient::Response& aResponse)
+{
+  constexpr kj::uint kMinFinalStatus = 200;
+  constexpr kj::uint kMaxStatus = 599;
+  if (aResponse.statusCode < kMinFinalStatus || aResponse.statusCode > kMaxStatus) {
+    return "the response has the invalid status " + std::to_string(aResponse.statusCode);
+  }
+  std::string problem;
+  aResponse.headers->forEach([&](kj::StringPtr aName, kj::StringPtr aValue) {
+    if (!IsFieldValue(aValue)) {
+      problem = "the response has an invalid value in the header " + ToStd(aName);
+    }
+  });
+  return problem;
+}
+
 http_failure
 MakeFailure(const kj::Exception& aError, bool aSent)
 {
@@ -255,8 +286,10 @@
   return request.response.then(
     [answer = std::move(answer),
      method](kj::HttpClient::Response aResponse) mutable -> http_result {
+      if (auto problem = HeadProblem(aResponse); !problem.empty()) {
+        return http_failure{ true, std::move(problem) };
+      }
       answer->mStatus = static_cast<int>(aResponse.statusCode);
-      answer->mStatusText = ToStd(aResponse.statusText);
       answer->mHeaders = FromKj(*aResponse.headers);
       answer->mEndsWithConnection = HasNoLength(method, aResponse);
       answer->mBody = kj::mv(aResponse.body);
