Bound the work for one source in a turn of the event loop

Servers that answered in chunks of one byte stopped the daemon: with one such server of six, 27 of 60 requests had neither an answer nor a refusal a second after their time limit, also at sound servers, and readiness was answered after 7.7 s.

Cause: the event loop polls timers and sockets only when its queue is empty, and a socket that always has bytes, or a port that always has a connection, keeps it from becoming empty, since their next read or accept is complete at once.

The gauge skylarkwind_loop_delay_ms shows by how much timers ran late.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -334,18 +334,21 @@
 kj::Promise<void>
 caller_listener::Accept(kj::ConnectionReceiver& aPort)
 {
-  return aPort.accept().then(
-    [this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
-      mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
-      mConnections.back()->Start();
-      return Accept(aPort);
-    },
-    [this, &aPort](kj::Exception&& aError) {
-      Log(log_level::Error, "callers", aError.getDescription().cStr());
-      return mContext.mTimer.afterDelay(ToKj(kAcceptRetryPause)).then([this, &aPort] {
+  // Everything else that is ready runs before the next connection is accepted, as callers may
+  // connect faster than they are served.
+  return kj::evalLater([&aPort] { return aPort.accept(); })
+    .then(
+      [this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
+        mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
+        mConnections.back()->Start();
         return Accept(aPort);
+      },
+      [this, &aPort](kj::Exception&& aError) {
+        Log(log_level::Error, "callers", aError.getDescription().cStr());
+        return mContext.mTimer.afterDelay(ToKj(kAcceptRetryPause)).then([this, &aPort] {
+          return Accept(aPort);
+        });
       });
-    });
 }
 
 std::uint64_t
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
 #include "http_listener_p.h"
+#include "loop_monitor_p.h"
 #include "peer_snapshots_p.h"
 #include "peer_transport_p.h"
 #include "role_driver_p.h"
@@ -29,6 +30,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickPeriod{ 25 };
+/// Events that run in a row before timers and sockets are polled. The event queue does not become
+/// empty while one peer sends faster than its bytes are handled.
+constexpr kj::uint kEventsPerPoll = 100;
+/// Delay of a tick from which on it is logged.
+constexpr milliseconds kLoggedTickDelay{ 500 };
 /// Limit of the bodies that are buffered at the same time, one for responses of servers and one for
 /// requests of callers. Each is a fifth of the memory of the smallest VM (160 MB).
 constexpr std::size_t kMaxBufferedBodyBytes = 32 * 1'024 * 1'024;
@@ -136,6 +142,7 @@
 
   void Run() override
   {
+    mContext.waitScope.setBusyPollInterval(kEventsPerPoll);
     auto& network = mContext.provider->getNetwork();
     mCallerPort =
       network.parseAddress(ToKj(mSettings.mCallerAddress)).wait(mContext.waitScope)->listen();
@@ -343,6 +350,11 @@
 
   void OnTick(instant aNow)
   {
+    if (const auto delay = mLoopMonitor.OnTick(aNow); delay >= kLoggedTickDelay) {
+      Log(log_level::Warning,
+          "daemon",
+          "the event loop was held up for_ms=" + std::to_string(delay.count()));
+    }
     mDirectory.OnTick(aNow);
     mPool.OnTick(aNow);
     mStorePool.OnTick(aNow);
@@ -506,6 +518,12 @@
              counter_kind::Gauge)
         .Set(age.count());
     }
+    mCounters
+      .Get("skylarkwind_loop_delay_ms",
+           "Longest time in the last 10 to 20 s by which timers ran late.",
+           "",
+           counter_kind::Gauge)
+      .Set(mLoopMonitor.LongestDelay(mClock.Now()).count());
   }
 
   bool Ready() const
@@ -550,6 +568,7 @@
   kj::AsyncIoContext& mContext;
   kj::Timer& mTimer;
   const clock_source& mClock;
+  loop_monitor mLoopMonitor{ kTickPeriod };
   kj::HttpHeaderTable mTable;
   counters mCounters;
   http_pool mPool;
--- a/packages/gateway/src/http_listener.cpp
+++ b/packages/gateway/src/http_listener.cpp
@@ -14,10 +14,11 @@
 kj::Promise<void>
 http_listener::Accept(kj::ConnectionReceiver& aPort)
 {
-  return aPort.accept().then([this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
-    mConnections.add(mServer.listenHttp(kj::mv(aStream)));
-    return Accept(aPort);
-  });
+  return kj::evalLater([&aPort] { return aPort.accept(); })
+    .then([this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
+      mConnections.add(mServer.listenHttp(kj::mv(aStream)));
+      return Accept(aPort);
+    });
 }
 
 void
--- /dev/null
+++ b/tests/sessions/gateway_flood_test.cpp
@@ -0,0 +1,175 @@
+#include "gateway_system.h"
+#include "raw_caller.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+namespace skylarkwind::sessions {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds kTimeLimit{ 4'000 };
+/// A request must end this long after its time limit at the latest.
+constexpr milliseconds kMaxLateness{ 1'000 };
+/// The platform asks for readiness once per second.
+constexpr milliseconds kReadinessPeriod{ 1'000 };
+
+/// Asks a daemon for its readiness again and again.
+class readiness_probe
+{
+public:
+  explicit readiness_probe(const gateway_system& aSystem)
+    : mThread([this, &aSystem] { Run(aSystem); })
+  {
+  }
+  ~readiness_probe() { Stop(); }
+  readiness_probe(const readiness_probe&) = delete;
+  readiness_probe& operator=(const readiness_probe&) = delete;
+
+  /// The longest time that an answer took.
+  milliseconds Stop()
+  {
+    mStopping = true;
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+    return mLongest;
+  }
+
+private:
+  void Run(const gateway_system& aSystem)
+  {
+    while (!mStopping) {
+      const auto began = steady_clock::now();
+      const auto status = aSystem.Ready().mStatus;
+      const auto taken = std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
+      mLongest = std::max(mLongest, status == 200 ? taken : milliseconds::max());
+      std::this_thread::sleep_for(milliseconds{ 100 });
+    }
+  }
+
+  std::atomic<bool> mStopping = false;
+  milliseconds mLongest{ 0 };
+  std::thread mThread;
+};
+
+} // namespace
+
+/// Servers and callers that send faster than the daemon can handle, many at a time. One kind of
+/// work that is always ready must not keep the daemon from its timers and other connections, and
+/// what is buffered must not exceed the memory of a VM.
+class gateway_flood_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(gateway_flood_test);
+  CPPUNIT_TEST(SmallChunksOfOneServerLeaveOthersServed);
+  CPPUNIT_TEST(SmallChunksOfAllServersEndInTime);
+  CPPUNIT_TEST_SUITE_END();
+
+  static gateway_options Options()
+  {
+    gateway_options options;
+    for (const auto* id : { "s1", "s2", "s3", "s4", "s5", "s6" }) {
+      options.mBackends.push_back({ id, "plain" });
+    }
+    return options;
+  }
+
+  /// The longest delay of the daemon's timers in the last seconds, from its metrics.
+  static milliseconds LoopDelay(const gateway_system& aSystem)
+  {
+    const std::string name = "\nskylarkwind_loop_delay_ms ";
+    const auto metrics = aSystem.Metrics();
+    const auto at = metrics.find(name);
+    CPPUNIT_ASSERT_MESSAGE(metrics, at != std::string::npos);
+    return milliseconds{ std::stol(metrics.substr(at + name.size())) };
+  }
+
+  /// How the requests of a flood ended.
+  struct flood_result
+  {
+    std::size_t mAnswered = 0; ///< with status 200 and a whole body
+    std::size_t mFailed = 0;   ///< with another status
+    std::size_t mLost = 0;     ///< with neither, in time
+    milliseconds mReadiness{}; ///< the longest time of an answer
+  };
+
+  /// Sends orders at once, each on a connection of its own, and reads what comes in time.
+  static flood_result SendOrders(const gateway_system& aSystem, std::size_t aCount)
+  {
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    readiness_probe readiness{ aSystem };
+    for (std::size_t i = 0; i < aCount; ++i) {
+      callers.push_back(std::make_unique<raw_caller>(aSystem.CallersAddress(0)));
+      callers.back()->Send("POST /order/a HTTP/1.1\r\nHost: a.example\r\n"
+                           "X-Skylarkwind-Request-Id: f" +
+                           std::to_string(i) + "\r\nX-Skylarkwind-Deadline-Ms: " +
+                           std::to_string(kTimeLimit.count()) + "\r\nContent-Length: 1\r\n\r\nx");
+    }
+    const auto until = steady_clock::now() + kTimeLimit + kMaxLateness;
+    flood_result result;
+    for (const auto& caller : callers) {
+      const auto left = std::chrono::ceil<milliseconds>(until - steady_clock::now());
+      const auto answer = caller->ReadAnswer(std::max(left, milliseconds{ 1 }));
+      if (!answer.mWhole) {
+        ++result.mLost;
+      } else {
+        ++(answer.mStatus == 200 ? result.mAnswered : result.mFailed);
+      }
+    }
+    result.mReadiness = readiness.Stop();
+    std::cout << ' ' << Text(result) << '\n';
+    return result;
+  }
+
+  static std::string Text(const flood_result& aResult)
+  {
+    return "answered " + std::to_string(aResult.mAnswered) + " failed " +
+           std::to_string(aResult.mFailed) + " lost " + std::to_string(aResult.mLost) +
+           " readiness_ms " + std::to_string(aResult.mReadiness.count());
+  }
+
+  /// Guards against a daemon that handles the chunks of one server only: requests at sound servers
+  /// got no answer, and readiness was answered after seconds.
+  void SmallChunksOfOneServerLeaveOthersServed()
+  {
+    gateway_system system{ Options() };
+    system.SetMode("s1", "endless_chunks");
+    const auto result = SendOrders(system, 60);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Text(result), std::size_t{ 0 }, result.mLost);
+    CPPUNIT_ASSERT_MESSAGE(Text(result), result.mReadiness < kReadinessPeriod);
+    CPPUNIT_ASSERT_MESSAGE(Text(result), LoopDelay(system) < kReadinessPeriod);
+    std::size_t atFaulty = 0;
+    for (const auto& arrival : system.Arrivals("s1")) {
+      atFaulty += arrival["outcome"] == "ran" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_MESSAGE(Text(result), result.mAnswered + atFaulty >= 60);
+    CPPUNIT_ASSERT_GREATER(std::size_t{ 0 }, atFaulty);
+  }
+
+  /// Guards against requests that end long after their time limit, or never, because the loop never
+  /// comes back to its timers.
+  void SmallChunksOfAllServersEndInTime()
+  {
+    gateway_system system{ Options() };
+    for (const auto* id : { "s1", "s2", "s3", "s4", "s5", "s6" }) {
+      system.SetMode(id, "endless_chunks_slow");
+    }
+    const auto result = SendOrders(system, 600);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Text(result), std::size_t{ 0 }, result.mLost);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Text(result), std::size_t{ 0 }, result.mAnswered);
+    CPPUNIT_ASSERT_MESSAGE(Text(result), result.mReadiness < kReadinessPeriod);
+    CPPUNIT_ASSERT_MESSAGE(Text(result), LoopDelay(system) < kReadinessPeriod);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_flood_test);
+
+} // namespace skylarkwind::sessions
