Bound the heads that are read, each and in sum

1,500 requests at servers that sent header lines without end took a daemon to 247 MiB, and 1,500 callers with endless heads to 168 MiB; the smallest VMs have 260 MB. MaxHeaderBytes of the configuration was not enforced on callers.

Cause: the HTTP library keeps up to 128 KiB of a head for each connection, and unlike bodies heads belonged to no budget.

The bytes that are read while a head is expected are now counted: at most MaxHeaderBytes for a request, 32 KiB for a response, and 8 MiB for all heads of each kind without the first 4 KiB of each. The head that exceeds the sum is dropped, so usual heads never fail because of others. Callers get 431 for a head that is too long, and 503 with Retry-After at the limit of the sum.

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/backend_calls.h"
 #include "skylarkwind/clock.h"
+#include "skylarkwind/head_allowance.h"
 
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
@@ -57,13 +58,16 @@
   std::string mReason;
 };
 
-/// Time limits of connections.
+/// Limits of connections and of the heads of responses.
 struct http_pool_settings
 {
   std::chrono::milliseconds mConnectLimit{ 600 }; ///< for opening a connection
   /// Idle connections are kept this long when the server states no idle limit.
   std::chrono::milliseconds mDefaultIdle{ 2'000 };
   std::chrono::milliseconds mMaxIdle{ 15'000 }; ///< bound, whatever limit the server states
+  std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1'024; ///< of one response
+  /// Of all responses whose heads are being read. The response that exceeds it fails.
+  std::size_t mMaxHeadBytesInSum = std::size_t{ 8 } * 1'024 * 1'024;
 };
 
 /// A connection and the HTTP client on it.
@@ -85,8 +89,8 @@
   Failed
 };
 
-/// A response: status (200 to 599), headers and a stream of the body. Dropping it before the end closes the
-/// connection, which cancels the work at the server.
+/// A response: status (200 to 599), headers and a stream of the body. Dropping it before the end
+/// closes the connection, which cancels the work at the server.
 class http_answer
 {
 public:
@@ -123,8 +127,8 @@
   ~http_pool();
 
   /// Sends a request on an idle connection or a new one. The promise resolves when the headers of
-  /// the response have arrived or the request has failed. A response whose status or headers violate
-  /// HTTP is a failure of the request, and so is an interim one.
+  /// the response have arrived or the request has failed. A response whose status or headers
+  /// violate HTTP is a failure of the request, and so is an interim one.
   kj::Promise<http_result> Call(http_call aCall);
   /// Returns the connection of a response whose body was read to its end to the pool.
   /// `aServerCloses` tells that the server closes it. `aIdleLimit` is the idle time after which the
@@ -145,6 +149,7 @@
   const clock_source& mClock;
   const kj::HttpHeaderTable& mTable;
   http_pool_settings mSettings;
+  head_allowance mHeads;
   std::map<std::string, std::vector<kj::Own<pooled_connection>>, std::less<>> mIdle;
 };
 
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -30,6 +30,13 @@
 constexpr std::size_t kLoggedBytes = 80;
 /// Pause after connections could not be accepted, e.g. for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
+/// Limit of the heads of requests that are being read at the same time.
+constexpr std::size_t kMaxHeadBytesInSum = std::size_t{ 8 } * 1'024 * 1'024;
+/// Bytes around the name and the value of a header, and around the parts of a request line.
+constexpr std::size_t kHeadFraming = 4;
+/// First buffer of the HTTP library.
+constexpr std::size_t kMinReadBytes = 4 * 1'024;
+constexpr unsigned int kHeadTooLong = 431;
 
 /// Why the daemon closes a connection.
 enum class close_cause
@@ -54,6 +61,32 @@
   return {};
 }
 
+/// Bytes of a request's head, without optional white space.
+std::size_t
+HeadBytes(kj::StringPtr aMethod, kj::StringPtr aUrl, const kj::HttpHeaders& aHeaders)
+{
+  auto bytes = aMethod.size() + aUrl.size() + kHeadFraming;
+  aHeaders.forEach([&bytes](kj::StringPtr aName, kj::StringPtr aValue) {
+    bytes += aName.size() + aValue.size() + kHeadFraming;
+  });
+  return bytes;
+}
+
+/// The whole response to a head that was not read to its end.
+kj::StringPtr
+Rejection(head_error aError)
+{
+  switch (aError) {
+    case head_error::TooLong:
+      return "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n"
+             "Content-Length: 0\r\n\r\n";
+    case head_error::OverBudget:
+      return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+             "Content-Length: 0\r\n\r\n";
+  }
+  return {};
+}
+
 /// The first line up to its query, shortened, without what could be taken for a part of the log
 /// line.
 std::string
@@ -90,6 +123,7 @@
 
   void Start()
   {
+    mStream->ExpectHead(mOwner.mHeads);
     // The server gets a non-owning pointer, so that the stream outlives the server's use of it.
     auto serving =
       mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ mStream.get(), kj::NullDisposer::instance });
@@ -97,6 +131,7 @@
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged the reason; the connection is closed in any case.
                  })
+                 .then([this] { return RejectHead(); })
                  .then([this] {
                    return Linger(mCloseAnnounced ? close_cause::Announced : close_cause::Response);
                  })
@@ -132,7 +167,9 @@
     KJ_IF_MAYBE (value, aHeaders.get(kj::HttpHeaderId::HOST)) {
       host.assign(value->cStr(), value->size());
     }
+    mStream->HeadComplete();
     auto method = kj::str(aMethod);
+    const bool tooLong = HeadBytes(method, aUrl, aHeaders) > mOwner.mMaxHeadBytes;
     auto request = context.mProtocolAdapter.ParseRequest({ method.cStr(), method.size() },
                                                          std::move(host),
                                                          { aUrl.cStr(), aUrl.size() },
@@ -141,7 +178,9 @@
     ++mActiveRequests;
     auto serving = kj::heap<exchange>(context, aResponse, *mStream);
     mExchange = serving.get();
-    auto promise = serving->Serve(std::move(request), aBody);
+    auto promise =
+      tooLong ? serving->Reject(std::move(request), { kHeadTooLong, "the head is too large" })
+              : serving->Serve(std::move(request), aBody);
     return promise.attach(kj::mv(serving), kj::defer([this] {
                             mExchange = nullptr;
                             --mOwner.mOpenRequests;
@@ -150,6 +189,9 @@
                             mReadAtEnd = mStream->ReadBytes();
                             mHeadSince.reset();
                             mHeadLimit = {};
+                            if (!mCloseAnnounced) {
+                              mStream->ExpectHead(mOwner.mHeads);
+                            }
                           }));
   }
 
@@ -216,6 +258,26 @@
     return mCloseAnnounced;
   }
 
+  /// Responds to a head that exceeded its allowance. The HTTP library has no request to respond to.
+  kj::Promise<void> RejectHead()
+  {
+    const auto error = mStream->HeadError();
+    if (!error) {
+      return kj::READY_NOW;
+    }
+    mStream->HeadComplete();
+    const auto response = Rejection(*error);
+    Log(log_level::Info,
+        "callers",
+        std::string{ "head rejected reason=" } +
+          (*error == head_error::TooLong ? "too_long" : "over_budget"));
+    auto writing = mOwner.mContext.mTimer.timeoutAfter(
+      ToKj(kSlowCallerLimit), mStream->write(response.begin(), response.size()));
+    return writing.catch_([](kj::Exception&& aError) {
+      Log(log_level::Debug, "callers", aError.getDescription().cStr());
+    });
+  }
+
   /// Closes the connection towards the caller and discards what the caller still sends: a socket
   /// that is closed with unread input resets the connection, and the caller loses what it has not
   /// received yet. An idle connection has nothing to lose: when bytes arrive on it, it ends, so
@@ -294,7 +356,8 @@
 
   kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
-    if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
+    // `RejectHead` logs heads that exceed their allowance.
+    if (aError.getType() != kj::Exception::Type::DISCONNECTED && !mStream->HeadError()) {
       Log(log_level::Error, "callers", aError.getDescription().cStr());
     }
     return kj::READY_NOW;
@@ -326,7 +389,9 @@
 
 caller_listener::caller_listener(exchange_context& aContext)
   : mContext(aContext)
+  , mHeads{ 0, byte_budget{ kMaxHeadBytesInSum } }
 {
+  SetMaxHeadBytes(caller_limits{}.mMaxHeaderBytes);
 }
 
 caller_listener::~caller_listener() noexcept = default;
@@ -361,6 +426,15 @@
   return bytes;
 }
 
+void
+caller_listener::SetMaxHeadBytes(std::size_t aBytes)
+{
+  mMaxHeadBytes = aBytes;
+  // The read that brings the end of a head may bring as many bytes of the body, because the HTTP
+  // library doubles its buffer. `request` compares the head itself with the limit.
+  mHeads.mMaxBytes = 2 * std::max(aBytes, kMinReadBytes);
+}
+
 void
 caller_listener::CloseIdle(const connection_limits& aLimits, instant aNow)
 {
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -33,6 +33,8 @@
   /// Begins to close connections that have reached a limit, and frees those that have ended. A
   /// connection that still carries a response is not idle.
   void CloseIdle(const connection_limits& aLimits, instant aNow);
+  /// Sets the longest head of a request that is served.
+  void SetMaxHeadBytes(std::size_t aBytes);
   std::size_t OpenRequests() const { return mOpenRequests; }
   std::size_t Connections() const { return mConnections.size(); }
   /// Bytes of responses that the kernel has not taken yet.
@@ -42,6 +44,8 @@
   class connection;
 
   exchange_context& mContext;
+  std::size_t mMaxHeadBytes = 0;
+  head_allowance mHeads;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
 };
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -62,6 +62,14 @@
     .then([this](exchange_end aEnd) { return Finish(std::move(aEnd)); });
 }
 
+kj::Promise<void>
+exchange::Reject(forward_request aRequest, request_rejected aReason)
+{
+  mRequest = std::move(aRequest);
+  mConfiguration = mContext.mRoutes.Current();
+  return Finish(exchange_end{ std::move(aReason) });
+}
+
 exchange_end
 exchange::EndOfFailure(const kj::Exception& aError) const
 {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -155,6 +155,8 @@
   /// Serves the request whose headers are given. The promise resolves when the response is
   /// complete and rejects when the response has to be aborted. Dropping it cancels all work.
   kj::Promise<void> Serve(forward_request aRequest, kj::AsyncInputStream& aBody);
+  /// Responds to a request that is not served; its body is not read.
+  kj::Promise<void> Reject(forward_request aRequest, request_rejected aReason);
   /// Whether the whole request has been read.
   bool BodyComplete() const { return mBodyComplete; }
 
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -269,6 +269,8 @@
     const auto now = mClock.Now();
     mIdleLimit.Set(aLimits.mIdleTimeout, hold, now);
     mHeadLimit.Set(aLimits.mHeaderTimeout, hold, now);
+    mHeadBytesLimit.Set(aLimits.mMaxHeaderBytes, hold, now);
+    mCallerListener.SetMaxHeadBytes(mHeadBytesLimit.At(now));
   }
 
   void OnServers(const std::vector<stored_object>& aObjects, bool aAfterOutage)
@@ -363,6 +365,7 @@
       limits.mIdle = std::min(limits.mIdle, kShutdownIdleLimit);
       limits.mHeadPause = std::min(limits.mHeadPause, kShutdownIdleLimit);
     }
+    mCallerListener.SetMaxHeadBytes(mHeadBytesLimit.At(aNow));
     mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
@@ -575,8 +578,9 @@
   http_pool mStorePool;
   std::unique_ptr<object_store> mStore;
   route_index mRoutes;
-  falling_limit mIdleLimit{ caller_limits{}.mIdleTimeout };
-  falling_limit mHeadLimit{ caller_limits{}.mHeaderTimeout };
+  falling_limit<milliseconds> mIdleLimit{ caller_limits{}.mIdleTimeout };
+  falling_limit<milliseconds> mHeadLimit{ caller_limits{}.mHeaderTimeout };
+  falling_limit<std::uint64_t> mHeadBytesLimit{ caller_limits{}.mMaxHeaderBytes };
   backend_directory mDirectory;
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -168,6 +168,7 @@
   , mClock(aClock)
   , mTable(aTable)
   , mSettings(aSettings)
+  , mHeads{ aSettings.mMaxHeadBytes, byte_budget{ aSettings.mMaxHeadBytesInSum } }
 {
 }
 
@@ -259,6 +260,7 @@
   if (aCall.mOnSend) {
     aCall.mOnSend();
   }
+  answer->mConnection->mStream->ExpectHead(mHeads);
   kj::Maybe<kj::HttpClient::Request> sentRequest;
   auto sendError = kj::runCatchingExceptions([&] {
     kj::Maybe<std::uint64_t> size = nullptr;
@@ -286,6 +288,7 @@
   return request.response.then(
     [answer = std::move(answer),
      method](kj::HttpClient::Response aResponse) mutable -> http_result {
+      answer->mConnection->mStream->HeadComplete();
       if (auto problem = HeadProblem(aResponse); !problem.empty()) {
         return http_failure{ true, std::move(problem) };
       }
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -13,6 +13,9 @@
 
 /// Limit of pipelined bytes that are read ahead; further input stays in the kernel.
 constexpr std::size_t kMaxReadAhead = 16 * 1'024;
+/// Bytes of a head that are not charged to the budget: the HTTP library has a buffer of this size
+/// for each connection. Usual heads therefore never fail because of others.
+constexpr std::size_t kUnchargedHeadBytes = 4 * 1'024;
 
 } // namespace
 
@@ -21,6 +24,43 @@
 {
 }
 
+void
+monitored_stream::ExpectHead(head_allowance& aAllowance)
+{
+  HeadComplete();
+  mHeadAllowance = &aAllowance;
+}
+
+void
+monitored_stream::HeadComplete()
+{
+  if (mHeadAllowance != nullptr) {
+    mHeadAllowance->mBudget.Release(mChargedHeadBytes);
+  }
+  mHeadAllowance = nullptr;
+  mHeadBytes = 0;
+  mChargedHeadBytes = 0;
+}
+
+void
+monitored_stream::ChargeHead(size_t aBytes)
+{
+  if (mHeadAllowance == nullptr) {
+    return;
+  }
+  mHeadBytes += aBytes;
+  if (mHeadBytes > mHeadAllowance->mMaxBytes) {
+    mHeadError = head_error::TooLong;
+    kj::throwFatalException(KJ_EXCEPTION(FAILED, "the head is too long"));
+  }
+  const auto due = std::max(mHeadBytes, kUnchargedHeadBytes) - kUnchargedHeadBytes;
+  if (!mHeadAllowance->mBudget.TryReserve(due - mChargedHeadBytes)) {
+    mHeadError = head_error::OverBudget;
+    kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "too many bytes of heads are held"));
+  }
+  mChargedHeadBytes = due;
+}
+
 kj::Promise<void>
 monitored_stream::WhenPeerCloses()
 {
@@ -104,7 +144,11 @@
 kj::Promise<size_t>
 monitored_stream::ReadMore(kj::byte* aBuffer, size_t aFilled, size_t aMinBytes, size_t aMaxBytes)
 {
-  aFilled += TakeBuffered(aBuffer + aFilled, aMaxBytes - aFilled);
+  const auto buffered = TakeBuffered(aBuffer + aFilled, aMaxBytes - aFilled);
+  KJ_IF_MAYBE (error, kj::runCatchingExceptions([&] { ChargeHead(buffered); })) {
+    return kj::mv(*error);
+  }
+  aFilled += buffered;
   if (aFilled >= aMinBytes || mEnded) {
     return aFilled;
   }
@@ -122,6 +166,7 @@
          })
     .then([this, aFilled](size_t aBytes) {
       RecordInput(aBytes);
+      ChargeHead(aBytes);
       return aFilled + aBytes;
     })
     .attach(kj::defer([this] { --mPendingReads; }));
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "skylarkwind/head_allowance.h"
+
 #include <kj/async-io.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace skylarkwind {
@@ -13,7 +16,16 @@
 {
 public:
   explicit monitored_stream(kj::Own<kj::AsyncIoStream> aInner);
+  ~monitored_stream() noexcept { HeadComplete(); }
+  monitored_stream(const monitored_stream&) = delete;
+  monitored_stream& operator=(const monitored_stream&) = delete;
 
+  /// What is read from now on belongs to a head, until `HeadComplete`. A read fails when the head
+  /// exceeds the allowance, which must outlive the stream.
+  void ExpectHead(head_allowance& aAllowance);
+  void HeadComplete();
+  /// Why a read of a head has failed, if one has.
+  std::optional<head_error> HeadError() const { return mHeadError; }
   /// Resolves when the peer has closed the connection or the connection has failed. It reads ahead,
   /// so call it only while no read is pending.
   kj::Promise<void> WhenPeerCloses();
@@ -56,6 +68,9 @@
                                size_t aMinBytes,
                                size_t aMaxBytes);
   void RecordInput(size_t aBytes);
+  /// Charges bytes that are being read to the allowance of the head, if one is expected. Throws
+  /// when they exceed it.
+  void ChargeHead(size_t aBytes);
   /// Counts the bytes of a write while it is under way and once it is complete.
   kj::Promise<void> CountWrite(std::uint64_t aBytes, kj::Promise<void> aWriting);
 
@@ -70,6 +85,10 @@
   bool mEnded = false;
   bool mAborted = false;
   bool mDisconnected = false;
+  head_allowance* mHeadAllowance = nullptr; ///< while a head is expected
+  std::size_t mHeadBytes = 0;
+  std::size_t mChargedHeadBytes = 0;
+  std::optional<head_error> mHeadError;
   std::uint64_t mReadBytes = 0;
   std::uint64_t mWrittenBytes = 0;
   std::uint64_t mUnwrittenBytes = 0;
--- a/tests/sessions/gateway_flood_test.cpp
+++ b/tests/sessions/gateway_flood_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <thread>
@@ -71,6 +72,8 @@
   CPPUNIT_TEST_SUITE(gateway_flood_test);
   CPPUNIT_TEST(SmallChunksOfOneServerLeaveOthersServed);
   CPPUNIT_TEST(SmallChunksOfAllServersEndInTime);
+  CPPUNIT_TEST(EndlessHeadsOfServersAreBoundedInSum);
+  CPPUNIT_TEST(EndlessHeadsOfCallersAreBoundedInSum);
   CPPUNIT_TEST_SUITE_END();
 
   static gateway_options Options()
@@ -82,6 +85,20 @@
     return options;
   }
 
+  /// Peak resident set size of the daemon so far, in MiB.
+  static std::size_t PeakMegabytes(gateway_system& aSystem)
+  {
+    std::ifstream status{ "/proc/" + std::to_string(aSystem.Daemon().Pid()) + "/status" };
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) {
+        const auto peak = std::stoul(line.substr(6)) / 1'024;
+        std::cout << " peak MiB " << peak << '\n';
+        return peak;
+      }
+    }
+    return 0;
+  }
+
   /// The longest delay of the daemon's timers in the last seconds, from its metrics.
   static milliseconds LoopDelay(const gateway_system& aSystem)
   {
@@ -168,6 +185,52 @@
     CPPUNIT_ASSERT_MESSAGE(Text(result), result.mReadiness < kReadinessPeriod);
     CPPUNIT_ASSERT_MESSAGE(Text(result), LoopDelay(system) < kReadinessPeriod);
   }
+
+  /// Guards against heads of responses that are bounded each but not in sum: 1,500 of them took
+  /// 245 MB.
+  void EndlessHeadsOfServersAreBoundedInSum()
+  {
+    for (const auto* mode : { "endless_head_slow", "endless_line_slow" }) {
+      gateway_system system{ Options() };
+      for (const auto* id : { "s1", "s2", "s3", "s4", "s5", "s6" }) {
+        system.SetMode(id, mode);
+      }
+      const auto result = SendOrders(system, 1'500);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(mode + Text(result), std::size_t{ 0 }, result.mLost);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(mode + Text(result), std::size_t{ 0 }, result.mAnswered);
+      const auto peak = PeakMegabytes(system);
+      CPPUNIT_ASSERT_MESSAGE(mode + std::to_string(peak), peak > 0 && peak < 160);
+    }
+  }
+
+  /// Guards against heads of requests that are not bounded in sum.
+  void EndlessHeadsOfCallersAreBoundedInSum()
+  {
+    gateway_system system{ Options() };
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    const std::string part(15'000, 'x');
+    for (int i = 0; i < 1'500; ++i) {
+      callers.push_back(std::make_unique<raw_caller>(system.CallersAddress(0)));
+      callers.back()->Send("GET /lookup/a HTTP/1.1\r\nHost: a.example\r\nX-Long: " + part);
+    }
+    // The heads never end; each caller goes on up to the library's limit.
+    for (int round = 0; round < 8; ++round) {
+      for (const auto& caller : callers) {
+        caller->Send(part);
+      }
+    }
+    readiness_probe readiness{ system };
+    std::size_t open = 0;
+    for (const auto& caller : callers) {
+      open += caller->ReadToEnd(seconds{ 6 }) ? 0 : 1;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, open);
+    CPPUNIT_ASSERT(readiness.Stop() < kReadinessPeriod);
+    const auto peak = PeakMegabytes(system);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(peak), peak > 0 && peak < 160);
+    const auto reply = system.Send("POST", "/order/a", {}, "x");
+    CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_flood_test);
