--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -94,7 +94,7 @@
   }
   mReadAheadPending = true;
   auto& fork = mReadAhead.emplace(
-    kj::evalLater([this] { return mInner->tryRead(mScratch, 1, sizeof(mScratch)); })
+    kj::evalNow([this] { return mInner->tryRead(mScratch, 1, sizeof(mScratch)); })
       .then(
         [this](size_t aBytes) {
           mBuffered.append(reinterpret_cast<const char*>(mScratch), aBytes);
@@ -158,10 +158,9 @@
     });
   }
   ++mPendingReads;
-  // Everything else that is ready runs before the next bytes are read, as a peer may send faster
-  // than they are handled. A socket throws from the call itself when the connection has failed
-  // before; callers handle failures of the promise only.
-  return kj::evalLater([this, aBuffer, aFilled, aMinBytes, aMaxBytes] {
+  // A socket throws from the call itself when the connection has failed before. Callers handle
+  // failures of the promise only.
+  return kj::evalNow([&] {
            return mInner->tryRead(aBuffer + aFilled, aMinBytes - aFilled, aMaxBytes - aFilled);
          })
     .then([this, aFilled](size_t aBytes) {
--- a/packages/gateway/src/peer_transport.cpp
+++ b/packages/gateway/src/peer_transport.cpp
@@ -53,24 +53,22 @@
 kj::Promise<void>
 peer_transport::Receive()
 {
-  // Everything else that is ready runs before the next datagram is received.
-  return kj::evalLater([this] { return mReceiver->receive(); })
-    .then(
-      [this] {
-        const auto content = mReceiver->getContent();
-        const auto bytes = content.value;
-        if (content.isTruncated) {
-          Log(log_level::Debug, "peers", "dropped an oversized datagram");
-        } else {
-          OnDatagram({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
-        }
-        return Receive();
-      },
-      [this](kj::Exception&& aError) {
-        // An unreachable peer causes an error in a later receive; the port stays usable.
-        Log(log_level::Debug, "peers", aError.getDescription().cStr());
-        return Receive();
-      });
+  return mReceiver->receive().then(
+    [this] {
+      const auto content = mReceiver->getContent();
+      const auto bytes = content.value;
+      if (content.isTruncated) {
+        Log(log_level::Debug, "peers", "dropped an oversized datagram");
+      } else {
+        OnDatagram({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
+      }
+      return Receive();
+    },
+    [this](kj::Exception&& aError) {
+      // An unreachable peer causes an error in a later receive; the port stays usable.
+      Log(log_level::Debug, "peers", aError.getDescription().cStr());
+      return Receive();
+    });
 }
 
 void
