Accept connections again after every failure

Cause: accept() throws from the call itself while a connection waits and no descriptor is free. The handler of the accept loop covered the promise only, so the loop ended for good.

One accept loop now serves all listeners. It goes on 50 ms after a failure of the call, of its promise or of the handling of a connection, and logs the first failure of a series and the end of it.

--- /dev/null
+++ b/packages/gateway/src/accept_loop_p.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <kj/async-io.h>
+#include <kj/timer.h>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace skylarkwind {
+
+/// Accepts connections, and goes on after failures, e.g. for want of descriptors. Everything else
+/// that is ready runs between two connections, as clients may connect faster than they are served.
+class accept_loop
+{
+public:
+  using on_connection = std::function<void(kj::Own<kj::AsyncIoStream>)>;
+
+  /// `aName` names the port in log lines.
+  accept_loop(std::string aName, kj::Timer& aTimer, on_connection aOnConnection);
+
+  /// Accepts connections until the promise is dropped. The promise never ends by itself.
+  kj::Promise<void> Run(kj::ConnectionReceiver& aPort);
+
+private:
+  void OnAccepted(kj::Own<kj::AsyncIoStream> aStream);
+  void OnFailed(const kj::Exception& aError);
+
+  std::string mName;
+  kj::Timer& mTimer;
+  on_connection mOnConnection;
+  std::size_t mFailures = 0; ///< since the last connection
+};
+
+} // namespace skylarkwind
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -28,8 +28,6 @@
 constexpr std::size_t kDiscardBytes = 4 * 1'024;
 /// Limit of discarded text in a line of the log.
 constexpr std::size_t kLoggedBytes = 80;
-/// Pause after connections could not be accepted, e.g. for want of descriptors.
-constexpr std::chrono::milliseconds kAcceptRetryPause{ 50 };
 /// Limit of the heads of requests that are being read at the same time.
 constexpr std::size_t kMaxHeadBytesInSum = std::size_t{ 8 } * 1'024 * 1'024;
 /// Bytes around the name and the value of a header, and around the parts of a request line.
@@ -390,30 +388,20 @@
 caller_listener::caller_listener(exchange_context& aContext)
   : mContext(aContext)
   , mHeads{ 0, byte_budget{ kMaxHeadBytesInSum } }
+  , mAcceptLoop("callers", aContext.mTimer, [this](kj::Own<kj::AsyncIoStream> aStream) {
+    OnConnection(kj::mv(aStream));
+  })
 {
   SetMaxHeadBytes(caller_limits{}.mMaxHeaderBytes);
 }
 
 caller_listener::~caller_listener() noexcept = default;
 
-kj::Promise<void>
-caller_listener::Accept(kj::ConnectionReceiver& aPort)
+void
+caller_listener::OnConnection(kj::Own<kj::AsyncIoStream> aStream)
 {
-  // Everything else that is ready runs before the next connection is accepted, as callers may
-  // connect faster than they are served.
-  return kj::evalLater([&aPort] { return aPort.accept(); })
-    .then(
-      [this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
-        mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
-        mConnections.back()->Start();
-        return Accept(aPort);
-      },
-      [this, &aPort](kj::Exception&& aError) {
-        Log(log_level::Error, "callers", aError.getDescription().cStr());
-        return mContext.mTimer.afterDelay(ToKj(kAcceptRetryPause)).then([this, &aPort] {
-          return Accept(aPort);
-        });
-      });
+  mConnections.push_back(std::make_unique<connection>(*this, kj::mv(aStream)));
+  mConnections.back()->Start();
 }
 
 std::uint64_t
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accept_loop_p.h"
 #include "exchange_p.h"
 #include "monitored_stream_p.h"
 
@@ -29,7 +30,7 @@
   ~caller_listener() noexcept;
 
   /// Accepts connections until the promise is dropped; open connections stay open.
-  kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
+  kj::Promise<void> Accept(kj::ConnectionReceiver& aPort) { return mAcceptLoop.Run(aPort); }
   /// Begins to close connections that have reached a limit, and frees those that have ended. A
   /// connection that still carries a response is not idle.
   void CloseIdle(const connection_limits& aLimits, instant aNow);
@@ -43,11 +44,14 @@
 private:
   class connection;
 
+  void OnConnection(kj::Own<kj::AsyncIoStream> aStream);
+
   exchange_context& mContext;
   std::size_t mMaxHeadBytes = 0;
   head_allowance mHeads;
   std::size_t mOpenRequests = 0;
   std::list<std::unique_ptr<connection>> mConnections;
+  accept_loop mAcceptLoop;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -115,7 +115,7 @@
                   mClock,
                   mTasks)
     , mReadyServer(mTimer, mTable, *this)
-    , mReadyListener("ready", mReadyServer)
+    , mReadyListener("ready", mReadyServer, mTimer)
     , mReplication(ReplicationSettings(),
                    *mStore,
                    mTimer,
--- a/packages/gateway/src/http_listener.cpp
+++ b/packages/gateway/src/http_listener.cpp
@@ -4,23 +4,16 @@
 
 namespace skylarkwind {
 
-http_listener::http_listener(std::string aName, kj::HttpServer& aServer)
+http_listener::http_listener(std::string aName, kj::HttpServer& aServer, kj::Timer& aTimer)
   : mName(std::move(aName))
   , mServer(aServer)
   , mConnections(*this)
+  , mAcceptLoop(mName, aTimer, [this](kj::Own<kj::AsyncIoStream> aStream) {
+    mConnections.add(mServer.listenHttp(kj::mv(aStream)));
+  })
 {
 }
 
-kj::Promise<void>
-http_listener::Accept(kj::ConnectionReceiver& aPort)
-{
-  return kj::evalLater([&aPort] { return aPort.accept(); })
-    .then([this, &aPort](kj::Own<kj::AsyncIoStream> aStream) {
-      mConnections.add(mServer.listenHttp(kj::mv(aStream)));
-      return Accept(aPort);
-    });
-}
-
 void
 http_listener::taskFailed(kj::Exception&& aError)
 {
--- a/packages/gateway/src/http_listener_p.h
+++ b/packages/gateway/src/http_listener_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "accept_loop_p.h"
+
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 
@@ -15,10 +17,10 @@
 {
 public:
   /// `aName` names the server in log lines. The server must outlive the listener.
-  http_listener(std::string aName, kj::HttpServer& aServer);
+  http_listener(std::string aName, kj::HttpServer& aServer, kj::Timer& aTimer);
 
   /// Accepts connections until the promise is dropped; open connections stay open.
-  kj::Promise<void> Accept(kj::ConnectionReceiver& aPort);
+  kj::Promise<void> Accept(kj::ConnectionReceiver& aPort) { return mAcceptLoop.Run(aPort); }
 
 private:
   void taskFailed(kj::Exception&& aError) override;
@@ -26,6 +28,7 @@
   std::string mName;
   kj::HttpServer& mServer;
   kj::TaskSet mConnections;
+  accept_loop mAcceptLoop;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/peer_snapshots.cpp
+++ b/packages/gateway/src/peer_snapshots.cpp
@@ -46,7 +46,7 @@
   , mPool(aNetwork, aTimer, aClock, aTable, PoolSettings())
   , mBodyBudget(2 * kMaxBodyBytes)
   , mServer(aTimer, aTable, *this)
-  , mListener("peers", mServer)
+  , mListener("peers", mServer, aTimer)
 {
 }
 
--- a/packages/gateway/tests/http_listener_test.cpp
+++ b/packages/gateway/tests/http_listener_test.cpp
@@ -100,7 +100,7 @@
     const kj::HttpHeaderTable table;
     large_response service{ table };
     kj::HttpServer server{ io.provider->getTimer(), table, service };
-    http_listener listener{ "ready", server };
+    http_listener listener{ "ready", server, io.provider->getTimer() };
     auto port = io.provider->getNetwork().parseAddress("127.0.0.1").wait(io.waitScope)->listen();
     auto accepting = listener.Accept(*port).eagerlyEvaluate(nullptr);
     {
