--- a/tests/sessions/gateway_flood_test.cpp
+++ b/tests/sessions/gateway_flood_test.cpp
@@ -72,6 +72,8 @@
   CPPUNIT_TEST_SUITE(gateway_flood_test);
   CPPUNIT_TEST(SmallChunksOfOneServerLeaveOthersServed);
   CPPUNIT_TEST(SmallChunksOfAllServersEndInTime);
+  CPPUNIT_TEST(SmallChunksOfStreamsEndInTime);
+  CPPUNIT_TEST(SmallChunksOfCallersLeaveOthersServed);
   CPPUNIT_TEST(EndlessHeadsOfServersAreBoundedInSum);
   CPPUNIT_TEST(EndlessHeadsOfCallersAreBoundedInSum);
   CPPUNIT_TEST_SUITE_END();
@@ -186,6 +188,80 @@
     CPPUNIT_ASSERT_MESSAGE(Text(result), LoopDelay(system) < kReadinessPeriod);
   }
 
+  /// Guards against streams that hold up the loop with chunks that never complete an event.
+  void SmallChunksOfStreamsEndInTime()
+  {
+    gateway_options options;
+    options.mBackends = { { "p1", "model", "prefill" }, { "d1" }, { "d2" }, { "s1", "plain" } };
+    gateway_system system{ options };
+    for (const auto* id : { "d1", "d2" }) {
+      system.SetMode(id, "endless_chunks");
+    }
+    constexpr std::size_t kStreams = 40;
+    std::vector<std::unique_ptr<open_call>> calls;
+    calls.reserve(kStreams);
+    readiness_probe readiness{ system };
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      calls.push_back(
+        std::make_unique<open_call>(system.CallerUrl("/stream/x"),
+                                    gateway_system::StreamHeaders("s" + std::to_string(i), 3),
+                                    "b"));
+    }
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, system.Send("POST", "/order/a", {}, "x").mStatus);
+    }
+    for (const auto& call : calls) {
+      const auto reply = call->Wait();
+      CPPUNIT_ASSERT_MESSAGE(reply.mBody.substr(0, 80), reply.mStatus != 200 || reply.mBroken);
+    }
+    CPPUNIT_ASSERT(readiness.Stop() < kReadinessPeriod);
+    CPPUNIT_ASSERT(LoopDelay(system) < kReadinessPeriod);
+  }
+
+  /// Guards against callers that hold up the loop with bodies in chunks of one byte.
+  void SmallChunksOfCallersLeaveOthersServed()
+  {
+    gateway_system system{ Options() };
+    std::string chunks;
+    while (chunks.size() < 6'000) {
+      chunks += "1\r\nx\r\n";
+    }
+    std::atomic<bool> stopping = false;
+    constexpr std::size_t kFloods = 20;
+    std::vector<std::thread> floods;
+    floods.reserve(kFloods);
+    for (std::size_t i = 0; i < kFloods; ++i) {
+      floods.emplace_back([&] {
+        while (!stopping) {
+          const raw_caller caller{ system.CallersAddress(0) };
+          bool open = caller.Send("POST /order/a HTTP/1.1\r\nHost: a.example\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+          // The limit of a body is 10,000 bytes, a sixth of what is sent.
+          for (int part = 0; open && part < 20 && !stopping; ++part) {
+            open = caller.Send(chunks);
+          }
+        }
+      });
+    }
+    readiness_probe readiness{ system };
+    constexpr int kOrders = 10;
+    int served = 0;
+    for (int i = 0; i < kOrders; ++i) {
+      const auto began = steady_clock::now();
+      const auto reply = system.Send("POST", "/order/a", {}, "x");
+      const auto taken = std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
+      std::cout << ' ' << reply.mStatus << " after ms " << taken.count() << '\n';
+      served += reply.mStatus == 200 && taken < kTimeLimit + kMaxLateness ? 1 : 0;
+    }
+    stopping = true;
+    for (auto& flood : floods) {
+      flood.join();
+    }
+    CPPUNIT_ASSERT_EQUAL(kOrders, served);
+    CPPUNIT_ASSERT(readiness.Stop() < kReadinessPeriod);
+    CPPUNIT_ASSERT(LoopDelay(system) < kReadinessPeriod);
+  }
+
   /// Guards against heads of responses that are bounded each but not in sum: 1,500 of them took
   /// 245 MB.
   void EndlessHeadsOfServersAreBoundedInSum()
