Count a read as part of a head only when more of the head is asked for

The limit of heads counted each read when it ended, also the one that brings the end of a head and much of the body. The library's buffer doubles with each message on a kept connection whose bodies are large, so the fifth response of 100 kB failed with "the head is too long".

What has been read is now charged before the next read of the same head. The limit of a response is 32 KiB again, and EndlessHeadOfAServerFails sends 40 kB again. The limit for callers needs no allowance for the library's buffer. AllowanceIsReturned reads once more before the same assertion.

--- a/packages/gateway/include/skylarkwind/head_allowance.h
+++ b/packages/gateway/include/skylarkwind/head_allowance.h
@@ -9,7 +9,7 @@
 /// Limits of the heads that are read on connections of one kind.
 struct head_allowance
 {
-  std::size_t mMaxBytes; ///< of one head, and of what arrives with its end
+  std::size_t mMaxBytes; ///< of one head
   byte_budget mBudget;   ///< of all heads that are being read
 };
 
--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -65,7 +65,7 @@
   /// Idle connections are kept this long when the server states no idle limit.
   std::chrono::milliseconds mDefaultIdle{ 2'000 };
   std::chrono::milliseconds mMaxIdle{ 15'000 }; ///< bound, whatever limit the server states
-  std::size_t mMaxHeadBytes = std::size_t{ 256 } * 1'024; ///< of one response
+  std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1'024; ///< of one response
   /// Of all responses whose heads are being read. The response that exceeds it fails.
   std::size_t mMaxHeadBytesInSum = std::size_t{ 8 } * 1'024 * 1'024;
 };
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -32,8 +32,6 @@
 constexpr std::size_t kMaxHeadBytesInSum = std::size_t{ 8 } * 1'024 * 1'024;
 /// Bytes around the name and the value of a header, and around the parts of a request line.
 constexpr std::size_t kHeadFraming = 4;
-/// First buffer of the HTTP library.
-constexpr std::size_t kMinReadBytes = 4 * 1'024;
 constexpr unsigned int kHeadTooLong = 431;
 
 /// Why the daemon closes a connection.
@@ -418,9 +416,9 @@
 caller_listener::SetMaxHeadBytes(std::size_t aBytes)
 {
   mMaxHeadBytes = aBytes;
-  // The read that brings the end of a head may bring as many bytes of the body, because the HTTP
-  // library doubles its buffer. `request` compares the head itself with the limit.
-  mHeads.mMaxBytes = 2 * std::max(aBytes, kMinReadBytes);
+  // Of an incomplete head optional white space counts, too. `request` compares complete heads with
+  // the limit itself.
+  mHeads.mMaxBytes = 2 * aBytes;
 }
 
 void
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -43,12 +43,11 @@
 }
 
 void
-monitored_stream::ChargeHead(size_t aBytes)
+monitored_stream::ChargeHead()
 {
   if (mHeadAllowance == nullptr) {
     return;
   }
-  mHeadBytes += aBytes;
   if (mHeadBytes > mHeadAllowance->mMaxBytes) {
     mHeadError = head_error::TooLong;
     kj::throwFatalException(KJ_EXCEPTION(FAILED, "the head is too long"));
@@ -138,6 +137,9 @@
 kj::Promise<size_t>
 monitored_stream::tryRead(void* aBuffer, size_t aMinBytes, size_t aMaxBytes)
 {
+  KJ_IF_MAYBE (error, kj::runCatchingExceptions([&] { ChargeHead(); })) {
+    return kj::mv(*error);
+  }
   return ReadMore(static_cast<kj::byte*>(aBuffer), 0, aMinBytes, aMaxBytes);
 }
 
@@ -145,9 +147,7 @@
 monitored_stream::ReadMore(kj::byte* aBuffer, size_t aFilled, size_t aMinBytes, size_t aMaxBytes)
 {
   const auto buffered = TakeBuffered(aBuffer + aFilled, aMaxBytes - aFilled);
-  KJ_IF_MAYBE (error, kj::runCatchingExceptions([&] { ChargeHead(buffered); })) {
-    return kj::mv(*error);
-  }
+  mHeadBytes += buffered;
   aFilled += buffered;
   if (aFilled >= aMinBytes || mEnded) {
     return aFilled;
@@ -165,7 +165,7 @@
          })
     .then([this, aFilled](size_t aBytes) {
       RecordInput(aBytes);
-      ChargeHead(aBytes);
+      mHeadBytes += aBytes;
       return aFilled + aBytes;
     })
     .attach(kj::defer([this] { --mPendingReads; }));
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -68,9 +68,10 @@
                                size_t aMinBytes,
                                size_t aMaxBytes);
   void RecordInput(size_t aBytes);
-  /// Charges bytes that are being read to the allowance of the head, if one is expected. Throws
-  /// when they exceed it.
-  void ChargeHead(size_t aBytes);
+  /// Charges what has been read to the allowance of the head, if one is expected. Throws when that
+  /// exceeds it. Called before a further read: only then it is known that all of it belongs to the
+  /// head, as the read that brings the end of a head may bring much of the body, too.
+  void ChargeHead();
   /// Counts the bytes of a write while it is under way and once it is complete.
   kj::Promise<void> CountWrite(std::uint64_t aBytes, kj::Promise<void> aWriting);
 
@@ -86,7 +87,7 @@
   bool mAborted = false;
   bool mDisconnected = false;
   head_allowance* mHeadAllowance = nullptr; ///< while a head is expected
-  std::size_t mHeadBytes = 0;
+  std::size_t mHeadBytes = 0;               ///< read since the head is expected
   std::size_t mChargedHeadBytes = 0;
   std::optional<head_error> mHeadError;
   std::uint64_t mReadBytes = 0;
--- a/packages/gateway/tests/caller_head_test.cpp
+++ b/packages/gateway/tests/caller_head_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(UnreadBodyIsNoHead);
   CPPUNIT_TEST(EndlessHeadOfAServerFails);
   CPPUNIT_TEST(LargeBodyOfAServerIsNoHead);
+  CPPUNIT_TEST(LargeBodiesOnAKeptConnectionAreNoHead);
   CPPUNIT_TEST(AllowanceIsReturned);
   CPPUNIT_TEST_SUITE_END();
 
@@ -197,7 +198,7 @@
     auto caller = fixture.mPort.Connect();
     fixture.Write(*caller, Request(200));
     fixture.Read(played.Server(0));
-    fixture.Write(played.Server(0), "HTTP/1.1 200 OK\r\nId: r1\r\nX: " + std::string(150'000, 'x'));
+    fixture.Write(played.Server(0), "HTTP/1.1 200 OK\r\nId: r1\r\nX: " + std::string(40'000, 'x'));
     const auto received = fixture.Read(*caller);
     CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 502 "));
     CPPUNIT_ASSERT(played.Closed(0));
@@ -215,6 +216,29 @@
     CPPUNIT_ASSERT(fixture.Read(*caller, 400'000).ends_with("\r\n\r\n" + body));
   }
 
+  /// Guards against a call that fails because one read brings a head and much of its body: the
+  /// library's buffer grows while a connection is kept.
+  void LargeBodiesOnAKeptConnectionAreNoHead()
+  {
+    played_exchange played;
+    auto& fixture = played.mFixture;
+    const std::string body(100'000, 'x');
+    auto caller = fixture.mPort.Connect();
+    for (int i = 0; i < 12; ++i) {
+      const auto id = "r" + std::to_string(i);
+      fixture.Write(*caller,
+                    "POST /order/a HTTP/1.1\r\nHost: a.example\r\nId: " + id +
+                      "\r\nContent-Length: 100000\r\n\r\n" + body);
+      auto& server = *fixture.mServers.back();
+      CPPUNIT_ASSERT_MESSAGE(id, fixture.Read(server, 200'000).ends_with("\r\n\r\n" + body));
+      fixture.Write(server,
+                    "HTTP/1.1 200 OK\r\nId: " + id +
+                      "\r\nSignature: s\r\nContent-Length: 100000\r\n\r\n" + body);
+      CPPUNIT_ASSERT_MESSAGE(id, fixture.Read(*caller, 200'000).ends_with("\r\n\r\n" + body));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mServers.size());
+  }
+
   /// Guards against bytes that stay charged when a head is complete, fails or is abandoned.
   void AllowanceIsReturned()
   {
@@ -228,6 +252,8 @@
       fixture.Write(*pipe.ends[1], std::string(10'000, 'x'));
       auto reading = stream->tryRead(read.data(), 10'000, 10'000).eagerlyEvaluate(nullptr);
       fixture.Run();
+      // Whether these bytes end the head is known when more are read.
+      reading = stream->tryRead(read.data(), 1, 10'000).eagerlyEvaluate(nullptr);
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 10'000 - 4 * 1'024 }, allowance.mBudget.Used());
       if (completes) {
         stream->HeadComplete();
