Share the pieces that two tests each had

The tests of the role controller have one fixture with their services, commands and the check of commands, which the property of one holder now uses too. The peak memory of a daemon is a function of gateway_system. Two tests of endless heads share their assertions, one of them with one assertion more.

Removed: a configuration that was applied and changed nothing, unused includes. No behaviour of the daemon is changed.

--- a/packages/core/tests/role_controller_schedule_test.cpp
+++ b/packages/core/tests/role_controller_schedule_test.cpp
@@ -1,14 +1,9 @@
+#include "role_controller_fixture.h"
 #include "schedules.h"
 
-#include "skylarkwind/role_controller.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <rapidcheck.h>
-
-#include <algorithm>
-#include <map>
-#include <utility>
+#include <optional>
 
 namespace skylarkwind {
 
@@ -17,28 +12,11 @@
 
 namespace {
 
-constexpr milliseconds kLease{ 3'000 };
-constexpr milliseconds kStep{ 100 };
 constexpr std::uint64_t kSeed = 20'261'205;
 constexpr int kSchedules = 2'000;
 /// The controller abandons a call to the store after this time.
 constexpr milliseconds kStoreCallTimeout{ 2'000 };
 
-std::vector<role_controller::service_view>
-ServiceWithACommandDue()
-{
-  role_controller::service_view view{ "s", seconds{ 3 }, {} };
-  for (const auto* id : { "e0", "e1", "e2" }) {
-    backend_server server;
-    server.mId = id;
-    server.mService = "s";
-    server.mDataCentre = "a";
-    server.mRole = engine_role::Decode;
-    view.mEngines.push_back({ std::move(server), 0 });
-  }
-  return { view };
-}
-
 /// How the store handles the calls of one daemon for a time.
 struct store_mood
 {
@@ -48,13 +26,6 @@
   bool mLosesReplies = false;   ///< the call is executed, and fails after both delays
 };
 
-struct sent_command
-{
-  std::size_t mDaemon = 0;
-  std::uint64_t mFencing = 0;
-  instant mAt{};
-};
-
 /// Daemons that always have commands to send, and one store that executes calls late, loses them or
 /// loses their results. A paused daemon handles neither results nor ticks; afterwards it handles
 /// either first.
@@ -255,9 +226,9 @@
   CPPUNIT_TEST(HoldersNeverShareAFencingToken);
   CPPUNIT_TEST_SUITE_END();
 
-  /// The only action of a tick that calls the store.
+  /// The only action of a tick.
   template<typename action>
-  static action StoreCall(role_controller& aController, instant aNow)
+  static action OnlyAction(role_controller& aController, instant aNow)
   {
     const auto actions = aController.OnTick(ServiceWithACommandDue(), 0, aNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, actions.size());
@@ -269,7 +240,7 @@
   static role_controller WithoutLease(instant& aNow)
   {
     role_controller controller{ { "d0", 0.5, kLease } };
-    const auto read = StoreCall<read_lease>(controller, aNow);
+    const auto read = OnlyAction<read_lease>(controller, aNow);
     controller.OnLeaseRead(read.mCall, std::nullopt, false, aNow);
     aNow += milliseconds{ 500 };
     return controller;
@@ -281,21 +252,21 @@
   {
     instant now{ seconds{ 1'000 } };
     auto controller = WithoutLease(now);
-    const auto first = StoreCall<write_lease>(controller, now);
+    const auto first = OnlyAction<write_lease>(controller, now);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, first.mFencing);
     controller.OnLeaseWritten(first.mCall, 10, now);
     now += milliseconds{ 1'100 };
-    const auto second = StoreCall<write_lease>(controller, now);
+    const auto second = OnlyAction<write_lease>(controller, now);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, second.mFencing);
 
     now += kStoreCallTimeout + kStep;
-    const auto read = StoreCall<read_lease>(controller, now);
+    const auto read = OnlyAction<read_lease>(controller, now);
     controller.OnLeaseWritten(second.mCall, std::nullopt, now);
     CPPUNIT_ASSERT(controller.OnTick(ServiceWithACommandDue(), 0, now).empty());
     controller.OnLeaseRead(read.mCall, command_lease{ 11, "d0", 2 }, false, now);
 
     now += kLease + seconds{ 2 };
-    const auto third = StoreCall<write_lease>(controller, now);
+    const auto third = OnlyAction<write_lease>(controller, now);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 11 }, third.mRevision);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, third.mFencing);
   }
@@ -305,15 +276,15 @@
   {
     instant now{ seconds{ 1'000 } };
     role_controller controller{ { "d0", 0.5, kLease } };
-    const auto abandoned = StoreCall<read_lease>(controller, now);
+    const auto abandoned = OnlyAction<read_lease>(controller, now);
     now += kStoreCallTimeout + kStep;
-    const auto read = StoreCall<read_lease>(controller, now);
+    const auto read = OnlyAction<read_lease>(controller, now);
     controller.OnLeaseRead(read.mCall, std::nullopt, false, now);
-    const auto create = StoreCall<write_lease>(controller, now);
+    const auto create = OnlyAction<write_lease>(controller, now);
     controller.OnLeaseWritten(create.mCall, 10, now);
     controller.OnLeaseRead(abandoned.mCall, std::nullopt, false, now);
     now += milliseconds{ 1'100 };
-    const auto renewal = StoreCall<write_lease>(controller, now);
+    const auto renewal = OnlyAction<write_lease>(controller, now);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 10 }, renewal.mRevision);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, renewal.mFencing);
   }
@@ -323,11 +294,11 @@
   {
     instant now{ seconds{ 1'000 } };
     auto controller = WithoutLease(now);
-    const auto write = StoreCall<write_lease>(controller, now);
+    const auto write = OnlyAction<write_lease>(controller, now);
     controller.OnLeaseWritten(write.mCall, 10, now);
-    const auto first = StoreCall<query_engine_state>(controller, now);
+    const auto first = OnlyAction<query_engine_state>(controller, now);
     now += milliseconds{ 800 };
-    const auto second = StoreCall<query_engine_state>(controller, now);
+    const auto second = OnlyAction<query_engine_state>(controller, now);
     CPPUNIT_ASSERT_EQUAL(first.mBackendId, second.mBackendId);
     engine_state_report report;
     report.mRole = engine_role::Decode;
@@ -353,11 +324,8 @@
         // once more if the lease disappears before it is read.
         RC_ASSERT(writes[i].mFencing >= writes[i - 1].mFencing);
       }
-      const auto& commands = simulation.Commands();
-      for (std::size_t i = 1; i < commands.size(); ++i) {
-        RC_ASSERT(commands[i].mFencing >= commands[i - 1].mFencing);
-      }
-      RC_CLASSIFY(!commands.empty(), "with commands");
+      CheckCommands(simulation.Commands());
+      RC_CLASSIFY(!simulation.Commands().empty(), "with commands");
     });
     CPPUNIT_ASSERT_EQUAL(std::string{}, failure);
   }
@@ -374,15 +342,8 @@
       for (std::size_t i = 1; i < writes.size(); ++i) {
         RC_ASSERT(writes[i].mFencing > writes[i - 1].mFencing);
       }
-      const auto& commands = simulation.Commands();
-      for (std::size_t i = 1; i < commands.size(); ++i) {
-        RC_ASSERT(commands[i].mFencing >= commands[i - 1].mFencing);
-        if (commands[i].mDaemon != commands[i - 1].mDaemon) {
-          RC_ASSERT(commands[i].mAt - commands[i - 1].mAt >= kLease);
-          RC_ASSERT(commands[i].mFencing > commands[i - 1].mFencing);
-        }
-      }
-      RC_CLASSIFY(!commands.empty(), "with commands");
+      CheckCommands(simulation.Commands());
+      RC_CLASSIFY(!simulation.Commands().empty(), "with commands");
     });
     CPPUNIT_ASSERT_EQUAL(std::string{}, failure);
   }
--- a/packages/core/tests/role_controller_test.cpp
+++ b/packages/core/tests/role_controller_test.cpp
@@ -1,4 +1,4 @@
-#include "skylarkwind/role_controller.h"
+#include "role_controller_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -15,39 +15,9 @@
 
 namespace {
 
-constexpr milliseconds kLease{ 3'000 };
-constexpr milliseconds kStep{ 100 };
 /// An index that no daemon has: none is paused.
 constexpr std::size_t kNoDaemon = 99;
 
-backend_server
-Engine(std::string aId, std::string aDataCentre, engine_role aRole)
-{
-  backend_server server;
-  server.mId = std::move(aId);
-  server.mService = "s";
-  server.mDataCentre = std::move(aDataCentre);
-  server.mRole = aRole;
-  return server;
-}
-
-role_controller::service_view
-Service(std::vector<backend_server> aServers)
-{
-  role_controller::service_view view{ "s", seconds{ 3 }, {} };
-  for (auto& server : aServers) {
-    view.mEngines.push_back({ std::move(server), 0 });
-  }
-  return view;
-}
-
-struct sent_command
-{
-  std::size_t mDaemon = 0;
-  std::uint64_t mFencing = 0;
-  instant mAt{};
-};
-
 /// Simulates daemons that always have commands to send and that share one store. Single daemons
 /// can be paused, and the store's replies can be lost.
 class lease_simulation
@@ -73,10 +43,8 @@
       auto& daemon = mDaemons[i];
       DeliverReplies(daemon, i);
       // Every daemon has rank 0, so that mutual exclusion rests on the lease alone.
-      const std::vector services{ Service({ Engine("e0", "a", engine_role::Decode),
-                                            Engine("e1", "a", engine_role::Decode),
-                                            Engine("e2", "a", engine_role::Decode) }) };
-      Execute(daemon, i, daemon.mRoleController.OnTick(services, 0, mNow), aLoseReplies);
+      Execute(
+        daemon, i, daemon.mRoleController.OnTick(ServiceWithACommandDue(), 0, mNow), aLoseReplies);
     }
   }
 
@@ -176,14 +144,7 @@
             simulation.Step(static_cast<std::size_t>(paused), paused == 4 && i % 3 == 0);
           }
         }
-        const auto& commands = simulation.Commands();
-        for (std::size_t i = 1; i < commands.size(); ++i) {
-          RC_ASSERT(commands[i].mFencing >= commands[i - 1].mFencing);
-          if (commands[i].mDaemon != commands[i - 1].mDaemon) {
-            RC_ASSERT(commands[i].mAt - commands[i - 1].mAt >= kLease);
-            RC_ASSERT(commands[i].mFencing > commands[i - 1].mFencing);
-          }
-        }
+        CheckCommands(simulation.Commands());
       });
     CPPUNIT_ASSERT(holds);
   }
--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -57,7 +57,7 @@
   return {};
 }
 
-/// Bytes of a request's head, without optional white space.
+/// Bytes of a request's head, with one space after each colon.
 std::size_t
 HeadBytes(kj::StringPtr aMethod, kj::StringPtr aUrl, const kj::HttpHeaders& aHeaders)
 {
--- a/packages/gateway/tests/caller_head_test.cpp
+++ b/packages/gateway/tests/caller_head_test.cpp
@@ -7,8 +7,6 @@
 
 namespace skylarkwind {
 
-using std::chrono::milliseconds;
-
 /// Heads of requests and responses that are too long, alone or together.
 class caller_head_test : public CppUnit::TestFixture
 {
@@ -63,6 +61,15 @@
     return ended;
   }
 
+  /// Asserts that the connection ends after one whole response 431.
+  static void AssertRejectedAtTheEnd(exchange_fixture& aFixture, kj::AsyncIoStream& aCaller)
+  {
+    const auto received = aFixture.Read(aCaller);
+    CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 431 "));
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n"));
+    CPPUNIT_ASSERT(AtEnd(aFixture, aCaller));
+  }
+
   /// Guards against MaxHeaderBytes that is configured and not enforced.
   void HeadAboveTheLimitIsRejected()
   {
@@ -85,9 +92,6 @@
       fixture.mListener.SetMaxHeadBytes(limit);
       auto caller = fixture.mPort.Connect();
       const std::string body(100'000, 'b');
-      auto configuration = std::make_shared<forward_configuration>(*fixture.mRoutes.Current());
-      configuration->mVersion = 2;
-      fixture.mRoutes.Apply(configuration);
       fixture.Write(*caller, Request(limit, body));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
         std::to_string(limit), std::size_t{ 1 }, fixture.mServers.size());
@@ -120,10 +124,7 @@
     auto caller = fixture.mPort.Connect();
     fixture.Write(*caller,
                   "GET /order/a HTTP/1.1\r\nHost: a.example\r\nX: " + std::string(50'000, 'x'));
-    const auto received = fixture.Read(*caller);
-    CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 431 "));
-    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n"));
-    CPPUNIT_ASSERT(AtEnd(fixture, *caller));
+    AssertRejectedAtTheEnd(fixture, *caller);
   }
 
   void EndlessHeadAfterARequestIsRejected()
@@ -137,9 +138,7 @@
     fixture.Write(server, Response("done"));
     CPPUNIT_ASSERT(fixture.Read(*caller).ends_with("done"));
     fixture.Write(*caller, "GET /order/a HTTP/1.1\r\nX: " + std::string(50'000, 'x'));
-    const auto received = fixture.Read(*caller);
-    CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 431 "));
-    CPPUNIT_ASSERT(AtEnd(fixture, *caller));
+    AssertRejectedAtTheEnd(fixture, *caller);
   }
 
   /// Guards against the sum of many heads that are within the limit each. Usual heads are served
--- a/tests/sessions/gateway_flood_test.cpp
+++ b/tests/sessions/gateway_flood_test.cpp
@@ -4,7 +4,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <thread>
@@ -87,20 +86,6 @@
     return options;
   }
 
-  /// Peak resident set size of the daemon so far, in MiB.
-  static std::size_t PeakMegabytes(gateway_system& aSystem)
-  {
-    std::ifstream status{ "/proc/" + std::to_string(aSystem.Daemon().Pid()) + "/status" };
-    for (std::string line; std::getline(status, line);) {
-      if (line.starts_with("VmHWM:")) {
-        const auto peak = std::stoul(line.substr(6)) / 1'024;
-        std::cout << " peak MiB " << peak << '\n';
-        return peak;
-      }
-    }
-    return 0;
-  }
-
   /// The longest delay of the daemon's timers in the last seconds, from its metrics.
   static milliseconds LoopDelay(const gateway_system& aSystem)
   {
@@ -274,7 +259,7 @@
       const auto result = SendOrders(system, 1'500);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(mode + Text(result), std::size_t{ 0 }, result.mLost);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(mode + Text(result), std::size_t{ 0 }, result.mAnswered);
-      const auto peak = PeakMegabytes(system);
+      const auto peak = system.PeakMegabytes();
       CPPUNIT_ASSERT_MESSAGE(mode + std::to_string(peak), peak > 0 && peak < 160);
     }
   }
@@ -302,7 +287,7 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, open);
     CPPUNIT_ASSERT(readiness.Stop() < kReadinessPeriod);
-    const auto peak = PeakMegabytes(system);
+    const auto peak = system.PeakMegabytes();
     CPPUNIT_ASSERT_MESSAGE(std::to_string(peak), peak > 0 && peak < 160);
     const auto reply = system.Send("POST", "/order/a", {}, "x");
     CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
--- a/tests/sessions/gateway_misbehaviour_test.cpp
+++ b/tests/sessions/gateway_misbehaviour_test.cpp
@@ -9,7 +9,6 @@
 #include <unistd.h>
 
 #include <array>
-#include <fstream>
 #include <map>
 
 namespace skylarkwind::sessions {
@@ -109,18 +108,6 @@
     return aSystem.Send("POST", "/order/a", Headers(aId), "x");
   }
 
-  /// Peak resident set size of the daemon so far, in MiB.
-  static std::size_t PeakMegabytes(gateway_system& aSystem)
-  {
-    std::ifstream status{ "/proc/" + std::to_string(aSystem.Daemon().Pid()) + "/status" };
-    for (std::string line; std::getline(status, line);) {
-      if (line.starts_with("VmHWM:")) {
-        return std::stoul(line.substr(6)) / 1'024;
-      }
-    }
-    return 0;
-  }
-
   /// How many times each request was executed, by its id.
   static std::map<std::string, std::size_t> RunsOf(const gateway_system& aSystem)
   {
@@ -299,7 +286,7 @@
       }
       const auto taken = std::chrono::steady_clock::now() - began;
       CPPUNIT_ASSERT_MESSAGE(mode, taken < seconds{ 6 });
-      const auto peak = PeakMegabytes(system);
+      const auto peak = system.PeakMegabytes();
       CPPUNIT_ASSERT_MESSAGE(std::string{ mode } + " took MB " + std::to_string(peak),
                              peak > 0 && peak < 160);
       // The daemon still serves.
@@ -339,7 +326,7 @@
         });
       }
       CPPUNIT_ASSERT_MESSAGE(first.substr(0, 80) + again.substr(0, 20), senders.empty());
-      const auto peak = PeakMegabytes(system);
+      const auto peak = system.PeakMegabytes();
       CPPUNIT_ASSERT_MESSAGE(first + std::to_string(peak), peak > 0 && peak < 160);
       CPPUNIT_ASSERT_EQUAL(200, Order(system, "after").mStatus);
     }
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -323,6 +323,18 @@
   return file;
 }
 
+std::size_t
+gateway_system::PeakMegabytes(int aIndex)
+{
+  std::ifstream status{ "/proc/" + std::to_string(Daemon(aIndex).Pid()) + "/status" };
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) {
+      return std::stoul(line.substr(6)) / 1'024;
+    }
+  }
+  return 0;
+}
+
 void
 gateway_system::AddDaemon()
 {
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -80,6 +80,8 @@
   std::string CallerUrl(const std::string& aPath, int aIndex = 0) const;
   http_reply Ready(int aIndex = 0) const;
   std::string Metrics(int aIndex = 0) const;
+  /// Peak resident set size of a daemon so far, in MiB; 0 if it does not run.
+  std::size_t PeakMegabytes(int aIndex = 0);
   /// Starts one more daemon and does not wait until it is ready.
   void AddDaemon();
   /// Ends what runs of this daemon or server with SIGKILL and starts it anew at its addresses.
