--- a/packages/gateway/tests/caller_head_test.cpp
+++ b/packages/gateway/tests/caller_head_test.cpp
@@ -25,7 +25,9 @@
   CPPUNIT_TEST_SUITE_END();
 
   /// A request whose head has this size: four bytes frame each header, and the request line.
-  static std::string Request(std::size_t aHeadBytes, const std::string& aBody = "b")
+  static std::string Request(std::size_t aHeadBytes,
+                             const std::string& aBody = "b",
+                             const std::string& aId = "r1")
   {
     const std::string method = "POST";
     const std::string target = "/order/a";
@@ -36,17 +38,18 @@
       counted += aName.size() + aValue.size() + 4;
     };
     add("Host", "a.example");
-    add("Id", "r1");
+    add("Id", aId);
     add("Content-Length", std::to_string(aBody.size()));
     add("X", std::string(aHeadBytes - std::min(aHeadBytes, counted + 5), 'x'));
     CPPUNIT_ASSERT_EQUAL(aHeadBytes, counted);
     return method + ' ' + target + " HTTP/1.1\r\n" + headers + "\r\n" + aBody;
   }
 
-  static std::string Response(const std::string& aBody)
+  static std::string Response(const std::string& aBody, const std::string& aId = "r1")
   {
-    return "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: " +
-           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+    std::string text = "HTTP/1.1 200 OK\r\nId: " + aId + "\r\nSignature: s\r\nContent-Length: ";
+    text += std::to_string(aBody.size());
+    return text + "\r\n\r\n" + aBody;
   }
 
   static bool AtEnd(exchange_fixture& aFixture, kj::AsyncIoStream& aCaller)
@@ -225,14 +228,10 @@
     auto caller = fixture.mPort.Connect();
     for (int i = 0; i < 12; ++i) {
       const auto id = "r" + std::to_string(i);
-      fixture.Write(*caller,
-                    "POST /order/a HTTP/1.1\r\nHost: a.example\r\nId: " + id +
-                      "\r\nContent-Length: 100000\r\n\r\n" + body);
+      fixture.Write(*caller, Request(200, body, id));
       auto& server = *fixture.mServers.back();
       CPPUNIT_ASSERT_MESSAGE(id, fixture.Read(server, 200'000).ends_with("\r\n\r\n" + body));
-      fixture.Write(server,
-                    "HTTP/1.1 200 OK\r\nId: " + id +
-                      "\r\nSignature: s\r\nContent-Length: 100000\r\n\r\n" + body);
+      fixture.Write(server, Response(body, id));
       CPPUNIT_ASSERT_MESSAGE(id, fixture.Read(*caller, 200'000).ends_with("\r\n\r\n" + body));
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mServers.size());
