Client accounts and keys; singleton tasks; parse engine ordering and platform calls

Callers of routes that are not public need a key of an account where the configuration lists accounts. Servers get the account's name and never the key. Foundation of usage reports and engine orders: a lease with a state in one stored object, a client of the platform's API, and the new settings.

--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
   /// Number of backend servers to which one attempt of the caller may be sent.
   std::uint32_t mMaxAttempts = 1;
   std::uint32_t mPriority = 0; ///< 0 is the highest priority
+  bool mIsPublic = false;      ///< callers need no key
   std::vector<weighted_service> mServices;
 
   /// Whether a request may be retried when an earlier attempt may already have been executed.
@@ -60,6 +62,18 @@
   std::chrono::milliseconds mRoleChange{}; ///< duration of a role change
 };
 
+/// Bounds and prices of a service whose engines can be ordered from the platform.
+struct engine_ordering
+{
+  std::uint32_t mMinEngines = 0;            ///< in each data centre
+  std::uint32_t mMaxEngines = 0;            ///< in each data centre, reclaimable ones included
+  std::chrono::milliseconds mStartupTime{}; ///< from the order until a new engine serves
+  /// Price of a reclaimable engine as a fraction of the price of another one; empty when the
+  /// platform offers none.
+  std::optional<double> mReclaimablePrice;
+  std::map<std::string, double> mPrices; ///< per engine and second, by data centre
+};
+
 /// A service that requests are routed to, as listed in the routing configuration.
 struct forward_service
 {
@@ -67,7 +81,16 @@
   std::string mHealthPath;
   /// Connections that one backend server accepts from all daemons together.
   std::uint32_t mMaxConnections = 0;
-  std::optional<engine_capacity> mEngine; ///< empty for a plain service
+  std::optional<engine_capacity> mEngine;   ///< empty for a plain service
+  std::optional<engine_ordering> mOrdering; ///< empty when the number of engines is fixed
+};
+
+/// A client account. Each of its keys lets callers use the routes that are not public.
+struct client_account
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+  std::optional<std::uint32_t> mPriority; ///< takes precedence over the priority of the route
 };
 
 /// Limits on the size and the timing of callers' requests.
@@ -86,6 +109,8 @@
   std::vector<forward_route> mRoutes;
   std::vector<forward_service> mServices;
   caller_limits mLimits;
+  /// Empty optional: callers need no keys.
+  std::optional<std::vector<client_account>> mAccounts;
 
   /// The service of that name; null when the configuration has none.
   const forward_service* FindService(std::string_view aName) const;
@@ -102,6 +127,9 @@
   bool mDraining = false;
   std::optional<engine_role> mRole; ///< model engines only
   std::uint64_t mStartedAt = 0;     ///< start of the process, Unix time in ms; 0 when unknown
+  bool mIsReclaimable = false;      ///< the platform may take it away at short notice
+  /// Time that was left until it ends when the entry was written; empty when unknown.
+  std::optional<std::chrono::milliseconds> mLeavesIn;
   bool operator==(const backend_server&) const = default;
 };
 
@@ -119,7 +147,8 @@
   std::string mModel;
   std::vector<prompt_segment> mSegments; ///< the last one is unique to this request
   std::uint32_t mPromptTokens = 0;
-  std::uint32_t mOutputTokens = 0; ///< upper bound
+  std::uint32_t mOutputTokens = 0;                    ///< upper bound
+  std::optional<std::uint32_t> mExpectedOutputTokens; ///< the caller's estimate
 
   /// Tokens in the segments that other requests may share, i.e. in all but the last.
   std::uint32_t SharedTokens() const;
@@ -133,6 +162,9 @@
   std::string mHost;
   std::string mTarget;  ///< path and query as received
   header_list mHeaders; ///< to forward; without hop-by-hop headers and those set by daemons
+  std::string mApiKey;  ///< key of the caller's account; empty when it sent none
+  /// Headers that concern accounts, forwarded only where callers need no keys.
+  header_list mAccountHeaders;
   std::optional<std::chrono::milliseconds> mCallerTimeout; ///< timeout of the caller
   std::string mResumeAfter; ///< id of the last event the caller received; empty for a new stream
   std::optional<generation_spec> mGeneration;
@@ -150,6 +182,8 @@
   std::optional<kv_source> mKv;          ///< KV cache computed by another engine
   std::string mFetchFrom; ///< ip:port of an engine that caches prompt segments; may be empty
   std::optional<std::uint32_t> mEnginePriority; ///< priority from 0 (highest) to 9
+  bool mHasAccounts = false;                    ///< the configuration lists accounts
+  std::string mAccount; ///< name of the caller's account; empty when it has none
 };
 
 /// Load that a backend server reports in a response, in requests.
@@ -158,6 +192,9 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0;
+  /// Time that work takes on the server's machine now, as a percentage of the usual time; 0 when
+  /// the server does not report it.
+  std::uint32_t mWorkTimePercent = 0;
 };
 
 /// Response head: status and headers of a backend server's response.
--- a/packages/core/include/skylarkwind/protocol_adapter.h
+++ b/packages/core/include/skylarkwind/protocol_adapter.h
@@ -3,6 +3,7 @@
 #include "skylarkwind/forward_types.h"
 
 #include <absl/status/statusor.h>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,24 @@
   Unknown      ///< no answer or another status; the command may have been accepted
 };
 
+/// The requests of each account that began to run in one window of time.
+struct usage_window
+{
+  std::uint64_t mWindow = 0;                    ///< number of the window since the start of 1970
+  std::map<std::string, std::uint64_t> mCounts; ///< by name of the account
+  bool operator==(const usage_window&) const = default;
+};
+
+/// An order for the number of engines of a service in a data centre.
+struct engine_count_order
+{
+  std::string mService;
+  std::string mDataCentre;
+  std::uint32_t mEngines = 0;
+  bool mReclaimable = false; ///< of engines that may be taken away; the others are not changed
+  bool operator==(const engine_count_order&) const = default;
+};
+
 /// State that an engine reports about itself.
 struct engine_state_report
 {
@@ -79,6 +98,15 @@
   virtual control_request RoleCommandRequest(const role_command& aCommand) const = 0;
   virtual role_command_result ParseRoleCommandResult(int aStatus) const = 0;
 
+  /// Calls of the platform's API. `aHolder` is the daemon that holds the task, `aToken` its fencing
+  /// token.
+  virtual control_request UsageRequest(const usage_window& aUsage,
+                                       std::string_view aHolder,
+                                       std::uint64_t aToken) const = 0;
+  virtual control_request EngineCountRequest(const engine_count_order& aOrder,
+                                             std::string_view aHolder,
+                                             std::uint64_t aToken) const = 0;
+
   /// Path that the deployment's load balancer probes for readiness.
   virtual std::string_view ReadyPath() const = 0;
 };
--- a/packages/core/src/route_index.cpp
+++ b/packages/core/src/route_index.cpp
@@ -38,6 +38,8 @@
       return aLeft->mPathPrefix.size() > aRight->mPathPrefix.size();
     });
   }
+  mAccounts.Replace(mCurrent->mAccounts ? std::span<const client_account>{ *mCurrent->mAccounts }
+                                        : std::span<const client_account>{});
   return true;
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -142,6 +142,9 @@
   if (mRoute == nullptr) {
     return exchange_end{ request_rejected{ 404, "no route" } };
   }
+  if (auto rejected = RejectUnknownKey()) {
+    return *std::move(rejected);
+  }
   const auto& service = route_index::ServiceFor(*mRoute, mRequest.mId);
   mService = mConfiguration->FindService(service);
   if (mService == nullptr) {
@@ -167,6 +170,26 @@
     .exclusiveJoin(WhenQuarantined());
 }
 
+std::optional<exchange_end>
+exchange::RejectUnknownKey()
+{
+  if (!mConfiguration->mAccounts) {
+    return std::nullopt;
+  }
+  mAccount = mContext.mRoutes.Accounts().Find(mRequest.mApiKey);
+  if (mAccount != nullptr || mRoute->mIsPublic) {
+    return std::nullopt;
+  }
+  const std::string reason = mRequest.mApiKey.empty() ? "missing" : "unknown";
+  mContext.mCounters
+    .Get("skylarkwind_key_rejections_total",
+         "Requests that were rejected as their caller's key is missing or unknown.",
+         "reason=\"" + reason + '"')
+    .Add();
+  constexpr unsigned int kUnauthorized = 401;
+  return exchange_end{ request_rejected{ kUnauthorized, "the key is " + reason } };
+}
+
 std::optional<exchange_end>
 exchange::RejectQuarantined()
 {
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -45,7 +45,10 @@
   // A stream that is resumed goes ahead of those that have not begun.
   constexpr std::uint32_t kNotBegun = 3;
   constexpr std::uint32_t kLeastUrgent = 9;
-  return std::min(kLeastUrgent, mRoute->mPriority + (mResponse.Started() ? 0 : kNotBegun));
+  const auto priority =
+    mAccount != nullptr && mAccount->mPriority ? *mAccount->mPriority : mRoute->mPriority;
+  return std::min(kLeastUrgent,
+                  std::min(kLeastUrgent, priority) + (mResponse.Started() ? 0 : kNotBegun));
 }
 
 void
@@ -66,8 +69,12 @@
 }
 
 http_call
-exchange::BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const
+exchange::BuildCall(const backend_server& aServer, forward_attempt aAttempt) const
 {
+  aAttempt.mHasAccounts = mConfiguration->mAccounts.has_value();
+  if (mAccount != nullptr) {
+    aAttempt.mAccount = mAccount->mName;
+  }
   http_call call;
   call.mAddress = aServer.mAddress;
   call.mMethod = mRequest.mMethod;
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -62,7 +62,12 @@
 exchange::Finish(const request_rejected& aEnd)
 {
   LogOutcome("failed", std::to_string(aEnd.mStatus) + " " + aEnd.mReason);
-  return Reply(aEnd.mStatus, {}, aEnd.mReason + '\n');
+  constexpr unsigned int kUnauthorized = 401;
+  header_list headers;
+  if (aEnd.mStatus == kUnauthorized) {
+    headers.emplace_back("WWW-Authenticate", "ApiKey");
+  }
+  return Reply(aEnd.mStatus, headers, aEnd.mReason + '\n');
 }
 
 kj::Promise<void>
@@ -156,6 +161,9 @@
   text += " backend=" + mAttempt->mTarget.mId;
   text += " route=";
   text += mRoute != nullptr ? mRoute->mName : "-";
+  if (mAccount != nullptr) {
+    text += " account=" + mAccount->mName;
+  }
   text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
   const auto since = [this](instant aFrom, instant aTo) {
     return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -174,6 +174,9 @@
   kj::Promise<exchange_end> RouteAndForward();
   /// The end of a request that holds a quarantined part; empty if it may be sent.
   std::optional<exchange_end> RejectQuarantined();
+  /// Finds the account whose key the caller sent. Rejects a request without a known key on a route
+  /// that needs one.
+  std::optional<exchange_end> RejectUnknownKey();
   /// Resolves when a part of the request's prompt is quarantined, wherever the request is then.
   kj::Promise<exchange_end> WhenQuarantined();
   /// Places the request and sends it to the chosen server.
@@ -314,7 +317,7 @@
   /// From 0, the most urgent, to 9.
   std::uint32_t EnginePriority() const;
   /// Builds the request to a server; its body is a view of the buffered body of this exchange.
-  http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
+  http_call BuildCall(const backend_server& aServer, forward_attempt aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
   void CloseAttempt(backend_outcome aOutcome) { CloseAttempt(*mAttempt, aOutcome); }
   void CloseAttempt(backend_attempt& aAttempt, backend_outcome aOutcome);
@@ -338,6 +341,7 @@
   std::shared_ptr<const forward_configuration> mConfiguration;
   const forward_route* mRoute = nullptr;
   const forward_service* mService = nullptr;
+  const client_account* mAccount = nullptr; ///< of `mConfiguration`; null without a known key
 
   std::vector<std::string> mExcludedServers; ///< ids of servers not to be tried again
   std::optional<instant> mPrefixWaitSince;   ///< since when it waits for its prefix
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -69,6 +69,7 @@
     , mPool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
     , mStorePool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
     , mStore(std::make_unique<counting_store>(mAdapter.mCreateStore(mStorePool, mTimer), mCounters))
+    , mRoutes(RandomBits())
     , mDirectory(DirectorySettings(mSettings))
     , mLoadTracker(backend_load_tracker_settings{})
     , mEngineModels(mSettings.mPrefillTokensPerMs)
@@ -209,10 +210,14 @@
     self.mAddress = aSettings.mPeerAddress;
     self.mDataCentre = aSettings.mDataCentre;
     self.mCpuMillicores = aSettings.mCpuMillicores;
-    std::random_device random;
-    self.mStart = std::uint64_t{ random() } << 32U | random();
+    self.mStart = RandomBits();
     return self;
   }
+  static std::uint64_t RandomBits()
+  {
+    std::random_device random;
+    return std::uint64_t{ random() } << 32U | random();
+  }
   static directory_settings DirectorySettings(const gateway_settings& aSettings)
   {
     directory_settings settings;
@@ -299,7 +304,11 @@
       Log(log_level::Info,
           "configuration",
           "applied version=" + std::to_string(version) + " routes=" + std::to_string(routes) +
-            " bytes=" + std::to_string(aChange.mObject.mValue.size()));
+            " bytes=" + std::to_string(aChange.mObject.mValue.size()) +
+            " keys=" + std::to_string(mRoutes.Accounts().KeyCount()));
+      for (const auto& problem : mRoutes.Accounts().Problems()) {
+        Log(log_level::Error, "configuration", problem);
+      }
     }
   }
 
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -84,6 +84,29 @@
     });
 }
 
+/// A setting that may have an empty value, which leaves the default.
+setting
+OrEmpty(setting aSetting)
+{
+  aSetting.mRequired = false;
+  aSetting.mExpected += ", or nothing";
+  aSetting.mParse = [parse = std::move(aSetting.mParse)](const std::string& aText,
+                                                         gateway_settings& aInto) {
+    return aText.empty() || parse(aText, aInto);
+  };
+  return aSetting;
+}
+
+/// A duration in seconds, possibly fractional.
+setting
+Seconds(milliseconds gateway_settings::*aMember)
+{
+  constexpr double kMaxSeconds = 86'400;
+  return Amount("seconds", kMaxSeconds, [aMember](double aValue, gateway_settings& aInto) {
+    aInto.*aMember = milliseconds{ static_cast<std::int64_t>(aValue * 1'000) };
+  });
+}
+
 const std::map<std::string, setting>&
 Settings()
 {
@@ -103,6 +126,14 @@
     { "drain_within_ms", Milliseconds(&gateway_settings::mDrainDeadline) },
     { "balancer_notices_ms", Milliseconds(&gateway_settings::mBalancerReaction) },
     { "lease_ms", Milliseconds(&gateway_settings::mLease) },
+    { "platform_api_address", OrEmpty(Address(&gateway_settings::mPlatformApiAddress)) },
+    { "platform_calls_per_s",
+      OrEmpty(Amount(
+        "calls per second",
+        kMaxRetries,
+        [](double aValue, gateway_settings& aInto) { aInto.mPlatformCallsPerS = aValue; })) },
+    { "usage_window_s", OrEmpty(Seconds(&gateway_settings::mUsageWindow)) },
+    { "usage_late_s", OrEmpty(Seconds(&gateway_settings::mUsageDeadline)) },
     { "shutdown_grace_s",
       Amount("seconds",
              kMaxSeconds,
--- /dev/null
+++ b/packages/gateway/src/task_runner_p.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "skylarkwind/object_store.h"
+#include "skylarkwind/singleton_task.h"
+
+#include <kj/async.h>
+
+#include <string>
+
+namespace skylarkwind {
+
+/// Executes the actions of a singleton task against the store, where its record is an object of the
+/// kind of leases with the name of the task.
+class task_runner
+{
+public:
+  task_runner(std::string aName,
+              singleton_task_settings aSettings,
+              object_store& aStore,
+              const clock_source& aClock,
+              kj::TaskSet& aTasks);
+
+  /// Advances the task; see `singleton_task::OnTick`.
+  void OnTick(std::size_t aRank, bool aDue, instant aNow);
+  singleton_task& Task() { return mTask; }
+
+private:
+  void Execute(const read_task& aRead);
+  void Execute(const write_task& aWrite);
+
+  std::string mName;
+  std::string mSelf;
+  singleton_task mTask;
+  object_store& mStore;
+  const clock_source& mClock;
+  kj::TaskSet& mTasks;
+};
+
+} // namespace skylarkwind
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -37,6 +37,7 @@
     request.mHost = std::move(aHost);
     request.mTarget = std::move(aTarget);
     request.mId = Header(aHeaders, "Id");
+    request.mApiKey = Header(aHeaders, "Key");
     if (const auto prompt = Header(aHeaders, "Prompt"); !prompt.empty()) {
       request.mGeneration.emplace();
       request.mGeneration->mPromptTokens = static_cast<std::uint32_t>(std::stoul(prompt));
@@ -53,6 +54,9 @@
                                  const forward_attempt& aAttempt) const override
   {
     header_list headers{ { "Id", aRequest.mId }, { "Backend", aAttempt.mBackendId } };
+    if (!aAttempt.mAccount.empty()) {
+      headers.emplace_back("Account", aAttempt.mAccount);
+    }
     if (!aAttempt.mResumeAfter.empty()) {
       headers.emplace_back("Resume-After", aAttempt.mResumeAfter);
     }
@@ -93,6 +97,16 @@
   {
     return role_command_result::Unknown;
   }
+  control_request UsageRequest(const usage_window&, std::string_view, std::uint64_t) const override
+  {
+    return {};
+  }
+  control_request EngineCountRequest(const engine_count_order&,
+                                     std::string_view,
+                                     std::uint64_t) const override
+  {
+    return {};
+  }
   std::string_view ReadyPath() const override { return "/ready"; }
 
 private:
