--- a/packages/gateway/include/skylarkwind/object_store.h
+++ b/packages/gateway/include/skylarkwind/object_store.h
@@ -66,6 +66,9 @@
 {
 public:
   virtual ~object_store() = default;
+  /// Number of times that the store was restored from a copy, as its last answer says; 0 when it
+  /// says nothing about it.
+  virtual std::uint64_t Era() const { return 0; }
   /// Whether an answer about objects of this kind has begun to arrive and is not complete yet.
   virtual bool IsReceiving(std::string_view) const { return false; }
   /// Reads one page of the objects of a kind, beginning after the name `aAfter`. With `aMayBeStale`
--- a/packages/gateway/src/counting_store_p.h
+++ b/packages/gateway/src/counting_store_p.h
@@ -17,6 +17,7 @@
   {
   }
 
+  std::uint64_t Era() const override { return mInner->Era(); }
   bool IsReceiving(std::string_view aKind) const override { return mInner->IsReceiving(aKind); }
   kj::Promise<store_result<object_page>> List(std::string aKind,
                                               std::string aAfter,
--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -54,6 +55,9 @@
 kj::Promise<void>
 exchange::Finish(server_answer aEnd)
 {
+  if (mRoute->mKind != route_kind::Streaming) {
+    CountUsage();
+  }
   LogOutcome("answered", "status " + std::to_string(aEnd.mStatus));
   return Reply(static_cast<unsigned int>(aEnd.mStatus), aEnd.mHeaders, std::move(aEnd.mBody));
 }
@@ -77,6 +81,9 @@
     return BreakStream(aEnd.mReason);
   }
   if (MayHaveExecuted()) {
+    if (mRoute != nullptr && mRoute->mKind != route_kind::Streaming) {
+      CountUsage();
+    }
     LogOutcome("failed", std::to_string(aEnd.mFailureStatus) + " " + aEnd.mReason);
     return Reply(aEnd.mFailureStatus, {}, aEnd.mReason + '\n');
   }
@@ -87,6 +94,14 @@
                "the request has not run\n");
 }
 
+void
+exchange::CountUsage()
+{
+  if (mAccount != nullptr && !std::exchange(mIsCounted, true) && mContext.mOnRequestBegan) {
+    mContext.mOnRequestBegan(mAccount->mName);
+  }
+}
+
 kj::Promise<void>
 exchange::Finish(const caller_left&)
 {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -24,6 +24,7 @@
 #include <kj/compat/http.h>
 #include <kj/timer.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -110,6 +111,8 @@
   prompt_quarantine& mQuarantine;
   crash_detector& mCrashDetector;
   repeated_signal& mQuarantined; ///< a part of a prompt has been quarantined
+  /// Called once for each request of an account that a server has begun to run; may be empty.
+  std::function<void(const std::string& aAccount)> mOnRequestBegan = {};
 };
 
 /// Ends of an exchange, as far as servers and the caller decide them.
@@ -177,6 +180,8 @@
   /// Finds the account whose key the caller sent. Rejects a request without a known key on a route
   /// that needs one.
   std::optional<exchange_end> RejectUnknownKey();
+  /// Counts the request for the usage of its account, once, when a server has begun to run it.
+  void CountUsage();
   /// Resolves when a part of the request's prompt is quarantined, wherever the request is then.
   kj::Promise<exchange_end> WhenQuarantined();
   /// Places the request and sends it to the chosen server.
@@ -342,6 +347,7 @@
   const forward_route* mRoute = nullptr;
   const forward_service* mService = nullptr;
   const client_account* mAccount = nullptr; ///< of `mConfiguration`; null without a known key
+  bool mIsCounted = false;                  ///< in the usage of the account
 
   std::vector<std::string> mExcludedServers; ///< ids of servers not to be tried again
   std::optional<instant> mPrefixWaitSince;   ///< since when it waits for its prefix
--- a/packages/gateway/src/exchange_stream.cpp
+++ b/packages/gateway/src/exchange_stream.cpp
@@ -157,6 +157,7 @@
     mLongestEventGap = std::max(mLongestEventGap, now - mAttempt->mLastEventAt);
   }
   mFirstEventAt = mFirstEventAt.value_or(now);
+  CountUsage();
   mAttempt->mLastEventAt = now;
   mAttempt->mSilentSince = now;
   mAttempt->mSilenceLogged = false;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -12,6 +12,7 @@
 #include "role_driver_p.h"
 #include "shutdown_sequence_p.h"
 #include "store_replication_p.h"
+#include "usage_driver_p.h"
 
 #include "skylarkwind/falling_limit.h"
 #include "skylarkwind/hash.h"
@@ -49,6 +50,10 @@
 /// the desired ones.
 constexpr milliseconds kDutyCheckPeriod{ 200 };
 
+/// Tasks that call the platform's API, usage reports and engine orders. Each may be held by another
+/// daemon and gets its share of the calls that the fleet may make.
+constexpr double kPlatformCallers = 2;
+
 class kj_gateway final
   : public gateway
   , private kj::TaskSet::ErrorHandler
@@ -110,7 +115,8 @@
                         mShutdown,
                         mQuarantine,
                         mCrashDetector,
-                        mQuarantined }
+                        mQuarantined,
+                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); } }
     , mCallerListener(mExchangeContext)
     , mPeerTransport(
         aContext.provider->getNetwork(),
@@ -120,7 +126,26 @@
         [this](const state_announcement& aAnnouncement) {
           mReplication.OnAnnouncement(aAnnouncement);
         },
-        [this](std::string_view aBytes) { OnQuarantineMessage(aBytes); })
+        [this](std::string_view aBytes) { OnQuarantineMessage(aBytes); },
+        [this](std::string_view aBytes) { mUsage.OnMessage(aBytes); })
+    , mPlatformApi(mSettings.mPlatformApiAddress,
+                   mSettings.mPlatformCallsPerS / kPlatformCallers,
+                   mStorePool,
+                   mTimer,
+                   mClock,
+                   mCounters)
+    , mUsage({ mSettings.mUsageWindow, { mSettings.mVm, mSettings.mLease } },
+             *mAdapter.mProtocolAdapter,
+             mRoutes,
+             mLoadExchange,
+             *mStore,
+             mPlatformApi,
+             mClock,
+             mCounters,
+             mTasks,
+             [this](const std::string& aBytes, std::span<const std::string> aTo) {
+               mPeerTransport.Send(aBytes, aTo);
+             })
     , mRoleDriver(RoleSettings(mSettings),
                   *mAdapter.mProtocolAdapter,
                   mRoutes,
@@ -419,6 +444,7 @@
     mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
     mQuarantineSync.OnTick(mDirectory.Size(), aNow);
+    mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers(), aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
       mNextDutyCheck = aNow + kDutyCheckPeriod;
       mReplication.UpdateWatch(aNow);
@@ -670,6 +696,8 @@
   exchange_context mExchangeContext;
   caller_listener mCallerListener;
   peer_transport mPeerTransport;
+  platform_api mPlatformApi;
+  usage_driver mUsage;
   role_driver mRoleDriver;
   kj::HttpServer mReadyServer;
   http_listener mReadyListener;
--- a/packages/gateway/src/peer_transport.cpp
+++ b/packages/gateway/src/peer_transport.cpp
@@ -1,6 +1,7 @@
 #include "peer_transport_p.h"
 
 #include "quarantine_sync_p.h"
+#include "usage_driver_p.h"
 
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/log.h"
@@ -26,13 +27,15 @@
                                on_load aOnLoad,
                                on_batch aOnBatch,
                                on_announcement aOnAnnouncement,
-                               on_quarantine aOnQuarantine)
+                               on_quarantine aOnQuarantine,
+                               on_usage aOnUsage)
   : mNetwork(aNetwork)
   , mTasks(aTasks)
   , mOnLoad(std::move(aOnLoad))
   , mOnBatch(std::move(aOnBatch))
   , mOnAnnouncement(std::move(aOnAnnouncement))
   , mOnQuarantine(std::move(aOnQuarantine))
+  , mOnUsage(std::move(aOnUsage))
 {
 }
 
@@ -87,6 +90,10 @@
     mOnQuarantine(aBytes);
     return;
   }
+  if (IsUsageMessage(aBytes)) {
+    mOnUsage(aBytes);
+    return;
+  }
   if (const auto message = DecodeLoad(aBytes)) {
     mOnLoad(*message);
   } else {
--- a/packages/gateway/src/peer_transport_p.h
+++ b/packages/gateway/src/peer_transport_p.h
@@ -16,8 +16,8 @@
 
 namespace skylarkwind {
 
-/// Sends and receives load reports, load summaries, changes of stored objects and the state of the
-/// quarantine between daemons as datagrams. Loss is tolerated: the next report or summary replaces
+/// Sends and receives load reports, load summaries, changes of stored objects, the state of the
+/// quarantine and counts of requests between daemons as datagrams. Loss is tolerated: the next report or summary replaces
 /// a lost one, and a lost change is recovered by fetching a snapshot from another daemon or by a
 /// call to the store.
 class peer_transport
@@ -29,13 +29,16 @@
 
   /// Called with the bytes of a quarantine message, which may be damaged.
   using on_quarantine = std::function<void(std::string_view)>;
+  /// Called with the bytes of a usage message, which may be damaged.
+  using on_usage = std::function<void(std::string_view)>;
 
   peer_transport(kj::Network& aNetwork,
                  kj::TaskSet& aTasks,
                  on_load aOnLoad,
                  on_batch aOnBatch,
                  on_announcement aOnAnnouncement,
-                 on_quarantine aOnQuarantine);
+                 on_quarantine aOnQuarantine,
+                 on_usage aOnUsage);
 
   /// Binds the address and receives datagrams until the promise is dropped.
   kj::Promise<void> Run(std::string aAddress);
@@ -49,7 +52,7 @@
   void Send(const state_announcement& aAnnouncement,
             std::string_view aSender,
             std::span<const std::string> aAddresses);
-  /// Sends an encoded quarantine message.
+  /// Sends an encoded quarantine or usage message.
   void Send(const std::string& aBytes, std::span<const std::string> aAddresses);
 
 private:
@@ -70,6 +73,7 @@
   on_batch mOnBatch;
   on_announcement mOnAnnouncement;
   on_quarantine mOnQuarantine;
+  on_usage mOnUsage;
   fragment_reassembler mReassembler;
   std::uint64_t mLastMessageNumber = 0; ///< of the last message that was sent in fragments
   kj::Own<kj::DatagramPort> mPort;
