--- /dev/null
+++ b/packages/core/include/skylarkwind/engine_count_planner.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "skylarkwind/clock.h"
+#include "skylarkwind/forward_types.h"
+#include "skylarkwind/protocol_adapter.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace skylarkwind {
+
+/// Engines of a service in one data centre that are listed and not draining.
+struct engine_counts
+{
+  std::string mDataCentre;
+  std::uint32_t mStandard = 0;
+  std::uint32_t mReclaimable = 0;
+};
+
+/// Work of a service as all daemons together see it.
+struct engine_demand
+{
+  /// Time that engines spent on prompts in the last second, in engine-seconds per second.
+  double mPromptWork = 0;
+  /// Time that engines need for the prompts that wait, in engine-seconds.
+  double mWaitingWork = 0;
+  double mRunning = 0;      ///< requests in progress
+  std::uint32_t mSlots = 1; ///< requests that one engine runs at the same time
+};
+
+/// Plans how many engines of a service each data centre should have, from the work that they do
+/// rather than from the number of requests. It answers load with bursts that are shorter than the
+/// start of an engine: the plan follows the peak of the last half minute, adds engines at once and
+/// removes them slowly. Each plan can bear the loss of a data centre, or of all reclaimable engines
+/// of one; reclaimable engines take what can be missed.
+class engine_count_planner
+{
+public:
+  /// The orders that are due now. To be called regularly with fresh figures, also while no order
+  /// can be sent.
+  std::vector<engine_count_order> Plan(const std::string& aService,
+                                       const engine_ordering& aOrdering,
+                                       std::span<const engine_counts> aCounts,
+                                       const engine_demand& aDemand,
+                                       instant aNow);
+  /// Result of an order: the HTTP status, 0 without an answer, below 0 if not sent.
+  void OnResult(const engine_count_order& aOrder, int aStatus, instant aNow);
+  /// Forgets what was ordered, because another daemon may have ordered meanwhile.
+  void ForgetOrders() { mOrders.clear(); }
+
+  /// Engines that the work of the last half minute took at its peak, without any reserve.
+  double Needed(const std::string& aService) const;
+
+private:
+  /// The engines of one kind in one data centre.
+  struct order_state
+  {
+    std::uint32_t mOrdered = 0;           ///< as last accepted, or as found
+    bool mIsPending = false;              ///< an order is under way
+    instant mNotBefore{};                 ///< of the next order after a refusal
+    std::optional<instant> mExcessSince;  ///< more engines than wanted since then
+    std::optional<instant> mMissingSince; ///< fewer engines than ordered since then
+  };
+  struct service_state
+  {
+    /// Demand in engines by time, decreasing; the first one is the peak.
+    std::deque<std::pair<instant, double>> mPeaks;
+    std::optional<instant> mObservedSince;
+  };
+  /// Engines wanted in a data centre.
+  struct wanted_counts
+  {
+    std::uint32_t mStandard = 0;
+    std::uint32_t mReclaimable = 0;
+  };
+
+  static std::vector<wanted_counts> Distribute(const engine_ordering& aOrdering,
+                                               std::span<const engine_counts> aCounts,
+                                               double aNeeded);
+  double UpdatePeak(service_state& aState, const engine_demand& aDemand, instant aNow);
+  /// The count to order now for one kind of engines, if it differs from what is ordered.
+  std::optional<std::uint32_t> NextCount(order_state& aOrder,
+                                         std::uint32_t aListed,
+                                         std::uint32_t aWanted,
+                                         const engine_ordering& aOrdering,
+                                         bool aMayRemove,
+                                         instant aNow) const;
+
+  std::map<std::string, service_state> mServices;
+  /// By service, data centre and whether the engines are reclaimable.
+  std::map<std::tuple<std::string, std::string, bool>, order_state> mOrders;
+};
+
+} // namespace skylarkwind
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "caller_listener_p.h"
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
+#include "engine_count_driver_p.h"
 #include "http_listener_p.h"
 #include "loop_monitor_p.h"
 #include "peer_snapshots_p.h"
@@ -146,6 +147,18 @@
              [this](const std::string& aBytes, std::span<const std::string> aTo) {
                mPeerTransport.Send(aBytes, aTo);
              })
+    , mEngineCounts({ mSettings.mVm, mSettings.mLease },
+                    *mAdapter.mProtocolAdapter,
+                    mRoutes,
+                    mDirectory,
+                    mLoadTracker,
+                    mEngineModels,
+                    mLoadExchange,
+                    *mStore,
+                    mPlatformApi,
+                    mClock,
+                    mCounters,
+                    mTasks)
     , mRoleDriver(RoleSettings(mSettings),
                   *mAdapter.mProtocolAdapter,
                   mRoutes,
@@ -450,6 +463,7 @@
       mReplication.UpdateWatch(aNow);
       if (!mReplication.AwaitsPeers()) {
         mRoleDriver.OnTick(mReplication.WatchesStore(), aNow);
+        mEngineCounts.OnTick(mReplication.WatchesStore(), aNow);
       }
     }
     if (mCapacityVersions != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
@@ -698,6 +712,7 @@
   peer_transport mPeerTransport;
   platform_api mPlatformApi;
   usage_driver mUsage;
+  engine_count_driver mEngineCounts;
   role_driver mRoleDriver;
   kj::HttpServer mReadyServer;
   http_listener mReadyListener;
--- a/packages/gateway/tests/peer_transport_test.cpp
+++ b/packages/gateway/tests/peer_transport_test.cpp
@@ -46,12 +46,14 @@
                           [](const auto&) {},
                           [](const auto&) {},
                           [](const auto&) {},
+                          [](std::string_view) {},
                           [](std::string_view) {} };
     peer_transport mTo{ mContext.provider->getNetwork(),
                         mTasks,
                         [this](const load_message& aLoad) { mLoad = aLoad; },
                         [](const change_batch&) {},
                         [this](const state_announcement& aReceived) { mAnnouncement = aReceived; },
+                        [](std::string_view) {},
                         [](std::string_view) {} };
     kj::Promise<void> mReceiving = mTo.Run(kReceiver).eagerlyEvaluate(nullptr);
     kj::Promise<void> mSending = mFrom.Run(kSender).eagerlyEvaluate(nullptr);
