--- a/packages/core/include/skylarkwind/engine_count_planner.h
+++ b/packages/core/include/skylarkwind/engine_count_planner.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -53,7 +54,12 @@
                                        instant aNow);
   /// Result of an order: the HTTP status, 0 without an answer, below 0 if not sent.
   void OnResult(const engine_count_order& aOrder, int aStatus, instant aNow);
-  /// Forgets what was ordered, because another daemon may have ordered meanwhile.
+  /// Begins from the orders in the stored state of the task, since another daemon may have ordered
+  /// meanwhile.
+  void OnAcquired(std::string_view aState);
+  /// The orders that the platform has accepted, for the stored state of the task.
+  std::string State() const;
+  /// Forgets what was ordered.
   void ForgetOrders() { mOrders.clear(); }
 
   /// Engines that the work of the last half minute took at its peak, without any reserve.
@@ -63,7 +69,8 @@
   /// The engines of one kind in one data centre.
   struct order_state
   {
-    std::uint32_t mOrdered = 0;           ///< as last accepted, or as found
+    std::uint32_t mOrdered = 0;           ///< as last accepted, or as listed when that is not known
+    bool mIsKnown = false;                ///< `mOrdered` has been compared with the listed engines
     bool mIsPending = false;              ///< an order is under way
     instant mNotBefore{};                 ///< of the next order after a refusal
     std::optional<instant> mExcessSince;  ///< more engines than wanted since then
--- a/packages/core/include/skylarkwind/singleton_task.h
+++ b/packages/core/include/skylarkwind/singleton_task.h
@@ -88,6 +88,8 @@
   /// Sets the state to be stored with the next write, which this makes due. Only for a daemon that
   /// holds the task; calls that depend on the state wait until `StoredState` returns it.
   void SetState(std::string aState);
+  /// Whether a state was set that is not known to be stored.
+  bool HasNewState() const { return mWantedState && *mWantedState != mStoredState; }
   /// The state in the record as this daemon last read or wrote it. Up to date after an acquisition,
   /// i.e. when `Token` returned a value in the current `Term`.
   const std::string& StoredState() const { return mStoredState; }
--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -1,14 +1,20 @@
 #include "skylarkwind/engine_count_planner.h"
 
+#include "skylarkwind/json_text.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <numeric>
+#include <utility>
 
 namespace skylarkwind {
 
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 /// Fraction of its time that an engine may spend on prompts. With random arrivals a prompt then
@@ -177,8 +183,17 @@
 {
   std::vector<engine_count_order> due;
   auto& state = mServices[aService];
+  const auto engines =
+    std::accumulate(aCounts.begin(), aCounts.end(), 0U, [](std::uint32_t aSum, const auto& aOne) {
+      return aSum + aOne.mStandard + aOne.mReclaimable;
+    });
+  if (engines == 0) {
+    // Not listed yet, or all lost: nothing tells how many there should be.
+    return due;
+  }
   const auto needed = UpdatePeak(state, aDemand, aNow);
-  if (aCounts.empty()) {
+  if (aNow - *state.mObservedSince < aOrdering.mStartupTime) {
+    // The entries of engines that start together arrive one after another.
     return due;
   }
   const auto wanted = Distribute(aOrdering, aCounts, needed);
@@ -196,10 +211,10 @@
                         withoutReserve - std::min(withoutReserve, listed.mReclaimable)));
     const auto enoughReclaimable = listed.mReclaimable >= wanted[i].mReclaimable;
     const auto order = [&](bool aReclaimable, std::uint32_t aListed, std::uint32_t aWanted) {
-      auto [found, isNew] = mOrders.try_emplace({ aService, listed.mDataCentre, aReclaimable });
-      auto& one = found->second;
-      if (isNew) {
-        one.mOrdered = aListed;
+      auto& one = mOrders[{ aService, listed.mDataCentre, aReclaimable }];
+      if (!std::exchange(one.mIsKnown, true)) {
+        // The stored orders may lack the last one. The larger number removes no engine by mistake.
+        one.mOrdered = std::max(one.mOrdered, aListed);
       }
       // Standard engines go only when the reclaimable ones that take over are there.
       const bool removes = mayRemove && (aReclaimable || enoughReclaimable);
@@ -217,6 +232,35 @@
   return due;
 }
 
+std::string
+engine_count_planner::State() const
+{
+  auto orders = json::array();
+  for (const auto& [key, order] : mOrders) {
+    const auto& [service, dataCentre, isReclaimable] = key;
+    orders.push_back({ service, dataCentre, isReclaimable, order.mOrdered });
+  }
+  return orders.dump();
+}
+
+void
+engine_count_planner::OnAcquired(std::string_view aState)
+{
+  mOrders.clear();
+  const auto orders = ParseUntrustedJson(aState);
+  constexpr std::size_t kMembers = 4;
+  if (!orders.is_array()) {
+    return;
+  }
+  for (const auto& order : orders) {
+    if (order.is_array() && order.size() == kMembers && order[0].is_string() &&
+        order[1].is_string() && order[2].is_boolean() && order[3].is_number_unsigned()) {
+      mOrders[{ order[0].get<std::string>(), order[1].get<std::string>(), order[2].get<bool>() }]
+        .mOrdered = Ceil(order[3].get<double>());
+    }
+  }
+}
+
 void
 engine_count_planner::OnResult(const engine_count_order& aOrder, int aStatus, instant aNow)
 {
--- a/packages/core/src/singleton_task.cpp
+++ b/packages/core/src/singleton_task.cpp
@@ -97,8 +97,7 @@
     return std::nullopt;
   }
   const bool acts = aRank == 0 && aDue;
-  const bool hasNewState = mWantedState && *mWantedState != mStoredState;
-  if (acts && (!Token(aNow) || hasNewState) && MayWrite(aNow)) {
+  if (acts && (!Token(aNow) || HasNewState()) && MayWrite(aNow)) {
     return MakeWrite(aNow);
   }
   if (Token(aNow) || aNow - mReadAt < (acts ? kReadPeriod : kIdleReadPeriod)) {
--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -137,7 +137,8 @@
   // The daemon that stands by plans too, so that it knows the peaks when it takes over.
   auto orders = PlanAll(aNow);
   auto& task = mRunner.Task();
-  mRunner.OnTick(rank, rank == 0 && !(orders.empty() && mWaiting.empty()), aNow);
+  const bool isDue = task.HasNewState() || !orders.empty() || !mWaiting.empty();
+  mRunner.OnTick(rank, rank == 0 && isDue, aNow);
   if (rank != 0) {
     mPlanner.ForgetOrders();
     mWaiting.clear();
@@ -150,7 +151,7 @@
   }
   if (std::exchange(mTerm, task.Term()) != task.Term()) {
     // Another daemon may have ordered since these were planned.
-    mPlanner.ForgetOrders();
+    mPlanner.OnAcquired(task.StoredState());
     mWaiting.clear();
     return;
   }
@@ -179,6 +180,9 @@
          "status=\"" + std::to_string(aStatus) + '"')
     .Add();
   mPlanner.OnResult(aOrder, aStatus, mClock.Now());
+  if (mTerm == mRunner.Task().Term()) {
+    mRunner.Task().SetState(mPlanner.State());
+  }
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -457,7 +457,8 @@
     mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
     mQuarantineSync.OnTick(mDirectory.Size(), aNow);
-    mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers(), aNow);
+    mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers() && mReplication.WatchesStore(),
+                  aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
       mNextDutyCheck = aNow + kDutyCheckPeriod;
       mReplication.UpdateWatch(aNow);
--- a/packages/gateway/src/usage_driver.cpp
+++ b/packages/gateway/src/usage_driver.cpp
@@ -55,12 +55,11 @@
       counts.push_back(count.mAccount);
       counts.push_back(count.mRequests);
     }
-    messages.push_back(
-      kUsageTag + ToCbor(json::array({ aMessage.mSender,
-                                       aMessage.mStart,
-                                       aMessage.mDataCentre,
-                                       aMessage.mIsSum,
-                                       std::move(counts) })));
+    messages.push_back(kUsageTag + ToCbor(json::array({ aMessage.mSender,
+                                                        aMessage.mStart,
+                                                        aMessage.mDataCentre,
+                                                        aMessage.mIsSum,
+                                                        std::move(counts) })));
   } while (next < aMessage.mCounts.size());
   return messages;
 }
@@ -143,7 +142,7 @@
 }
 
 void
-usage_driver::OnTick(bool aActs, instant aNow)
+usage_driver::OnTick(bool aMayReport, instant aNow)
 {
   if (!IsOn()) {
     return;
@@ -157,7 +156,7 @@
     mCounter.DropBefore(first);
     mCollector.DropBefore(first);
   }
-  if (aActs && mApi.IsConfigured()) {
+  if (aMayReport && mApi.IsConfigured()) {
     Report(aNow);
   }
 }
@@ -182,12 +181,9 @@
       }
     }
   };
-  usage_message own{
-    self.mName, self.mStart, self.mDataCentre, false, mCounter.CountsFrom(first)
-  };
+  usage_message own{ self.mName, self.mStart, self.mDataCentre, false, mCounter.CountsFrom(first) };
   mCollector.OnMessage(own);
-  sendTo(own,
-         members.Preferred(self.mDataCentre, fleet_members::kCollectorsPerDataCentre, aNow));
+  sendTo(own, members.Preferred(self.mDataCentre, fleet_members::kCollectorsPerDataCentre, aNow));
   if (members.IsPreferred(fleet_members::kCollectorsPerDataCentre, aNow)) {
     auto reporting = members.DutyCandidates(aNow);
     reporting.resize(std::min(reporting.size(), kSumReceivers));
@@ -257,22 +253,21 @@
     return;
   }
   const auto number = window->mWindow;
-  mTasks.add(
-    mApi.Call(mProtocolAdapter.UsageRequest(*window, mSettings.mTask.mSelf, *token))
-      .then([this, number, term = mTerm, accounts = window->mCounts.size()](int aStatus) {
-        mCounters
-          .Get("skylarkwind_usage_reports_total",
-               "Usage reports that were sent, by the status of their response.",
-               "status=\"" + std::to_string(aStatus) + '"')
-          .Add();
-        Log(log_level::Info,
-            "usage",
-            "sent window=" + std::to_string(number) + " accounts=" + std::to_string(accounts) +
-              " status=" + std::to_string(aStatus));
-        if (term == mTerm) {
-          mReporter.OnSent(number, aStatus, mClock.Now());
-        }
-      }));
+  mTasks.add(mApi.Call(mProtocolAdapter.UsageRequest(*window, mSettings.mTask.mSelf, *token))
+               .then([this, number, term = mTerm, accounts = window->mCounts.size()](int aStatus) {
+                 mCounters
+                   .Get("skylarkwind_usage_reports_total",
+                        "Usage reports that were sent, by the status of their response.",
+                        "status=\"" + std::to_string(aStatus) + '"')
+                   .Add();
+                 Log(log_level::Info,
+                     "usage",
+                     "sent window=" + std::to_string(number) + " accounts=" +
+                       std::to_string(accounts) + " status=" + std::to_string(aStatus));
+                 if (term == mTerm) {
+                   mReporter.OnSent(number, aStatus, mClock.Now());
+                 }
+               }));
 }
 
 } // namespace skylarkwind
--- a/packages/gateway/src/usage_driver_p.h
+++ b/packages/gateway/src/usage_driver_p.h
@@ -52,8 +52,9 @@
   void OnRequestBegan(std::string_view aAccount);
   /// Takes a message of another daemon, which may be damaged.
   void OnMessage(std::string_view aBytes);
-  /// `aActs`: whether this daemon may report, which one that stops does not.
-  void OnTick(bool aActs, instant aNow);
+  /// `aMayReport`: whether this daemon may report; one that stops, or does not watch the store,
+  /// does not.
+  void OnTick(bool aMayReport, instant aNow);
 
 private:
   bool IsOn() const { return mSettings.mWindow.count() > 0; }
@@ -78,8 +79,8 @@
   usage_collector mCollector;
   usage_reporter mReporter;
   task_runner mRunner;
-  std::uint64_t mTerm = 0;             ///< of the task, whose state the reporter has begun from
-  std::uint64_t mNamesVersion = 0;     ///< of the configuration whose accounts are known
+  std::uint64_t mTerm = 0;         ///< of the task, whose state the reporter has begun from
+  std::uint64_t mNamesVersion = 0; ///< of the configuration whose accounts are known
   std::map<account_key, std::string> mNames; ///< also of accounts that were removed
   instant mExchangedAt{};
 };
