--- a/packages/core/include/skylarkwind/engine_count_planner.h
+++ b/packages/core/include/skylarkwind/engine_count_planner.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -38,10 +37,11 @@
 };
 
 /// Plans how many engines of a service each data centre should have, from the work that they do
-/// rather than from the number of requests. It answers load with bursts that are shorter than the
-/// start of an engine: the plan follows the peak of the last half minute, adds engines at once and
-/// removes them slowly. Each plan can bear the loss of a data centre, or of all reclaimable engines
-/// of one; reclaimable engines take what can be missed.
+/// rather than from the number of requests. It answers load with bursts that recur: the plan
+/// follows the slowly decaying peak of the demand, adds engines at once and removes them slowly.
+/// Bursts that are shorter than the start of an engine cannot be answered by orders, so the demand
+/// is a mean over a part of that time, and the reserve bears them. Each plan can bear the loss of a
+/// data centre, or of all reclaimable engines of one; reclaimable engines take what can be missed.
 class engine_count_planner
 {
 public:
@@ -62,7 +62,7 @@
   /// Forgets what was ordered.
   void ForgetOrders() { mOrders.clear(); }
 
-  /// Engines that the work of the last half minute took at its peak, without any reserve.
+  /// Engines that the work needs, by the decaying peak of the demand, without any reserve.
   double Needed(const std::string& aService) const;
 
 private:
@@ -78,8 +78,9 @@
   };
   struct service_state
   {
-    /// Demand in engines by time, decreasing; the first one is the peak.
-    std::deque<std::pair<instant, double>> mPeaks;
+    double mMeanDemand = 0; ///< in engines, over about half of a start-up time
+    double mNeeded = 0;     ///< decaying peak of the mean
+    instant mUpdatedAt{};
     std::optional<instant> mObservedSince;
   };
   /// Engines wanted in a data centre.
@@ -92,7 +93,10 @@
   static std::vector<wanted_counts> Distribute(const engine_ordering& aOrdering,
                                                std::span<const engine_counts> aCounts,
                                                double aNeeded);
-  double UpdatePeak(service_state& aState, const engine_demand& aDemand, instant aNow);
+  static void UpdateNeed(service_state& aState,
+                         const engine_ordering& aOrdering,
+                         const engine_demand& aDemand,
+                         instant aNow);
   /// The count to order now for one kind of engines, if it differs from what is ordered.
   std::optional<std::uint32_t> NextCount(order_state& aOrder,
                                          std::uint32_t aListed,
--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -26,8 +26,9 @@
 constexpr double kWaitingDrainS = 1;
 /// Fraction of the slots of an engine that requests in progress may use.
 constexpr double kSlotFraction = 0.4;
-/// Time for which a peak of the demand counts. Bursts of some seconds recur several times in it.
-constexpr std::chrono::seconds kPeakTime{ 30 };
+/// Time constant of the decay of a peak. Bursts that recur within some tens of seconds keep their
+/// engines.
+constexpr std::chrono::duration<double> kPeakDecay{ 20 };
 /// Engines are removed only when fewer have been enough for this many start-up times, since one
 /// that is needed again is missing for one of them.
 constexpr int kStableStartups = 3;
@@ -67,29 +68,28 @@
 
 } // namespace
 
-double
-engine_count_planner::UpdatePeak(service_state& aState, const engine_demand& aDemand, instant aNow)
+void
+engine_count_planner::UpdateNeed(service_state& aState,
+                                 const engine_ordering& aOrdering,
+                                 const engine_demand& aDemand,
+                                 instant aNow)
 {
-  aState.mObservedSince = aState.mObservedSince.value_or(aNow);
-  const auto demand = DemandInEngines(aDemand);
-  auto& peaks = aState.mPeaks;
-  while (!peaks.empty() && aNow - peaks.front().first > kPeakTime) {
-    peaks.pop_front();
-  }
-  while (!peaks.empty() && peaks.back().second <= demand) {
-    peaks.pop_back();
+  if (!aState.mObservedSince) {
+    aState.mObservedSince = aNow;
+    aState.mUpdatedAt = aNow;
   }
-  peaks.emplace_back(aNow, demand);
-  return peaks.front().second;
+  const std::chrono::duration<double> passed = aNow - std::exchange(aState.mUpdatedAt, aNow);
+  const std::chrono::duration<double> meanTime = aOrdering.mStartupTime / 2;
+  const auto weight = meanTime.count() > 0 ? 1 - std::exp(-passed / meanTime) : 1;
+  aState.mMeanDemand += weight * (DemandInEngines(aDemand) - aState.mMeanDemand);
+  aState.mNeeded = std::max(aState.mMeanDemand, aState.mNeeded * std::exp(-passed / kPeakDecay));
 }
 
 double
 engine_count_planner::Needed(const std::string& aService) const
 {
   const auto found = mServices.find(aService);
-  return found == mServices.end() || found->second.mPeaks.empty()
-           ? 0
-           : found->second.mPeaks.front().second;
+  return found == mServices.end() ? 0 : found->second.mNeeded;
 }
 
 std::vector<engine_count_planner::wanted_counts>
@@ -150,7 +150,7 @@
   } else {
     aOrder.mMissingSince = aOrder.mMissingSince.value_or(aNow);
   }
-  if (aWanted >= aOrder.mOrdered || !aMayRemove) {
+  if (aWanted >= aOrder.mOrdered) {
     aOrder.mExcessSince.reset();
   } else {
     aOrder.mExcessSince = aOrder.mExcessSince.value_or(aNow);
@@ -161,7 +161,7 @@
   if (aWanted > aOrder.mOrdered) {
     return aWanted;
   }
-  if (aOrder.mExcessSince &&
+  if (aMayRemove && aOrder.mExcessSince &&
       aNow - *aOrder.mExcessSince >= kStableStartups * aOrdering.mStartupTime) {
     const auto step = std::max(1U, static_cast<std::uint32_t>(kRemovedFraction * aOrder.mOrdered));
     return std::max(aWanted, aOrder.mOrdered - std::min(aOrder.mOrdered, step));
@@ -191,7 +191,8 @@
     // Not listed yet, or all lost: nothing tells how many there should be.
     return due;
   }
-  const auto needed = UpdatePeak(state, aDemand, aNow);
+  UpdateNeed(state, aOrdering, aDemand, aNow);
+  const auto needed = state.mNeeded;
   if (aNow - *state.mObservedSince < aOrdering.mStartupTime) {
     // The entries of engines that start together arrive one after another.
     return due;
--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -113,7 +113,7 @@
     }
     mCounters
       .Get("skylarkwind_engines_needed",
-           "Engines that the work of the last half minute took at its peak.",
+           "Engines that the work needs, by the decaying peak of the demand.",
            "service=\"" + service.mName + '"',
            counter_kind::Gauge)
       .Set(static_cast<std::int64_t>(mPlanner.Needed(service.mName)));
