--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -99,9 +99,11 @@
 {
   const auto sites = aCounts.size();
   std::vector<wanted_counts> wanted(sites);
-  // All data centres but one have enough.
-  const auto withReserve = sites > 1 ? aNeeded / static_cast<double>(sites - 1)
-                                     : aNeeded * kMaxBusyFraction / kBusyFraction;
+  // Without one data centre, the others can serve the need while they are busier than usual.
+  constexpr double kMaxBusyRatio = kBusyFraction / kMaxBusyFraction;
+  const auto count = static_cast<double>(sites);
+  const auto withReserve =
+    sites > 1 ? std::max(aNeeded / count, aNeeded * kMaxBusyRatio / (count - 1)) : aNeeded;
   const auto perSite = std::clamp(std::max(Ceil(withReserve), kMinPerDataCentre),
                                   aOrdering.mMinEngines,
                                   std::max(aOrdering.mMinEngines, aOrdering.mMaxEngines));
@@ -113,8 +115,8 @@
   }
   // The standard engines alone can serve the need while they are busier than usual, so that the
   // loss of reclaimable engines in all data centres is borne.
-  const auto standard = std::max(Ceil(aNeeded * kBusyFraction / kMaxBusyFraction),
-                                 kMinPerDataCentre * static_cast<std::uint32_t>(sites));
+  const auto standard =
+    std::max(Ceil(aNeeded * kMaxBusyRatio), kMinPerDataCentre * static_cast<std::uint32_t>(sites));
   const auto most =
     std::max(kMinPerDataCentre, std::min(perSite, Ceil(kMaxStandardShare * standard)));
   std::vector<std::size_t> byPrice(sites);
