--- a/packages/core/include/skylarkwind/engine_count_planner.h
+++ b/packages/core/include/skylarkwind/engine_count_planner.h
@@ -82,6 +82,7 @@
     double mNeeded = 0;     ///< decaying peak of the mean
     instant mUpdatedAt{};
     std::optional<instant> mObservedSince;
+    std::optional<instant> mLoadedSince; ///< first request; a service without any shows nothing
   };
   /// Engines wanted in a data centre.
   struct wanted_counts
--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -26,12 +26,15 @@
 constexpr double kWaitingDrainS = 1;
 /// Fraction of the slots of an engine that requests in progress may use.
 constexpr double kSlotFraction = 0.4;
-/// Time constant of the decay of a peak. Bursts that recur within some tens of seconds keep their
+/// Time constant of the decay of a peak, in start-up times. An engine that is removed and needed
+/// again is missing for one of them, so bursts that recur within a few keep their engines.
+constexpr int kPeakDecayStartups = 3;
+/// Start-up times with requests after which the bursts of a service are known well enough to remove
 /// engines.
-constexpr std::chrono::duration<double> kPeakDecay{ 20 };
-/// Engines are removed only when fewer have been enough for this many start-up times, since one
-/// that is needed again is missing for one of them.
-constexpr int kStableStartups = 3;
+constexpr int kLearnStartups = 3;
+/// Engines are removed only when fewer have been enough for this many start-up times, so that the
+/// effect of the last change is seen before the next one.
+constexpr int kStableStartups = 1;
 /// Of the engines of a kind in a data centre, at most this fraction is removed in one step.
 constexpr double kRemovedFraction = 0.15;
 constexpr milliseconds kRemovalPeriod{ 2'000 };
@@ -78,11 +81,16 @@
     aState.mObservedSince = aNow;
     aState.mUpdatedAt = aNow;
   }
+  if (!aState.mLoadedSince && aDemand.mRunning > 0) {
+    aState.mLoadedSince = aNow;
+  }
   const std::chrono::duration<double> passed = aNow - std::exchange(aState.mUpdatedAt, aNow);
   const std::chrono::duration<double> meanTime = aOrdering.mStartupTime / 2;
+  const std::chrono::duration<double> peakDecay =
+    kPeakDecayStartups * std::max(aOrdering.mStartupTime, milliseconds{ 1 });
   const auto weight = meanTime.count() > 0 ? 1 - std::exp(-passed / meanTime) : 1;
   aState.mMeanDemand += weight * (DemandInEngines(aDemand) - aState.mMeanDemand);
-  aState.mNeeded = std::max(aState.mMeanDemand, aState.mNeeded * std::exp(-passed / kPeakDecay));
+  aState.mNeeded = std::max(aState.mMeanDemand, aState.mNeeded * std::exp(-passed / peakDecay));
 }
 
 double
@@ -200,8 +208,8 @@
     return due;
   }
   const auto wanted = Distribute(aOrdering, aCounts, needed);
-  // Below this, nothing is known yet of bursts that recur.
-  const bool mayRemove = aNow - *state.mObservedSince >= kStableStartups * aOrdering.mStartupTime;
+  const bool mayRemove =
+    state.mLoadedSince && aNow - *state.mLoadedSince >= kLearnStartups * aOrdering.mStartupTime;
   const auto withoutReserve = Ceil(needed / static_cast<double>(aCounts.size()));
   for (std::size_t i = 0; i < aCounts.size(); ++i) {
     const auto& listed = aCounts[i];
--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -86,9 +86,12 @@
     if (aServer.mService == aService.mName) {
       const auto view = mLoadTracker.View(aServer.mId, aNow);
       demand.mRunning += view.mRunning;
-      demand.mWaitingWork += view.mWaitingTokens * secondsPerToken;
-      demand.mPromptWork +=
-        mLoadTracker.FinishedTokens(aServer.mId, aNow - kDemandTime) * secondsPerToken;
+      // Requests of a daemon that ended count as finished, and those at a server that cannot be
+      // reached as waiting. An engine has no more than one second of work in a second.
+      demand.mWaitingWork +=
+        view.mAdmits ? std::min(1.0, view.mWaitingTokens * secondsPerToken) : 0;
+      demand.mPromptWork += std::min(
+        1.0, mLoadTracker.FinishedTokens(aServer.mId, aNow - kDemandTime) * secondsPerToken);
     }
   });
   return demand;
