--- a/packages/gateway/src/exchange_ends.cpp
+++ b/packages/gateway/src/exchange_ends.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -54,6 +55,9 @@
 kj::Promise<void>
 exchange::Finish(server_answer aEnd)
 {
+  if (mRoute->mKind != route_kind::Streaming) {
+    CountUsage();
+  }
   LogOutcome("answered", "status " + std::to_string(aEnd.mStatus));
   return Reply(static_cast<unsigned int>(aEnd.mStatus), aEnd.mHeaders, std::move(aEnd.mBody));
 }
@@ -62,7 +66,12 @@
 exchange::Finish(const request_rejected& aEnd)
 {
   LogOutcome("failed", std::to_string(aEnd.mStatus) + " " + aEnd.mReason);
-  return Reply(aEnd.mStatus, {}, aEnd.mReason + '\n');
+  constexpr unsigned int kUnauthorized = 401;
+  header_list headers;
+  if (aEnd.mStatus == kUnauthorized) {
+    headers.emplace_back("WWW-Authenticate", "ApiKey");
+  }
+  return Reply(aEnd.mStatus, headers, aEnd.mReason + '\n');
 }
 
 kj::Promise<void>
@@ -72,6 +81,9 @@
     return BreakStream(aEnd.mReason);
   }
   if (MayHaveExecuted()) {
+    if (mRoute != nullptr && mRoute->mKind != route_kind::Streaming) {
+      CountUsage();
+    }
     LogOutcome("failed", std::to_string(aEnd.mFailureStatus) + " " + aEnd.mReason);
     return Reply(aEnd.mFailureStatus, {}, aEnd.mReason + '\n');
   }
@@ -82,6 +94,14 @@
                "the request has not run\n");
 }
 
+void
+exchange::CountUsage()
+{
+  if (mAccount != nullptr && !std::exchange(mIsCounted, true) && mContext.mOnRequestBegan) {
+    mContext.mOnRequestBegan(mAccount->mName);
+  }
+}
+
 kj::Promise<void>
 exchange::Finish(const caller_left&)
 {
@@ -156,6 +176,9 @@
   text += " backend=" + mAttempt->mTarget.mId;
   text += " route=";
   text += mRoute != nullptr ? mRoute->mName : "-";
+  if (mAccount != nullptr) {
+    text += " account=" + mAccount->mName;
+  }
   text += " version=" + std::to_string(mConfiguration ? mConfiguration->mVersion : 0);
   const auto since = [this](instant aFrom, instant aTo) {
     return std::to_string(std::chrono::duration_cast<milliseconds>(aTo - aFrom).count());
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -24,6 +24,7 @@
 #include <kj/compat/http.h>
 #include <kj/timer.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -110,6 +111,8 @@
   prompt_quarantine& mQuarantine;
   crash_detector& mCrashDetector;
   repeated_signal& mQuarantined; ///< a part of a prompt has been quarantined
+  /// Called once for each request of an account that a server has begun to run; may be empty.
+  std::function<void(const std::string& aAccount)> mOnRequestBegan = {};
 };
 
 /// Ends of an exchange, as far as servers and the caller decide them.
@@ -174,6 +177,11 @@
   kj::Promise<exchange_end> RouteAndForward();
   /// The end of a request that holds a quarantined part; empty if it may be sent.
   std::optional<exchange_end> RejectQuarantined();
+  /// Finds the account whose key the caller sent. Rejects a request without a known key on a route
+  /// that needs one.
+  std::optional<exchange_end> RejectUnknownKey();
+  /// Counts the request for the usage of its account, once, when a server has begun to run it.
+  void CountUsage();
   /// Resolves when a part of the request's prompt is quarantined, wherever the request is then.
   kj::Promise<exchange_end> WhenQuarantined();
   /// Places the request and sends it to the chosen server.
@@ -314,7 +322,7 @@
   /// From 0, the most urgent, to 9.
   std::uint32_t EnginePriority() const;
   /// Builds the request to a server; its body is a view of the buffered body of this exchange.
-  http_call BuildCall(const backend_server& aServer, const forward_attempt& aAttempt) const;
+  http_call BuildCall(const backend_server& aServer, forward_attempt aAttempt) const;
   /// Ends the load accounting of the open attempt, if there is one.
   void CloseAttempt(backend_outcome aOutcome) { CloseAttempt(*mAttempt, aOutcome); }
   void CloseAttempt(backend_attempt& aAttempt, backend_outcome aOutcome);
@@ -338,6 +346,8 @@
   std::shared_ptr<const forward_configuration> mConfiguration;
   const forward_route* mRoute = nullptr;
   const forward_service* mService = nullptr;
+  const client_account* mAccount = nullptr; ///< of `mConfiguration`; null without a known key
+  bool mIsCounted = false;                  ///< in the usage of the account
 
   std::vector<std::string> mExcludedServers; ///< ids of servers not to be tried again
   std::optional<instant> mPrefixWaitSince;   ///< since when it waits for its prefix
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "caller_listener_p.h"
 #include "counting_store_p.h"
 #include "daemon_registry_p.h"
+#include "engine_count_driver_p.h"
 #include "http_listener_p.h"
 #include "loop_monitor_p.h"
 #include "peer_snapshots_p.h"
@@ -12,6 +13,7 @@
 #include "role_driver_p.h"
 #include "shutdown_sequence_p.h"
 #include "store_replication_p.h"
+#include "usage_driver_p.h"
 
 #include "skylarkwind/falling_limit.h"
 #include "skylarkwind/hash.h"
@@ -49,6 +51,10 @@
 /// the desired ones.
 constexpr milliseconds kDutyCheckPeriod{ 200 };
 
+/// Tasks that call the platform's API, usage reports and engine orders. Each may be held by another
+/// daemon and gets its share of the calls that the fleet may make.
+constexpr double kPlatformCallers = 2;
+
 class kj_gateway final
   : public gateway
   , private kj::TaskSet::ErrorHandler
@@ -69,6 +75,7 @@
     , mPool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
     , mStorePool(aContext.provider->getNetwork(), mTimer, aClock, mTable, http_pool_settings{})
     , mStore(std::make_unique<counting_store>(mAdapter.mCreateStore(mStorePool, mTimer), mCounters))
+    , mRoutes(RandomBits())
     , mDirectory(DirectorySettings(mSettings))
     , mLoadTracker(backend_load_tracker_settings{})
     , mEngineModels(mSettings.mPrefillTokensPerMs)
@@ -109,7 +116,8 @@
                         mShutdown,
                         mQuarantine,
                         mCrashDetector,
-                        mQuarantined }
+                        mQuarantined,
+                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); } }
     , mCallerListener(mExchangeContext)
     , mPeerTransport(
         aContext.provider->getNetwork(),
@@ -119,7 +127,38 @@
         [this](const state_announcement& aAnnouncement) {
           mReplication.OnAnnouncement(aAnnouncement);
         },
-        [this](std::string_view aBytes) { OnQuarantineMessage(aBytes); })
+        [this](std::string_view aBytes) { OnQuarantineMessage(aBytes); },
+        [this](std::string_view aBytes) { mUsage.OnMessage(aBytes); })
+    , mPlatformApi(mSettings.mPlatformApiAddress,
+                   mSettings.mPlatformCallsPerS / kPlatformCallers,
+                   mStorePool,
+                   mTimer,
+                   mClock,
+                   mCounters)
+    , mUsage({ mSettings.mUsageWindow, { mSettings.mVm, mSettings.mLease } },
+             *mAdapter.mProtocolAdapter,
+             mRoutes,
+             mLoadExchange,
+             *mStore,
+             mPlatformApi,
+             mClock,
+             mCounters,
+             mTasks,
+             [this](const std::string& aBytes, std::span<const std::string> aTo) {
+               mPeerTransport.Send(aBytes, aTo);
+             })
+    , mEngineCounts({ mSettings.mVm, mSettings.mLease },
+                    *mAdapter.mProtocolAdapter,
+                    mRoutes,
+                    mDirectory,
+                    mLoadTracker,
+                    mEngineModels,
+                    mLoadExchange,
+                    *mStore,
+                    mPlatformApi,
+                    mClock,
+                    mCounters,
+                    mTasks)
     , mRoleDriver(RoleSettings(mSettings),
                   *mAdapter.mProtocolAdapter,
                   mRoutes,
@@ -209,10 +248,14 @@
     self.mAddress = aSettings.mPeerAddress;
     self.mDataCentre = aSettings.mDataCentre;
     self.mCpuMillicores = aSettings.mCpuMillicores;
-    std::random_device random;
-    self.mStart = std::uint64_t{ random() } << 32U | random();
+    self.mStart = RandomBits();
     return self;
   }
+  static std::uint64_t RandomBits()
+  {
+    std::random_device random;
+    return std::uint64_t{ random() } << 32U | random();
+  }
   static directory_settings DirectorySettings(const gateway_settings& aSettings)
   {
     directory_settings settings;
@@ -299,7 +342,11 @@
       Log(log_level::Info,
           "configuration",
           "applied version=" + std::to_string(version) + " routes=" + std::to_string(routes) +
-            " bytes=" + std::to_string(aChange.mObject.mValue.size()));
+            " bytes=" + std::to_string(aChange.mObject.mValue.size()) +
+            " keys=" + std::to_string(mRoutes.Accounts().KeyCount()));
+      for (const auto& problem : mRoutes.Accounts().Problems()) {
+        Log(log_level::Error, "configuration", problem);
+      }
     }
   }
 
@@ -410,11 +457,14 @@
     mCallerListener.CloseIdle(limits, aNow);
     ExchangeLoad(aNow);
     mQuarantineSync.OnTick(mDirectory.Size(), aNow);
+    mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers() && mReplication.WatchesStore(),
+                  aNow);
     if (!mStoppingSince && (mReplication.AwaitsPeers() || aNow >= mNextDutyCheck)) {
       mNextDutyCheck = aNow + kDutyCheckPeriod;
       mReplication.UpdateWatch(aNow);
       if (!mReplication.AwaitsPeers()) {
         mRoleDriver.OnTick(mReplication.WatchesStore(), aNow);
+        mEngineCounts.OnTick(mReplication.WatchesStore(), aNow);
       }
     }
     if (mCapacityVersions != std::pair{ mRoutes.Version(), mDirectory.Revision() }) {
@@ -661,6 +711,9 @@
   exchange_context mExchangeContext;
   caller_listener mCallerListener;
   peer_transport mPeerTransport;
+  platform_api mPlatformApi;
+  usage_driver mUsage;
+  engine_count_driver mEngineCounts;
   role_driver mRoleDriver;
   kj::HttpServer mReadyServer;
   http_listener mReadyListener;
