--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds kQuarantineRetryAfter{ 30'000 };
 /// A prefilled prompt is offered to this many further decode engines before it is computed again.
 constexpr std::uint32_t kMaxKvOffers = 2;
+/// How long a request waits for the configuration after the start of the daemon. Other daemons
+/// send it within half a second; a caller that is refused meanwhile uses up a retry.
+constexpr milliseconds kStartWait{ 600 };
 /// Bounds of one wait for a shared prefix that is being computed for another request.
 constexpr milliseconds kMinPrefixWait{ 10 };
 constexpr milliseconds kMaxPrefixWait{ 300 };
@@ -133,6 +136,9 @@
     return exchange_end{ no_answer{ "the daemon stops" } };
   }
   mBodyComplete = true;
+  if (mContext.mIsStarting && mContext.mIsStarting() && !std::exchange(mHasAwaitedStart, true)) {
+    return AwaitStart();
+  }
   // The configuration may have changed while the body was read; the current one applies.
   mConfiguration = mContext.mRoutes.Current();
   if (!mConfiguration) {
@@ -170,6 +176,16 @@
     .exclusiveJoin(WhenQuarantined());
 }
 
+kj::Promise<exchange_end>
+exchange::AwaitStart()
+{
+  return mContext.mStarted->Wait()
+    .exclusiveJoin(mContext.mTimer.afterDelay(ToKj(kStartWait)))
+    .then([this] { return RouteAndForward(); })
+    .exclusiveJoin(
+      mConnection.WhenPeerCloses().then([]() -> exchange_end { return caller_left{}; }));
+}
+
 std::optional<exchange_end>
 exchange::RejectUnknownKey()
 {
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -113,6 +113,9 @@
   repeated_signal& mQuarantined; ///< a part of a prompt has been quarantined
   /// Called once for each request of an account that a server has begun to run; may be empty.
   std::function<void(const std::string& aAccount)> mOnRequestBegan = {};
+  /// Whether the configuration or the servers are not known yet after the start; may be empty.
+  std::function<bool()> mIsStarting = {};
+  repeated_signal* mStarted = nullptr; ///< notified when both are known
 };
 
 /// Ends of an exchange, as far as servers and the caller decide them.
@@ -177,6 +180,9 @@
   kj::Promise<exchange_end> RouteAndForward();
   /// The end of a request that holds a quarantined part; empty if it may be sent.
   std::optional<exchange_end> RejectQuarantined();
+  /// Waits for the configuration and the servers of a daemon that has just started; resolves with
+  /// the end of the request.
+  kj::Promise<exchange_end> AwaitStart();
   /// Finds the account whose key the caller sent. Rejects a request without a known key on a route
   /// that needs one.
   std::optional<exchange_end> RejectUnknownKey();
@@ -347,7 +353,8 @@
   const forward_route* mRoute = nullptr;
   const forward_service* mService = nullptr;
   const client_account* mAccount = nullptr; ///< of `mConfiguration`; null without a known key
-  bool mIsCounted = false;                  ///< in the usage of the account
+  bool mHasAwaitedStart = false;
+  bool mIsCounted = false; ///< in the usage of the account
 
   std::vector<std::string> mExcludedServers; ///< ids of servers not to be tried again
   std::optional<instant> mPrefixWaitSince;   ///< since when it waits for its prefix
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -117,7 +117,9 @@
                         mQuarantine,
                         mCrashDetector,
                         mQuarantined,
-                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); } }
+                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); },
+                        [this] { return !mHasStarted; },
+                        &mStarted }
     , mCallerListener(mExchangeContext)
     , mPeerTransport(
         aContext.provider->getNetwork(),
@@ -455,6 +457,10 @@
     }
     mCallerListener.SetMaxHeadBytes(mHeadBytesLimit.At(aNow));
     mCallerListener.CloseIdle(limits, aNow);
+    if (!mHasStarted && mRoutes.Version() > 0 && mReplication.ServersListed()) {
+      mHasStarted = true;
+      mStarted.Notify();
+    }
     ExchangeLoad(aNow);
     mQuarantineSync.OnTick(mDirectory.Size(), aNow);
     mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers() && mReplication.WatchesStore(),
@@ -703,6 +709,8 @@
   kj::TaskSet mTasks;
   repeated_signal mPrefixUpdates;
   repeated_signal mQuarantined;
+  repeated_signal mStarted; ///< the configuration and the servers are known
+  bool mHasStarted = false; ///< notified
   byte_budget mResponseBodies{ kMaxBufferedBodyBytes };
   byte_budget mRequestBodies{ kMaxBufferedBodyBytes };
   shutdown_signal mShutdown;
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -329,6 +329,7 @@
   kj::TaskSet mTasks;
   repeated_signal mPrefixUpdates;
   repeated_signal mQuarantined;
+  repeated_signal mStarted;
   byte_budget mResponseBodies{ 1'024 * 1'024 };
   byte_budget mRequestBodies{ 1'024 * 1'024 };
   shutdown_signal mShutdown;
--- a/packages/gateway/tests/exchange_test.cpp
+++ b/packages/gateway/tests/exchange_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(EndOfServiceLeavesBegunStreams);
   CPPUNIT_TEST(BegunStreamTakesNoTextOfAnotherType);
   CPPUNIT_TEST(StreamIsResumedWithAnEqualMediaType);
+  CPPUNIT_TEST(RequestWaitsForTheStart);
+  CPPUNIT_TEST(WaitForTheStartIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Request(const std::string& aRoute)
@@ -62,6 +64,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mListener.OpenRequests());
   }
 
+  /// Guards against refusals of requests that arrive in the first moments after the start, for
+  /// which callers use up their retry.
+  void RequestWaitsForTheStart()
+  {
+    exchange_fixture fixture;
+    bool isStarting = true;
+    fixture.mContext.mIsStarting = [&isStarting] { return isStarting; };
+    fixture.mContext.mStarted = &fixture.mStarted;
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, Request("order"));
+    fixture.Advance(milliseconds{ 400 });
+    CPPUNIT_ASSERT(fixture.mServers.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
+    isStarting = false;
+    fixture.mStarted.Notify();
+    fixture.Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mServers.size());
+  }
+
+  /// Guards against callers that wait for a daemon that never gets its configuration.
+  void WaitForTheStartIsBounded()
+  {
+    exchange_fixture fixture;
+    fixture.mRoutes = route_index{};
+    fixture.mContext.mIsStarting = [] { return true; };
+    fixture.mContext.mStarted = &fixture.mStarted;
+    auto caller = fixture.mPort.Connect();
+    fixture.Write(*caller, Request("order"));
+    fixture.Advance(milliseconds{ 599 });
+    CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*caller));
+    fixture.Advance(milliseconds{ 2 });
+    const auto response = fixture.Read(*caller);
+    CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_MESSAGE(response, response.find("Retry-After: ") != std::string::npos);
+  }
+
   /// Guards against requests that the end of a shutdown drops without a response, and against a
   /// claim that a request has not run while a server may run it.
   void EndOfServiceAnswersByWhatHasRun()
