--- a/packages/core/include/skylarkwind/engine_count_planner.h
+++ b/packages/core/include/skylarkwind/engine_count_planner.h
@@ -69,12 +69,29 @@
   /// The engines of one kind in one data centre.
   struct order_state
   {
-    std::uint32_t mOrdered = 0;           ///< as last accepted, or as listed when that is not known
-    bool mIsKnown = false;                ///< `mOrdered` has been compared with the listed engines
-    bool mIsPending = false;              ///< an order is under way
-    instant mNotBefore{};                 ///< of the next order after a refusal
-    std::optional<instant> mExcessSince;  ///< more engines than wanted since then
-    std::optional<instant> mMissingSince; ///< fewer engines than ordered since then
+    std::uint32_t mOrdered = 0; ///< as last accepted, or as listed when that is not known
+    bool mIsKnown = false;      ///< `mOrdered` has been compared with the listed engines
+    std::optional<std::uint32_t> mPending; ///< of the order that is under way
+    bool mIsRefused = false;               ///< the platform has no engines to replace missing ones
+    instant mNotBefore{};                  ///< of the next order after a refusal
+    instant mRemoveNotBefore{};            ///< of the next removal
+    std::optional<instant> mExcessSince;   ///< more engines than wanted since then
+    std::optional<instant> mMissingSince;  ///< fewer engines than ordered since then
+    std::optional<instant> mSurplusSince;  ///< more engines than ordered since then
+  };
+  /// Most engines that were listed in the last seconds: entries of living engines may be missing
+  /// after an outage of the store.
+  struct listed_peak
+  {
+    std::uint32_t mEngines = 0;
+    instant mAt{};
+  };
+  /// Counts between which the next order of one kind may lie.
+  struct order_range
+  {
+    std::uint32_t mWanted = 0;
+    std::uint32_t mKept = 0; ///< engines that a removal leaves
+    std::uint32_t mMost = 0;
   };
   struct service_state
   {
@@ -83,6 +100,7 @@
     instant mUpdatedAt{};
     std::optional<instant> mObservedSince;
     std::optional<instant> mLoadedSince; ///< first request; a service without any shows nothing
+    instant mRemoveNotBefore{};          ///< of the next removal in any data centre
   };
   /// Engines wanted in a data centre.
   struct wanted_counts
@@ -101,14 +119,28 @@
   /// The count to order now for one kind of engines, if it differs from what is ordered.
   std::optional<std::uint32_t> NextCount(order_state& aOrder,
                                          std::uint32_t aListed,
-                                         std::uint32_t aWanted,
+                                         const order_range& aRange,
                                          const engine_ordering& aOrdering,
                                          bool aMayRemove,
                                          instant aNow) const;
+  /// Engines of a kind that are there or may be started by orders.
+  static std::uint32_t Held(const order_state& aOrder, std::uint32_t aListed);
+  /// Engines of a kind that are there and not about to be removed.
+  static std::uint32_t Staying(const order_state& aOrder, std::uint32_t aListed);
+  /// The orders of a kind, compared with the listed engines.
+  order_state& OrderOf(const std::string& aService,
+                       const engine_counts& aListed,
+                       bool aReclaimable,
+                       std::uint32_t aMost);
+  void UpdatePeaks(const std::string& aService,
+                   const engine_ordering& aOrdering,
+                   std::span<const engine_counts> aCounts,
+                   instant aNow);
 
   std::map<std::string, service_state> mServices;
   /// By service, data centre and whether the engines are reclaimable.
   std::map<std::tuple<std::string, std::string, bool>, order_state> mOrders;
+  std::map<std::tuple<std::string, std::string, bool>, listed_peak> mListedPeaks;
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -35,11 +35,15 @@
 /// Engines are removed only when fewer have been enough for this many start-up times, so that the
 /// effect of the last change is seen before the next one.
 constexpr int kStableStartups = 1;
-/// Of the engines of a kind in a data centre, at most this fraction is removed in one step.
+/// Of the engines of a kind in a data centre, and of all engines of the service, at most this
+/// fraction is removed in one period. The cached prompts of the removed ones are lost, and roles
+/// are assigned anew.
 constexpr double kRemovedFraction = 0.15;
 constexpr milliseconds kRemovalPeriod{ 2'000 };
 /// Pause after an order that the platform refused or did not answer.
 constexpr milliseconds kRetryPause{ 3'000 };
+/// Pause after an order that was not sent because the calls of this daemon are limited.
+constexpr milliseconds kNotSentPause{ 500 };
 /// Time beyond the start-up time after which engines that were ordered and are not listed are
 /// ordered again.
 constexpr milliseconds kListingDelay{ 3'000 };
@@ -48,6 +52,8 @@
 /// Fraction of the standard engines that one data centre may have, however cheap it is.
 constexpr double kMaxStandardShare = 0.5;
 constexpr int kOk = 200;
+constexpr int kNoneAvailable = 409;
+constexpr int kNoAnswer = 0;
 
 double
 DemandInEngines(const engine_demand& aDemand)
@@ -126,7 +132,8 @@
   const auto standard =
     std::max(Ceil(aNeeded * kMaxBusyRatio), kMinPerDataCentre * static_cast<std::uint32_t>(sites));
   const auto most =
-    std::max(kMinPerDataCentre, std::min(perSite, Ceil(kMaxStandardShare * standard)));
+    sites > 1 ? std::max(kMinPerDataCentre, std::min(perSite, Ceil(kMaxStandardShare * standard)))
+              : perSite;
   std::vector<std::size_t> byPrice(sites);
   std::iota(byPrice.begin(), byPrice.end(), std::size_t{ 0 });
   std::stable_sort(byPrice.begin(), byPrice.end(), [&](std::size_t aLeft, std::size_t aRight) {
@@ -150,40 +157,89 @@
 std::optional<std::uint32_t>
 engine_count_planner::NextCount(order_state& aOrder,
                                 std::uint32_t aListed,
-                                std::uint32_t aWanted,
+                                const order_range& aRange,
                                 const engine_ordering& aOrdering,
                                 bool aMayRemove,
                                 instant aNow) const
 {
-  if (aListed >= aOrder.mOrdered) {
-    aOrder.mMissingSince.reset();
-  } else {
-    aOrder.mMissingSince = aOrder.mMissingSince.value_or(aNow);
+  const auto track = [&](std::optional<instant>& aSince, bool aHolds) {
+    aSince = aHolds ? std::optional{ aSince.value_or(aNow) } : std::nullopt;
+  };
+  const auto listingTime = aOrdering.mStartupTime + kListingDelay;
+  track(aOrder.mSurplusSince, aListed > aOrder.mOrdered);
+  if (!aOrder.mPending && aOrder.mSurplusSince && aNow - *aOrder.mSurplusSince >= listingTime) {
+    // An order without answer was carried out, or one for fewer engines was not.
+    aOrder.mOrdered = aListed;
+    aOrder.mSurplusSince.reset();
   }
-  if (aWanted >= aOrder.mOrdered) {
-    aOrder.mExcessSince.reset();
-  } else {
-    aOrder.mExcessSince = aOrder.mExcessSince.value_or(aNow);
-  }
-  if (aOrder.mIsPending || aNow < aOrder.mNotBefore) {
+  const auto wanted = std::min(aRange.mWanted, aRange.mMost);
+  const auto kept = std::max(wanted, aRange.mKept);
+  const auto most = std::max(aListed, aRange.mMost);
+  track(aOrder.mMissingSince, aListed < aOrder.mOrdered);
+  track(aOrder.mExcessSince, kept < aOrder.mOrdered);
+  if (aOrder.mPending || aNow < aOrder.mNotBefore) {
     return std::nullopt;
   }
-  if (aWanted > aOrder.mOrdered) {
-    return aWanted;
+  if (wanted > aOrder.mOrdered) {
+    return wanted;
   }
-  if (aMayRemove && aOrder.mExcessSince &&
+  if (aMayRemove && aOrder.mExcessSince && aNow >= aOrder.mRemoveNotBefore &&
       aNow - *aOrder.mExcessSince >= kStableStartups * aOrdering.mStartupTime) {
     const auto step = std::max(1U, static_cast<std::uint32_t>(kRemovedFraction * aOrder.mOrdered));
-    return std::max(aWanted, aOrder.mOrdered - std::min(aOrder.mOrdered, step));
+    return std::min(most, std::max(kept, aOrder.mOrdered - std::min(aOrder.mOrdered, step)));
   }
-  if (aOrder.mMissingSince &&
-      aNow - *aOrder.mMissingSince >= aOrdering.mStartupTime + kListingDelay) {
+  if (aOrder.mMissingSince && (aOrder.mIsRefused || aNow - *aOrder.mMissingSince >= listingTime)) {
     aOrder.mMissingSince = aNow;
-    return aOrder.mOrdered;
+    return std::min(most, aOrder.mOrdered);
   }
   return std::nullopt;
 }
 
+std::uint32_t
+engine_count_planner::Held(const order_state& aOrder, std::uint32_t aListed)
+{
+  const auto pending = aOrder.mPending.value_or(0);
+  return std::max({ aListed, pending, aOrder.mIsRefused ? 0 : aOrder.mOrdered });
+}
+
+std::uint32_t
+engine_count_planner::Staying(const order_state& aOrder, std::uint32_t aListed)
+{
+  return std::min(aListed, aOrder.mPending.value_or(aOrder.mOrdered));
+}
+
+engine_count_planner::order_state&
+engine_count_planner::OrderOf(const std::string& aService,
+                              const engine_counts& aListed,
+                              bool aReclaimable,
+                              std::uint32_t aMost)
+{
+  auto& order = mOrders[{ aService, aListed.mDataCentre, aReclaimable }];
+  if (!std::exchange(order.mIsKnown, true)) {
+    // The stored orders may lack the last one. The larger number removes no engine by mistake.
+    const auto& peak = mListedPeaks[{ aService, aListed.mDataCentre, aReclaimable }];
+    order.mOrdered = std::max(std::min(order.mOrdered, aMost), peak.mEngines);
+  }
+  return order;
+}
+
+void
+engine_count_planner::UpdatePeaks(const std::string& aService,
+                                  const engine_ordering& aOrdering,
+                                  std::span<const engine_counts> aCounts,
+                                  instant aNow)
+{
+  for (const auto& listed : aCounts) {
+    for (const bool isReclaimable : { false, true }) {
+      auto& peak = mListedPeaks[{ aService, listed.mDataCentre, isReclaimable }];
+      const auto engines = isReclaimable ? listed.mReclaimable : listed.mStandard;
+      if (engines >= peak.mEngines || aNow - peak.mAt >= aOrdering.mStartupTime + kListingDelay) {
+        peak = { engines, aNow };
+      }
+    }
+  }
+}
+
 std::vector<engine_count_order>
 engine_count_planner::Plan(const std::string& aService,
                            const engine_ordering& aOrdering,
@@ -202,6 +258,7 @@
     return due;
   }
   UpdateNeed(state, aOrdering, aDemand, aNow);
+  UpdatePeaks(aService, aOrdering, aCounts, aNow);
   const auto needed = state.mNeeded;
   if (aNow - *state.mObservedSince < aOrdering.mStartupTime) {
     // The entries of engines that start together arrive one after another.
@@ -211,34 +268,43 @@
   const bool mayRemove =
     state.mLoadedSince && aNow - *state.mLoadedSince >= kLearnStartups * aOrdering.mStartupTime;
   const auto withoutReserve = Ceil(needed / static_cast<double>(aCounts.size()));
+  const auto most = std::max(aOrdering.mMinEngines, aOrdering.mMaxEngines);
+  const auto allEngines = static_cast<double>(engines);
   for (std::size_t i = 0; i < aCounts.size(); ++i) {
     const auto& listed = aCounts[i];
-    const auto most = std::max(aOrdering.mMinEngines, aOrdering.mMaxEngines);
-    // Standard engines stand in for reclaimable ones that cannot be had, as far as the work needs
-    // them now.
-    const auto standard =
-      std::min(most,
-               std::max(wanted[i].mStandard,
-                        withoutReserve - std::min(withoutReserve, listed.mReclaimable)));
-    const auto enoughReclaimable = listed.mReclaimable >= wanted[i].mReclaimable;
-    const auto order = [&](bool aReclaimable, std::uint32_t aListed, std::uint32_t aWanted) {
-      auto& one = mOrders[{ aService, listed.mDataCentre, aReclaimable }];
-      if (!std::exchange(one.mIsKnown, true)) {
-        // The stored orders may lack the last one. The larger number removes no engine by mistake.
-        one.mOrdered = std::max(one.mOrdered, aListed);
-      }
-      // Standard engines go only when the reclaimable ones that take over are there.
-      const bool removes = mayRemove && (aReclaimable || enoughReclaimable);
-      if (const auto count = NextCount(one, aListed, aWanted, aOrdering, removes, aNow)) {
-        one.mIsPending = true;
+    auto& standard = OrderOf(aService, listed, false, most);
+    auto& reclaimable = OrderOf(aService, listed, true, most);
+    const auto order = [&](order_state& aOrder, bool aReclaimable, const order_range& aRange) {
+      const auto present = aReclaimable ? listed.mReclaimable : listed.mStandard;
+      const bool removes = mayRemove && aNow >= state.mRemoveNotBefore;
+      if (const auto count = NextCount(aOrder, present, aRange, aOrdering, removes, aNow)) {
+        if (*count < aOrder.mOrdered) {
+          const auto periods = (aOrder.mOrdered - *count) / (kRemovedFraction * allEngines);
+          state.mRemoveNotBefore =
+            aNow + std::chrono::duration_cast<milliseconds>(periods * kRemovalPeriod);
+        }
+        aOrder.mPending = *count;
         due.push_back({ aService, listed.mDataCentre, *count, aReclaimable });
       }
     };
+    // Standard engines stand in for reclaimable ones that cannot be had, as far as the work needs
+    // them now. Engines of a kind are removed only when those of the other kind that take over are
+    // listed.
+    const auto all = wanted[i].mStandard + wanted[i].mReclaimable;
+    const auto standIns = withoutReserve - std::min(withoutReserve, listed.mReclaimable);
+    const auto wantedStandard = std::max(wanted[i].mStandard, standIns);
     if (aOrdering.mReclaimablePrice) {
-      const auto room = most - std::min(most, std::max(standard, listed.mStandard));
-      order(true, listed.mReclaimable, std::min(room, wanted[i].mReclaimable));
+      order(reclaimable,
+            true,
+            { wanted[i].mReclaimable,
+              all - std::min(all, Staying(standard, listed.mStandard)),
+              most - std::min(most, Held(standard, listed.mStandard)) });
     }
-    order(false, listed.mStandard, standard);
+    order(standard,
+          false,
+          { wantedStandard,
+            all - std::min(all, Staying(reclaimable, listed.mReclaimable)),
+            most - std::min(most, Held(reclaimable, listed.mReclaimable)) });
   }
   return due;
 }
@@ -280,16 +346,22 @@
     return;
   }
   auto& order = found->second;
-  order.mIsPending = false;
+  order.mPending.reset();
+  const bool removes = aOrder.mEngines < order.mOrdered;
+  order.mIsRefused = aStatus == kNoneAvailable && aOrder.mEngines <= order.mOrdered;
+  if (removes) {
+    // The next step waits for the effect of this one.
+    order.mRemoveNotBefore = aNow + kRemovalPeriod;
+  }
   if (aStatus != kOk) {
-    order.mNotBefore = aNow + kRetryPause;
-    return;
+    order.mNotBefore = aNow + (aStatus < 0 ? kNotSentPause : kRetryPause);
   }
-  const bool removed = aOrder.mEngines < order.mOrdered;
-  order.mOrdered = aOrder.mEngines;
-  if (removed) {
-    // The next step waits for the effect of this one.
-    order.mNotBefore = aNow + kRemovalPeriod;
+  if (aStatus == kOk || (aStatus == kNoAnswer && removes)) {
+    // A removal without answer may have been carried out. Taken as accepted, it does not hide a
+    // later need; engines that stay listed are removed again.
+    order.mOrdered = aOrder.mEngines;
+    order.mSurplusSince.reset();
+    order.mMissingSince.reset();
   }
 }
 
