Bound the stored state of usage by its bytes, skip malformed windows, let unanswered reports pass

Causes, each shown by a test that failed before: - A state of 10,000 accounts exceeded 1 MB after three windows without an answer (1,244,546 bytes in the test), and the store would have rejected every later write. The oldest windows are now dropped at 0.9 MB. - A number of a window that is empty or too large was read as window 0, a window with a malformed count was sent with the rest of its counts, a window that is not yet fixed was taken over and would have been fixed again with other counts, and a huge next window overflowed. Such windows and states are skipped now. A state with more than 120 windows is cut. - A platform that takes a report but answers after the 400 ms of a call held up all later windows for good: 1 of 4 windows was sent in 40 attempts. A window with two unanswered attempts now comes after those with fewer. - A full list of counts (200,000) ignored updates of counts it held, and the newest of 25 windows with 10,000 accounts. The limit is 250,000 now, and known counts still grow when it is reached.

--- a/packages/core/include/skylarkwind/usage_reporter.h
+++ b/packages/core/include/skylarkwind/usage_reporter.h
@@ -34,8 +34,10 @@
   /// Fixes the counts of the windows that have ended long enough ago. Returns the state to store;
   /// empty when there is nothing new to store.
   std::optional<std::string> FixWindows(const count_window& aCount, wall_instant aNow);
-  /// The oldest window that is stored and not acknowledged, if it may be sent now. `aStored`: the
-  /// state that is known to be stored.
+  /// The window that is to be sent now, if any: the oldest one that is stored and not acknowledged.
+  /// Windows whose attempts have had no answer come after those with fewer such attempts, so that a
+  /// platform that takes reports but answers too late still gets all of them. `aStored`: the state
+  /// that is known to be stored.
   std::optional<usage_window> Next(const std::string& aStored, instant aNow);
   /// Result of sending the window: the HTTP status, 0 without an answer, below 0 if not sent.
   void OnSent(std::uint64_t aWindow, int aStatus, instant aNow);
@@ -44,16 +46,25 @@
   std::size_t Waiting() const { return mFixed.size(); }
 
 private:
+  /// A window that is not acknowledged.
+  struct waiting_window
+  {
+    usage_window mWindow;
+    unsigned int mUnanswered = 0; ///< attempts without an answer
+  };
+
   std::string State() const;
+  /// Drops the oldest windows until the rest can be stored.
+  void DropOldest();
   std::uint64_t WindowAt(wall_instant aTime) const;
 
   std::chrono::milliseconds mWindow;
   std::chrono::milliseconds mSettle;
-  bool mHasStarted = false;       ///< the task was acquired once
-  std::uint64_t mEra = 0;         ///< of the store that the state is written to
-  std::uint64_t mNextWindow = 0;  ///< the next one to be fixed
-  std::map<std::uint64_t, usage_window> mFixed; ///< not acknowledged
-  std::string mState;             ///< contains all of `mFixed`, and maybe windows sent since
+  bool mHasStarted = false;                       ///< the task was acquired once
+  std::uint64_t mEra = 0;                         ///< of the store that the state is written to
+  std::uint64_t mNextWindow = 0;                  ///< the next one to be fixed
+  std::map<std::uint64_t, waiting_window> mFixed; ///< not acknowledged
+  std::string mState; ///< contains all of `mFixed`, and maybe windows sent since
   bool mIsSending = false;
   instant mNotBefore{}; ///< of the next attempt
 };
--- a/packages/core/src/usage_counts.cpp
+++ b/packages/core/src/usage_counts.cpp
@@ -14,7 +14,9 @@
 /// Longest list of daemons, collectors or windows with accounts that is kept, against messages
 /// without end: four times the 350 daemons of the largest deployment.
 constexpr std::size_t kMaxSources = 1'400;
-constexpr std::size_t kMaxCountsPerSource = 200'000;
+/// Counts of one source: 10,000 accounts, the design size, in the 24 windows that are kept and in
+/// one more until the oldest is dropped.
+constexpr std::size_t kMaxCountsPerSource = 250'000;
 
 milliseconds
 SinceStart(instant aNow)
@@ -56,8 +58,7 @@
 std::uint64_t
 usage_counter::WindowAt(wall_instant aTime) const
 {
-  return static_cast<std::uint64_t>(
-    std::max<std::int64_t>(0, aTime.time_since_epoch() / mWindow));
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.time_since_epoch() / mWindow));
 }
 
 wall_instant
@@ -93,11 +94,14 @@
 usage_collector::Merge(window_counts& aInto, const std::vector<usage_count>& aCounts)
 {
   for (const auto& count : aCounts) {
-    if (aInto.size() >= kMaxCountsPerSource) {
-      return;
+    const std::pair key{ count.mWindow, count.mAccount };
+    if (aInto.size() < kMaxCountsPerSource) {
+      auto& known = aInto[key];
+      known = std::max(known, count.mRequests);
+    } else if (const auto known = aInto.find(key); known != aInto.end()) {
+      // A full list takes no further entries, but those in it still grow.
+      known->second = std::max(known->second, count.mRequests);
     }
-    auto& known = aInto[{ count.mWindow, count.mAccount }];
-    known = std::max(known, count.mRequests);
   }
 }
 
--- a/packages/core/src/usage_reporter.cpp
+++ b/packages/core/src/usage_reporter.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <utility>
 
 namespace skylarkwind {
 
@@ -15,13 +17,51 @@
 
 /// Pause before a window that was not acknowledged is sent again.
 constexpr std::chrono::milliseconds kRetryPause{ 500 };
-/// Windows that wait for the platform at most, 10 minutes of 5 s. Older ones are dropped, so that
-/// the state stays far below the store's limit of 1 MB for an object with 77 accounts.
+/// Windows that wait for the platform at most, 10 minutes of 5 s. Older ones are dropped.
 constexpr std::size_t kMaxWaiting = 120;
+/// Longest state as it is stored, i.e. as a text in another JSON object. The store takes objects of
+/// up to 1 MB; with 10,000 accounts a window takes 0.3 MB.
+constexpr std::size_t kMaxStateBytes = 900'000;
+/// Attempts without an answer before other windows are tried. A single answer that is lost does not
+/// change the order.
+constexpr unsigned int kUnansweredInOrder = 2;
+/// Latest window of a state that is plausible, in the year 5138 with windows of 1 s.
+constexpr std::uint64_t kMaxWindow = 100'000'000'000;
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
 
+/// Bytes of a part of the state as it is stored: quotes and backslashes are escaped.
+std::size_t
+StoredBytes(const json& aState)
+{
+  const auto text = aState.dump();
+  return text.size() +
+         static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char aCharacter) {
+           return aCharacter == '"' || aCharacter == '\\';
+         }));
+}
+
+/// A window of the state. Empty when it is malformed: it may have been sent with counts that cannot
+/// be read.
+std::optional<usage_window>
+ParseWindow(const std::string& aNumber, const json& aCounts)
+{
+  usage_window window;
+  const auto* last = aNumber.data() + aNumber.size();
+  const auto read = std::from_chars(aNumber.data(), last, window.mWindow);
+  if (read.ec != std::errc{} || read.ptr != last || !aCounts.is_object()) {
+    return std::nullopt;
+  }
+  for (const auto& [name, requests] : aCounts.items()) {
+    if (!requests.is_number_unsigned()) {
+      return std::nullopt;
+    }
+    window.mCounts[name] = requests.get<std::uint64_t>();
+  }
+  return window;
+}
+
 } // namespace
 
 usage_reporter::usage_reporter(std::chrono::milliseconds aWindow, std::chrono::milliseconds aSettle)
@@ -56,7 +96,8 @@
   const auto valid = [&state](const char* aName) {
     return state.is_object() && state.contains(aName) && state[aName].is_number_unsigned();
   };
-  if (!valid("next") || !valid("era") || state["era"].get<std::uint64_t>() != aEra) {
+  if (!valid("next") || !valid("era") || state["era"].get<std::uint64_t>() != aEra ||
+      state["next"].get<std::uint64_t>() > kMaxWindow) {
     return;
   }
   mNextWindow = state["next"].get<std::uint64_t>();
@@ -64,19 +105,34 @@
   if (!windows.is_object()) {
     return;
   }
-  for (const auto& [text, counts] : windows.items()) {
-    usage_window window;
-    const auto* last = text.data() + text.size();
-    if (std::from_chars(text.data(), last, window.mWindow).ptr != last || !counts.is_object()) {
-      continue;
+  for (const auto& [number, counts] : windows.items()) {
+    // A window from `next` on is not fixed yet, and would be sent twice.
+    auto window = ParseWindow(number, counts);
+    if (window && window->mWindow < mNextWindow) {
+      mFixed[window->mWindow] = { *std::move(window) };
     }
-    for (const auto& [name, requests] : counts.items()) {
-      if (requests.is_number_unsigned()) {
-        window.mCounts[name] = requests.get<std::uint64_t>();
-      }
+  }
+  DropOldest();
+}
+
+void
+usage_reporter::DropOldest()
+{
+  // The number of a window, braces, and the members beside the windows.
+  constexpr std::size_t kWindowBytes = 32;
+  std::size_t bytes = kWindowBytes * 3;
+  std::size_t kept = 0;
+  auto oldest = mFixed.end();
+  while (oldest != mFixed.begin() && kept < kMaxWaiting) {
+    const auto candidate = std::prev(oldest);
+    bytes += kWindowBytes + StoredBytes(json(candidate->second.mWindow.mCounts));
+    if (bytes > kMaxStateBytes) {
+      break;
     }
-    mFixed[window.mWindow] = window;
+    oldest = candidate;
+    ++kept;
   }
+  mFixed.erase(mFixed.begin(), oldest);
 }
 
 std::string
@@ -84,7 +140,7 @@
 {
   json windows = json::object();
   for (const auto& [number, window] : mFixed) {
-    windows[std::to_string(number)] = window.mCounts;
+    windows[std::to_string(number)] = window.mWindow.mCounts;
   }
   return json{ { "next", mNextWindow }, { "era", mEra }, { "windows", windows } }.dump();
 }
@@ -101,14 +157,12 @@
     mNextWindow = end - kMaxWaiting;
   }
   for (; mNextWindow < end; ++mNextWindow) {
-    mFixed[mNextWindow] = { mNextWindow, aCount(mNextWindow) };
-  }
-  while (mFixed.size() > kMaxWaiting) {
-    mFixed.erase(mFixed.begin());
+    mFixed[mNextWindow] = { { mNextWindow, aCount(mNextWindow) } };
   }
   if (mNextWindow == before) {
     return std::nullopt;
   }
+  DropOldest();
   mState = State();
   return mState;
 }
@@ -120,7 +174,12 @@
     return std::nullopt;
   }
   mIsSending = true;
-  return mFixed.begin()->second;
+  const auto next =
+    std::min_element(mFixed.begin(), mFixed.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.mUnanswered / kUnansweredInOrder <
+             aRight.second.mUnanswered / kUnansweredInOrder;
+    });
+  return next->second.mWindow;
 }
 
 void
@@ -131,8 +190,11 @@
     aStatus == kOk || (aStatus > kOk && aStatus < kServerError && aStatus != kTooManyRequests);
   if (isFinal) {
     mFixed.erase(aWindow);
-  } else {
-    mNotBefore = aNow + kRetryPause;
+    return;
+  }
+  mNotBefore = aNow + kRetryPause;
+  if (const auto sent = mFixed.find(aWindow); sent != mFixed.end() && aStatus == 0) {
+    ++sent->second.mUnanswered;
   }
 }
 
