Singleton tasks: notice a restored store from revisions, derive tokens from stored ones only

Cause: (1) A daemon that learned of a restored store from the answer to its own call, and not from OnStoreRestored first, took the restored record or a confirmed write over a revision that had been given out again for its own: lower token and calls within the lease time of another holder (schedule), shared token, holders A, B, A. (2) Each lost write raised the token, which could then exceed the revision of its own write. Readers take such a record for a damaged one, so its state was lost and a token was shared (schedule with cause 1 removed).

Change: a revision of a later era counts as OnStoreRestored, an answer of an earlier era changes nothing; a token grows above those that are known to be stored, as the specification says.

--- a/packages/core/include/skylarkwind/singleton_task.h
+++ b/packages/core/include/skylarkwind/singleton_task.h
@@ -118,6 +118,9 @@
   write_task MakeWrite(instant aNow);
   /// Ends the permission to call and reads the record before the next write.
   void Forget();
+  /// Whether the revision is of a later era of the store than all seen before, i.e. the store was
+  /// restored. A daemon may learn that from the answer to its own call first.
+  bool NoticeEra(std::uint64_t aRevision, instant aNow);
 
   singleton_task_settings mSettings;
   std::optional<task_record> mObserved;
@@ -127,7 +130,8 @@
   instant mReadAt{};     ///< last successful read or write
   task_call_id mLastCall = 0;
   std::optional<pending_call> mPending;
-  std::uint64_t mHighestToken = 0; ///< of all that were read or written
+  std::uint64_t mEra = 0;          ///< of the store, from the revisions seen
+  std::uint64_t mHighestToken = 0; ///< of all that are known to be stored
   std::uint64_t mOwnToken = 0;     ///< of the last acquisition that was tried; 0 when none counts
   bool mIsHolder = false;          ///< the last write of the own token was confirmed
   instant mCallsUntil{};
--- a/packages/core/src/singleton_task.cpp
+++ b/packages/core/src/singleton_task.cpp
@@ -22,6 +22,14 @@
 constexpr milliseconds kStoreCallTimeout{ 2'000 };
 /// Allows for the network transit of the previous holder's last call.
 constexpr milliseconds kTransitMargin{ 600 };
+/// Position of the era of the store in a revision.
+constexpr int kEraShift = 40;
+
+std::uint64_t
+EraOf(std::uint64_t aRevision)
+{
+  return aRevision >> kEraShift;
+}
 
 } // namespace
 
@@ -71,8 +79,9 @@
   if (!IsOwn()) {
     mIsHolder = false;
     mWantedState.reset();
+    // Derived from stored tokens alone: a token that grew with each lost write would exceed the
+    // revision of its own write, which readers take for a damaged record.
     mOwnToken = std::max(mHighestToken + 1, mObserved ? mObserved->mRevision : 0);
-    mHighestToken = mOwnToken;
   }
   write_task write;
   write.mCall = ++mLastCall;
@@ -135,7 +144,11 @@
 {
   // Also of an abandoned read: the store has had this token.
   mHighestToken = std::max(mHighestToken, aRecord ? aRecord->mFencing : 0);
-  if (!TakeCall(aCall) || aFailed) {
+  const bool isAwaited = TakeCall(aCall).has_value();
+  if (aRecord) {
+    NoticeEra(aRecord->mRevision, aNow);
+  }
+  if (!isAwaited || aFailed || (aRecord && EraOf(aRecord->mRevision) < mEra)) {
     return;
   }
   mReadAt = aNow;
@@ -155,16 +168,19 @@
                           instant aNow)
 {
   const auto call = TakeCall(aCall);
-  if (!call || !call->mWrite) {
+  // In a restored store, the write may have replaced a record of another holder that has been given
+  // the revision of an earlier one.
+  if ((aRevision && NoticeEra(*aRevision, aNow)) || !call || !call->mWrite) {
     return;
   }
-  if (!aRevision) {
+  if (!aRevision || EraOf(*aRevision) < mEra) {
     // Either the outcome of the write is unknown or another daemon wrote first: read again.
     Forget();
     return;
   }
   mTerm += mIsHolder ? 0 : 1;
   mIsHolder = true;
+  mHighestToken = std::max(mHighestToken, mOwnToken);
   mObserved = task_record{ *aRevision, mSettings.mSelf, mOwnToken, call->mWrite->mState };
   mStoredState = call->mWrite->mState;
   mIsAbsent = false;
@@ -182,8 +198,19 @@
   // The record may be one of this daemon from before another one held the task.
   mOwnToken = 0;
   mWasRestored = true;
+  mEra = std::max(mEra, EraOf(aFirstToken));
   mHighestToken = std::max(mHighestToken, aFirstToken);
   mObservedAt = aNow;
 }
 
+bool
+singleton_task::NoticeEra(std::uint64_t aRevision, instant aNow)
+{
+  if (EraOf(aRevision) <= mEra) {
+    return false;
+  }
+  OnStoreRestored(EraOf(aRevision) << kEraShift, aNow);
+  return true;
+}
+
 } // namespace skylarkwind
