--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -348,7 +348,7 @@
   auto& order = found->second;
   order.mPending.reset();
   const bool removes = aOrder.mEngines < order.mOrdered;
-  order.mIsRefused = aStatus == kNoneAvailable && aOrder.mEngines <= order.mOrdered;
+  order.mIsRefused = aStatus == kNoneAvailable && aOrder.mEngines == order.mOrdered;
   if (removes) {
     // The next step waits for the effect of this one.
     order.mRemoveNotBefore = aNow + kRemovalPeriod;
