Driver of engine counts: begin from the stored orders after a loss of the duty; test it

A daemon that for a moment watched no store forgot its orders, and as no other daemon held the task meanwhile it went on from the listed engines. With entries missing after the outage it then removed living engines: with 12 ordered, 4 of 10 listed and 11 wanted it ordered 11 (AcceptedOrdersOutliveALossOfTheDuty). The result of a call under way at that moment stored an empty list of orders.

--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -133,8 +133,7 @@
   const auto rank = aWatchesStore && mExchange.Connected(aNow) ? mExchange.Members().DutyRank(aNow)
                                                                : fleet_members::kNoDuty;
   if (rank >= kPlanners) {
-    mPlanner.ForgetOrders();
-    mWaiting.clear();
+    EndDuty(aNow);
     return;
   }
   // The daemon that stands by plans too, so that it knows the peaks when it takes over.
@@ -143,8 +142,7 @@
   const bool isDue = task.HasNewState() || !orders.empty() || !mWaiting.empty();
   mRunner.OnTick(rank, rank == 0 && isDue, aNow);
   if (rank != 0) {
-    mPlanner.ForgetOrders();
-    mWaiting.clear();
+    EndDuty(aNow);
     return;
   }
   mWaiting.insert(mWaiting.end(), orders.begin(), orders.end());
@@ -152,7 +150,12 @@
   if (!token) {
     return;
   }
-  if (std::exchange(mTerm, task.Term()) != task.Term()) {
+  if (mTerm != task.Term()) {
+    if (task.HasNewState()) {
+      // The stored state lacks the last accepted orders until the write that is due.
+      return;
+    }
+    mTerm = task.Term();
     // Another daemon may have ordered since these were planned.
     mPlanner.OnAcquired(task.StoredState());
     mWaiting.clear();
@@ -163,9 +166,24 @@
   }
 }
 
+void
+engine_count_driver::EndDuty(instant aNow)
+{
+  for (const auto& order : std::exchange(mWaiting, {})) {
+    mPlanner.OnResult(order, platform_api::kNotSent, aNow);
+  }
+  if (mCallsUnderWay == 0) {
+    // The listed engines alone do not tell what was ordered, so that this daemon begins from the
+    // stored orders when it acts again, also if no other one held the task meanwhile.
+    mPlanner.ForgetOrders();
+    mTerm = 0;
+  }
+}
+
 void
 engine_count_driver::Send(const engine_count_order& aOrder, std::uint64_t aToken)
 {
+  ++mCallsUnderWay;
   mTasks.add(mApi.Call(mProtocolAdapter.EngineCountRequest(aOrder, mSelf, aToken))
                .then([this, aOrder](int aStatus) { OnStatus(aOrder, aStatus); }));
 }
@@ -182,6 +200,7 @@
          "Orders for numbers of engines by the status of their response.",
          "status=\"" + std::to_string(aStatus) + '"')
     .Add();
+  --mCallsUnderWay;
   mPlanner.OnResult(aOrder, aStatus, mClock.Now());
   if (mTerm == mRunner.Task().Term()) {
     mRunner.Task().SetState(mPlanner.State());
--- a/packages/gateway/src/engine_count_driver_p.h
+++ b/packages/gateway/src/engine_count_driver_p.h
@@ -41,6 +41,8 @@
   std::vector<engine_count_order> PlanAll(instant aNow);
   std::vector<engine_counts> CountEngines(const forward_service& aService) const;
   engine_demand Demand(const forward_service& aService, instant aNow) const;
+  /// Another daemon acts from now on, or none.
+  void EndDuty(instant aNow);
   void Send(const engine_count_order& aOrder, std::uint64_t aToken);
   void OnStatus(const engine_count_order& aOrder, int aStatus);
 
@@ -57,7 +59,8 @@
   kj::TaskSet& mTasks;
   engine_count_planner mPlanner;
   task_runner mRunner;
-  std::uint64_t mTerm = 0; ///< of the task, in which the planner's orders were sent
+  std::uint64_t mTerm = 0; ///< of the task, in which the planner's orders were sent; 0: in none
+  std::size_t mCallsUnderWay = 0;
   std::vector<engine_count_order> mWaiting; ///< due, until this daemon may call
 };
 
