--- a/packages/gateway/src/task_runner.cpp
+++ b/packages/gateway/src/task_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/store_position.h"
 
 #include <nlohmann/json.hpp>
 
@@ -56,9 +57,19 @@
 {
 }
 
+void
+task_runner::CheckEra(instant aNow)
+{
+  if (const auto era = mStore.Era(); era != mEra) {
+    mEra = era;
+    mTask.OnStoreRestored(PositionOf(era, 0), aNow);
+  }
+}
+
 void
 task_runner::OnTick(std::size_t aRank, bool aDue, instant aNow)
 {
+  CheckEra(aNow);
   if (const auto action = mTask.OnTick(aRank, aDue, aNow)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, *action);
   }
@@ -69,6 +80,7 @@
 {
   mTasks.add(
     mStore.Read(kKind, mName).then([this, call = aRead.mCall](store_result<stored_object> aResult) {
+      CheckEra(mClock.Now());
       std::optional<task_record> record;
       bool failed = false;
       if (const auto* found = std::get_if<stored_object>(&aResult)) {
@@ -93,6 +105,7 @@
   mTasks.add(mStore.Write(kKind, mName, revision, value.dump())
                .then([this, call = aWrite.mCall, token = aWrite.mFencing](
                        store_result<object_written> aResult) {
+                 CheckEra(mClock.Now());
                  std::optional<std::uint64_t> written;
                  if (const auto* done = std::get_if<object_written>(&aResult)) {
                    written = done->mRevision;
--- a/packages/gateway/src/task_runner_p.h
+++ b/packages/gateway/src/task_runner_p.h
@@ -25,6 +25,8 @@
   singleton_task& Task() { return mTask; }
 
 private:
+  /// Tells the task when the store was restored from a copy.
+  void CheckEra(instant aNow);
   void Execute(const read_task& aRead);
   void Execute(const write_task& aWrite);
 
@@ -34,6 +36,7 @@
   object_store& mStore;
   const clock_source& mClock;
   kj::TaskSet& mTasks;
+  std::uint64_t mEra = 0; ///< of the store, as the task knows it
 };
 
 } // namespace skylarkwind
