Take over the state of a restored store as a whole

A list whose pages were read before and after a restoration of the store made up a state that never was; a heartbeat of a daemon that knew no objects left in other daemons what the store had lost; a slow list of the earlier era reverted a newer state of another daemon; servers whose entries were missing from the copy were taken out of use at once; a silent watch hid the new era for up to 25 s. The simulated store returns to copies and lists in pages.

--- a/packages/gateway/src/store_follower.cpp
+++ b/packages/gateway/src/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/store_position.h"
 
 #include <algorithm>
 #include <set>
@@ -293,8 +294,10 @@
   if (aBatch.mTo <= mSyncedRevision || (!aBatch.mIsSnapshot && !mListed)) {
     return false;
   }
-  if (!aBatch.mIsSnapshot && mSyncedRevision < aBatch.mFrom) {
-    // An earlier batch was lost.
+  if (!aBatch.mIsSnapshot &&
+      (mSyncedRevision < aBatch.mFrom || EraOf(mSyncedRevision) != EraOf(aBatch.mTo))) {
+    // An earlier batch was lost, or the store was restored from a copy, after which only a whole
+    // state can be taken over.
     mRemoteRevision = std::max(mRemoteRevision, aBatch.mTo);
     mRemoteRevisionAt = mRemoteRevisionAt.value_or(mClock.Now());
     return false;
@@ -321,6 +324,7 @@
     mAppliedDuringList.push_back(aBatch);
   }
   const auto from = std::exchange(mSyncedRevision, aBatch.mTo);
+  NoteEra(from);
   if (aBatch.IsHeartbeat()) {
     return;
   }
@@ -343,7 +347,7 @@
     objects.push_back(change.mObject);
   }
   ReplaceObjects(objects, from);
-  mOnList(objects, aBatch.mAfterOutage);
+  mOnList(objects, aBatch.mAfterOutage || AfterOutage());
 }
 
 void
@@ -368,6 +372,11 @@
 store_follower::OnTick(instant aNow)
 {
   ProbeIfUnconfirmed(aNow);
+  if (mListed && !mFedByPeers && !mNeedList && EraOf(mSyncedRevision) < mStore.Era()) {
+    // Another call has shown that the store was restored from a copy. The open watch is of the
+    // history before that, and its connection may be silent.
+    RestartList();
+  }
   if (!mRemoteRevisionAt) {
     return;
   }
@@ -433,7 +442,17 @@
         return std::optional{ *failure };
       }
       auto& page = std::get<object_page>(aResult);
+      if (mListed && EraOf(page.mAt) < EraOf(mSyncedRevision)) {
+        // Another daemon has relayed what the store holds since it was restored from a copy.
+        return std::optional{ store_failure{ store_failure::cause::NoAnswer,
+                                             "the list is older than the store's restoration" } };
+      }
       OnSuccess();
+      if (!mPartialList.empty() && EraOf(page.mAt) != EraOf(mListRevision)) {
+        // The store was restored between the pages, which would make up a state that never was.
+        mPartialList.clear();
+        return ReadPages();
+      }
       if (mPartialList.empty()) {
         // The watch starts at the first page's revision, so that it returns changes between the
         // pages.
@@ -458,7 +477,10 @@
     return;
   }
   const auto from = std::exchange(mSyncedRevision, mListRevision);
-  if (!mNeedList && IsCopy(aObjects)) {
+  const bool restored = NoteEra(from);
+  // A heartbeat states that nothing has changed since the last batch, which does not hold across a
+  // restoration of the store: other daemons may have seen changes that were lost in it.
+  if (!mNeedList && !restored && IsCopy(aObjects)) {
     PublishHeartbeat();
     return;
   }
@@ -476,6 +498,21 @@
   ReapplyNewer();
 }
 
+bool
+store_follower::NoteEra(std::uint64_t aFrom)
+{
+  if (!mListed || EraOf(mSyncedRevision) <= EraOf(aFrom)) {
+    return false;
+  }
+  Log(log_level::Warning,
+      "store",
+      "objects of a store that was restored from a copy kind=" + mSettings.mKind +
+        " era=" + std::to_string(EraOf(mSyncedRevision)));
+  // The entries of servers that were written after the copy was taken are missing from it.
+  mOutageEndedAt = mClock.Now();
+  return true;
+}
+
 bool
 store_follower::IsCopy(const std::vector<stored_object>& aObjects) const
 {
--- a/packages/gateway/src/store_follower_p.h
+++ b/packages/gateway/src/store_follower_p.h
@@ -195,6 +195,9 @@
   void PublishList(const std::vector<stored_object>& aObjects) const;
   /// Tells other daemons that nothing changed up to mSyncedRevision.
   void PublishHeartbeat() const;
+  /// Notes whether the newest state is the first one here since the store was restored from a copy.
+  /// `aFrom`: the position before it.
+  bool NoteEra(std::uint64_t aFrom);
   /// Whether these objects are the same as those of the copy.
   bool IsCopy(const std::vector<stored_object>& aObjects) const;
   /// Whether an object of the copy is not among these.
--- a/packages/gateway/tests/store_fleet.h
+++ b/packages/gateway/tests/store_fleet.h
@@ -7,12 +7,16 @@
 #include "skylarkwind/backend_load_tracker.h"
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/prefix_cache_index.h"
+#include "skylarkwind/route_index.h"
+#include "skylarkwind/store_position.h"
 
+#include <absl/strings/numbers.h>
 #include <kj/async.h>
 #include <kj/timer.h>
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,7 +38,8 @@
   Silent   ///< does not answer; calls that are open get no answer either
 };
 
-/// A store with one kind of object per name prefix, in simulated time.
+/// A store with one kind of object per name prefix, in simulated time. All revisions in it are
+/// positions, as its clients see them.
 class simulated_store
 {
 public:
@@ -64,6 +69,17 @@
   /// Begins or ends a time in which open watches get no answers although objects change. At its end
   /// the history is dropped and open watches are cut off.
   void SetForgetting(bool aForgetting);
+
+  /// What the store is restored from.
+  struct copy
+  {
+    std::map<std::pair<std::string, std::string>, stored_object> mObjects;
+    std::uint64_t mRevision = 0;
+  };
+  copy MakeCopy() const { return { mObjects, RevisionOf(mRevision) }; }
+  /// Comes back from a copy in the next era. Open watches are cut off, or get their answer when
+  /// they expire.
+  void Restore(const copy& aCopy, bool aCutsWatches);
   bool Has(const std::string& aKind, const std::string& aName) const;
 
   kj::Timer& mTimer;
@@ -76,6 +92,7 @@
   std::vector<open_watch> mWatches;
   std::map<int, store_access> mAccess; ///< by daemon; absent: open
   std::chrono::milliseconds mAnswerTime{ 4 };
+  std::size_t mPageObjects = std::numeric_limits<std::size_t>::max(); ///< of a list
   std::uint64_t mCalls = 0;
 };
 
@@ -90,8 +107,9 @@
   }
   ~simulated_store_client() noexcept override = default;
 
+  std::uint64_t Era() const override { return mEra; }
   bool IsReceiving(std::string_view) const override { return mReceiving > 0; }
-  kj::Promise<store_result<object_page>> List(std::string aKind, std::string, bool) override;
+  kj::Promise<store_result<object_page>> List(std::string aKind, std::string aAfter, bool) override;
   kj::Promise<store_result<object_changes>> Watch(std::string aKind,
                                                   std::uint64_t aFrom,
                                                   std::chrono::milliseconds aWait) override;
@@ -115,10 +133,14 @@
   /// limit, as the rest arrives part by part.
   template<class value>
   kj::Promise<store_result<value>> Carry(store_result<value> aAnswer, std::size_t aBytes);
+  /// Notes the era of an answer that has arrived; one of an earlier era than the last is a failure.
+  template<class value>
+  store_result<value> CheckEra(store_result<value> aAnswer);
 
   simulated_store& mStore;
   int mDaemon;
-  int mReceiving = 0; ///< answers that are on their way
+  int mReceiving = 0;     ///< answers that are on their way
+  std::uint64_t mEra = 0; ///< highest that an answer had
 };
 
 /// Daemons that replicate the store's objects, with a datagram network between them.
@@ -164,6 +186,13 @@
   bool Has(int aDaemon, const std::string& aKind, const std::string& aName) const;
   /// The value of an object in the daemon's copy; empty if it has none of this name.
   std::string Value(int aDaemon, const std::string& aKind, const std::string& aName) const;
+  /// Version of the configuration that is in force at the daemon; 0: none.
+  std::uint64_t ConfigurationVersion(int aDaemon) const;
+  /// Whether the daemon has taken a server out of use at once.
+  bool HasDropped(int aDaemon, const std::string& aName) const
+  {
+    return mDaemons[static_cast<std::size_t>(aDaemon)]->mDropped.contains(aName);
+  }
   /// Bytes of encoded states of this kind that a daemon has sent to others since its start.
   std::uint64_t StateBytes(int aDaemon, const std::string& aKind) const;
   /// Names of the objects in the daemon's copy.
@@ -181,6 +210,8 @@
     std::unique_ptr<store_replication> mReplication;
     kj::Promise<void> mRunning = nullptr;
     std::map<std::string, std::set<std::string>> mCopies; ///< names by kind
+    std::set<std::string> mDropped; ///< servers whose removal was no possible lapse of their entry
+    std::unique_ptr<route_index> mRoutes;
     bool mPaused = false;
     bool mOlder = false;
     std::uint64_t mStarts = 0;
@@ -252,6 +283,24 @@
   mForgetting = aForgetting;
 }
 
+inline void
+simulated_store::Restore(const copy& aCopy, bool aCutsWatches)
+{
+  const auto era = EraOf(mRevision) + 1;
+  mRevision = PositionOf(era, aCopy.mRevision);
+  mOldest = mRevision;
+  mEvents.clear();
+  mObjects = aCopy.mObjects;
+  for (auto& [key, object] : mObjects) {
+    object.mRevision = PositionOf(era, RevisionOf(object.mRevision));
+  }
+  if (aCutsWatches) {
+    for (auto& watch : std::exchange(mWatches, {})) {
+      watch.mWake->fulfill(false);
+    }
+  }
+}
+
 inline bool
 simulated_store::Has(const std::string& aKind, const std::string& aName) const
 {
@@ -296,16 +345,21 @@
 }
 
 inline kj::Promise<store_result<object_page>>
-simulated_store_client::List(std::string aKind, std::string, bool)
+simulated_store_client::List(std::string aKind, std::string aAfter, bool)
 {
   return Answer<object_page>(std::chrono::milliseconds{ 1'200 },
-                             [this, aKind] {
+                             [this, aKind, aAfter] {
                                object_page page;
                                page.mAt = mStore.mRevision;
                                for (const auto& [key, object] : mStore.mObjects) {
-                                 if (key.first == aKind) {
-                                   page.mObjects.push_back(object);
+                                 if (key.first != aKind || key.second <= aAfter) {
+                                   continue;
                                  }
+                                 if (page.mObjects.size() == mStore.mPageObjects) {
+                                   page.mMore = true;
+                                   break;
+                                 }
+                                 page.mObjects.push_back(object);
                                }
                                return kj::Promise<store_result<object_page>>{
                                  store_result<object_page>{ std::move(page) }
@@ -341,7 +395,20 @@
   ++mReceiving;
   return mStore.mLinks.Carry(simulated_links::kStore, mDaemon, aBytes)
     .attach(kj::defer([this] { --mReceiving; }))
-    .then([answer = std::move(aAnswer)]() mutable { return std::move(answer); });
+    .then([this, answer = std::move(aAnswer)]() mutable { return CheckEra(std::move(answer)); });
+}
+
+template<class value>
+store_result<value>
+simulated_store_client::CheckEra(store_result<value> aAnswer)
+{
+  if (const auto* answer = std::get_if<value>(&aAnswer)) {
+    if (EraOf(answer->mAt) < mEra) {
+      return store_failure{ store_failure::cause::NoAnswer, "of an earlier era" };
+    }
+    mEra = EraOf(answer->mAt);
+  }
+  return aAnswer;
 }
 
 inline kj::Promise<store_result<object_changes>>
@@ -350,6 +417,9 @@
                               std::chrono::milliseconds aWait)
 {
   using result = store_result<object_changes>;
+  if (EraOf(aFrom) < mEra) {
+    return result{ store_failure{ store_failure::cause::HistoryGone, "of an earlier era" } };
+  }
   return Answer<object_changes>(
            aWait + std::chrono::milliseconds{ 800 },
            [this, aKind, aFrom, aWait]() -> kj::Promise<result> {
@@ -528,21 +598,36 @@
 store_fleet::Callbacks(int aDaemon)
 {
   auto& self = *mDaemons[static_cast<std::size_t>(aDaemon)];
-  const auto onList = [&self](const char* aKind) {
-    return [&self, aKind](const std::vector<stored_object>& aObjects, bool) {
-      auto& names = self.mCopies[aKind];
-      names.clear();
+  // Objects whose value is a number are configurations of that version.
+  const auto apply = [&self](const stored_object& aObject) {
+    forward_configuration configuration;
+    if (absl::SimpleAtoi(aObject.mValue, &configuration.mVersion)) {
+      self.mRoutes->Apply(std::make_shared<const forward_configuration>(configuration));
+    }
+  };
+  const auto onList = [&self, apply](const char* aKind) {
+    return [&self, apply, aKind](const std::vector<stored_object>& aObjects, bool aAfterOutage) {
+      auto before = std::exchange(self.mCopies[aKind], {});
       for (const auto& object : aObjects) {
-        names.insert(object.mName);
+        self.mCopies[aKind].insert(object.mName);
+        before.erase(object.mName);
+        apply(object);
+      }
+      if (!aAfterOutage) {
+        self.mDropped.merge(before);
       }
     };
   };
-  const auto onChange = [&self](const char* aKind) {
-    return [&self, aKind](const object_change& aChange, bool) {
-      if (aChange.mRemoved) {
-        self.mCopies[aKind].erase(aChange.mObject.mName);
-      } else {
+  const auto onChange = [&self, apply](const char* aKind) {
+    return [&self, apply, aKind](const object_change& aChange, bool aAfterOutage) {
+      if (!aChange.mRemoved) {
         self.mCopies[aKind].insert(aChange.mObject.mName);
+        apply(aChange.mObject);
+        return;
+      }
+      self.mCopies[aKind].erase(aChange.mObject.mName);
+      if (!aAfterOutage) {
+        self.mDropped.insert(aChange.mObject.mName);
       }
     };
   };
@@ -583,6 +668,8 @@
   auto& self = *mDaemons[static_cast<std::size_t>(aDaemon)];
   self.mMember.mStart = static_cast<std::uint64_t>(aDaemon) * 1'000 + ++self.mStarts;
   self.mPaused = false;
+  self.mDropped.clear();
+  self.mRoutes = std::make_unique<route_index>();
   self.mLoadTracker = std::make_unique<backend_load_tracker>(backend_load_tracker_settings{});
   self.mPrefixCacheIndex = std::make_unique<prefix_cache_index>();
   std::vector<std::string> seeds{ mDaemons.front()->mMember.mAddress,
@@ -642,6 +729,13 @@
   return {};
 }
 
+inline std::uint64_t
+store_fleet::ConfigurationVersion(int aDaemon) const
+{
+  const auto& routes = mDaemons[static_cast<std::size_t>(aDaemon)]->mRoutes;
+  return routes->Current() ? static_cast<std::uint64_t>(routes->Current()->mVersion) : 0;
+}
+
 inline std::uint64_t
 store_fleet::StateBytes(int aDaemon, const std::string& aKind) const
 {
--- a/packages/gateway/tests/store_follower_test.cpp
+++ b/packages/gateway/tests/store_follower_test.cpp
@@ -1,5 +1,7 @@
 #include "store_follower_p.h"
 
+#include "skylarkwind/store_position.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <kj/async-io.h>
 
@@ -19,6 +21,7 @@
 {
 public:
   ~scripted_store() noexcept override = default;
+  std::uint64_t Era() const override { return mEra; }
   kj::Promise<store_result<object_page>> List(std::string, std::string aAfter, bool) override
   {
     mCalls.push_back("list " + aAfter);
@@ -66,6 +69,7 @@
   kj::Own<kj::PromiseFulfiller<store_result<object_changes>>> mPendingWatch;
   kj::Own<kj::PromiseFulfiller<store_result<object_page>>> mPendingList;
   std::vector<std::string> mCalls;
+  std::uint64_t mEra = 0;
 
 private:
   template<class value>
@@ -121,6 +125,13 @@
   CPPUNIT_TEST(UnconfirmedWatcherAsksPeersAtOnce);
   CPPUNIT_TEST(RemovalFoundByListIsReported);
   CPPUNIT_TEST(FewOfManySimultaneousStartsCallStore);
+  CPPUNIT_TEST(ListWithPagesOfTwoErasStartsAnew);
+  CPPUNIT_TEST(ListOfRestoredStoreMayLackLiveServers);
+  CPPUNIT_TEST(SnapshotOfRestoredStoreReplacesCopy);
+  CPPUNIT_TEST(BatchAcrossRestorationIsNotApplied);
+  CPPUNIT_TEST(EmptyListOfRestoredStoreIsRelayed);
+  CPPUNIT_TEST(ListOfEarlierEraDoesNotRevertSnapshot);
+  CPPUNIT_TEST(OpenWatchEndsWhenEraRises);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -656,6 +667,146 @@
       CPPUNIT_ASSERT_EQUAL(confirmed ? 0 : 1, requests);
     }
   }
+
+  /// Position of a revision after the first restoration of the store.
+  static constexpr std::uint64_t Restored(std::uint64_t aRevision)
+  {
+    return PositionOf(1, aRevision);
+  }
+
+  /// The store is restored between two pages. Guards against a state made up of both histories.
+  void ListWithPagesOfTwoErasStartsAnew()
+  {
+    mStore.mLists = { MakePage({ "a", "lost" }, 10, true),
+                      MakePage({ "z" }, Restored(8)),
+                      MakePage({ "a", "z" }, Restored(8)) };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    RunUntilCalls(4);
+    const std::vector<std::string> calls{
+      "list ", "list lost", "list ", "watch " + std::to_string(Restored(8))
+    };
+    CPPUNIT_ASSERT(mStore.mCalls == calls);
+    CPPUNIT_ASSERT((mEvents == std::vector<std::string>{ "list 2" }));
+    CPPUNIT_ASSERT_EQUAL(Restored(8), follower->NewestRevision());
+  }
+
+  /// Guards against servers that are taken out of use because their entries are newer than the
+  /// copy.
+  void ListOfRestoredStoreMayLackLiveServers()
+  {
+    mStore.mLists = { MakePage({ "a", "b" }, 10), MakePage({ "a" }, Restored(9)) };
+    mStore.mWatches = { store_failure{ cause::HistoryGone, "" } };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    RunUntilCalls(4);
+    CPPUNIT_ASSERT((mEvents == std::vector<std::string>{ "list 2", "list 1 after outage" }));
+    CPPUNIT_ASSERT(mRelayed.back().mAfterOutage);
+    CPPUNIT_ASSERT_EQUAL(Restored(9), mRelayed.back().mTo);
+  }
+
+  /// The store turns this daemon away. Guards against a daemon that takes the restored state for an
+  /// older one, and against one that takes over batches of daemons that have not seen it yet.
+  void SnapshotOfRestoredStoreReplacesCopy()
+  {
+    kj::Promise<void> running = nullptr;
+    const auto follower = FollowerFedByPeers(running);
+    CPPUNIT_ASSERT(follower->OnBatch(
+      { "", Restored(4), Restored(5), true, false, { { { "b", Restored(4), "{}" }, false } } }));
+    CPPUNIT_ASSERT(!follower->OnBatch(MakeBatch(10, 20, "old")));
+    CPPUNIT_ASSERT(!follower->OnBatch({ "", 10, 30, false, false, {} }));
+    CPPUNIT_ASSERT(!follower->OnBatch({ "", 30, 30, true, false, {} }));
+    follower->OnRemoteRevision(30);
+    follower->OnSameCopy(30);
+    CPPUNIT_ASSERT_EQUAL(Restored(5), follower->SyncedRevision());
+    CPPUNIT_ASSERT(follower->OnBatch(MakeBatch(Restored(5), Restored(6), "c")));
+    CPPUNIT_ASSERT((mEvents == std::vector<std::string>{ "list 1 after outage", "c" }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mStore.mCalls.size());
+  }
+
+  /// Guards against a heartbeat, or changes, of the restored store that leave in the copy what the
+  /// store has lost.
+  void BatchAcrossRestorationIsNotApplied()
+  {
+    for (const bool heartbeat : { true, false }) {
+      mStore.mCalls.clear();
+      kj::Promise<void> running = nullptr;
+      const auto follower = FollowerFedByPeers(running);
+      std::uint64_t requested = 0;
+      SetPeerFetch(*follower, [&requested](std::uint64_t aRevision) {
+        requested = aRevision;
+        return kj::Promise<void>{ kj::NEVER_DONE };
+      });
+      auto batch = MakeBatch(8, Restored(9), "b");
+      if (heartbeat) {
+        batch.mChanges.clear();
+      }
+      CPPUNIT_ASSERT(!follower->OnBatch(batch));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 10 }, follower->SyncedRevision());
+      TickFor(*follower, milliseconds{ 500 });
+      CPPUNIT_ASSERT_EQUAL(Restored(9), requested);
+    }
+  }
+
+  /// A daemon that knew of no objects lists none again. Guards against a heartbeat, which says that
+  /// nothing has changed, to daemons that know objects which the store has lost.
+  void EmptyListOfRestoredStoreIsRelayed()
+  {
+    mStore.mLists = { MakePage({}, 10) };
+    const auto follower = Follower();
+    follower->SetConfirmationTimeout(seconds{ 1 });
+    const auto running = follower->Run();
+    RunUntilCalls(2);
+    mClock.Advance(seconds{ 1 });
+    follower->OnTick(mClock.Now());
+    RunUntilCalls(3);
+    mStore.mPendingList->fulfill(MakePage({}, Restored(9)));
+    RunUntilCalls(4);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, mRelayed.size());
+    CPPUNIT_ASSERT(mRelayed.back().mIsSnapshot);
+    CPPUNIT_ASSERT_EQUAL("watch " + std::to_string(Restored(9)), mStore.mCalls.back());
+  }
+
+  /// A list that was read before the restoration arrives after another daemon's state of the
+  /// restored store, also while this daemon asks for a newer one. Guards against a copy that goes
+  /// back to what the store has lost.
+  void ListOfEarlierEraDoesNotRevertSnapshot()
+  {
+    for (const bool asks : { true, false }) {
+      mStore.mCalls.clear();
+      kj::Promise<void> running = nullptr;
+      const auto follower = FollowerFedByPeers(running);
+      SetPeerFetch(*follower, [](std::uint64_t) { return kj::Promise<void>{ kj::NEVER_DONE }; });
+      follower->SetConfirmationTimeout(seconds{ 1 });
+      mClock.Advance(seconds{ 1 });
+      follower->OnTick(mClock.Now());
+      RunUntilCalls(3);
+      follower->OnBatch(
+        { "", Restored(4), Restored(5), true, false, { { { "b", Restored(4), "{}" }, false } } });
+      if (asks) {
+        follower->OnRemoteRevision(Restored(7));
+        TickFor(*follower, milliseconds{ 300 });
+      }
+      mStore.mPendingList->fulfill(MakePage({ "a", "lost" }, 12));
+      mLoop->provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(mLoop->waitScope);
+      CPPUNIT_ASSERT((mEvents == std::vector<std::string>{ "list 1 after outage" }));
+      CPPUNIT_ASSERT_EQUAL(Restored(5), follower->Snapshot()->mTo);
+    }
+  }
+
+  /// Another call has shown the new era. Guards against a watch of the earlier history whose
+  /// connection is silent for up to 25 s.
+  void OpenWatchEndsWhenEraRises()
+  {
+    mStore.mLists = { MakePage({ "a" }, 10), MakePage({ "a" }, Restored(9)) };
+    const auto follower = Follower();
+    const auto running = follower->Run();
+    RunUntilCalls(2);
+    mStore.mEra = 1;
+    TickFor(*follower, milliseconds{ 100 });
+    RunUntilCalls(4);
+    CPPUNIT_ASSERT_EQUAL("watch " + std::to_string(Restored(9)), mStore.mCalls.back());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_follower_test);
--- a/packages/gateway/tests/store_replication_test.cpp
+++ b/packages/gateway/tests/store_replication_test.cpp
@@ -260,6 +260,204 @@
   std::deque<expected_change> mExpected;
 };
 
+/// A return of the store from a copy during a schedule, and what happens to daemons around it.
+struct restoration
+{
+  int mAtStep = 0;
+  int mCopyAge = 0;      ///< steps by which the copy is older
+  int mAwaySteps = 0;    ///< for which no daemon is served before it
+  int mRewriteSteps = 0; ///< after which the operator and the servers have written again
+  bool mCutsWatches = true;
+  std::uint64_t mTurnedAway = 0; ///< bit mask of daemons that the store refuses for 2 s around it
+  std::uint64_t mPaused = 0;     ///< bit mask of daemons that are paused for a second around it
+};
+
+/// Prints the schedule of a failure. rapidcheck finds it by this name.
+[[maybe_unused]] void
+showValue( // NOLINT(readability-identifier-naming)
+  const restoration& aRestoration,
+  std::ostream& aOut)
+{
+  aOut << "restored at step " << aRestoration.mAtStep << " age " << aRestoration.mCopyAge
+       << " away " << aRestoration.mAwaySteps << " rewritten after " << aRestoration.mRewriteSteps
+       << " cuts " << aRestoration.mCutsWatches << std::hex << " turned away "
+       << aRestoration.mTurnedAway << " paused " << aRestoration.mPaused << std::dec;
+}
+
+/// Plays returns of the store while it changes. The operator and the servers write again what the
+/// store has lost, a moment after each return.
+class restoration_schedule
+{
+public:
+  static constexpr int kSteps = 260;
+  static constexpr int kSpacing = 80;
+
+  restoration_schedule(int aDataCentres, int aEach, std::uint64_t aSeed)
+    : mFleet(aDataCentres, aEach, aSeed)
+    , mRandom(aSeed)
+    , mVersions(static_cast<std::size_t>(aDataCentres * aEach))
+  {
+  }
+
+  /// Returns what was wrong; empty when nothing was.
+  std::string Play(const std::vector<restoration>& aRestorations)
+  {
+    mFleet.Store().mPageObjects = 3;
+    mFleet.Run(seconds{ 8 });
+    for (int step = 0; step < kSteps; ++step) {
+      mCopies.push_back(mFleet.Store().MakeCopy());
+      for (const auto& one : aRestorations) {
+        Apply(one, step);
+      }
+      constexpr int kChangeEverySteps = 3;
+      if (!mLost && step % kChangeEverySteps == 0) {
+        Change(step);
+      }
+      mFleet.Run(kStep);
+      if (auto problem = Check(step); !problem.empty()) {
+        return problem + " step=" + std::to_string(step);
+      }
+    }
+    return {};
+  }
+
+private:
+  static bool Hits(std::uint64_t aMask, int aDaemon) { return (aMask >> (aDaemon % 60)) & 1U; }
+
+  void Apply(const restoration& aRestoration, int aStep)
+  {
+    constexpr int kTurnedAwaySteps = 10;
+    constexpr int kPausedSteps = 5;
+    const auto distance = aStep - aRestoration.mAtStep;
+    if (std::abs(distance) > kSpacing / 2) {
+      return;
+    }
+    for (int i = 0; i < mFleet.Count(); ++i) {
+      // At least one daemon is served after the return.
+      const bool refused =
+        i > 0 && std::abs(distance) < kTurnedAwaySteps && Hits(aRestoration.mTurnedAway, i);
+      const bool away = distance < 0 && distance >= -aRestoration.mAwaySteps;
+      mFleet.Store().mAccess[i] = refused || away ? store_access::Refused : store_access::Open;
+      const bool paused =
+        i > 0 && std::abs(distance) < kPausedSteps && Hits(aRestoration.mPaused, i);
+      mFleet.SetPaused(i, paused);
+      if (paused || away) {
+        mDisturbedAt = aStep;
+      }
+    }
+    if (distance == 0) {
+      const auto age = std::min(static_cast<std::size_t>(aRestoration.mCopyAge), mCopies.size());
+      // In the middle of calls, whose answers take 4 ms.
+      mFleet.Run(milliseconds{ static_cast<std::int64_t>(mRandom() % 10) * 5 });
+      mFleet.Store().Restore(mCopies[mCopies.size() - std::max<std::size_t>(age, 1)],
+                             aRestoration.mCutsWatches);
+      mLost = true;
+      mDisturbedAt = aStep;
+    }
+    if (distance == aRestoration.mRewriteSteps) {
+      WriteAgain();
+      mLost = false;
+      mDisturbedAt = aStep;
+    }
+  }
+
+  void WriteAgain()
+  {
+    auto& store = mFleet.Store();
+    for (const auto& name : mServers) {
+      if (!store.Has(store_fleet::kServerKind, name)) {
+        store.Change(store_fleet::kServerKind, name, false);
+      }
+    }
+    for (const auto& name : mRemoved) {
+      if (store.Has(store_fleet::kServerKind, name)) {
+        store.Change(store_fleet::kServerKind, name, true);
+      }
+    }
+    store.Change(store_fleet::kConfigurationKind, "main", false, std::to_string(mVersion));
+  }
+
+  void Change(int aStep)
+  {
+    auto& store = mFleet.Store();
+    constexpr std::size_t kServers = 8;
+    if (mRandom() % 3 == 0) {
+      store.Change(store_fleet::kConfigurationKind, "main", false, std::to_string(++mVersion));
+    } else if (mServers.size() < kServers) {
+      mServers.push_back("server-" + std::to_string(aStep));
+      store.Change(store_fleet::kServerKind, mServers.back(), false);
+    } else {
+      store.Change(store_fleet::kServerKind, mServers.front(), true);
+      mRemoved.insert(mServers.front());
+      mServers.pop_front();
+    }
+    mHistory.push_back({ aStep, mVersion, { mServers.begin(), mServers.end() } });
+  }
+
+  /// The daemons have what was in force at the change deadline before, and the servers that were
+  /// listed all the time since; no version falls, and no listed server is taken out of use.
+  std::string Check(int aStep)
+  {
+    constexpr int kDeadlineSteps = static_cast<int>(kChangeDeadline / kStep);
+    const bool settled = !mLost && aStep - mDisturbedAt > kDeadlineSteps;
+    while (mHistory.size() > 1 && mHistory[1].mStep <= aStep - kDeadlineSteps) {
+      mHistory.pop_front();
+    }
+    for (int i = 0; i < mFleet.Count(); ++i) {
+      const auto who = "daemon " + std::to_string(i);
+      const auto version = mFleet.ConfigurationVersion(i);
+      auto& before = mVersions[static_cast<std::size_t>(i)];
+      if (version < before) {
+        return who + " went back to version " + std::to_string(version);
+      }
+      before = version;
+      for (const auto& name : mServers) {
+        if (mFleet.HasDropped(i, name)) {
+          return who + " has dropped " + name;
+        }
+      }
+      if (!settled || mHistory.front().mStep > aStep - kDeadlineSteps) {
+        continue;
+      }
+      if (version < mHistory.front().mVersion) {
+        return who + " has version " + std::to_string(version) + " instead of " +
+               std::to_string(mHistory.front().mVersion);
+      }
+      const auto names = mFleet.Names(i, store_fleet::kServerKind);
+      for (const auto& name : mServers) {
+        if (mHistory.front().mServers.contains(name) && !names.contains(name)) {
+          return who + " does not know " + name;
+        }
+      }
+      for (const auto& name : names) {
+        // Removed before the deadline.
+        if (mRemoved.contains(name) && !mHistory.front().mServers.contains(name)) {
+          return who + " still has " + name;
+        }
+      }
+    }
+    return {};
+  }
+
+  struct past_state
+  {
+    int mStep = 0;
+    std::uint64_t mVersion = 0;
+    std::set<std::string> mServers;
+  };
+
+  store_fleet mFleet;
+  std::mt19937_64 mRandom;
+  std::vector<std::uint64_t> mVersions; ///< in force, by daemon
+  std::deque<simulated_store::copy> mCopies;
+  std::deque<past_state> mHistory;
+  std::deque<std::string> mServers;
+  std::set<std::string> mRemoved;
+  std::uint64_t mVersion = 0;
+  bool mLost = false; ///< the store lacks what was written
+  int mDisturbedAt = 0;
+};
+
 } // namespace
 
 class store_replication_test : public CppUnit::TestFixture
@@ -274,6 +472,10 @@
   CPPUNIT_TEST(LostBatchIsFetchedFromDaemonsWithoutStore);
   CPPUNIT_TEST(ChangesArriveInTimeUnderFaults);
   CPPUNIT_TEST(ChangesArriveInTimeInLargeFleet);
+  CPPUNIT_TEST(StateIsTakenOverWhenStoreIsRestored);
+  CPPUNIT_TEST(StateIsTakenOverInLargeFleetWhenStoreIsRestored);
+  CPPUNIT_TEST(DaemonsWithoutStoreTakeOverTheRestoredState);
+  CPPUNIT_TEST(EmptyCopyReplacesWhatWasLost);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -491,6 +693,119 @@
     });
     CPPUNIT_ASSERT_MESSAGE(failure, failure.empty());
   }
+
+  /// Returns of the store that leave time to recover between them.
+  static rc::Gen<std::vector<restoration>> Restorations()
+  {
+    const auto one = rc::gen::apply(
+      [](int aAt,
+         int aAge,
+         int aAway,
+         int aRewrite,
+         bool aCuts,
+         std::uint64_t aTurnedAway,
+         std::uint64_t aPaused) {
+        return restoration{ aAt, aAge, aAway, aRewrite, aCuts, aTurnedAway, aPaused };
+      },
+      rc::gen::inRange(30, 60),
+      rc::gen::inRange(1, 50),
+      rc::gen::inRange(0, 20),
+      rc::gen::inRange(1, 10),
+      rc::gen::arbitrary<bool>(),
+      rc::gen::arbitrary<std::uint64_t>(),
+      rc::gen::arbitrary<std::uint64_t>());
+    return rc::gen::map(
+      rc::gen::container<std::vector<restoration>>(3, one), [](std::vector<restoration> aOnes) {
+        for (std::size_t i = 0; i < aOnes.size(); ++i) {
+          aOnes[i].mAtStep += static_cast<int>(i) * restoration_schedule::kSpacing;
+        }
+        return aOnes;
+      });
+  }
+
+  static void CheckRestorations(const char* aName,
+                                std::uint64_t aSeed,
+                                int aSchedules,
+                                int aMaxDataCentres,
+                                int aMinEach,
+                                int aMaxEach)
+  {
+    const auto failure = CheckSchedules(aName, aSeed, aSchedules, [=] {
+      const auto dataCentres = *rc::gen::inRange(1, aMaxDataCentres + 1);
+      const auto each = *rc::gen::inRange(aMinEach, aMaxEach + 1);
+      const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+      const auto restorations = *Restorations();
+      restoration_schedule schedule{ dataCentres, each, seed };
+      const auto problem = schedule.Play(restorations);
+      if (!problem.empty()) {
+        RC_FAIL(problem);
+      }
+    });
+    CPPUNIT_ASSERT_MESSAGE(failure, failure.empty());
+  }
+
+  /// The store comes back from copies of up to 5 s ago while lists of several pages, watches and
+  /// fetches from other daemons are under way, and while it refuses some daemons. Guards against
+  /// daemons that keep what the store has lost, miss what is written afterwards, go back to an
+  /// older configuration, or take servers out of use whose entries are only missing from the copy.
+  void StateIsTakenOverWhenStoreIsRestored()
+  {
+    CheckRestorations("StateIsTakenOverWhenStoreIsRestored", 31, 60, 4, 2, 5);
+  }
+
+  void StateIsTakenOverInLargeFleetWhenStoreIsRestored()
+  {
+    CheckRestorations("StateIsTakenOverInLargeFleetWhenStoreIsRestored", 32, 3, 5, 60, 60);
+  }
+
+  /// The restored store serves one daemon only. Guards against daemons that ignore its state
+  /// because its revisions are lower than those they have.
+  void DaemonsWithoutStoreTakeOverTheRestoredState()
+  {
+    for (int served = 0; served < 6; ++served) {
+      store_fleet fleet{ 2, 3, 1 };
+      auto& store = fleet.Store();
+      fleet.Run(seconds{ 8 });
+      const auto copy = store.MakeCopy();
+      for (int i = 0; i < 10; ++i) {
+        store.Change(store_fleet::kServerKind, "lost-" + std::to_string(i), false);
+      }
+      fleet.Run(kChangeDeadline);
+      store.Restore(copy, true);
+      for (int i = 0; i < fleet.Count(); ++i) {
+        store.mAccess[i] = i == served ? store_access::Open : store_access::Refused;
+      }
+      store.Change(store_fleet::kServerKind, "written", false);
+      constexpr milliseconds kTakeover{ 4'000 };
+      fleet.Run(kTakeover + kChangeDeadline);
+      store.Change(store_fleet::kServerKind, "later", false);
+      fleet.Run(kChangeDeadline);
+      for (int i = 0; i < fleet.Count(); ++i) {
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served) + " served, " + std::to_string(i),
+                               fleet.Names(i, store_fleet::kServerKind) ==
+                                 (std::set<std::string>{ "later", "written" }));
+      }
+    }
+  }
+
+  /// The copy is older than all objects. Guards against a daemon that keeps lost objects because no
+  /// object of the new era tells it of the return.
+  void EmptyCopyReplacesWhatWasLost()
+  {
+    for (const bool cuts : { true, false }) {
+      store_fleet fleet{ 2, 3, 1 };
+      auto& store = fleet.Store();
+      const auto copy = store.MakeCopy();
+      fleet.Run(seconds{ 8 });
+      store.Change(store_fleet::kServerKind, "lost", false);
+      fleet.Run(kChangeDeadline);
+      store.Restore(copy, cuts);
+      fleet.Run(kChangeDeadline);
+      for (int i = 0; i < fleet.Count(); ++i) {
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(i), fleet.Names(i, store_fleet::kServerKind).empty());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_replication_test);
