Write registrations and the quarantine again after the store was restored

Both were taken for stored at the revisions of their last writes, which a copy may lack. A daemon notices the new era in answers of the store and in the revisions that other daemons report.

--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -1,5 +1,7 @@
 #include "daemon_registry_p.h"
 
+#include "known_era_p.h"
+
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
@@ -59,6 +61,10 @@
     return kj::READY_NOW;
   }
   const auto now = mClock.Now();
+  NoticeRestoredStore();
+  if (mWritesAgain) {
+    return Register();
+  }
   const bool connected = mExchange.Connected(now);
   const bool isCollector =
     connected && mExchange.Members().IsPreferred(fleet_members::kCollectorsPerDataCentre, now);
@@ -83,6 +89,23 @@
   });
 }
 
+void
+daemon_registry::NoticeRestoredStore()
+{
+  const auto era = KnownEra(mStore, mExchange);
+  if (era <= mEra) {
+    return;
+  }
+  mEra = era;
+  if (mRevision && EraOf(*mRevision) < era) {
+    Log(log_level::Info,
+        "peers",
+        "the store was restored from a copy, registering again era=" + std::to_string(era));
+    mRevision.reset();
+    mWritesAgain = true;
+  }
+}
+
 kj::Promise<void>
 daemon_registry::Register()
 {
@@ -129,6 +152,7 @@
   return writing.then([this](store_result<object_written> aResult) {
     if (const auto* written = std::get_if<object_written>(&aResult)) {
       mRevision = written->mRevision;
+      mWritesAgain = EraOf(*mRevision) < mEra;
       return std::optional<store_failure>{};
     }
     return std::optional{ std::get<store_failure>(aResult) };
@@ -145,15 +169,41 @@
 kj::Promise<void>
 daemon_registry::Deregister()
 {
-  if (!mRevision) {
-    return kj::READY_NOW;
+  // The copy from which the store was restored may hold an object of this daemon.
+  const bool restored =
+    mWritesAgain || (mRevision && EraOf(*mRevision) < KnownEra(mStore, mExchange));
+  const auto revision = std::exchange(mRevision, std::nullopt);
+  mWritesAgain = false;
+  if (restored) {
+    return mStore.Read(kKind, mSelf.mName)
+      .then([this](store_result<stored_object> aResult) -> kj::Promise<void> {
+        if (const auto* object = std::get_if<stored_object>(&aResult)) {
+          return Remove(object->mRevision);
+        }
+        LogDeregistrationFailure(std::get<store_failure>(aResult));
+        return kj::READY_NOW;
+      });
+  }
+  return revision ? Remove(*revision) : kj::READY_NOW;
+}
+
+kj::Promise<void>
+daemon_registry::Remove(std::uint64_t aRevision)
+{
+  return mStore.Remove(kKind, mSelf.mName, aRevision)
+    .then([](store_result<object_written> aResult) {
+      if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+        LogDeregistrationFailure(*failure);
+      }
+    });
+}
+
+void
+daemon_registry::LogDeregistrationFailure(const store_failure& aFailure)
+{
+  if (aFailure.mCause != store_failure::cause::Missing) {
+    Log(log_level::Warning, "peers", "deregistration failed reason=\"" + aFailure.mReason + '"');
   }
-  const auto revision = *std::exchange(mRevision, std::nullopt);
-  return mStore.Remove(kKind, mSelf.mName, revision).then([](store_result<object_written> aResult) {
-    if (const auto* failure = std::get_if<store_failure>(&aResult)) {
-      Log(log_level::Warning, "peers", "deregistration failed reason=\"" + failure->mReason + '"');
-    }
-  });
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -39,6 +39,10 @@
   kj::Promise<void> RefreshIfNeeded();
   kj::Promise<void> Register();
   kj::Promise<void> Deregister();
+  kj::Promise<void> Remove(std::uint64_t aRevision);
+  static void LogDeregistrationFailure(const store_failure& aFailure);
+  /// Makes the next check register again when the store was restored from a copy.
+  void NoticeRestoredStore();
   static void LogFailure(const std::optional<store_failure>& aFailure);
   /// Creates or replaces this daemon's object; returns the failure, if any.
   kj::Promise<std::optional<store_failure>> Write(bool aReplace);
@@ -53,6 +57,8 @@
   std::mt19937_64 mRandom;
   load_exchange& mExchange;
   std::optional<std::uint64_t> mRevision; ///< of this daemon's object; empty when not registered
+  std::uint64_t mEra = 0;                 ///< of the store, as known at the last check
+  bool mWritesAgain = false; ///< the object was lost with the store's newest objects, or is older
   bool mLeaving = false;
   bool mFoundSelf = false; ///< whether the last list held this daemon's current object
   std::chrono::milliseconds mListInterval{ 1'500 };
--- a/packages/gateway/src/quarantine_sync.cpp
+++ b/packages/gateway/src/quarantine_sync.cpp
@@ -1,5 +1,7 @@
 #include "quarantine_sync_p.h"
 
+#include "known_era_p.h"
+
 #include "skylarkwind/http_pool.h"
 #include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
@@ -125,6 +127,12 @@
     mSeenVersion = mQuarantine.Version();
     mChangedAt = aNow;
   }
+  if (const auto era = KnownEra(mStore, mExchange); era > mEra) {
+    // What the stored object had since the copy was taken is gone from it.
+    mEra = era;
+    mStoredVersion.reset();
+    mRestoredAt = aNow;
+  }
   mAsks = mAsks && aNow < mAsksUntil;
   SendToPeers(aNow);
   if (!mSyncing && aNow >= NextStoreCall(aNow)) {
@@ -250,7 +258,7 @@
   const auto rank = mExchange.Members().DutyRank(aNow);
   if (changed && rank < kWriters) {
     return std::max(mStoreCalledAt + kMinStoreInterval,
-                    mChangedAt + static_cast<int>(rank) * kWriterDelay);
+                    std::max(mChangedAt, mRestoredAt) + static_cast<int>(rank) * kWriterDelay);
   }
   return rank == 0 ? mStoreCalledAt + kIdleStoreInterval : instant::max();
 }
@@ -311,8 +319,10 @@
     .then([this, version, probe](store_result<object_written> aResult) {
       const auto* failure = std::get_if<store_failure>(&aResult);
       if (failure == nullptr) {
-        mStoredVersion = version;
         mMergedRevision = std::get<object_written>(aResult).mRevision;
+        if (EraOf(*mMergedRevision) >= mEra) {
+          mStoredVersion = version;
+        }
       } else {
         Log(log_level::Debug, "quarantine", "writing the stored state failed: " + failure->mReason);
       }
--- a/packages/gateway/src/quarantine_sync_p.h
+++ b/packages/gateway/src/quarantine_sync_p.h
@@ -94,8 +94,11 @@
   instant mAsksUntil{};
 
   bool mSyncing = false;
-  bool mReadPending = true;         ///< the object is to be read whatever the rank
-  std::uint64_t mStoredVersion = 0; ///< version that the stored object contains
+  bool mReadPending = true; ///< the object is to be read whatever the rank
+  /// Version that the stored object contains; empty after the store was restored from a copy.
+  std::optional<std::uint64_t> mStoredVersion = 0;
+  std::uint64_t mEra = 0; ///< of the store, as known at the last tick
+  instant mRestoredAt{};  ///< when that was first known
   instant mStoreCalledAt{};
   std::uint32_t mFailedReads = 0;               ///< in a row
   std::optional<std::uint64_t> mMergedRevision; ///< of the stored object, merged already
--- a/packages/gateway/tests/quarantine_sync_test.cpp
+++ b/packages/gateway/tests/quarantine_sync_test.cpp
@@ -2,6 +2,8 @@
 
 #include "skylarkwind/backend_load_tracker.h"
 #include "skylarkwind/prefix_cache_index.h"
+#include "skylarkwind/quarantine_json.h"
+#include "skylarkwind/store_position.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <kj/async.h>
@@ -35,7 +37,7 @@
     if (!mReachable) {
       return store_result<stored_object>{ store_failure{} };
     }
-    if (mRevision == 0) {
+    if (RevisionOf(mRevision) == 0) {
       return store_result<stored_object>{ store_failure{ store_failure::cause::Missing, {} } };
     }
     return store_result<stored_object>{ stored_object{ std::move(aName), mRevision, mValue } };
@@ -49,7 +51,7 @@
     if (!mReachable) {
       return store_result<object_written>{ store_failure{} };
     }
-    if (aRevision.value_or(0) != mRevision) {
+    if (aRevision.value_or(PositionOf(Era(), 0)) != mRevision) {
       return store_result<object_written>{ store_failure{ store_failure::cause::Conflict, {} } };
     }
     mValue = std::move(aValue);
@@ -68,9 +70,17 @@
     return store_result<object_written>{ store_failure{} };
   }
 
+  std::uint64_t Era() const override { return EraOf(mRevision); }
+  /// Comes back from a copy.
+  void Restore(std::uint64_t aRevision, std::string aValue)
+  {
+    mRevision = PositionOf(Era() + 1, aRevision);
+    mValue = std::move(aValue);
+  }
+
   bool mReachable = true;
   bool mLosesAnswers = false;
-  std::uint64_t mRevision = 0;
+  std::uint64_t mRevision = 0; ///< position; no object while the store's own revision is 0
   std::string mValue;
   int mReads = 0;
   int mWrites = 0;
@@ -91,6 +101,7 @@
   CPPUNIT_TEST(InvalidObjectIsReplaced);
   CPPUNIT_TEST(CallsOfTheStoreAreFew);
   CPPUNIT_TEST(DatagramSurvivesItsBytes);
+  CPPUNIT_TEST(StateIsWrittenAgainIntoRestoredStore);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr prompt_part kPart = 0xbad;
@@ -335,6 +346,47 @@
       CPPUNIT_ASSERT(!DecodeQuarantine(bytes.substr(0, size), now).has_value());
     }
   }
+
+  /// Guards against a quarantine that only the running daemons know of, because the object that
+  /// they have written is gone from the store or is an older one, and against a call of each
+  /// daemon.
+  void StateIsWrittenAgainIntoRestoredStore()
+  {
+    for (const bool datagrams : { true, false }) {
+      for (const bool older : { true, false }) {
+        fleet fleet{ 0 };
+        fleet.mHasDatagrams = datagrams;
+        for (int i = 0; i < 6; ++i) {
+          fleet.Add();
+        }
+        fleet.Pass(seconds{ 3 });
+        fleet.CrashEngines(1);
+        fleet.Pass(seconds{ 3 });
+        const auto revision = RevisionOf(fleet.mStore.mRevision);
+        const auto value = fleet.mStore.mValue;
+        CPPUNIT_ASSERT(!value.empty());
+        fleet.CrashEngines(kCrashes - 1);
+        fleet.Pass(seconds{ 15 });
+        CPPUNIT_ASSERT(fleet.AllHold());
+        const auto writes = fleet.mStore.mWrites;
+        const auto reads = fleet.mStore.mReads;
+        fleet.mStore.Restore(older ? revision : 0, older ? value : std::string{});
+        fleet.Pass(seconds{ 2 });
+        CPPUNIT_ASSERT(fleet.mStore.mWrites > writes);
+        const auto stored = QuarantineFromJson(fleet.mStore.mValue, fleet.mClock.Now());
+        CPPUNIT_ASSERT(stored.has_value());
+        prompt_quarantine started{ quarantine_settings{}, fleet.mClock.Now() };
+        started.Merge(*stored, fleet.mClock.Now());
+        CPPUNIT_ASSERT(started.Holds(std::vector{ kPart }));
+        CPPUNIT_ASSERT(fleet.AllHold());
+        // Daemons without contact read once a second. The return makes each of them read once more,
+        // and again when another one has written first.
+        constexpr int kReads = 6 * (2 + 2);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.mStore.mReads - reads),
+                               fleet.mStore.mReads - reads <= kReads);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(quarantine_sync_test);
