--- a/standins/store_double.cpp
+++ b/standins/store_double.cpp
@@ -1,5 +1,7 @@
 #include "store_double.h"
 
+#include <utility>
+
 namespace skylarkwind {
 
 namespace {
@@ -30,14 +32,14 @@
     return;
   }
   if (mMode == "busy") {
-    aReply.Send(503, "{}");
+    Answer(aReply, 503, "{}");
     return;
   }
   if (aRequest.mPath.starts_with(kObjects)) {
     OnObjects(aRequest, aReply);
     return;
   }
-  aReply.Send(404, "{}");
+  Answer(aReply, 404, "{}");
 }
 
 void
@@ -81,9 +83,38 @@
     }
     mWatches.clear();
   }
+  if (const auto copy = faults.find("copy"); copy != faults.end()) {
+    mCopy = { mObjects, mRevision };
+    for (const auto& kind : copy->value("without", json::array())) {
+      mCopy.mObjects.erase(kind.get<std::string>());
+    }
+  }
+  if (faults.value("restore", false)) {
+    Restore();
+  }
   aReply.Send(200, "{}");
 }
 
+void
+store_double::Restore()
+{
+  mObjects = mCopy.mObjects;
+  mRevision = mCopy.mRevision;
+  mHistoryFrom = mRevision;
+  mHistory.clear();
+  ++mEra;
+  for (const auto& watch : std::exchange(mWatches, {})) {
+    watch.mReply.Close();
+  }
+}
+
+void
+store_double::Answer(const standin_reply& aReply, int aStatus, std::string_view aBody) const
+{
+  const auto era = mEra == 0 ? std::string{} : "Store-Era: " + std::to_string(mEra) + "\r\n";
+  aReply.Send(aStatus, aBody, "application/json", era);
+}
+
 void
 store_double::OnObjects(const standin_request& aRequest, const standin_reply& aReply)
 {
@@ -98,9 +129,9 @@
   if (aRequest.mMethod == "GET") {
     const auto found = mObjects[kind].find(name);
     if (found == mObjects[kind].end()) {
-      aReply.Send(404, "{}");
+      Answer(aReply, 404, "{}");
     } else {
-      aReply.Send(200, Render(found->second));
+      Answer(aReply, 200, Render(found->second));
     }
     return;
   }
@@ -117,8 +148,8 @@
 {
   if (aRequest.mQuery.contains("Watch")) {
     const auto from = aRequest.QueryNumber("Watch", 0);
-    if (from < mHistoryFrom) {
-      aReply.Send(410, "{}");
+    if (from < mHistoryFrom || from > mRevision) {
+      Answer(aReply, 410, "{}");
       return;
     }
     const auto until = SteadyMs() + static_cast<std::int64_t>(aRequest.QueryNumber("WaitMs", 0));
@@ -132,8 +163,9 @@
   for (const auto& [name, object] : mObjects[aKind]) {
     items.push_back(object);
   }
-  aReply.Send(200,
-              Render({ { "items", std::move(items) }, { "HasMore", false }, { "At", mRevision } }));
+  Answer(aReply,
+         200,
+         Render({ { "items", std::move(items) }, { "HasMore", false }, { "At", mRevision } }));
 }
 
 void
@@ -151,11 +183,11 @@
   const auto meta = body.value("Metadata", json::object());
   const auto expected = meta.value("Revision", aRequest.QueryNumber("Revision", 0));
   if ((aRequest.mMethod == "POST" && exists) || (expected != 0 && expected != stored)) {
-    aReply.Send(409, exists ? Render(found->second) : "{}");
+    Answer(aReply, 409, exists ? Render(found->second) : "{}");
     return;
   }
   if (aRequest.mMethod != "POST" && !exists) {
-    aReply.Send(404, "{}");
+    Answer(aReply, 404, "{}");
     return;
   }
   ++mRevision;
@@ -169,7 +201,7 @@
   }
   Record(aKind, object, removed);
   if (!mLoseAnswers) {
-    aReply.Send(200, object.dump());
+    Answer(aReply, 200, object.dump());
   }
 }
 
@@ -192,7 +224,7 @@
   if (events.empty()) {
     return false;
   }
-  aWatch.mReply.Send(200, Render({ { "events", std::move(events) }, { "At", mRevision } }));
+  Answer(aWatch.mReply, 200, Render({ { "events", std::move(events) }, { "At", mRevision } }));
   return true;
 }
 
@@ -204,7 +236,7 @@
     if (now < aWatch.mUntilMs) {
       return false;
     }
-    aWatch.mReply.Send(200, json{ { "events", json::array() }, { "At", mRevision } }.dump());
+    Answer(aWatch.mReply, 200, json{ { "events", json::array() }, { "At", mRevision } }.dump());
     return true;
   });
 }
