Readiness is 503 while callers cannot be accepted

Change: accept_loop tells whether the latest attempt to accept has failed, and readiness depends on that of the callers' port. An attempt that only waits is no failure: the kernel reserves the descriptor first, so a daemon that has descriptors again is ready before the next caller comes.

Tests: accept_loop_test passes (3). The new session test ReadinessTellsThatCallersCannotBeAccepted passes (1 run) and fails when the condition is taken out of Ready() (1 run).

--- a/packages/gateway/src/accept_loop.cpp
+++ b/packages/gateway/src/accept_loop.cpp
@@ -25,7 +25,13 @@
 accept_loop::Run(kj::ConnectionReceiver& aPort)
 {
   // A port throws from the call itself when a connection waits and cannot be accepted.
-  return kj::evalNow([&] { return aPort.accept(); })
+  return kj::evalNow([&] {
+           auto accepting = aPort.accept();
+           // The kernel reserves a descriptor before it looks for a connection, so that this call
+           // fails for want of one even when nobody waits.
+           mFailing = false;
+           return accepting;
+         })
     .then([this](kj::Own<kj::AsyncIoStream> aStream) { OnAccepted(kj::mv(aStream)); })
     .then([this, &aPort] { return Run(aPort); },
           [this, &aPort](kj::Exception&& aError) {
@@ -46,6 +52,7 @@
 void
 accept_loop::OnFailed(const kj::Exception& aError)
 {
+  mFailing = true;
   // The first of a series; its end is logged with their number.
   if (mFailures++ == 0) {
     Log(log_level::Error,
--- a/packages/gateway/src/accept_loop_p.h
+++ b/packages/gateway/src/accept_loop_p.h
@@ -20,6 +20,8 @@
 
   /// Accepts connections until the promise is dropped. The promise never ends by itself.
   kj::Promise<void> Run(kj::ConnectionReceiver& aPort);
+  /// Whether the latest attempt to accept has failed, and connections have to wait for the next.
+  bool Failing() const { return mFailing; }
 
 private:
   void OnAccepted(kj::Own<kj::AsyncIoStream> aStream);
@@ -29,6 +31,7 @@
   kj::Timer& mTimer;
   on_connection mOnConnection;
   std::size_t mFailures = 0; ///< since the last connection
+  bool mFailing = false;
 };
 
 } // namespace skylarkwind
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -31,6 +31,8 @@
 
   /// Accepts connections until the promise is dropped; open connections stay open.
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort) { return mAcceptLoop.Run(aPort); }
+  /// Whether connections cannot be accepted at present, e.g. for want of descriptors.
+  bool CannotAccept() const { return mAcceptLoop.Failing(); }
   /// Begins to close connections that have reached a limit, and frees those that have ended. A
   /// connection that still carries a response is not idle.
   void CloseIdle(const connection_limits& aLimits, instant aNow);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -643,7 +643,8 @@
 
   bool Ready() const
   {
-    return mRoutes.Version() > 0 && mReplication.ServersListed() && !mStoppingSince;
+    return mRoutes.Version() > 0 && mReplication.ServersListed() && !mStoppingSince &&
+           !mCallerListener.CannotAccept();
   }
 
   /// Serves readiness checks and metrics.
--- a/packages/gateway/tests/accept_loop_test.cpp
+++ b/packages/gateway/tests/accept_loop_test.cpp
@@ -52,6 +52,7 @@
 {
   CPPUNIT_TEST_SUITE(accept_loop_test);
   CPPUNIT_TEST(CallersAreAcceptedAfterFailures);
+  CPPUNIT_TEST(FailuresAreToldUntilAnAcceptSucceeds);
   CPPUNIT_TEST(FailureOfAConnectionDoesNotEndTheLoop);
   CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +78,31 @@
     }
   }
 
+  /// Guards against a daemon that says it is ready while it cannot accept callers, and against one
+  /// that says it is not until a caller comes: a balancer sends none to a daemon that is not ready.
+  void FailuresAreToldUntilAnAcceptSucceeds()
+  {
+    exchange_fixture fixture;
+    for (const auto failure : { failing_port::failure::Call, failing_port::failure::Promise }) {
+      failing_port port;
+      caller_listener listener{ fixture.mContext };
+      auto accepting = listener.Accept(port).eagerlyEvaluate(nullptr);
+      fixture.Run();
+      CPPUNIT_ASSERT(!listener.CannotAccept());
+      const auto caller = port.mPort.Connect();
+      port.mFailure = failure;
+      fixture.Run();
+      CPPUNIT_ASSERT(listener.CannotAccept());
+      for (int i = 0; i < 5; ++i) {
+        fixture.Advance(milliseconds{ 60 });
+        CPPUNIT_ASSERT(listener.CannotAccept());
+      }
+      port.mFailure = failing_port::failure::None;
+      fixture.Advance(milliseconds{ 60 });
+      CPPUNIT_ASSERT(!listener.CannotAccept());
+    }
+  }
+
   void FailureOfAConnectionDoesNotEndTheLoop()
   {
     exchange_fixture fixture;
--- a/tests/sessions/gateway_limits_test.cpp
+++ b/tests/sessions/gateway_limits_test.cpp
@@ -3,10 +3,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/resource.h>
+
 #include <csignal>
 #include <fstream>
 #include <memory>
 #include <sstream>
+#include <vector>
 
 namespace skylarkwind::sessions {
 
@@ -23,6 +26,7 @@
   CPPUNIT_TEST(BodyIsHeldToTheLimitOfItsHead);
   CPPUNIT_TEST(HeadIsHeldToTheLimitsOfItsBegin);
   CPPUNIT_TEST(OtherAddressesKeepConnectionsOpen);
+  CPPUNIT_TEST(ReadinessTellsThatCallersCannotBeAccepted);
   CPPUNIT_TEST_SUITE_END();
 
   static gateway_options Options()
@@ -199,6 +203,33 @@
     raw_caller later{ system.CallersAddress(0) };
     AssertServed(Ask(later, Post("third", "b")), system);
   }
+
+  /// Guards against a daemon that answers 200 for readiness while it has no descriptor left for
+  /// callers, so that a balancer goes on sending them (review, case 2). The question comes on a
+  /// kept connection, as a new one cannot be accepted either.
+  void ReadinessTellsThatCallersCannotBeAccepted()
+  {
+    constexpr rlim_t kDescriptors = 200;
+    gateway_system system{ Options() };
+    const rlimit limit{ kDescriptors, kDescriptors };
+    CPPUNIT_ASSERT_EQUAL(0, prlimit(system.Daemon().Pid(), RLIMIT_NOFILE, &limit, nullptr));
+    raw_caller balancer{ system.ReadyAddress(0) };
+    const auto status = [&balancer] {
+      balancer.Forget();
+      CPPUNIT_ASSERT(balancer.Send("GET /skylarkwind/ready HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+      return balancer.ReadAnswer(seconds{ 4 }).mStatus;
+    };
+    CPPUNIT_ASSERT_EQUAL(200, status());
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (rlim_t i = 0; i < kDescriptors; ++i) {
+      callers.push_back(std::make_unique<raw_caller>(system.CallersAddress(0)));
+    }
+    CPPUNIT_ASSERT_MESSAGE(system.DaemonLog(), WaitUntil([&] { return status() == 503; }));
+    callers.clear();
+    CPPUNIT_ASSERT_MESSAGE(system.DaemonLog(), WaitUntil([&] { return status() == 200; }));
+    raw_caller caller{ system.CallersAddress(0) };
+    AssertServed(Ask(caller, Post("after", "b")), system);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_limits_test);
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -109,6 +109,10 @@
   {
     return mDaemons[static_cast<std::size_t>(aIndex)].mCallers;
   }
+  const std::string& ReadyAddress(int aIndex) const
+  {
+    return mDaemons[static_cast<std::size_t>(aIndex)].mReady;
+  }
   /// With caller relays: the relay's address, and its faults.
   const std::string& RelayedCallersAddress(int aIndex) const
   {
