Answers without a length end only after the request has been sent whole

Cause: the end of the connection counted as the end of such a body unless a write had failed before. A server that answers a long upload at once, sends a part of its answer and closes in order was seen to end while the daemon still had most of the request to write, so the caller of an order or a lookup got 200 with a Content-Length of the part, and a stream that ended after an event looked whole.

Change: the end counts only when the upload is done; an open upload is a failure like one that has failed.

Tests: three new cases of exchange_cut_test fail before the change (12 passed, 3 failed) and pass after it (15 passed): close on sockets during an upload, order, lookup and stream with reset, close and end of the answer, repeat of a lookup. AnswerAfterTheUploadEndsWithItsConnection guards against a rule that is too strict. gateway_tests: 220 passed.

--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -63,8 +63,9 @@
          aResponse.headers->get(kj::HttpHeaderId::TRANSFER_ENCODING) == nullptr;
 }
 
-/// A body that ends with its connection. A write that fails takes the error of a reset from the
-/// socket, and reads see an orderly end afterwards; so that end counts only while no write failed.
+/// A body that ends with its connection. Its end counts only once the request has been sent whole:
+/// a write that fails takes the error of a reset from the socket, and reads see an orderly end
+/// afterwards; a server that closes while it still has to read the request has broken off.
 class body_without_length final : public kj::AsyncInputStream
 {
 public:
@@ -78,9 +79,9 @@
   kj::Promise<size_t> tryRead(void* aBuffer, size_t aMinBytes, size_t aMaxBytes) override
   {
     return mInner->tryRead(aBuffer, aMinBytes, aMaxBytes).then([this, aMinBytes](size_t aBytes) {
-      if (aBytes < aMinBytes && *mUpload == upload_progress::Failed) {
+      if (aBytes < aMinBytes && *mUpload != upload_progress::Done) {
         kj::throwFatalException(
-          KJ_EXCEPTION(DISCONNECTED, "the connection failed while the request was sent"));
+          KJ_EXCEPTION(DISCONNECTED, "the connection ended before the request was sent"));
       }
       return aBytes;
     });
--- a/packages/gateway/tests/exchange_cut_test.cpp
+++ b/packages/gateway/tests/exchange_cut_test.cpp
@@ -176,6 +176,10 @@
   CPPUNIT_TEST(ResetAnswerNeverLooksWhole);
   CPPUNIT_TEST(StreamIsResumedAfterAResetBeforeTheNextRead);
   CPPUNIT_TEST(ResetDuringTheUploadIsNotTheEndOfTheBody);
+  CPPUNIT_TEST(CloseDuringTheUploadIsNotTheEndOfTheBody);
+  CPPUNIT_TEST(AnswerThatBreaksOffDuringTheUploadNeverLooksWhole);
+  CPPUNIT_TEST(AnswerToALookupThatBreaksOffDuringTheUploadIsRepeated);
+  CPPUNIT_TEST(AnswerAfterTheUploadEndsWithItsConnection);
   CPPUNIT_TEST(EmptyBodyWithoutLengthIsAFailure);
   CPPUNIT_TEST(StatedEmptyBodyIsDelivered);
   CPPUNIT_TEST(CutHeadIsAFailureOfTheCall);
@@ -188,6 +192,15 @@
   struct played
   {
     played(const std::string& aRoute, const std::string& aAnswer, bool aOtherServer)
+      : played(aRoute, "b", std::nullopt, aAnswer, aOtherServer)
+    {
+    }
+    /// The server reads `aTaken` bytes of the request, or all of it, before it answers.
+    played(const std::string& aRoute,
+           const std::string& aBody,
+           std::optional<std::size_t> aTaken,
+           const std::string& aAnswer,
+           bool aOtherServer)
     {
       if (aOtherServer) {
         mFixture.AddServer("s2");
@@ -208,8 +221,13 @@
       mCaller = mFixture.mPort.Connect();
       mFixture.Write(*mCaller,
                      "POST /" + aRoute +
-                       "/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nContent-Length: 1\r\n\r\nb");
-      mFixture.Read(*mFixture.mServers.front());
+                       "/a HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nContent-Length: " +
+                       std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
+      if (aTaken) {
+        mFixture.Read(*mFixture.mServers.front(), *aTaken);
+      } else {
+        mFixture.Read(*mFixture.mServers.front(), aBody.size() + 64 * 1'024);
+      }
       if (!aAnswer.empty()) {
         mFixture.Write(*mFixture.mServers.front(), aAnswer);
       }
@@ -219,6 +237,13 @@
       mFixture.mServers.front() = nullptr;
       mFixture.Run();
     }
+    /// Ends what the server sends. Its end of the connection stays open, as at a socket whose peer
+    /// has not yet been told that further bytes find no reader.
+    void EndAnswer()
+    {
+      mFixture.mServers.front()->shutdownWrite();
+      mFixture.Run();
+    }
     void Reset()
     {
       mConnections.front()->Reset();
@@ -524,6 +549,143 @@
     CPPUNIT_ASSERT(failed);
   }
 
+  /// The same for a server that closes in order: the daemon saw the end of the body while it still
+  /// had most of the request to write.
+  void CloseDuringTheUploadIsNotTheEndOfTheBody()
+  {
+    pool_loop loop;
+    const std::string large(8 * 1'024 * 1'024, 'x');
+    auto call = loop.Call();
+    call.mBody = large;
+    auto calling = loop.mPool.Call(std::move(call)).eagerlyEvaluate(nullptr);
+    auto server = loop.Accept();
+    const std::string part =
+      "HTTP/1.1 200 OK\r\n" + std::string{ kHeaders } + "\r\n" + "half of the body";
+    server->write(part.data(), part.size()).wait(loop.mIo.waitScope);
+    server->shutdownWrite();
+    auto result = calling.wait(loop.mIo.waitScope);
+    auto& answer = std::get<std::unique_ptr<http_answer>>(result);
+    byte_budget budget{ 64 * 1'024 };
+    bool failed = false;
+    ReadBodyOrThrow(answer->Body(), 16 * 1'024, budget)
+      .then([](const buffered_body&) {}, [&failed](kj::Exception&&) { failed = true; })
+      .wait(loop.mIo.waitScope);
+    CPPUNIT_ASSERT(failed);
+  }
+
+  /// A body that servers have not read whole when they answer.
+  static std::string LargeBody() { return std::string(200 * 1'024, 'x'); }
+
+  /// How a server ends a connection on which it has not read the whole request.
+  enum class ending
+  {
+    Reset,
+    Close,
+    EndOfAnswer ///< its end is seen before the failure of a write
+  };
+  static constexpr std::array kEndings{ ending::Reset, ending::Close, ending::EndOfAnswer };
+
+  static void End(played& aRequest, ending aEnding)
+  {
+    switch (aEnding) {
+      case ending::Reset:
+        aRequest.Reset();
+        break;
+      case ending::Close:
+        aRequest.Close();
+        break;
+      case ending::EndOfAnswer:
+        aRequest.EndAnswer();
+        break;
+    }
+  }
+
+  /// Parts of the body after which the answer breaks off; one ends with an event, as whole streams
+  /// do.
+  static std::vector<std::string> Parts()
+  {
+    const auto first = kEvents.find("\n\n") + 2;
+    return { "", kEvents.substr(0, 5), kEvents.substr(0, first), kEvents.substr(0, first + 5) };
+  }
+
+  static whole_answer EarlyAnswer(const std::string& aPart)
+  {
+    return Answer(
+      framing::Connection, aPart, std::string{ kHeaders } + "Content-Type: text/event-stream\r\n");
+  }
+
+  /// Bytes of the request that a server takes before it answers: none, the head, a part of the
+  /// body.
+  static constexpr std::array<std::size_t, 3> kTaken{ 0, 60, 20'000 };
+
+  /// Guards against an answer without a length that passes for whole because its server closed
+  /// while the daemon was still writing the request: such a server has not seen the request.
+  void AnswerThatBreaksOffDuringTheUploadNeverLooksWhole()
+  {
+    for (const auto* route : { "order", "lookup", "stream" }) {
+      for (const auto how : kEndings) {
+        for (const auto taken : kTaken) {
+          for (const auto& part : Parts()) {
+            const auto answer = EarlyAnswer(part);
+            played request{ route, LargeBody(), taken, answer.Text(), false };
+            auto got = request.Received();
+            End(request, how);
+            got += request.Received();
+            const caller_view view{ got };
+            const auto context = std::string{ route } + ", ending " +
+                                 std::to_string(static_cast<int>(how)) + ", taken " +
+                                 std::to_string(taken) + ", " +
+                                 Context(answer.Text().size(), answer, got);
+            CPPUNIT_ASSERT_MESSAGE(context, !got.empty());
+            CPPUNIT_ASSERT_MESSAGE(context, !view.Success() || !view.mWhole);
+            CPPUNIT_ASSERT_MESSAGE(context, view.Success() || (view.mStatus == 502 && view.mWhole));
+            CPPUNIT_ASSERT_MESSAGE(context,
+                                   std::string_view{ route } == "stream" || !view.Success());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::size_t{ 1 }, request.Sent());
+          }
+        }
+      }
+    }
+  }
+
+  /// Guards against a lookup that fails, or gets the part of an answer, while another server would
+  /// serve it.
+  void AnswerToALookupThatBreaksOffDuringTheUploadIsRepeated()
+  {
+    for (const auto how : kEndings) {
+      for (const auto& part : Parts()) {
+        const auto answer = EarlyAnswer(part);
+        played request{ "lookup", LargeBody(), 20'000, answer.Text(), true };
+        End(request, how);
+        const auto context = Context(answer.Text().size(), answer, request.Received());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::size_t{ 2 }, request.Sent());
+        auto& second = *request.mFixture.mServers.back();
+        const auto repeated = request.mFixture.Read(second, 2 * LargeBody().size());
+        CPPUNIT_ASSERT_MESSAGE(context, repeated.ends_with("\r\n\r\n" + LargeBody()));
+        request.mFixture.Write(second, Answer(framing::Length, "other", kHeaders).Text());
+        const caller_view view{ request.Received() };
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(context, 200, view.mStatus);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(context, std::string{ "other" }, view.mBody);
+      }
+    }
+  }
+
+  /// Guards against a rule that is too strict: a body without a length whose request was sent whole
+  /// ends with its connection, whatever the size of the request.
+  void AnswerAfterTheUploadEndsWithItsConnection()
+  {
+    for (const auto* route : { "order", "lookup", "stream" }) {
+      const auto answer = EarlyAnswer(kEvents);
+      played request{ route, LargeBody(), std::nullopt, answer.Text(), false };
+      auto got = request.Received();
+      request.EndAnswer();
+      got += request.Received();
+      const caller_view view{ got };
+      CPPUNIT_ASSERT_MESSAGE(got, view.Success() && view.mWhole);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(got, kEvents, view.mBody);
+    }
+  }
+
   /// Guards against a success without a body from a server that stopped after its head: with no
   /// length stated, the end of the connection looked like the end of the body.
   void EmptyBodyWithoutLengthIsAFailure()
