Calls of the platform's API need a whole answer

Cause: the status counted as soon as the head had arrived, unlike at the store and at engines. A usage report or an engine order was taken for carried out though its answer broke off, or though the platform closed before it had read the call.

Change: the body is read to its end and discarded, within the 400 ms of the call; an answer that breaks off or does not end in time is none (status 0), so that the call is repeated.

--- a/packages/gateway/src/platform_api.cpp
+++ b/packages/gateway/src/platform_api.cpp
@@ -1,6 +1,7 @@
 #include "platform_api_p.h"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <utility>
 
@@ -11,6 +12,32 @@
 /// Short, so that a call has arrived well before the lease of its holder expires.
 constexpr std::chrono::milliseconds kCallTimeout{ 400 };
 
+/// Reads a body to its end and discards it. Rejects when it breaks off.
+class body_discarder
+{
+public:
+  explicit body_discarder(std::unique_ptr<http_answer> aAnswer)
+    : mAnswer(std::move(aAnswer))
+  {
+  }
+
+  kj::Promise<int> Run()
+  {
+    return mAnswer->Body()
+      .tryRead(mBuffer.data(), 1, mBuffer.size())
+      .then([this](std::size_t aBytes) -> kj::Promise<int> {
+        if (aBytes == 0) {
+          return mAnswer->mStatus;
+        }
+        return Run();
+      });
+  }
+
+private:
+  std::unique_ptr<http_answer> mAnswer;
+  std::array<kj::byte, 4'096> mBuffer{};
+};
+
 } // namespace
 
 platform_api::platform_api(std::string aAddress,
@@ -70,10 +97,16 @@
   call.mTarget = aCall.mPath;
   call.mHeaders = std::move(aCall.mHeaders);
   call.mBody = *body;
-  auto calling = mPool.Call(std::move(call)).then([](http_result aResult) -> int {
-    // The status is all that is needed; dropping the response closes its connection.
-    const auto* response = std::get_if<std::unique_ptr<http_answer>>(&aResult);
-    return response == nullptr ? 0 : (*response)->mStatus;
+  auto calling = mPool.Call(std::move(call)).then([](http_result aResult) -> kj::Promise<int> {
+    auto* response = std::get_if<std::unique_ptr<http_answer>>(&aResult);
+    if (response == nullptr) {
+      return 0;
+    }
+    // The status alone is needed, but a response that breaks off is none: its server may have
+    // failed, or may not have read the call. Dropping the response closes its connection.
+    auto body = kj::heap<body_discarder>(std::move(*response));
+    auto reading = body->Run();
+    return reading.attach(kj::mv(body));
   });
   return mTimer.timeoutAfter(ToKj(kCallTimeout), kj::mv(calling))
     .then([](int aStatus) { return aStatus; }, [](kj::Exception&&) { return 0; })
--- a/packages/gateway/src/platform_api_p.h
+++ b/packages/gateway/src/platform_api_p.h
@@ -26,8 +26,9 @@
                counters& aCounters);
 
   bool IsConfigured() const { return !mAddress.empty(); }
-  /// Sends one call, without retries. Returns the HTTP status of its response; 0 when no response
-  /// arrived in time, so that the call may have been carried out; `kNotSent` when it was not sent.
+  /// Sends one call, without retries. Returns the HTTP status of its response; 0 when no whole
+  /// response arrived in time, so that the call may have been carried out; `kNotSent` when it was
+  /// not sent.
   kj::Promise<int> Call(control_request aCall);
   static constexpr int kNotSent = -1;
 
