--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -24,7 +24,7 @@
 /// `Parts` lists the shared parts of a prompt, in hexadecimal and separated by commas.
 /// Servers are told their id in `Backend`, and in `Resume-After` the last event that they need not
 /// send.
-class plain_protocol final : public protocol_adapter
+class plain_protocol : public protocol_adapter
 {
 public:
   forward_request ParseRequest(std::string aMethod,
--- a/packages/gateway/tests/exchange_malformed_test.cpp
+++ b/packages/gateway/tests/exchange_malformed_test.cpp
@@ -60,7 +60,9 @@
   static std::vector<std::string> InvalidStatusLines()
   {
     std::vector<std::string> lines;
-    for (const auto* status : { "0",
+    for (const auto* status : { "000",
+                                "0",
+                                "00",
                                 "1",
                                 "20",
                                 "99",
--- a/packages/gateway/tests/exchange_prefill_test.cpp
+++ b/packages/gateway/tests/exchange_prefill_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(RunThatIsTakenCancelsTheSilentPrefill);
   CPPUNIT_TEST(RunThatIsTakenOutlivesAHandleThatWaits);
   CPPUNIT_TEST(CallerThatLeavesEndsBothPrefills);
+  CPPUNIT_TEST(PrefillWithAnInvalidStatusIsNoHandle);
   CPPUNIT_TEST(PrefilledRequestIsNotSentAfterItsTimeLimit);
   CPPUNIT_TEST(RequestWhoseConnectionOpensLateIsNotSent);
   CPPUNIT_TEST_SUITE_END();
@@ -218,6 +219,33 @@
     }
   }
 
+  /// Guards against a KV handle that is taken from bytes that are no response, and against such
+  /// bytes as the answer to the caller.
+  void PrefillWithAnInvalidStatusIsNoHandle()
+  {
+    for (const auto* status : { "000", "0", "99", "100", "1000" }) {
+      const auto bytes =
+        "HTTP/1.1 " + std::string{ status } + " OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nkv";
+      open_request request{ 2 };
+      request.mFixture.Write(request.Server(0), bytes);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string{}, request.mFixture.Read(*request.mCaller));
+      const auto next = request.NextRequest();
+      CPPUNIT_ASSERT_MESSAGE(status + next, next.find("Kv: ") == std::string::npos);
+      // Every further engine does the same.
+      for (std::size_t i = 1; i < request.mFixture.mServers.size(); ++i) {
+        request.mFixture.Write(request.Server(i), bytes);
+        request.Pass(milliseconds{ 200 });
+        if (i + 1 < request.mFixture.mServers.size()) {
+          const auto sent = request.mFixture.Read(request.Server(i + 1));
+          CPPUNIT_ASSERT_MESSAGE(status + sent, sent.find("Kv: ") == std::string::npos);
+        }
+      }
+      request.Pass(seconds{ 5 });
+      const auto received = request.mFixture.Read(*request.mCaller);
+      CPPUNIT_ASSERT_MESSAGE(status + received, received.starts_with("HTTP/1.1 502 "));
+    }
+  }
+
   /// Guards against work that reaches an engine after the caller's time limit because the daemon
   /// was busy and its timers ran late (GONE).
   void PrefilledRequestIsNotSentAfterItsTimeLimit()
