Report usage in time and in full when the reporting daemon is replaced

ReportingOrder now names the daemons that are ready to report, and they get the sums. - A daemon that has just become a receiver got the sums of three windows, and reported older ones empty. Every fourth time eight windows are sent. - A daemon that has just started ranks first and waits for its lease, while the one that is ready waits for it. The latter acts now when a window is 3 s overdue, and a holder acts until its windows are sent. - After a takeover, stored windows waited for the write of the next one. - Counts were sent up to a second after the end of a window, and fixed after 3 s.

--- a/packages/core/include/skylarkwind/usage_counts.h
+++ b/packages/core/include/skylarkwind/usage_counts.h
@@ -63,6 +63,26 @@
   std::optional<instant> mSampledAt;
 };
 
+/// Is due once in each second of true time, `aOffset` after its begin: windows begin with a second,
+/// so that their last counts are sent soon after their end.
+class second_timer
+{
+public:
+  explicit second_timer(std::chrono::milliseconds aOffset)
+    : mOffset(aOffset)
+  {
+  }
+  bool IsDue(wall_instant aNow)
+  {
+    const auto second = std::chrono::floor<std::chrono::seconds>(aNow - mOffset);
+    return std::exchange(mLast, second) != second;
+  }
+
+private:
+  std::chrono::milliseconds mOffset;
+  std::optional<std::chrono::sys_seconds> mLast;
+};
+
 /// Counts the requests that this daemon saw begin.
 class usage_counter
 {
--- a/packages/core/include/skylarkwind/usage_reporter.h
+++ b/packages/core/include/skylarkwind/usage_reporter.h
@@ -4,14 +4,22 @@
 #include "skylarkwind/usage_counts.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace skylarkwind {
 
+/// Positions of the daemons that report usage or are ready to, first the one that reports, from the
+/// data centres of the candidates in order of their rank. Ready are the next candidate of the same
+/// data centre, which ranks first when the first one ends, and the first of another data centre.
+std::vector<std::size_t> ReportingOrder(std::span<const std::string> aDataCentres);
+
 /// Decides which windows of usage are reported to the platform, and when. The counts of a window
 /// are fixed once and stored in the state of the singleton task before they are sent, so that each
 /// later attempt, by this daemon or the next holder of the task, sends the same counts.
@@ -26,6 +34,10 @@
 
   /// Whether a window waits to be fixed or sent. `aNow` is true time.
   bool IsDue(wall_instant aNow) const;
+  /// Whether the daemon at position `aPlace` of the reporting order acts as the first one: the
+  /// state, as last read, lacks a window that should have been stored for seconds, or it was
+  /// written by this daemon and has windows that it has not sent yet. `aNow` is true time.
+  bool ActsAsFirst(const std::string& aStored, std::size_t aPlace, wall_instant aNow);
   /// Begins from the stored state after an acquisition of the task. Windows that an earlier holder
   /// may have sent without a record of it are not reported: with an empty state, or one that was
   /// written before the store was restored from a copy (`aEra` differs), reports begin with the
@@ -54,6 +66,7 @@
   };
 
   std::string State() const;
+  void Confirm(const std::string& aStored);
   /// Drops the oldest windows until the rest can be stored.
   void DropOldest();
   std::uint64_t WindowAt(wall_instant aTime) const;
@@ -66,7 +79,11 @@
   std::map<std::uint64_t, waiting_window> mFixed; ///< not acknowledged
   std::string mState; ///< contains all of `mFixed`, and maybe windows sent since
   bool mIsSending = false;
-  instant mNotBefore{}; ///< of the next attempt
+  instant mNotBefore{};          ///< of the next attempt
+  std::string mConfirmed;        ///< last state of this daemon that is known to be stored
+  std::uint64_t mStoredNext = 0; ///< windows before this one are stored in it, or sent
+  std::string mSeenState;
+  std::optional<std::uint64_t> mSeenNext; ///< in `mSeenState`
 };
 
 } // namespace skylarkwind
--- a/packages/core/src/usage_reporter.cpp
+++ b/packages/core/src/usage_reporter.cpp
@@ -27,6 +27,10 @@
 constexpr unsigned int kUnansweredInOrder = 2;
 /// Latest window of a state that is plausible, in the year 5138 with windows of 1 s.
 constexpr std::uint64_t kMaxWindow = 100'000'000'000;
+/// Time from when a window should be fixed until the second daemon in the reporting order acts: it
+/// reads the record every 2.5 s. The third one waits another second.
+constexpr std::chrono::milliseconds kOverdue{ 3'000 };
+constexpr std::chrono::milliseconds kOverduePerPlace{ 1'000 };
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
@@ -64,6 +68,25 @@
 
 } // namespace
 
+std::vector<std::size_t>
+ReportingOrder(std::span<const std::string> aDataCentres)
+{
+  std::vector<std::size_t> order;
+  if (aDataCentres.empty()) {
+    return order;
+  }
+  order.push_back(0);
+  for (const bool same : { true, false }) {
+    for (std::size_t i = 1; i < aDataCentres.size(); ++i) {
+      if ((aDataCentres[i] == aDataCentres.front()) == same) {
+        order.push_back(i);
+        break;
+      }
+    }
+  }
+  return order;
+}
+
 usage_reporter::usage_reporter(std::chrono::milliseconds aWindow, std::chrono::milliseconds aSettle)
   : mWindow(aWindow)
   , mSettle(aSettle)
@@ -82,6 +105,24 @@
   return !mHasStarted || !mFixed.empty() || mNextWindow < WindowAt(aNow - mSettle);
 }
 
+bool
+usage_reporter::ActsAsFirst(const std::string& aStored, std::size_t aPlace, wall_instant aNow)
+{
+  Confirm(aStored);
+  if (aPlace == 0 || (!mFixed.empty() && aStored == mConfirmed)) {
+    return true;
+  }
+  if (mSeenState != aStored) {
+    mSeenState = aStored;
+    const auto state = ParseUntrustedJson(aStored);
+    const auto next = state.is_object() ? state.value("next", json{}) : json{};
+    mSeenNext =
+      next.is_number_unsigned() ? std::optional{ next.get<std::uint64_t>() } : std::nullopt;
+  }
+  const auto late = kOverdue + kOverduePerPlace * static_cast<std::int64_t>(aPlace - 1);
+  return mSeenNext && *mSeenNext < WindowAt(aNow - mSettle - late);
+}
+
 void
 usage_reporter::OnAcquired(const std::string& aState, std::uint64_t aEra, wall_instant aNow)
 {
@@ -91,7 +132,9 @@
   mFixed.clear();
   mEra = aEra;
   mNextWindow = WindowAt(aNow);
+  mStoredNext = mNextWindow;
   mState = aState;
+  mConfirmed = aState;
   const auto state = ParseUntrustedJson(aState);
   const auto valid = [&state](const char* aName) {
     return state.is_object() && state.contains(aName) && state[aName].is_number_unsigned();
@@ -101,6 +144,7 @@
     return;
   }
   mNextWindow = state["next"].get<std::uint64_t>();
+  mStoredNext = mNextWindow;
   const auto windows = state.value("windows", json::object());
   if (!windows.is_object()) {
     return;
@@ -167,15 +211,27 @@
   return mState;
 }
 
+void
+usage_reporter::Confirm(const std::string& aStored)
+{
+  if (mHasStarted && aStored == mState) {
+    mConfirmed = mState;
+    mStoredNext = mNextWindow;
+  }
+}
+
 std::optional<usage_window>
 usage_reporter::Next(const std::string& aStored, instant aNow)
 {
-  if (mFixed.empty() || mIsSending || aStored != mState || aNow < mNotBefore) {
+  Confirm(aStored);
+  // Windows that were fixed since wait for the next write.
+  const auto end = mFixed.lower_bound(mStoredNext);
+  if (end == mFixed.begin() || mIsSending || aStored != mConfirmed || aNow < mNotBefore) {
     return std::nullopt;
   }
   mIsSending = true;
   const auto next =
-    std::min_element(mFixed.begin(), mFixed.end(), [](const auto& aLeft, const auto& aRight) {
+    std::min_element(mFixed.begin(), end, [](const auto& aLeft, const auto& aRight) {
       return aLeft.second.mUnanswered / kUnansweredInOrder <
              aRight.second.mUnanswered / kUnansweredInOrder;
     });
--- a/packages/core/tests/usage_counts_test.cpp
+++ b/packages/core/tests/usage_counts_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ReportsOfOtherDataCentresAreNotCounted);
   CPPUNIT_TEST(OldWindowsAreDropped);
   CPPUNIT_TEST(KnownCountGrowsWhenTheListIsFull);
+  CPPUNIT_TEST(CountsAreSentOnceASecondAfterItsBegin);
   CPPUNIT_TEST(StepThatIsUndoneHasNoEffect);
   CPPUNIT_TEST(PermanentStepIsFollowed);
   CPPUNIT_TEST_SUITE_END();
@@ -172,6 +173,20 @@
       total.begin(), total.end(), [](const auto& aCount) { return aCount.second == 2; }));
   }
 
+  /// Guards against the last counts of a window that are sent up to a second after its end.
+  void CountsAreSentOnceASecondAfterItsBegin()
+  {
+    second_timer timer{ milliseconds{ 150 } };
+    CPPUNIT_ASSERT(timer.IsDue(wall_instant{ milliseconds{ 40'700 } }));
+    std::vector<int> due;
+    for (int at = 40'800; at < 43'000; at += 50) {
+      if (timer.IsDue(wall_instant{ milliseconds{ at } })) {
+        due.push_back(at);
+      }
+    }
+    CPPUNIT_ASSERT((due == std::vector<int>{ 41'150, 42'150 }));
+  }
+
   /// Ticks for the given time with this difference between the time of day and the true time.
   /// Returns the largest error of the estimate.
   static milliseconds Run(true_time& aTime, instant& aNow, seconds aFor, milliseconds aStep)
--- a/packages/core/tests/usage_reporter_test.cpp
+++ b/packages/core/tests/usage_reporter_test.cpp
@@ -18,6 +18,10 @@
   CPPUNIT_TEST_SUITE(usage_reporter_test);
   CPPUNIT_TEST(WindowIsFixedWhenItHasSettled);
   CPPUNIT_TEST(NothingIsSentThatIsNotStored);
+  CPPUNIT_TEST(StoredWindowsAreSentWhileTheNextOneIsStored);
+  CPPUNIT_TEST(SuccessorsReceiveTheSums);
+  CPPUNIT_TEST(SuccessorActsWhenAWindowIsOverdue);
+  CPPUNIT_TEST(HolderActsUntilItsWindowsAreSent);
   CPPUNIT_TEST(RepeatsHaveTheSameCounts);
   CPPUNIT_TEST(WindowsAreSentInOrder);
   CPPUNIT_TEST(RefusedReportsAreNotRepeated);
@@ -89,6 +93,70 @@
     CPPUNIT_ASSERT(reporter.Next(*next, At({})));
   }
 
+  /// Guards against windows that wait for a write that they do not need after a takeover.
+  void StoredWindowsAreSentWhileTheNextOneIsStored()
+  {
+    const auto [first, state] = WithWindows(1);
+    auto second = Reporter();
+    second.OnAcquired(state, 1, Begin(kFirst + 3));
+    const auto next = second.FixWindows(OtherCountOf, Begin(kFirst + 3));
+    CPPUNIT_ASSERT(next);
+    const auto window = second.Next(state, At({}));
+    CPPUNIT_ASSERT(window && *window == (usage_window{ kFirst, CountOf(kFirst) }));
+    second.OnSent(kFirst, 200, At({}));
+    CPPUNIT_ASSERT(!second.Next(state, At({})));
+    CPPUNIT_ASSERT(second.Next(*next, At({})));
+  }
+
+  /// Guards against a successor that has no sums: when the first daemon ends, the next one of its
+  /// data centre ranks first, not the second one in the list.
+  void SuccessorsReceiveTheSums()
+  {
+    using order = std::vector<std::size_t>;
+    const auto of = [](const std::vector<std::string>& aDataCentres) {
+      return ReportingOrder(aDataCentres);
+    };
+    CPPUNIT_ASSERT(of({}) == order{});
+    CPPUNIT_ASSERT(of({ "a" }) == order{ 0 });
+    CPPUNIT_ASSERT((of({ "a", "a", "a" }) == order{ 0, 1 }));
+    CPPUNIT_ASSERT((of({ "a", "b", "c" }) == order{ 0, 1 }));
+    CPPUNIT_ASSERT((of({ "a", "b", "c", "a", "b" }) == order{ 0, 3, 1 }));
+  }
+
+  /// Guards against reports that wait for a first daemon that has just started.
+  void SuccessorActsWhenAWindowIsOverdue()
+  {
+    const auto [first, state] = WithWindows(1);
+    auto second = Reporter();
+    const auto due = Begin(kFirst + 2, kSettle);
+    const milliseconds late{ 3'000 };
+    CPPUNIT_ASSERT(second.ActsAsFirst(state, 0, due));
+    CPPUNIT_ASSERT(!second.ActsAsFirst(state, 1, due + late - milliseconds{ 1 }));
+    CPPUNIT_ASSERT(second.ActsAsFirst(state, 1, due + late));
+    CPPUNIT_ASSERT(!second.ActsAsFirst(state, 2, due + late));
+    CPPUNIT_ASSERT(second.ActsAsFirst(state, 2, due + late + seconds{ 1 }));
+    for (const auto* none : { "", "{", "[]", R"({"next":-1})" }) {
+      CPPUNIT_ASSERT(!second.ActsAsFirst(none, 1, due + seconds{ 100 }));
+    }
+  }
+
+  /// Guards against windows that a holder has stored and not sent when another daemon ranks first
+  /// again.
+  void HolderActsUntilItsWindowsAreSent()
+  {
+    auto [reporter, state] = WithWindows(1);
+    const auto now = Begin(kFirst + 1, kSettle);
+    CPPUNIT_ASSERT(reporter.ActsAsFirst(state, 1, now));
+    // Also while the next window is not stored yet, and not once another daemon has written.
+    CPPUNIT_ASSERT(reporter.FixWindows(CountOf, now + kWindow));
+    CPPUNIT_ASSERT(reporter.ActsAsFirst(state, 1, now + kWindow));
+    CPPUNIT_ASSERT(!reporter.ActsAsFirst(StateWith(json::object(), kFirst + 2), 1, now + kWindow));
+    CPPUNIT_ASSERT(reporter.Next(state, At({})));
+    reporter.OnSent(kFirst, 200, At({}));
+    reporter.OnAcquired(StateWith(json::object(), kFirst + 2), 1, now + kWindow);
+    CPPUNIT_ASSERT(!reporter.ActsAsFirst(StateWith(json::object(), kFirst + 2), 1, now + kWindow));
+  }
+
   /// Guards against two different reports of one window, and against repeats in quick succession.
   void RepeatsHaveTheSameCounts()
   {
--- a/packages/gateway/src/usage_driver.cpp
+++ b/packages/gateway/src/usage_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "bounded_cbor_p.h"
 
+#include "skylarkwind/hash.h"
 #include "skylarkwind/log.h"
 
 #include <nlohmann/json.hpp>
@@ -21,17 +22,22 @@
 constexpr const char* kTaskName = "usage";
 /// Counts in one datagram, of at most 27 bytes each; a datagram has at most 8 KB.
 constexpr std::size_t kCountsPerMessage = 250;
-/// How often counts are sent. A daemon that is killed takes its last second of counts with it.
-constexpr milliseconds kExchangePeriod{ 1'000 };
+/// Counts are sent once a second; a daemon that is killed takes its last second of counts with it.
+/// They are spread over this time, so that a collector does not receive all of them at once.
+constexpr milliseconds kCountsSpread{ 200 };
+/// Sums are sent when the counts of the same second have arrived.
+constexpr milliseconds kSumsOffset{ 500 };
 /// Windows whose counts are sent, the open one included. Later repeats replace lost messages.
 constexpr std::uint64_t kSentWindows = 3;
 /// Windows whose counts are kept; their counts are fixed a few seconds after their end.
 constexpr std::uint64_t kKeptWindows = 24;
-/// Time from the end of a window until its counts are fixed: two periods, as counts go to a
-/// collector and from there to the reporting daemon, and one more for a lost message.
-constexpr milliseconds kSettleTime = 3 * kExchangePeriod;
-/// Daemons that receive the sums: the one that reports, and the next one to do so.
-constexpr std::size_t kSumReceivers = 2;
+/// Time from the end of a window until its counts are fixed: its last sums arrive 0.5 s after its
+/// end, and again 1 s later. A takeover takes 7.1 s, and reports are due 10 s after the end.
+constexpr milliseconds kSettleTime{ 2'000 };
+/// Every fourth time collectors send the sums of so many windows, for a daemon that has become a
+/// receiver and reports windows that were delayed by the change.
+constexpr std::uint64_t kLongSumWindows = 8;
+constexpr std::uint64_t kSumsPerLongSum = 4;
 
 } // namespace
 
@@ -119,6 +125,9 @@
   , mCounter(std::max(milliseconds{ 1 }, mSettings.mWindow))
   , mCollector(aExchange.Members().Self().mDataCentre)
   , mReporter(std::max(milliseconds{ 1 }, mSettings.mWindow), kSettleTime)
+  , mCountsTimer(milliseconds{ Hash64(mSettings.mTask.mSelf) %
+                               static_cast<std::uint64_t>(kCountsSpread.count()) })
+  , mSumsTimer(kSumsOffset)
   , mRunner(kTaskName, mSettings.mTask, aStore, aClock, aTasks)
 {
 }
@@ -148,48 +157,93 @@
     return;
   }
   mTime.OnTick(mClock.WallNow(), aNow);
-  const auto window = mCounter.WindowAt(mTime.At(aNow));
-  if (aNow - mExchangedAt >= kExchangePeriod) {
-    mExchangedAt = aNow;
-    ExchangeCounts(window, aNow);
+  const auto now = mTime.At(aNow);
+  const auto window = mCounter.WindowAt(now);
+  if (mCountsTimer.IsDue(now)) {
+    SendCounts(window, aNow);
     const auto first = window - std::min(window, kKeptWindows);
     mCounter.DropBefore(first);
     mCollector.DropBefore(first);
   }
+  if (mSumsTimer.IsDue(now)) {
+    SendSums(window, aNow);
+  }
   if (aMayReport && mApi.IsConfigured()) {
     Report(aNow);
   }
 }
 
 void
-usage_driver::ExchangeCounts(std::uint64_t aWindow, instant aNow)
+usage_driver::Send(const usage_message& aMessage,
+                   const std::vector<const fleet_member*>& aReceivers) const
+{
+  std::vector<std::string> addresses;
+  for (const auto* receiver : aReceivers) {
+    if (receiver->mName != aMessage.mSender) {
+      addresses.push_back(receiver->mAddress);
+    }
+  }
+  if (!aMessage.mCounts.empty() && !addresses.empty()) {
+    for (const auto& bytes : EncodeUsage(aMessage)) {
+      mSend(bytes, addresses);
+    }
+  }
+}
+
+void
+usage_driver::SendCounts(std::uint64_t aWindow, instant aNow)
 {
   const auto& members = mExchange.Members();
   const auto& self = members.Self();
   const auto first = aWindow + 1 - std::min(aWindow + 1, kSentWindows);
-  const auto sendTo = [&](const usage_message& aMessage,
-                          const std::vector<const fleet_member*>& aReceivers) {
-    std::vector<std::string> addresses;
-    for (const auto* receiver : aReceivers) {
-      if (receiver->mName != self.mName) {
-        addresses.push_back(receiver->mAddress);
-      }
-    }
-    if (!aMessage.mCounts.empty() && !addresses.empty()) {
-      for (const auto& bytes : EncodeUsage(aMessage)) {
-        mSend(bytes, addresses);
-      }
-    }
+  const usage_message own{
+    self.mName, self.mStart, self.mDataCentre, false, mCounter.CountsFrom(first)
   };
-  usage_message own{ self.mName, self.mStart, self.mDataCentre, false, mCounter.CountsFrom(first) };
   mCollector.OnMessage(own);
-  sendTo(own, members.Preferred(self.mDataCentre, fleet_members::kCollectorsPerDataCentre, aNow));
-  if (members.IsPreferred(fleet_members::kCollectorsPerDataCentre, aNow)) {
-    auto reporting = members.DutyCandidates(aNow);
-    reporting.resize(std::min(reporting.size(), kSumReceivers));
-    sendTo({ self.mName, self.mStart, self.mDataCentre, true, mCollector.LocalSumsFrom(first) },
-           reporting);
+  Send(own, members.Preferred(self.mDataCentre, fleet_members::kCollectorsPerDataCentre, aNow));
+}
+
+void
+usage_driver::SendSums(std::uint64_t aWindow, instant aNow)
+{
+  const auto& members = mExchange.Members();
+  const auto& self = members.Self();
+  if (!members.IsPreferred(fleet_members::kCollectorsPerDataCentre, aNow)) {
+    return;
+  }
+  const bool isLong = ++mSumsSent % kSumsPerLongSum == 0;
+  const auto windows = isLong ? kLongSumWindows : kSentWindows;
+  const auto first = aWindow + 1 - std::min(aWindow + 1, windows);
+  Send({ self.mName, self.mStart, self.mDataCentre, true, mCollector.LocalSumsFrom(first) },
+       Reporting(aNow));
+}
+
+std::vector<const fleet_member*>
+usage_driver::Reporting(instant aNow) const
+{
+  const auto candidates = mExchange.Members().DutyCandidates(aNow);
+  std::vector<std::string> dataCentres;
+  dataCentres.reserve(candidates.size());
+  for (const auto* candidate : candidates) {
+    dataCentres.push_back(candidate->mDataCentre);
   }
+  std::vector<const fleet_member*> reporting;
+  for (const auto position : ReportingOrder(dataCentres)) {
+    reporting.push_back(candidates[position]);
+  }
+  return reporting;
+}
+
+std::size_t
+usage_driver::Place(instant aNow) const
+{
+  const auto reporting = Reporting(aNow);
+  const auto& self = mExchange.Members().Self().mName;
+  const auto found = std::find_if(reporting.begin(), reporting.end(), [&](const auto* aMember) {
+    return aMember->mName == self;
+  });
+  return found == reporting.end() ? fleet_members::kNoDuty
+                                  : static_cast<std::size_t>(found - reporting.begin());
 }
 
 void
@@ -234,7 +288,11 @@
       task.SetState(*state);
     }
   }
-  mRunner.OnTick(mExchange.Members().DutyRank(aNow), mReporter.IsDue(now), aNow);
+  auto place = Place(aNow);
+  if (place != fleet_members::kNoDuty && mReporter.ActsAsFirst(task.StoredState(), place, now)) {
+    place = 0;
+  }
+  mRunner.OnTick(place, mReporter.IsDue(now), aNow);
   if (mTerm == task.Term()) {
     SendNext(aNow);
   }
--- a/packages/gateway/src/usage_driver_p.h
+++ b/packages/gateway/src/usage_driver_p.h
@@ -58,7 +58,16 @@
 
 private:
   bool IsOn() const { return mSettings.mWindow.count() > 0; }
-  void ExchangeCounts(std::uint64_t aWindow, instant aNow);
+  void Send(const usage_message& aMessage,
+            const std::vector<const fleet_member*>& aReceivers) const;
+  /// Sends the counts of this daemon to the collectors.
+  void SendCounts(std::uint64_t aWindow, instant aNow);
+  /// Sends the sums of this data centre, if this daemon is one of its collectors.
+  void SendSums(std::uint64_t aWindow, instant aNow);
+  /// The daemon that reports and those that are ready to, in this order.
+  std::vector<const fleet_member*> Reporting(instant aNow) const;
+  /// Position of this daemon among them; `fleet_members::kNoDuty` if it is none of them.
+  std::size_t Place(instant aNow) const;
   void Report(instant aNow);
   void SendNext(instant aNow);
   void UpdateNames();
@@ -78,11 +87,13 @@
   usage_counter mCounter;
   usage_collector mCollector;
   usage_reporter mReporter;
+  second_timer mCountsTimer;
+  second_timer mSumsTimer;
   task_runner mRunner;
   std::uint64_t mTerm = 0;         ///< of the task, whose state the reporter has begun from
   std::uint64_t mNamesVersion = 0; ///< of the configuration whose accounts are known
   std::map<account_key, std::string> mNames; ///< also of accounts that were removed
-  instant mExchangedAt{};
+  std::uint64_t mSumsSent = 0;
 };
 
 } // namespace skylarkwind
