Tests of the planner of engine counts: single data centre, removal without answer

Both cases passed on the planner as it was before, for other reasons than the faults they guard against. The stored state leaves out kinds of which none was ordered.

--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -315,7 +315,9 @@
   auto orders = json::array();
   for (const auto& [key, order] : mOrders) {
     const auto& [service, dataCentre, isReclaimable] = key;
-    orders.push_back({ service, dataCentre, isReclaimable, order.mOrdered });
+    if (order.mOrdered > 0) {
+      orders.push_back({ service, dataCentre, isReclaimable, order.mOrdered });
+    }
   }
   return orders.dump();
 }
--- a/packages/core/tests/engine_count_planner_test.cpp
+++ b/packages/core/tests/engine_count_planner_test.cpp
@@ -82,7 +82,6 @@
         }
       }
       mOrders.push_back(order);
-      mOrderedAt.push_back(mNow);
       mPlanner.OnResult(order, status, mNow);
     }
     return orders;
@@ -110,7 +109,6 @@
   std::map<key, int> mRefused;    ///< status of refused orders
   std::set<std::string> mMissing; ///< data centres whose entries are missing
   std::vector<engine_count_order> mOrders;
-  std::vector<instant> mOrderedAt;
 };
 
 std::uint32_t
@@ -312,6 +310,7 @@
     service.Run(seconds{ 200 });
     CPPUNIT_ASSERT(Sum(service, true) > 0);
     CPPUNIT_ASSERT(Sum(service, false) * 0.85 >= 10 * 0.99);
+    CPPUNIT_ASSERT(Sum(service, false) < 20);
   }
 
   void CheapDataCentresHaveMoreStandardEngines()
@@ -430,7 +429,6 @@
   /// Guards against a need that is not ordered, because a removal without answer was carried out.
   void UnansweredRemovalDoesNotDelayAdding()
   {
-    engine_count_planner planner;
     ordered_service service;
     service.mOrdering.mReclaimablePrice.reset();
     service.Work(6);
@@ -441,19 +439,20 @@
     while (service.mOrders.empty() && steps++ < 200) {
       service.Step();
     }
-    CPPUNIT_ASSERT_EQUAL(9U, service.mOrders.back().mEngines);
-    for (auto& [key, engines] : service.mEngines) {
-      engines = 9;
-    }
+    const auto removed = service.mOrders.back();
+    CPPUNIT_ASSERT_EQUAL(9U, removed.mEngines);
+    service.mEngines[{ removed.mDataCentre, false }] = 9;
     service.mRefused.clear();
-    service.mNow += seconds{ 3 };
-    service.mDemand.mPromptWork = 15; // 10 engines in each data centre
-    service.Run(seconds{ 6 });
-    service.Work(30);
-    const auto isTen = std::any_of(service.mOrders.begin() + 3,
-                                   service.mOrders.end(),
-                                   [](const auto& aOrder) { return aOrder.mEngines == 10; });
-    CPPUNIT_ASSERT(isTen);
+    service.mOrders.clear();
+    // Within the pause the need rises to ten engines in each data centre.
+    service.Work(40);
+    service.Run(seconds{ 2 });
+    service.Work(28);
+    service.Run(milliseconds{ 2'500 });
+    CPPUNIT_ASSERT(
+      std::any_of(service.mOrders.begin(), service.mOrders.end(), [&](const auto& aOrder) {
+        return aOrder.mDataCentre == removed.mDataCentre && aOrder.mEngines == 10;
+      }));
   }
 
   /// Guards against a new holder that takes engines which are still starting for not ordered.
