Task runner: tell the task when the store was restored

Cause: nobody called singleton_task::OnStoreRestored. An absent record has no revision, so a process that started after a restoration created the record at once, and a holder went on within its second.

Change: the runner compares the era of the store before each tick and each answer. The position of the era in revisions moves to store_position.h.

--- a/packages/core/src/singleton_task.cpp
+++ b/packages/core/src/singleton_task.cpp
@@ -1,5 +1,7 @@
 #include "skylarkwind/singleton_task.h"
 
+#include "skylarkwind/store_position.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -22,14 +24,6 @@
 constexpr milliseconds kStoreCallTimeout{ 2'000 };
 /// Allows for the network transit of the previous holder's last call.
 constexpr milliseconds kTransitMargin{ 600 };
-/// Position of the era of the store in a revision.
-constexpr int kEraShift = 40;
-
-std::uint64_t
-EraOf(std::uint64_t aRevision)
-{
-  return aRevision >> kEraShift;
-}
 
 } // namespace
 
@@ -209,7 +203,7 @@
   if (EraOf(aRevision) <= mEra) {
     return false;
   }
-  OnStoreRestored(EraOf(aRevision) << kEraShift, aNow);
+  OnStoreRestored(StartOfEra(EraOf(aRevision)), aNow);
   return true;
 }
 
--- a/packages/core/tests/singleton_task_test.cpp
+++ b/packages/core/tests/singleton_task_test.cpp
@@ -73,7 +73,7 @@
   }
   write_task Write(singleton_task& aTask, std::uint64_t aRevision)
   {
-    const auto write = Expect<write_task>(aTask);
+    auto write = Expect<write_task>(aTask);
     aTask.OnWritten(write.mCall, aRevision, mNow);
     return write;
   }
--- a/packages/gateway/src/task_runner.cpp
+++ b/packages/gateway/src/task_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/store_position.h"
 
 #include <nlohmann/json.hpp>
 
@@ -56,9 +57,21 @@
 {
 }
 
+void
+task_runner::NoticeEra(instant aNow)
+{
+  const auto era = mStore.Era();
+  if (era > mEra) {
+    mEra = era;
+    mTask.OnStoreRestored(StartOfEra(era), aNow);
+    Log(log_level::Info, "lease", "store restored task=" + mName + " era=" + std::to_string(era));
+  }
+}
+
 void
 task_runner::OnTick(std::size_t aRank, bool aDue, instant aNow)
 {
+  NoticeEra(aNow);
   if (const auto action = mTask.OnTick(aRank, aDue, aNow)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, *action);
   }
@@ -76,7 +89,11 @@
       } else {
         failed = std::get<store_failure>(aResult).mCause != store_failure::cause::Missing;
       }
-      mTask.OnRead(call, record, failed, mClock.Now());
+      // The answer itself may be the first one of a restored store, and an absent record has no
+      // revision that says so.
+      const auto now = mClock.Now();
+      NoticeEra(now);
+      mTask.OnRead(call, record, failed, now);
     }));
 }
 
@@ -97,8 +114,10 @@
                  if (const auto* done = std::get_if<object_written>(&aResult)) {
                    written = done->mRevision;
                  }
+                 const auto now = mClock.Now();
+                 NoticeEra(now);
                  const auto term = mTask.Term();
-                 mTask.OnWritten(call, written, mClock.Now());
+                 mTask.OnWritten(call, written, now);
                  if (!written) {
                    Log(log_level::Info,
                        "lease",
--- a/packages/gateway/src/task_runner_p.h
+++ b/packages/gateway/src/task_runner_p.h
@@ -5,6 +5,7 @@
 
 #include <kj/async.h>
 
+#include <cstdint>
 #include <string>
 
 namespace skylarkwind {
@@ -25,6 +26,9 @@
   singleton_task& Task() { return mTask; }
 
 private:
+  /// Tells the task when the store was restored since the last call. A daemon that has just started
+  /// is told, too: it can't know for how long others may still call.
+  void NoticeEra(instant aNow);
   void Execute(const read_task& aRead);
   void Execute(const write_task& aWrite);
 
@@ -34,6 +38,7 @@
   object_store& mStore;
   const clock_source& mClock;
   kj::TaskSet& mTasks;
+  std::uint64_t mEra = 0; ///< era of the store that the task knows
 };
 
 } // namespace skylarkwind
