Role controller: wait before a write of the lease in a restored store

Cause: a missing lease was created at once and an older own one taken for the current one, although another daemon could have held the lease that the restoration lost; fencing tokens were used again.

Change: a restoration, reported by the driver or seen from a later era in a revision, ends the own lease, and a missing or older one is only written after the full waiting time. Tokens of an era begin above all of earlier ones and are not below the revision that they replace. Nothing changes in era 0.

--- a/packages/core/include/skylarkwind/role_controller.h
+++ b/packages/core/include/skylarkwind/role_controller.h
@@ -121,6 +121,9 @@
   void OnLeaseWritten(role_call_id aCall,
                       const std::optional<std::uint64_t>& aRevision,
                       instant aNow);
+  /// The store was restored from a copy: its lease may be gone or older than the last one, so that
+  /// everybody waits before a write. `aFirstFencing` is above all fencing tokens used before.
+  void OnStoreRestored(std::uint64_t aFirstFencing, instant aNow);
   /// Result of `query_engine_state`: the report, empty if the engine gave none.
   std::vector<role_action> OnEngineState(role_call_id aCall,
                                          const std::string& aBackendId,
@@ -166,6 +169,9 @@
   role_call_id StartStoreCall(std::uint64_t aFencing, instant aNow);
   /// Discards what is known of the lease, so that it is read before the next write.
   void ForgetLease();
+  /// Whether the revision is of a later era of the store than all seen before, i.e. the store was
+  /// restored. A daemon may learn that from the answer to its own call first.
+  bool NoticeEra(std::uint64_t aRevision, instant aNow);
   bool HoldsLease(instant aNow) const;
   /// Whether this daemon may write the lease now, judging by the last observed revision.
   bool MayAcquireLease(instant aNow) const;
@@ -177,10 +183,13 @@
   std::optional<instant> mDeviationSince; ///< since when roles have differed from the target
   std::optional<command_lease> mObservedLease;
   bool mLeaseAbsent = false; ///< the last read found no lease
-  instant mObservedAt{};     ///< when the revision of `mObservedLease` was first observed
-  instant mLastReadAt{};     ///< last successful read or write
+  bool mWasStoreRestored = false;
+  /// When the revision of `mObservedLease`, or its absence in a restored store, was first observed.
+  instant mObservedAt{};
+  instant mLastReadAt{}; ///< last successful read or write
   role_call_id mLastCall = 0;
   std::optional<pending_store_call> mStoreCall;
+  std::uint64_t mEra = 0;            ///< of the store, from the revisions seen
   std::uint64_t mHighestFencing = 0; ///< of all that were read or written
   std::uint64_t mHeldFencing = 0;    ///< 0 while no lease is held
   instant mHeldUntil{};
--- a/packages/core/src/role_controller.cpp
+++ b/packages/core/src/role_controller.cpp
@@ -1,5 +1,7 @@
 #include "skylarkwind/role_controller.h"
 
+#include "skylarkwind/store_position.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -167,10 +169,11 @@
 {
   const bool mine = mObservedLease && mObservedLease->mHolder == mSettings.mSelf &&
                     mHeldFencing == mObservedLease->mFencing;
-  // The absence of a lease is trusted only after a recent read: it may have been created since.
-  const bool none = mLeaseAbsent && aNow - mLastReadAt < kLeaseReadPeriod;
+  // The absence of a lease is trusted only after a recent read: it may have been created since. In
+  // a restored store, the holder of the lost lease may still send commands.
+  const bool none = mLeaseAbsent && !mWasStoreRestored && aNow - mLastReadAt < kLeaseReadPeriod;
   return none || mine ||
-         (mObservedLease &&
+         ((mObservedLease || (mLeaseAbsent && mWasStoreRestored)) &&
           aNow - mObservedAt >= kCommandWindow + mSettings.mLease + kCommandTransitMargin);
 }
 
@@ -214,7 +217,11 @@
     mStoreCall.reset();
   }
   if (aDue && MayAcquireLease(aNow)) {
-    const auto fencing = mHighestFencing + 1;
+    auto fencing = mHighestFencing + 1;
+    if (mObservedLease && EraOf(mObservedLease->mRevision) != 0) {
+      // A restored lease may not contain the highest number of its era, but its revision is above.
+      fencing = std::max(fencing, mObservedLease->mRevision);
+    }
     const auto call = StartStoreCall(fencing, aNow);
     return write_lease{ call, mObservedLease ? mObservedLease->mRevision : 0, fencing };
   }
@@ -232,13 +239,18 @@
 {
   // Also of an abandoned read: the store has had this number.
   mHighestFencing = std::max(mHighestFencing, aLease ? aLease->mFencing : 0);
-  if (!TakeStoreCall(aCall) || aFailed) {
+  const bool isAwaited = TakeStoreCall(aCall).has_value();
+  if (aLease) {
+    NoticeEra(aLease->mRevision, aNow);
+  }
+  if (!isAwaited || aFailed || (aLease && EraOf(aLease->mRevision) < mEra)) {
     return;
   }
   mLastReadAt = aNow;
-  mLeaseAbsent = !aLease;
+  const bool wasAbsent = std::exchange(mLeaseAbsent, !aLease);
   if (!aLease) {
     mObservedLease.reset();
+    mObservedAt = wasAbsent ? mObservedAt : aNow;
     return;
   }
   if (!mObservedLease || mObservedLease->mRevision != aLease->mRevision) {
@@ -253,10 +265,12 @@
                                 instant aNow)
 {
   const auto call = TakeStoreCall(aCall);
-  if (!call) {
+  // In a restored store, the write may have replaced the lease of another holder that has been
+  // given the revision of an earlier one.
+  if ((aRevision && NoticeEra(*aRevision, aNow)) || !call) {
     return;
   }
-  if (!aRevision) {
+  if (!aRevision || EraOf(*aRevision) < mEra) {
     // Either the outcome of the write is unknown or another daemon wrote first: read again.
     ForgetLease();
     return;
@@ -271,6 +285,27 @@
   mHeldUntil = call->mStartedAt + kCommandWindow;
 }
 
+void
+role_controller::OnStoreRestored(std::uint64_t aFirstFencing, instant aNow)
+{
+  ForgetLease();
+  mStoreCall.reset();
+  mWasStoreRestored = true;
+  mEra = std::max(mEra, EraOf(aFirstFencing));
+  mHighestFencing = std::max(mHighestFencing, aFirstFencing);
+  mObservedAt = aNow;
+}
+
+bool
+role_controller::NoticeEra(std::uint64_t aRevision, instant aNow)
+{
+  if (EraOf(aRevision) <= mEra) {
+    return false;
+  }
+  OnStoreRestored(StartOfEra(EraOf(aRevision)), aNow);
+  return true;
+}
+
 std::vector<role_action>
 role_controller::OnEngineState(role_call_id aCall,
                                const std::string& aBackendId,
--- a/packages/core/tests/role_controller_schedule_test.cpp
+++ b/packages/core/tests/role_controller_schedule_test.cpp
@@ -1,6 +1,8 @@
 #include "role_controller_fixture.h"
 #include "schedules.h"
 
+#include "skylarkwind/store_position.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
@@ -16,6 +18,8 @@
 constexpr int kSchedules = 2'000;
 /// The controller abandons a call to the store after this time.
 constexpr milliseconds kStoreCallTimeout{ 2'000 };
+/// Once faults have ended, some daemon sends commands within this time.
+constexpr milliseconds kMaxAcquisition{ 15'000 };
 
 /// How the store handles the calls of one daemon for a time.
 struct store_mood
@@ -41,10 +45,35 @@
 
   void SetMood(std::size_t aDaemon, store_mood aMood) { mDaemons[aDaemon].mMood = aMood; }
   void SetPaused(std::size_t aDaemon, bool aPaused) { mDaemons[aDaemon].mPaused = aPaused; }
+  /// Whether a daemon is told of a new era before it gets the answer that says so.
+  void SetTellsOfEra(bool aTellsOfEra) { mTellsOfEra = aTellsOfEra; }
   /// Whether ticks come before the results that are due in the same step.
   void SetTicksFirst(bool aTicksFirst) { mTicksFirst = aTicksFirst; }
   /// Deletes the stored lease. The revisions of the store go on.
   void RemoveLease() { mLease.reset(); }
+  /// Restores the store from a copy of this age and gives out its revisions again in a new era. A
+  /// daemon learns of it from its next answer.
+  void Restore(milliseconds aAge)
+  {
+    const auto copy = std::find_if(mCopies.rbegin(), mCopies.rend(), [&](const store_copy& aCopy) {
+      return aCopy.mAt <= mNow - aAge;
+    });
+    mLease = copy == mCopies.rend() ? std::nullopt : copy->mLease;
+    mRevision = mLease ? mLease->mRevision : 0;
+    mCopies.push_back({ mLease, mNow });
+    ++mEra;
+  }
+  /// Replaces a daemon by a new process of the same name.
+  void Restart(std::size_t aDaemon)
+  {
+    auto& daemon = mDaemons[aDaemon];
+    daemon.mRoleController = role_controller{ { "d" + std::to_string(aDaemon), 0.5, kLease } };
+    daemon.mQueries.clear();
+    daemon.mKnownEra = 0;
+    for (auto& call : daemon.mCalls) {
+      call.mIsOfEarlierProcess = true;
+    }
+  }
 
   void Step()
   {
@@ -77,6 +106,13 @@
     bool mExecuted = false;
     std::optional<command_lease> mRead;
     std::optional<std::uint64_t> mWritten;
+    std::uint64_t mEra = 0; ///< of the store when it executed the call
+    bool mIsOfEarlierProcess = false;
+  };
+  struct store_copy
+  {
+    std::optional<command_lease> mLease;
+    instant mAt{};
   };
   struct daemon
   {
@@ -85,6 +121,7 @@
     std::vector<store_call> mCalls;
     bool mPaused = false;
     std::vector<query_engine_state> mQueries;
+    std::uint64_t mKnownEra = 0;
   };
 
   void ExecuteDueCalls(daemon& aDaemon, std::size_t aIndex)
@@ -97,12 +134,16 @@
       if (call.mMood.mLosesRequests) {
         continue;
       }
+      call.mEra = mEra;
       const auto* write = std::get_if<write_lease>(&call.mAction);
+      // The store compares plain revisions: it doesn't know from which era they are.
       if (write == nullptr) {
         call.mRead = mLease;
-      } else if (write->mRevision == (mLease ? mLease->mRevision : 0)) {
+      } else if (write->mRevision - StartOfEra(EraOf(write->mRevision)) ==
+                 (mLease ? mLease->mRevision : 0)) {
         mLease = command_lease{ ++mRevision, "d" + std::to_string(aIndex), write->mFencing };
         mWrites.push_back(*mLease);
+        mCopies.push_back({ mLease, mNow });
         call.mWritten = mRevision;
       }
     }
@@ -119,8 +160,25 @@
       due.push_back(aCall);
       return true;
     });
-    for (const auto& call : due) {
-      const bool failed = call.mMood.mLosesRequests || call.mMood.mLosesReplies;
+    for (auto& call : due) {
+      if (call.mIsOfEarlierProcess) {
+        continue;
+      }
+      bool failed = call.mMood.mLosesRequests || call.mMood.mLosesReplies;
+      if (!failed && call.mEra > daemon.mKnownEra) {
+        daemon.mKnownEra = call.mEra;
+        // Otherwise the revision in the answer says it.
+        if (mTellsOfEra || (!call.mRead && !call.mWritten)) {
+          daemon.mRoleController.OnStoreRestored(StartOfEra(call.mEra), mNow);
+        }
+      }
+      failed = failed || call.mEra < daemon.mKnownEra;
+      if (call.mRead) {
+        call.mRead->mRevision += StartOfEra(call.mEra);
+      }
+      if (call.mWritten) {
+        *call.mWritten += StartOfEra(call.mEra);
+      }
       if (const auto* read = std::get_if<read_lease>(&call.mAction)) {
         daemon.mRoleController.OnLeaseRead(
           read->mCall, failed ? std::nullopt : call.mRead, failed, mNow);
@@ -171,6 +229,9 @@
   instant mNow{ seconds{ 1'000 } };
   std::vector<daemon> mDaemons;
   bool mTicksFirst = false;
+  bool mTellsOfEra = true;
+  std::vector<store_copy> mCopies;
+  std::uint64_t mEra = 0;
   std::optional<command_lease> mLease;
   std::uint64_t mRevision = 0;
   std::vector<sent_command> mCommands;
@@ -192,9 +253,12 @@
 }
 
 /// Plays a generated sequence of pauses, delays and losses; `aRemovals`: the lease is deleted at
-/// times, too.
+/// times, too; `aRestorations`: the store is restored and processes start again at times, too.
 void
-PlayAnySchedule(delayed_store_simulation& aSimulation, std::size_t aDaemons, bool aRemovals)
+PlayAnySchedule(delayed_store_simulation& aSimulation,
+                std::size_t aDaemons,
+                bool aRemovals,
+                bool aRestorations = false)
 {
   const auto phases = *rc::gen::inRange(5, 40);
   for (int phase = 0; phase < phases; ++phase) {
@@ -206,6 +270,12 @@
     if (aRemovals && *rc::gen::inRange(0, 6) == 0) {
       aSimulation.RemoveLease();
     }
+    if (aRestorations && *rc::gen::inRange(0, 3) == 0) {
+      aSimulation.Restore(kStep * *rc::gen::inRange(0, 120));
+    }
+    if (aRestorations && *rc::gen::inRange(0, 4) == 0) {
+      aSimulation.Restart(*rc::gen::inRange<std::size_t>(0, aDaemons));
+    }
     const auto steps = *rc::gen::inRange(1, 60);
     for (int step = 0; step < steps; ++step) {
       aSimulation.Step();
@@ -224,6 +294,7 @@
   CPPUNIT_TEST(LateStateReportIsIgnored);
   CPPUNIT_TEST(FencingTokensOfOneHolderNeverDecrease);
   CPPUNIT_TEST(HoldersNeverShareAFencingToken);
+  CPPUNIT_TEST(HoldersStayApartWhenTheStoreIsRestored);
   CPPUNIT_TEST_SUITE_END();
 
   /// The only action of a tick.
@@ -347,6 +418,32 @@
     });
     CPPUNIT_ASSERT_EQUAL(std::string{}, failure);
   }
+
+  /// Guards against a lease of a restored store, missing or older than the last one, that is taken
+  /// at once or with a fencing token that was used before.
+  void HoldersStayApartWhenTheStoreIsRestored()
+  {
+    const auto failure = CheckSchedules("holders of a restored store", kSeed, kSchedules, [] {
+      constexpr std::size_t kDaemons = 3;
+      delayed_store_simulation simulation{ kDaemons };
+      simulation.SetTellsOfEra(*rc::gen::arbitrary<bool>());
+      PlayAnySchedule(simulation, kDaemons, false, true);
+      CheckCommands(simulation.Commands());
+      RC_CLASSIFY(!simulation.Commands().empty(), "with commands");
+      // A restored store must not keep all daemons waiting either.
+      const auto commands = simulation.Commands().size();
+      for (std::size_t i = 0; i < kDaemons; ++i) {
+        simulation.SetMood(i, {});
+        simulation.SetPaused(i, false);
+      }
+      for (milliseconds time{}; time < kMaxAcquisition; time += kStep) {
+        simulation.Step();
+      }
+      RC_ASSERT(simulation.Commands().size() > commands);
+      CheckCommands(simulation.Commands());
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string{}, failure);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(role_controller_schedule_test);
--- a/packages/gateway/src/role_driver.cpp
+++ b/packages/gateway/src/role_driver.cpp
@@ -4,6 +4,7 @@
 
 #include "skylarkwind/json_text.h"
 #include "skylarkwind/log.h"
+#include "skylarkwind/store_position.h"
 
 #include <nlohmann/json.hpp>
 
@@ -107,9 +108,21 @@
   return views;
 }
 
+void
+role_driver::NoticeEra(instant aNow)
+{
+  const auto era = mStore.Era();
+  if (era > mEra) {
+    mEra = era;
+    mController.OnStoreRestored(StartOfEra(era), aNow);
+    Log(log_level::Info, "lease", "store restored era=" + std::to_string(era));
+  }
+}
+
 void
 role_driver::OnTick(bool aWatchesStore, instant aNow)
 {
+  NoticeEra(aNow);
   const auto views = ServiceViews(aNow);
   const auto rank = aWatchesStore ? mExchange.Members().DutyRank(aNow) : fleet_members::kNoDuty;
   Execute(mController.OnTick(views, rank, aNow));
@@ -130,6 +143,9 @@
   mTasks.add(
     mStore.Read(kLeaseKind, kLeaseName).then([this, call](store_result<stored_object> aResult) {
       const auto now = mClock.Now();
+      // The answer itself may be the first one of a restored store, and an absent lease has no
+      // revision that says so.
+      NoticeEra(now);
       if (const auto* found = std::get_if<stored_object>(&aResult)) {
         mController.OnLeaseRead(call, ParseLease(*found), false, now);
         return;
@@ -162,7 +178,9 @@
                        (written
                           ? " done revision=" + std::to_string(*written)
                           : " failed reason=\"" + std::get<store_failure>(aResult).mReason + '"'));
-                 mController.OnLeaseWritten(call, written, mClock.Now());
+                 const auto now = mClock.Now();
+                 NoticeEra(now);
+                 mController.OnLeaseWritten(call, written, now);
                }));
 }
 
--- a/packages/gateway/src/role_driver_p.h
+++ b/packages/gateway/src/role_driver_p.h
@@ -13,6 +13,7 @@
 #include <kj/async.h>
 #include <kj/timer.h>
 
+#include <cstdint>
 #include <string>
 
 namespace skylarkwind {
@@ -43,6 +44,8 @@
 
 private:
   std::vector<role_controller::service_view> ServiceViews(instant aNow) const;
+  /// Tells the controller when the store was restored since the last call, or before the start.
+  void NoticeEra(instant aNow);
   void Execute(const std::vector<role_action>& aActions);
   void Execute(const read_lease& aRead);
   void Execute(const write_lease& aWrite);
@@ -66,6 +69,7 @@
   kj::Timer& mTimer;
   const clock_source& mClock;
   kj::TaskSet& mTasks;
+  std::uint64_t mEra = 0; ///< era of the store that the controller knows
 };
 
 } // namespace skylarkwind
