--- a/packages/core/include/skylarkwind/store_position.h
+++ b/packages/core/include/skylarkwind/store_position.h
@@ -27,6 +27,13 @@
   return aPosition >> kEraShift;
 }
 
+/// A position above all those of earlier eras and not above those of this one.
+constexpr store_position
+StartOfEra(std::uint64_t aEra)
+{
+  return PositionOf(aEra, 0);
+}
+
 constexpr std::uint64_t
 RevisionOf(store_position aPosition)
 {
--- a/packages/gateway/src/task_runner.cpp
+++ b/packages/gateway/src/task_runner.cpp
@@ -58,18 +58,20 @@
 }
 
 void
-task_runner::CheckEra(instant aNow)
+task_runner::NoticeEra(instant aNow)
 {
-  if (const auto era = mStore.Era(); era != mEra) {
+  const auto era = mStore.Era();
+  if (era > mEra) {
     mEra = era;
-    mTask.OnStoreRestored(PositionOf(era, 0), aNow);
+    mTask.OnStoreRestored(StartOfEra(era), aNow);
+    Log(log_level::Info, "lease", "store restored task=" + mName + " era=" + std::to_string(era));
   }
 }
 
 void
 task_runner::OnTick(std::size_t aRank, bool aDue, instant aNow)
 {
-  CheckEra(aNow);
+  NoticeEra(aNow);
   if (const auto action = mTask.OnTick(aRank, aDue, aNow)) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, *action);
   }
@@ -80,7 +82,6 @@
 {
   mTasks.add(
     mStore.Read(kKind, mName).then([this, call = aRead.mCall](store_result<stored_object> aResult) {
-      CheckEra(mClock.Now());
       std::optional<task_record> record;
       bool failed = false;
       if (const auto* found = std::get_if<stored_object>(&aResult)) {
@@ -88,7 +89,11 @@
       } else {
         failed = std::get<store_failure>(aResult).mCause != store_failure::cause::Missing;
       }
-      mTask.OnRead(call, record, failed, mClock.Now());
+      // The answer itself may be the first one of a restored store, and an absent record has no
+      // revision that says so.
+      const auto now = mClock.Now();
+      NoticeEra(now);
+      mTask.OnRead(call, record, failed, now);
     }));
 }
 
@@ -105,13 +110,14 @@
   mTasks.add(mStore.Write(kKind, mName, revision, value.dump())
                .then([this, call = aWrite.mCall, token = aWrite.mFencing](
                        store_result<object_written> aResult) {
-                 CheckEra(mClock.Now());
                  std::optional<std::uint64_t> written;
                  if (const auto* done = std::get_if<object_written>(&aResult)) {
                    written = done->mRevision;
                  }
+                 const auto now = mClock.Now();
+                 NoticeEra(now);
                  const auto term = mTask.Term();
-                 mTask.OnWritten(call, written, mClock.Now());
+                 mTask.OnWritten(call, written, now);
                  if (!written) {
                    Log(log_level::Info,
                        "lease",
