--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -69,6 +69,7 @@
     }
   });
   std::vector<engine_counts> list;
+  list.reserve(counts.size());
   for (auto& [dataCentre, count] : counts) {
     list.push_back(std::move(count));
   }
