Split the removal of a registration from a restored store

The static analyser reported leaks for promises that were chosen by a conditional expression. gateway_tests daemon_registry.cpp: no findings of clang-tidy.

--- a/packages/gateway/src/daemon_registry.cpp
+++ b/packages/gateway/src/daemon_registry.cpp
@@ -169,22 +169,30 @@
 kj::Promise<void>
 daemon_registry::Deregister()
 {
-  // The copy from which the store was restored may hold an object of this daemon.
   const bool restored =
     mWritesAgain || (mRevision && EraOf(*mRevision) < KnownEra(mStore, mExchange));
   const auto revision = std::exchange(mRevision, std::nullopt);
   mWritesAgain = false;
   if (restored) {
-    return mStore.Read(kKind, mSelf.mName)
-      .then([this](store_result<stored_object> aResult) -> kj::Promise<void> {
-        if (const auto* object = std::get_if<stored_object>(&aResult)) {
-          return Remove(object->mRevision);
-        }
-        LogDeregistrationFailure(std::get<store_failure>(aResult));
-        return kj::READY_NOW;
-      });
+    return RemoveFromRestoredStore();
+  }
+  if (!revision) {
+    return kj::READY_NOW;
   }
-  return revision ? Remove(*revision) : kj::READY_NOW;
+  return Remove(*revision);
+}
+
+kj::Promise<void>
+daemon_registry::RemoveFromRestoredStore()
+{
+  return mStore.Read(kKind, mSelf.mName)
+    .then([this](store_result<stored_object> aResult) -> kj::Promise<void> {
+      if (const auto* failure = std::get_if<store_failure>(&aResult)) {
+        LogDeregistrationFailure(*failure);
+        return kj::READY_NOW;
+      }
+      return Remove(std::get<stored_object>(aResult).mRevision);
+    });
 }
 
 kj::Promise<void>
--- a/packages/gateway/src/daemon_registry_p.h
+++ b/packages/gateway/src/daemon_registry_p.h
@@ -40,6 +40,8 @@
   kj::Promise<void> Register();
   kj::Promise<void> Deregister();
   kj::Promise<void> Remove(std::uint64_t aRevision);
+  /// Removes the object that the copy from which the store was restored may hold of this daemon.
+  kj::Promise<void> RemoveFromRestoredStore();
   static void LogDeregistrationFailure(const store_failure& aFailure);
   /// Makes the next check register again when the store was restored from a copy.
   void NoticeRestoredStore();
