--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -104,16 +104,37 @@
   });
 }
 
+/// Whether the status line, of which these are the first bytes, has a status of three digits
+/// (RFC 9112, 4).
+bool
+HasStatusOfThreeDigits(std::string_view aHeadStart)
+{
+  constexpr std::string_view kBlanks = " \t";
+  constexpr std::size_t kDigits = 3;
+  const auto version = aHeadStart.find_first_of(kBlanks);
+  const auto status =
+    version == std::string_view::npos ? version : aHeadStart.find_first_not_of(kBlanks, version);
+  if (status == std::string_view::npos) {
+    return false;
+  }
+  const auto text = aHeadStart.substr(status);
+  return std::min(text.find_first_not_of("0123456789"), text.size()) == kDigits;
+}
+
 /// What no final response may have in its head; empty if there is nothing. The HTTP library takes
-/// any number for a status, and any character but a line end in a value.
+/// any number for a status, also one that exceeds its 32 bits, and any character but a line end in
+/// a value.
 std::string
-HeadProblem(const kj::HttpClient::Response& aResponse)
+HeadProblem(const kj::HttpClient::Response& aResponse, std::string_view aHeadStart)
 {
   constexpr kj::uint kMinFinalStatus = 200;
   constexpr kj::uint kMaxStatus = 599;
   if (aResponse.statusCode < kMinFinalStatus || aResponse.statusCode > kMaxStatus) {
     return "the response has the invalid status " + std::to_string(aResponse.statusCode);
   }
+  if (!HasStatusOfThreeDigits(aHeadStart)) {
+    return "the response has a status that is no number of three digits";
+  }
   std::string problem;
   aResponse.headers->forEach([&](kj::StringPtr aName, kj::StringPtr aValue) {
     if (!IsFieldValue(aValue)) {
@@ -293,7 +314,8 @@
     [answer = std::move(answer),
      method](kj::HttpClient::Response aResponse) mutable -> http_result {
       answer->mConnection->mStream->HeadComplete();
-      if (auto problem = HeadProblem(aResponse); !problem.empty()) {
+      if (auto problem = HeadProblem(aResponse, answer->mConnection->mStream->HeadStart());
+          !problem.empty()) {
         return http_failure{ true, std::move(problem) };
       }
       answer->mStatus = static_cast<int>(aResponse.statusCode);
--- a/packages/gateway/tests/exchange_malformed_test.cpp
+++ b/packages/gateway/tests/exchange_malformed_test.cpp
@@ -60,6 +60,7 @@
   static std::vector<std::string> InvalidStatusLines()
   {
     std::vector<std::string> lines;
+    // The last two give 200 when they are read as a number of 32 bits.
     for (const auto* status : { "000",
                                 "0",
                                 "00",
@@ -74,7 +75,9 @@
                                 "700",
                                 "999",
                                 "1000",
-                                "2000" }) {
+                                "2000",
+                                "0200",
+                                "4294967496" }) {
       lines.push_back("HTTP/1.1 " + std::string{ status } + " OK");
     }
     return lines;
