--- a/review/deployment.py
+++ b/review/deployment.py
@@ -1,7 +1,8 @@
 """A small deployment of real processes on loopback addresses, for the scripts of the cases.
 
 The daemons run as deploy/system.toml says, with settings rendered from deploy/settings.yaml. Store,
-backend servers and relays are the project's stand-ins, built by review/build.sh.
+backend servers and relays are the project's stand-ins, built by review/build.sh. With SKYLARKWIND_BIN
+set, the daemon and the stand-ins are those of that folder, e.g. of the build that CI has made.
 """
 
 import http.client
@@ -19,7 +20,9 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-STANDINS = os.path.join(ROOT, "build-review", "bin")
+PROGRAMS = os.environ.get("SKYLARKWIND_BIN")
+STANDINS = PROGRAMS or os.path.join(ROOT, "build-review", "bin")
+DAEMON = os.path.join(PROGRAMS or os.path.join(ROOT, "target", "bin"), "skylarkwindd")
 HOST = "desk.example"
 
 
@@ -64,12 +67,15 @@
 
 
 def render(template, fields):
-    """Fills in the placeholders that deploy/settings.yaml uses."""
+    """Fills in the placeholders that deploy/settings.yaml uses.
+
+    A value that the deployment does not have is empty, which the daemon's settings take for unset.
+    """
 
     def value(match):
         found = fields
         for name in match.group(1).split("."):
-            found = found[name]
+            found = found.get(name, "") if isinstance(found, dict) else ""
         return ",".join(found) if isinstance(found, list) else str(found)
 
     return re.sub(r"\{\{([A-Za-z.]+)\}\}", value, template)
@@ -142,7 +148,7 @@
             "Listen": addresses,
             "Seeds": self.seeds,
             "Provider": {"Address": store},
-            "Limits": {"CpuShare": 0.25},
+            "Limits": {"CpuShare": 0.25, "LinkMbps": 1000},
             "Bounds": self.bounds,
         }
         with open(os.path.join(ROOT, "deploy", "settings.yaml"), encoding="utf-8") as file:
@@ -155,12 +161,11 @@
             if self.max_fds:
                 resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
 
-        program = os.path.join(ROOT, "target", "bin", "skylarkwindd")
-        if not os.path.exists(program):
-            raise CannotRun("target/bin/skylarkwindd is missing; build as deploy/system.toml says")
+        if not os.path.exists(DAEMON):
+            raise CannotRun(f"{DAEMON} is missing; build as deploy/system.toml says")
         with open(os.path.join(self.directory, f"{name}.log"), "a", encoding="utf-8") as log:
             process = subprocess.Popen(
-                [program],
+                [DAEMON],
                 cwd=ROOT,
                 env={"SKYLARKWIND_SETTINGS": settings, "PATH": os.environ["PATH"]},
                 stdout=log,
