--- a/packages/core/src/usage_reporter.cpp
+++ b/packages/core/src/usage_reporter.cpp
@@ -153,7 +153,7 @@
     // A window from `next` on is not fixed yet, and would be sent twice.
     auto window = ParseWindow(number, counts);
     if (window && window->mWindow < mNextWindow) {
-      mFixed[window->mWindow] = { *std::move(window) };
+      mFixed[window->mWindow].mWindow = *window;
     }
   }
   DropOldest();
--- a/packages/core/tests/usage_fleet_test.cpp
+++ b/packages/core/tests/usage_fleet_test.cpp
@@ -310,6 +310,7 @@
       }
     }
     std::vector<std::string> dataCentres;
+    dataCentres.reserve(candidates.size());
     for (const auto candidate : candidates) {
       dataCentres.push_back(std::to_string(candidate % kDataCentres));
     }
@@ -591,8 +592,8 @@
   /// The run that two tests judge.
   static const figures& LongRun()
   {
-    static const auto result = Run("usage of a fleet", kWindows, 0);
-    return result;
+    static const auto kResult = Run("usage of a fleet", kWindows, 0);
+    return kResult;
   }
 
   /// A tenth of the daemons is killed and replaced each minute, the reporting daemon and collectors
--- a/packages/core/tests/usage_reporter_test.cpp
+++ b/packages/core/tests/usage_reporter_test.cpp
@@ -116,7 +116,7 @@
     const auto of = [](const std::vector<std::string>& aDataCentres) {
       return ReportingOrder(aDataCentres);
     };
-    CPPUNIT_ASSERT(of({}) == order{});
+    CPPUNIT_ASSERT(of({}).empty());
     CPPUNIT_ASSERT(of({ "a" }) == order{ 0 });
     CPPUNIT_ASSERT((of({ "a", "a", "a" }) == order{ 0, 1 }));
     CPPUNIT_ASSERT((of({ "a", "b", "c" }) == order{ 0, 1 }));
