--- a/packages/core/src/singleton_task.cpp
+++ b/packages/core/src/singleton_task.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds kReadPeriod{ 700 };
 /// Interval between reads while none is due, so that a daemon that has to act already knows for how
 /// long the record has been unchanged.
-constexpr milliseconds kIdleReadPeriod{ 2'500 };
+constexpr milliseconds kIdleReadPeriod{ 1'000 };
 /// Daemons that read the record regularly, including the one that acts.
 constexpr std::size_t kStandbys = 3;
 /// How long after the start of a confirmed write its holder may make calls.
--- a/packages/gateway/src/peer_transport_p.h
+++ b/packages/gateway/src/peer_transport_p.h
@@ -17,9 +17,9 @@
 namespace skylarkwind {
 
 /// Sends and receives load reports, load summaries, changes of stored objects, the state of the
-/// quarantine and counts of requests between daemons as datagrams. Loss is tolerated: the next report or summary replaces
-/// a lost one, and a lost change is recovered by fetching a snapshot from another daemon or by a
-/// call to the store.
+/// quarantine and counts of requests between daemons as datagrams. Loss is tolerated: the next
+/// report or summary replaces a lost one, and a lost change is recovered by fetching a snapshot
+/// from another daemon or by a call to the store.
 class peer_transport
 {
 public:
