Place plain requests by expected work ahead and learned service times

Cause: a plain server's cost was its requests in flight times 30 ms, so that a slow server kept getting requests while others had free slots. Change: request_cost learns service times by route and account; a server's work ahead is corrected by its own report, and multiplied by its reported work time and its learned slowdown; the choice is drawn by water-filling.

--- a/packages/core/include/skylarkwind/backend_load_tracker.h
+++ b/packages/core/include/skylarkwind/backend_load_tracker.h
@@ -3,6 +3,7 @@
 #include "skylarkwind/clock.h"
 #include "skylarkwind/forward_types.h"
 #include "skylarkwind/load_messages.h"
+#include "skylarkwind/request_cost.h"
 
 #include <chrono>
 #include <cstdint>
@@ -49,6 +50,15 @@
                std::uint32_t aPrefillTokens,
                std::chrono::duration<double, std::milli> aExpected,
                instant aNow);
+  /// Records a plain request that is sent. `aService` is the expected distribution of its service
+  /// time, `aExpected` the predicted time at a server that is not slowed down.
+  ticket BeginPlain(std::string_view aBackendId,
+                    const service_time& aService,
+                    std::chrono::duration<double, std::milli> aExpected,
+                    instant aNow);
+  /// A server has answered a plain request without having worked on it as it should: it refused or
+  /// failed. The time of the response is not measured.
+  void OnUnservedResponse(ticket aTicket, instant aNow);
   /// The first token of the request arrived, or its response. To be called for later tokens as
   /// well: any sign of life ends the suspicion that silence has raised.
   void OnFirstResponse(ticket aTicket, instant aNow);
@@ -81,6 +91,24 @@
     bool mOnlySilent = false;
   };
   view View(std::string_view aBackendId, instant aNow) const;
+
+  /// Work of a plain server that is not done yet.
+  struct plain_work
+  {
+    double mAheadMs = 0;      ///< expected remaining service times, at the usual speed
+    double mRunning = 0;      ///< requests at the server, expected
+    double mSlowdown = 1;     ///< actual / usual time, without what mWorkTime covers
+    double mWorkTime = 1;     ///< time that work takes now / usually, as the server reported
+    double mFailureRatio = 0; ///< 0 to 1
+  };
+  /// `aUsual` is the service time of requests about which nothing more is known, e.g. of those that
+  /// other daemons sent.
+  plain_work PlainWork(std::string_view aBackendId, const service_time& aUsual, instant aNow) const;
+  /// Requests a ms that this daemon has recently sent to the server.
+  double RequestRate(std::string_view aBackendId, instant aNow) const;
+  /// Time until this daemon has received a report of load that another one dispatched.
+  std::chrono::duration<double, std::milli> ReportDelay() const;
+  std::uint32_t Daemons() const { return mDaemons; }
   /// Prompt tokens whose computation at the server ended after `aSince`, at most
   /// `kFinishedRetention` ago, from all daemons.
   double FinishedTokens(std::string_view aBackendId, instant aSince) const;
@@ -130,6 +158,7 @@
     double mSlowdown = 1; ///< slowdown that mExpected was computed with
     instant mBeganAt;
     bool mHasFirstToken = false;
+    std::optional<service_time> mService = std::nullopt; ///< plain requests only
   };
   /// Consecutive failures of one kind, and the ejection by this daemon alone that they led to.
   struct failure_run
@@ -162,6 +191,12 @@
     instant mBackoffUntil{};
     backend_load mLoad;
     instant mLoadAt{};
+    double mLogWorkTime = 0; ///< smoothed natural logarithm of the reported work time
+    instant mWorkTimeAt{};
+    instant mSlowdownAt{};       ///< last measurement or report of the slowdown
+    instant mFailureChangedAt{}; ///< last change of mOwnFailureRatio
+    decaying_rate mRequestRate;
+    std::vector<ticket> mPlainRequests; ///< in flight
   };
 
   backend_state& StateOf(std::string_view aBackendId) { return mStates[BackendKey(aBackendId)]; }
@@ -171,6 +206,8 @@
   static bool Admits(const failure_run& aRun, const backend_state& aState, instant aNow);
   double Slowdown(const backend_state& aState) const;
   static void OnFinished(backend_state& aState, double aTokens, instant aNow);
+  /// Takes a measured ratio of actual to usual time.
+  void OnSlowdown(backend_state& aState, double aRatio, bool aIsPlain, instant aNow);
   static void OnFailure(backend_state& aState, backend_outcome aOutcome, instant aNow);
   void MarkOwnChange(backend_state& aState, instant aNow);
   /// Whether it is this daemon's turn to probe a server with an open circuit.
--- a/packages/core/include/skylarkwind/placement.h
+++ b/packages/core/include/skylarkwind/placement.h
@@ -32,6 +32,9 @@
   std::chrono::duration<double, std::milli> mPrefillTime{}; ///< from now to the end of the prefill,
                                                             ///< with queueing and transfer
   std::chrono::duration<double, std::milli> mFirstToken{};  ///< predicted time to first token
+  /// Of a plain request. mPrefillTime is its predicted time at the usual speed of the server.
+  std::optional<service_time> mService = std::nullopt;
+  double mWorkTime = 1; ///< of a plain server: time that work takes now / usually, as reported
 };
 
 /// No backend server can serve the request in time.
@@ -76,6 +79,8 @@
   std::span<const std::string> mExcludedIds; ///< ids of servers not to be tried again
   std::chrono::milliseconds mTimeLeft{};
   std::uint64_t mRandomBits = 0; ///< random bits, new for each attempt
+  /// Expected service time of a plain request.
+  service_time mServiceTime;
   bool mBegun = false;  ///< its caller has received events, so that lateness is no reason to refuse
   bool mMayWait = true; ///< false once the request has waited for a prefix as long as it may
 };
--- a/packages/core/src/backend_load_tracker.cpp
+++ b/packages/core/src/backend_load_tracker.cpp
@@ -46,6 +46,15 @@
 constexpr std::chrono::milliseconds kMaxBackoff{ 60'000 };
 /// A load report older than this no longer describes the current load.
 constexpr std::chrono::milliseconds kLoadTtl{ 500 };
+/// Weight of a newly reported work time. It changes many times a second and is aged out linearly.
+constexpr double kWorkTimeWeight = 0.5;
+constexpr std::chrono::milliseconds kWorkTimeTtl{ 1'000 };
+/// Half-lives of the slowdown and of the failure ratio of a plain server without newer ones, so
+/// that a server that was avoided is used again.
+constexpr milliseconds_f kPlainSlowdownHalfLife{ 6'000 };
+constexpr milliseconds_f kPlainFailureHalfLife{ 2'000 };
+/// A request that takes this many times the expected time is overdue.
+constexpr double kOverdueFactor = 2;
 /// Ended load is reported as zero for this long, in case a message is lost.
 constexpr std::chrono::milliseconds kReportEndedFor{ 500 };
 
@@ -63,6 +72,29 @@
   ++mChanges;
 }
 
+backend_load_tracker::ticket
+backend_load_tracker::BeginPlain(std::string_view aBackendId,
+                                 const service_time& aService,
+                                 milliseconds_f aExpected,
+                                 instant aNow)
+{
+  const auto started = Begin(aBackendId, 0, aExpected, aNow);
+  auto& request = mInFlight[started];
+  request.mSlowdown = 1;
+  request.mService = aService;
+  mStates[request.mBackend].mPlainRequests.push_back(started);
+  return started;
+}
+
+void
+backend_load_tracker::OnUnservedResponse(ticket aTicket, instant aNow)
+{
+  if (const auto found = mInFlight.find(aTicket); found != mInFlight.end()) {
+    found->second.mExpected = {};
+  }
+  OnFirstResponse(aTicket, aNow);
+}
+
 backend_load_tracker::ticket
 backend_load_tracker::Begin(std::string_view aBackendId,
                             std::uint32_t aPrefillTokens,
@@ -77,6 +109,7 @@
   MarkOwnChange(state, aNow);
   mOwnTokenRate.Add(aPrefillTokens, aNow);
   mOwnRequestRate.Add(1, aNow);
+  state.mRequestRate.Add(1, aNow);
   mInFlight[++mLastTicket] = { key, aPrefillTokens, aExpected, Slowdown(state), aNow, false };
   return mLastTicket;
 }
@@ -100,18 +133,26 @@
   MarkOwnChange(state, aNow);
   const milliseconds_f taken = aNow - work.mBeganAt;
   if (work.mExpected >= kMinMeasuredTime) {
-    const double ratio =
-      std::clamp(taken / work.mExpected * work.mSlowdown, 1 / kMaxSlowdown, kMaxSlowdown);
-    auto& record = state.mRecord;
-    record.mLogSlowdownSum += std::log(ratio);
-    // The first measurements form a plain mean, so that the estimate converges quickly.
-    const auto weight = [](double aMinWeight, std::uint32_t aPriorCount) {
-      return std::max(aMinWeight, 1.0 / (1 + aPriorCount));
-    };
-    state.mOwnLogSlowdown +=
-      weight(kSlowdownWeight, record.mSlowdownCount++) * (std::log(ratio) - state.mOwnLogSlowdown);
-    mMeanLogSlowdown +=
-      weight(kMeanSlowdownWeight, mMeasurements++) * (std::log(ratio) - mMeanLogSlowdown);
+    OnSlowdown(state, taken / work.mExpected * work.mSlowdown, work.mService.has_value(), aNow);
+  }
+}
+
+void
+backend_load_tracker::OnSlowdown(backend_state& aState, double aRatio, bool aIsPlain, instant aNow)
+{
+  const double ratio = std::log(std::clamp(aRatio, 1 / kMaxSlowdown, kMaxSlowdown));
+  auto& record = aState.mRecord;
+  record.mLogSlowdownSum += ratio;
+  aState.mSlowdownAt = aNow;
+  // The first measurements form a plain mean, so that the estimate converges quickly.
+  const auto weight = [](double aMinWeight, std::uint32_t aPriorCount) {
+    return std::max(aMinWeight, 1.0 / (1 + aPriorCount));
+  };
+  aState.mOwnLogSlowdown +=
+    weight(kSlowdownWeight, record.mSlowdownCount++) * (ratio - aState.mOwnLogSlowdown);
+  // Plain servers say nothing about engines without measurements.
+  if (!aIsPlain) {
+    mMeanLogSlowdown += weight(kMeanSlowdownWeight, mMeasurements++) * (ratio - mMeanLogSlowdown);
   }
 }
 
@@ -127,6 +168,15 @@
     state.mOwnTokens -= found->second.mPrefillTokens;
   }
   state.mOwnRunning -= 1;
+  if (found->second.mService) {
+    std::erase(state.mPlainRequests, aTicket);
+    const milliseconds_f taken = aNow - found->second.mBeganAt;
+    // A request that was given up after more than the expected time shows at least this slowdown.
+    if (!found->second.mHasFirstToken && found->second.mExpected >= kMinMeasuredTime &&
+        taken > kOverdueFactor * found->second.mExpected) {
+      OnSlowdown(state, taken / found->second.mExpected, true, aNow);
+    }
+  }
   mInFlight.erase(found);
   MarkOwnChange(state, aNow);
   auto& outcomes = state.mRecord.mOutcomes;
@@ -156,6 +206,7 @@
     if (aOutcome == backend_outcome::Answered) {
       state.mFailures = {};
       state.mOwnFailureRatio -= kFailureWeight * state.mOwnFailureRatio;
+      state.mFailureChangedAt = aNow;
     }
     return;
   }
@@ -171,6 +222,7 @@
   run.mCount += 1;
   if (!silent) {
     aState.mOwnFailureRatio += kFailureWeight * (1 - aState.mOwnFailureRatio);
+    aState.mFailureChangedAt = aNow;
   }
   const auto count = aState.mFailures.mCount + aState.mSilences.mCount;
   const auto threshold = aOutcome == backend_outcome::Unreachable ? 1U : kFailuresToEject;
@@ -187,6 +239,13 @@
   auto& state = StateOf(aBackendId);
   state.mLoad = aLoad;
   state.mLoadAt = aNow;
+  if (aLoad.mWorkTimePercent > 0) {
+    const double reported =
+      std::log(std::clamp(aLoad.mWorkTimePercent / 100.0, 1 / kMaxSlowdown, kMaxSlowdown));
+    const bool aged = aNow - state.mWorkTimeAt >= kWorkTimeTtl;
+    state.mLogWorkTime += (aged ? 1 : kWorkTimeWeight) * (reported - state.mLogWorkTime);
+    state.mWorkTimeAt = aNow;
+  }
 }
 
 void
@@ -309,6 +368,75 @@
   return snapshot;
 }
 
+backend_load_tracker::plain_work
+backend_load_tracker::PlainWork(std::string_view aBackendId,
+                                const service_time& aUsual,
+                                instant aNow) const
+{
+  plain_work work;
+  const auto found = mStates.find(BackendKey(aBackendId));
+  if (found == mStates.end()) {
+    return work;
+  }
+  const auto& state = found->second;
+  const double mean = aUsual.MeanMs();
+  const bool peersKnown = aNow - state.mPeerAt < mSettings.mPeerLoadTtl;
+  const double known = state.mFleetSlowdown > 0           ? std::log(state.mFleetSlowdown)
+                       : state.mRecord.mSlowdownCount > 0 ? state.mOwnLogSlowdown
+                                                          : 0.0;
+  const auto measuredAt =
+    state.mFleetSlowdown > 0 ? std::max(state.mPeerAt, state.mSlowdownAt) : state.mSlowdownAt;
+  work.mSlowdown =
+    std::exp(known * std::exp2(-(milliseconds_f{ aNow - measuredAt } / kPlainSlowdownHalfLife)));
+  if (const milliseconds_f age = aNow - state.mWorkTimeAt; age < kWorkTimeTtl) {
+    work.mWorkTime = std::exp(state.mLogWorkTime * (1 - age / kWorkTimeTtl));
+  }
+  const double speed = work.mSlowdown * work.mWorkTime;
+  for (const auto request : state.mPlainRequests) {
+    const auto& sent = mInFlight.at(request);
+    const milliseconds_f elapsed = aNow - sent.mBeganAt;
+    work.mAheadMs += sent.mService->RemainingMs(elapsed.count() / speed);
+  }
+  work.mRunning = state.mOwnRunning;
+  const auto others = state.mOwnRunning - static_cast<double>(state.mPlainRequests.size());
+  work.mAheadMs += std::max(0.0, others) * mean;
+  if (peersKnown) {
+    work.mRunning += state.mPeerRunning;
+    work.mAheadMs += state.mPeerRunning * mean;
+  }
+  if (const milliseconds_f age = aNow - state.mLoadAt; age < kLoadTtl) {
+    // The report covers all daemons. What it counted is done after about the time of one request.
+    const double reported = static_cast<double>(state.mLoad.mRunning) + state.mLoad.mWaiting;
+    const double trust = std::exp(-age.count() / (mean * speed));
+    const double correction = trust * (reported - work.mRunning);
+    work.mRunning += correction;
+    work.mAheadMs = std::max(0.0, work.mAheadMs + correction * mean);
+  }
+  work.mFailureRatio =
+    state.mOwnFailureRatio *
+    std::exp2(-(milliseconds_f{ aNow - state.mFailureChangedAt } / kPlainFailureHalfLife));
+  if (peersKnown) {
+    work.mFailureRatio = std::max(work.mFailureRatio, state.mFleetFailureRatio);
+  }
+  if (state.mSilences.mCount > 0) {
+    work.mFailureRatio = std::max(work.mFailureRatio, kSilentFailureRatio);
+  }
+  return work;
+}
+
+double
+backend_load_tracker::RequestRate(std::string_view aBackendId, instant aNow) const
+{
+  const auto found = mStates.find(BackendKey(aBackendId));
+  return found == mStates.end() ? 0 : found->second.mRequestRate.At(aNow);
+}
+
+milliseconds_f
+backend_load_tracker::ReportDelay() const
+{
+  return kReportDelay + kReportDelayPerDaemon * mDaemons;
+}
+
 void
 backend_load_tracker::OnFinished(backend_state& aState, double aTokens, instant aNow)
 {
@@ -358,8 +486,7 @@
 backend_load_tracker::unreported_load
 backend_load_tracker::UnreportedLoad(instant aNow) const
 {
-  const auto reportDelay = kReportDelay + kReportDelayPerDaemon * mDaemons;
-  const double others = (mDaemons - 1) * reportDelay.count();
+  const double others = (mDaemons - 1) * ReportDelay().count();
   return { others * mOwnTokenRate.At(aNow), others * mOwnRequestRate.At(aNow) };
 }
 
--- a/packages/core/src/load_aggregator.cpp
+++ b/packages/core/src/load_aggregator.cpp
@@ -142,7 +142,10 @@
   sum.mLogSlowdown = sum.mMeasurements == 0 ? 0 : std::log(Slowdown(sum, aNow));
   sum.mSlowdownAt = aNow;
   smooth(sum.mLogSlowdown, sum.mMeasurements, kSlowdownWeight);
-  smooth(mUsualLogSlowdown, mMeasurements, kUsualSlowdownWeight);
+  // Plain servers have no KV cache and say nothing about engines.
+  if (sum.mAdded > 0) {
+    smooth(mUsualLogSlowdown, mMeasurements, kUsualSlowdownWeight);
+  }
 }
 
 double
@@ -153,7 +156,8 @@
   }
   const std::chrono::duration<double> age{ aNow - aSum.mSlowdownAt };
   const double remaining = std::exp2(-(age / kSlowdownHalfLife));
-  return std::exp(mUsualLogSlowdown + remaining * (aSum.mLogSlowdown - mUsualLogSlowdown));
+  const double usual = aSum.mAdded > 0 ? mUsualLogSlowdown : 0;
+  return std::exp(usual + remaining * (aSum.mLogSlowdown - usual));
 }
 
 void
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -30,10 +30,12 @@
 constexpr double kDecodeCacheMissRate = 0.3;
 /// Cost for each stream of the engine that a long gap would make late.
 constexpr double kLateStreamCostMs = 120;
-/// Cost in ms of the requests on a server, a part of the time of a plain request. Each running
-/// request costs this divided by the slots of the server; each one beyond the slots costs this in
-/// full as well.
-constexpr double kPlainRequestCostMs = 30;
+/// Share of plain requests that go to a server without regard to its cost, so that a slow or
+/// failing server is seen to recover.
+constexpr double kPlainProbeShare = 0.005;
+/// Slowdowns below this are what queueing in a burst causes, too, so that they don't tell servers
+/// apart.
+constexpr double kUsualSlowdown = 1.5;
 /// Callers give up on a stream without an event after the longest of this time, a multiple of the
 /// target and a multiple of the allowed gap.
 constexpr std::chrono::milliseconds kMinFirstEventTimeout{ 2'000 };
@@ -58,6 +60,9 @@
 constexpr std::uint64_t kStreamDraw = 1;
 constexpr std::uint64_t kComputeDraw = 2;
 constexpr std::uint64_t kSourceDraw = 3;
+constexpr std::uint64_t kPlainDraw = 4;
+constexpr std::uint64_t kProbeDraw = 5;
+constexpr std::uint64_t kRetryDraw = 6;
 
 bool
 Contains(std::span<const std::string> aIds, std::string_view aId)
@@ -210,25 +215,71 @@
 placement_result
 placer::PlacePlain(const placement_query& aQuery, eligibility aEligibility, instant aNow) const
 {
-  const backend_server* best = nullptr;
-  double bestCost = std::numeric_limits<double>::infinity();
-  for (const auto& [server, view, cached] : Candidates(aQuery, aEligibility, aNow)) {
+  const auto candidates = Candidates(aQuery, aEligibility, aNow);
+  if (candidates.empty()) {
+    return MakeRefusal(aQuery, "no server admits the request", kMinRetryAfter, aNow);
+  }
+  const double mean = aQuery.mServiceTime.MeanMs();
+  std::vector<backend_load_tracker::plain_work> works;
+  std::vector<double> costs;
+  std::vector<double> waits;
+  std::vector<std::string_view> dataCentres;
+  works.reserve(candidates.size());
+  costs.reserve(candidates.size());
+  waits.reserve(candidates.size());
+  double ownRate = 0;
+  double allSlots = 0;
+  bool full = true;
+  double earliest = std::numeric_limits<double>::infinity();
+  for (const auto& [server, view, cached] : candidates) {
+    const auto& work =
+      works.emplace_back(mLoadTracker.PlainWork(server->mId, aQuery.mServiceTime, aNow));
     const double slots = std::max<double>(1, server->mSlots);
-    const double over = view.mRunning - slots;
-    const double cost = view.mRunning * kPlainRequestCostMs / slots +
-                        std::max(0.0, over) * kPlainRequestCostMs + DistanceCost(*server) +
-                        view.mFailureRatio * kFailureRatioCostMs;
-    if (cost < bestCost) {
-      best = server;
-      bestCost = cost;
+    const double speed = std::max(1.0, work.mSlowdown / kUsualSlowdown) * work.mWorkTime;
+    const double wait = work.mRunning >= slots ? work.mAheadMs / slots : 0;
+    waits.push_back(wait);
+    const double over = std::max(0.0, work.mRunning - slots);
+    costs.push_back(speed * (mean + work.mAheadMs / slots + over * mean) + DistanceCost(*server) +
+                    work.mFailureRatio * kFailureRatioCostMs);
+    full = full && work.mRunning >= slots;
+    earliest = std::min(earliest, speed * (wait + aQuery.mServiceTime.MedianMs()));
+    ownRate += mLoadTracker.RequestRate(server->mId, aNow);
+    allSlots += slots;
+    if (std::find(dataCentres.begin(), dataCentres.end(), server->mDataCentre) ==
+        dataCentres.end()) {
+      dataCentres.push_back(server->mDataCentre);
     }
   }
-  if (best == nullptr) {
-    return MakeRefusal(aQuery, "no server admits the request", kMinRetryAfter, aNow);
+  if (const auto left = static_cast<double>(aQuery.mTimeLeft.count()); full && earliest > left) {
+    const double spread = 0.5 + UniformFromBits(aQuery.mRandomBits, kRetryDraw);
+    return placement_refusal{ "no server can answer within the time limit",
+                              std::max(kMinRetryAfter,
+                                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                                         milliseconds_f{ (earliest - left) * spread })) };
+  }
+  std::size_t chosen = 0;
+  if (UniformFromBits(aQuery.mRandomBits, kProbeDraw) < kPlainProbeShare) {
+    chosen = static_cast<std::size_t>(UniformFromBits(aQuery.mRandomBits, kPlainDraw) *
+                                      static_cast<double>(candidates.size()));
+  } else {
+    // Requests that other daemons have sent and not reported yet, as far as they still run. Those
+    // of other data centres have other costs and are assumed to raise all servers alike.
+    const double delay = mLoadTracker.ReportDelay().count();
+    const double others =
+      ownRate * (mLoadTracker.Daemons() - 1) / static_cast<double>(dataCentres.size());
+    const double unreported = others * mean * (1 - std::exp(-delay / mean));
+    const double costOfOne = mean * static_cast<double>(candidates.size()) / allSlots;
+    chosen = ChooseByWaterFilling(
+      costs, unreported * costOfOne, UniformFromBits(aQuery.mRandomBits, kPlainDraw));
   }
-  placement chosen;
-  chosen.mTarget = best;
-  return chosen;
+  placement result;
+  result.mTarget = candidates[chosen].mServer;
+  result.mWorkTime = works[chosen].mWorkTime;
+  result.mService = aQuery.mServiceTime;
+  result.mWait = milliseconds_f{ waits[chosen] };
+  result.mPrefillTime =
+    milliseconds_f{ result.mWorkTime * (waits[chosen] + aQuery.mServiceTime.MedianMs()) };
+  return result;
 }
 
 placer::option
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -238,6 +238,9 @@
   query.mServers = aServers;
   query.mExcludedIds = mExcludedServers;
   query.mTimeLeft = TimeLeft();
+  if (query.mGeneration == nullptr) {
+    query.mServiceTime = mContext.mRequestCost.ServiceTime(mRoute->mName, AccountName());
+  }
   query.mRandomBits = Hash64(mRequest.mId) + mAttemptsSent + mPrefillsSent;
   query.mBegun = MayAwaitPlace();
   query.mMayWait =
--- a/packages/gateway/src/exchange_attempts.cpp
+++ b/packages/gateway/src/exchange_attempts.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds kMaxIdleForNonRetryable{ 1'000 };
 constexpr milliseconds kMaxIdleForRetryable{ 60'000 };
 
+/// Service times are learnt from requests that were expected to wait for less than this part of it.
+constexpr double kMaxWaitShare = 0.25;
+
 /// Whether a caller would take the status to mean that the request was not executed.
 bool
 StatusImpliesNotExecuted(int aStatus)
@@ -105,6 +108,24 @@
                          (taken - aPlacement.mFetchTime).count());
 }
 
+void
+exchange::LearnServiceTime()
+{
+  const auto& placed = mAttempt->mPlacement;
+  if (!placed.mService || placed.mWait.count() > kMaxWaitShare * placed.mService->MedianMs()) {
+    return;
+  }
+  const auto now = mContext.mClock.Now();
+  const milliseconds_f taken = now - mAttempt->mSentAt;
+  mContext.mRequestCost.OnServed(mRoute->mName, AccountName(), taken / placed.mWorkTime, now);
+}
+
+std::string_view
+exchange::AccountName() const
+{
+  return mAccount != nullptr ? std::string_view{ mAccount->mName } : std::string_view{};
+}
+
 kj::Promise<exchange_end>
 exchange::OnPrefilled(const placement& aPlacement, std::string_view aBody)
 {
@@ -162,11 +183,16 @@
   mAttempt->mPlacement.mFetchFrom = nullptr;
   mAttempt->mSentAt = now;
   mAttempt->mTargetFetches = prefilled;
-  mAttempt->mTicket =
-    mContext.mLoadTracker.Begin(mAttempt->mTarget.mId,
-                                prefilled ? 0 : aPlacement.mComputeTokens,
-                                prefilled ? milliseconds_f{ 0 } : aPlacement.mPrefillTime,
-                                now);
+  if (aPlacement.mService) {
+    mAttempt->mTicket = mContext.mLoadTracker.BeginPlain(
+      mAttempt->mTarget.mId, *aPlacement.mService, aPlacement.mPrefillTime, now);
+  } else {
+    mAttempt->mTicket =
+      mContext.mLoadTracker.Begin(mAttempt->mTarget.mId,
+                                  prefilled ? 0 : aPlacement.mComputeTokens,
+                                  prefilled ? milliseconds_f{ 0 } : aPlacement.mPrefillTime,
+                                  now);
+  }
   forward_attempt attempt;
   attempt.mBackendId = mAttempt->mTarget.mId;
   attempt.mTimeLeft = TimeLeft();
@@ -256,7 +282,12 @@
                                               mRequest.mSharedParts,
                                               !mAttempt->mBackendResponse->EndsWithConnection());
         }
-        mContext.mLoadTracker.OnFirstResponse(*mAttempt->mTicket, mContext.mClock.Now());
+        if (mAttempt->mPlacement.mService && !success) {
+          mContext.mLoadTracker.OnUnservedResponse(*mAttempt->mTicket, mContext.mClock.Now());
+        } else {
+          mContext.mLoadTracker.OnFirstResponse(*mAttempt->mTicket, mContext.mClock.Now());
+          LearnServiceTime();
+        }
         mContext.mPool.Release(std::move(mAttempt->mBackendResponse),
                                mAttempt->mResponseHead.mClosesConnection,
                                mAttempt->mResponseHead.mKeepAlive);
--- a/packages/gateway/src/exchange_p.h
+++ b/packages/gateway/src/exchange_p.h
@@ -17,6 +17,7 @@
 #include "skylarkwind/placement.h"
 #include "skylarkwind/prompt_quarantine.h"
 #include "skylarkwind/protocol_adapter.h"
+#include "skylarkwind/request_cost.h"
 #include "skylarkwind/route_index.h"
 #include "skylarkwind/sse_splitter.h"
 
@@ -96,6 +97,7 @@
   prefix_cache_index& mPrefixCacheIndex;
   const placer& mPlacer;
   engine_models& mEngineModels;
+  request_cost& mRequestCost;
   fleet_retry_budget& mRetryBudget;
   load_exchange& mLoadExchange;
   http_pool& mPool;
@@ -259,6 +261,10 @@
   /// Adds the time of the prompt's computation, or of the start of a stream that fetched it, to the
   /// model of the service's engines.
   void LearnPromptTime(const placement& aPlacement, instant aNow);
+  /// Adds the time of a plain request to what is known of its route and account.
+  void LearnServiceTime();
+  /// Name of the caller's account; empty without one.
+  std::string_view AccountName() const;
   /// Complete events have arrived; `aFirst` when they are the first ones of this request.
   void OnEvents(bool aFirst);
   kj::Promise<exchange_end> OnStreamEnd(backend_attempt& aAttempt);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -102,6 +102,7 @@
                         mPrefixCacheIndex,
                         mPlacer,
                         mEngineModels,
+                        mRequestCost,
                         mRetryBudget,
                         mLoadExchange,
                         mPool,
@@ -697,6 +698,7 @@
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
   engine_models mEngineModels;
+  request_cost mRequestCost;
   placer mPlacer;
   fleet_retry_budget mRetryBudget;
   load_exchange mLoadExchange;
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -226,11 +226,11 @@
                      mQuarantine,
                      mCounters,
                      [](instant) { return false; })
-    , mContext{ mProtocol,      mRoutes,         mDirectory,     mLoadTracker,  mPrefixCacheIndex,
-                mPlacer,        mEngineModels,   mRetryBudget,   mLoadExchange, mPool,
-                mTimer,         mClock,          mTable,         mCounters,     mTasks,
-                mPrefixUpdates, mResponseBodies, mRequestBodies, mShutdown,     mQuarantine,
-                mCrashDetector, mQuarantined }
+    , mContext{ mProtocol,   mRoutes,        mDirectory,      mLoadTracker,   mPrefixCacheIndex,
+                mPlacer,     mEngineModels,  mRequestCost,    mRetryBudget,   mLoadExchange,
+                mPool,       mTimer,         mClock,          mTable,         mCounters,
+                mTasks,      mPrefixUpdates, mResponseBodies, mRequestBodies, mShutdown,
+                mQuarantine, mCrashDetector, mQuarantined }
     , mListener(mContext)
   {
     mNetwork.mAccept = [this](kj::Own<kj::AsyncIoStream> aStream) {
@@ -323,6 +323,7 @@
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
   engine_models mEngineModels;
+  request_cost mRequestCost;
   placer mPlacer;
   fleet_retry_budget mRetryBudget;
   load_exchange mLoadExchange;
