--- a/packages/core/include/skylarkwind/backend_load_tracker.h
+++ b/packages/core/include/skylarkwind/backend_load_tracker.h
@@ -100,6 +100,7 @@
     double mSlowdown = 1;     ///< actual / usual time, without what mWorkTime covers
     double mWorkTime = 1;     ///< time that work takes now / usually, as the server reported
     double mFailureRatio = 0; ///< 0 to 1
+    bool mReported = false;   ///< the server itself has reported its load recently
   };
   /// `aUsual` is the service time of requests about which nothing more is known, e.g. of those that
   /// other daemons sent.
--- a/packages/core/src/backend_load_tracker.cpp
+++ b/packages/core/src/backend_load_tracker.cpp
@@ -410,6 +410,7 @@
     work.mAheadMs += state.mPeerRunning * mean;
   }
   if (const milliseconds_f age = aNow - state.mLoadAt; age < kPlainLoadTtl) {
+    work.mReported = true;
     // The report covers all daemons, but not what was sent after it.
     const auto sentSince =
       std::count_if(state.mPlainRequests.begin(), state.mPlainRequests.end(), [&](ticket aRequest) {
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -33,8 +33,9 @@
 /// Share of plain requests that go to a server without regard to its cost, so that a slow or
 /// failing server is seen to recover.
 constexpr double kPlainProbeShare = 0.005;
-/// Factor on the load that other daemons have not reported yet. They choose by nearly the same
-/// sums, so that their choices are spread wider than their load alone would call for.
+/// Factor on the load that other daemons have not reported yet, when no server has reported its own
+/// load. All daemons choose by nearly the same sums then, so that their choices are spread wider
+/// than that load alone would call for.
 constexpr double kHerdFactor = 4;
 /// Slowdowns below this are what queueing in a burst causes, too, so that they don't tell servers
 /// apart.
@@ -271,9 +272,12 @@
     const double others =
       ownRate * (mLoadTracker.Daemons() - 1) / static_cast<double>(dataCentres.size());
     const double unreported = others * mean * (1 - std::exp(-delay / mean));
+    const bool reported =
+      std::any_of(works.begin(), works.end(), [](const auto& aWork) { return aWork.mReported; });
+    const double spread = reported ? 1 : kHerdFactor;
     const double costOfOne = mean * static_cast<double>(candidates.size()) / allSlots;
     chosen = ChooseByWaterFilling(
-      costs, kHerdFactor * unreported * costOfOne, UniformFromBits(aQuery.mRandomBits, kPlainDraw));
+      costs, spread * unreported * costOfOne, UniformFromBits(aQuery.mRandomBits, kPlainDraw));
   }
   placement result;
   result.mTarget = candidates[chosen].mServer;
