--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -102,6 +102,7 @@
                         mPrefixCacheIndex,
                         mPlacer,
                         mEngineModels,
+                        mRequestCost,
                         mRetryBudget,
                         mLoadExchange,
                         mPool,
@@ -117,7 +118,9 @@
                         mQuarantine,
                         mCrashDetector,
                         mQuarantined,
-                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); } }
+                        [this](const std::string& aAccount) { mUsage.OnRequestBegan(aAccount); },
+                        [this] { return !mHasStarted; },
+                        &mStarted }
     , mCallerListener(mExchangeContext)
     , mPeerTransport(
         aContext.provider->getNetwork(),
@@ -455,6 +458,10 @@
     }
     mCallerListener.SetMaxHeadBytes(mHeadBytesLimit.At(aNow));
     mCallerListener.CloseIdle(limits, aNow);
+    if (!mHasStarted && mRoutes.Version() > 0 && mReplication.ServersListed()) {
+      mHasStarted = true;
+      mStarted.Notify();
+    }
     ExchangeLoad(aNow);
     mQuarantineSync.OnTick(mDirectory.Size(), aNow);
     mUsage.OnTick(!mStoppingSince && !mReplication.AwaitsPeers() && mReplication.WatchesStore(),
@@ -643,7 +650,8 @@
 
   bool Ready() const
   {
-    return mRoutes.Version() > 0 && mReplication.ServersListed() && !mStoppingSince;
+    return mRoutes.Version() > 0 && mReplication.ServersListed() && !mStoppingSince &&
+           !mCallerListener.CannotAccept();
   }
 
   /// Serves readiness checks and metrics.
@@ -697,12 +705,15 @@
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
   engine_models mEngineModels;
+  request_cost mRequestCost;
   placer mPlacer;
   fleet_retry_budget mRetryBudget;
   load_exchange mLoadExchange;
   kj::TaskSet mTasks;
   repeated_signal mPrefixUpdates;
   repeated_signal mQuarantined;
+  repeated_signal mStarted; ///< the configuration and the servers are known
+  bool mHasStarted = false; ///< notified
   byte_budget mResponseBodies{ kMaxBufferedBodyBytes };
   byte_budget mRequestBodies{ kMaxBufferedBodyBytes };
   shutdown_signal mShutdown;
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -24,7 +24,7 @@
 /// `Parts` lists the shared parts of a prompt, in hexadecimal and separated by commas.
 /// Servers are told their id in `Backend`, and in `Resume-After` the last event that they need not
 /// send.
-class plain_protocol final : public protocol_adapter
+class plain_protocol : public protocol_adapter
 {
 public:
   forward_request ParseRequest(std::string aMethod,
@@ -226,11 +226,11 @@
                      mQuarantine,
                      mCounters,
                      [](instant) { return false; })
-    , mContext{ mProtocol,      mRoutes,         mDirectory,     mLoadTracker,  mPrefixCacheIndex,
-                mPlacer,        mEngineModels,   mRetryBudget,   mLoadExchange, mPool,
-                mTimer,         mClock,          mTable,         mCounters,     mTasks,
-                mPrefixUpdates, mResponseBodies, mRequestBodies, mShutdown,     mQuarantine,
-                mCrashDetector, mQuarantined }
+    , mContext{ mProtocol,   mRoutes,        mDirectory,      mLoadTracker,   mPrefixCacheIndex,
+                mPlacer,     mEngineModels,  mRequestCost,    mRetryBudget,   mLoadExchange,
+                mPool,       mTimer,         mClock,          mTable,         mCounters,
+                mTasks,      mPrefixUpdates, mResponseBodies, mRequestBodies, mShutdown,
+                mQuarantine, mCrashDetector, mQuarantined }
     , mListener(mContext)
   {
     mNetwork.mAccept = [this](kj::Own<kj::AsyncIoStream> aStream) {
@@ -323,12 +323,14 @@
   backend_load_tracker mLoadTracker;
   prefix_cache_index mPrefixCacheIndex;
   engine_models mEngineModels;
+  request_cost mRequestCost;
   placer mPlacer;
   fleet_retry_budget mRetryBudget;
   load_exchange mLoadExchange;
   kj::TaskSet mTasks;
   repeated_signal mPrefixUpdates;
   repeated_signal mQuarantined;
+  repeated_signal mStarted;
   byte_budget mResponseBodies{ 1'024 * 1'024 };
   byte_budget mRequestBodies{ 1'024 * 1'024 };
   shutdown_signal mShutdown;
--- a/packages/gateway/tests/exchange_malformed_test.cpp
+++ b/packages/gateway/tests/exchange_malformed_test.cpp
@@ -60,7 +60,10 @@
   static std::vector<std::string> InvalidStatusLines()
   {
     std::vector<std::string> lines;
-    for (const auto* status : { "0",
+    // The last two give 200 when they are read as a number of 32 bits.
+    for (const auto* status : { "000",
+                                "0",
+                                "00",
                                 "1",
                                 "20",
                                 "99",
@@ -72,7 +75,9 @@
                                 "700",
                                 "999",
                                 "1000",
-                                "2000" }) {
+                                "2000",
+                                "0200",
+                                "4294967496" }) {
       lines.push_back("HTTP/1.1 " + std::string{ status } + " OK");
     }
     return lines;
