Calls of the platform's API are not sent after the time of their holder

The token was checked when a call was made, but its connection could be ready later than the holder may call. A call that was not sent now says so, so that the engine planner does not take it for one that may have been carried out.

--- a/packages/gateway/src/engine_count_driver.cpp
+++ b/packages/gateway/src/engine_count_driver.cpp
@@ -185,8 +185,10 @@
 engine_count_driver::Send(const engine_count_order& aOrder, std::uint64_t aToken)
 {
   ++mCallsUnderWay;
-  mTasks.add(mApi.Call(mProtocolAdapter.EngineCountRequest(aOrder, mSelf, aToken))
-               .then([this, aOrder](int aStatus) { OnStatus(aOrder, aStatus); }));
+  mTasks.add(
+    mApi
+      .Call(mProtocolAdapter.EngineCountRequest(aOrder, mSelf, aToken), mRunner.Task().CallsUntil())
+      .then([this, aOrder](int aStatus) { OnStatus(aOrder, aStatus); }));
 }
 
 void
--- a/packages/gateway/src/platform_api.cpp
+++ b/packages/gateway/src/platform_api.cpp
@@ -84,7 +84,7 @@
 }
 
 kj::Promise<int>
-platform_api::Call(control_request aCall)
+platform_api::Call(control_request aCall, instant aSendBy)
 {
   if (!IsConfigured() || !TakeAllowance()) {
     return kNotSent;
@@ -97,10 +97,11 @@
   call.mTarget = aCall.mPath;
   call.mHeaders = std::move(aCall.mHeaders);
   call.mBody = *body;
+  call.mSendBy = aSendBy;
   auto calling = mPool.Call(std::move(call)).then([](http_result aResult) -> kj::Promise<int> {
     auto* response = std::get_if<std::unique_ptr<http_answer>>(&aResult);
     if (response == nullptr) {
-      return 0;
+      return std::get<http_failure>(aResult).mSent ? 0 : kNotSent;
     }
     // The status alone is needed, but a response that breaks off is none: its server may have
     // failed, or may not have read the call. Dropping the response closes its connection.
--- a/packages/gateway/src/platform_api_p.h
+++ b/packages/gateway/src/platform_api_p.h
@@ -26,10 +26,11 @@
                counters& aCounters);
 
   bool IsConfigured() const { return !mAddress.empty(); }
-  /// Sends one call, without retries. Returns the HTTP status of its response; 0 when no whole
-  /// response arrived in time, so that the call may have been carried out; `kNotSent` when it was
-  /// not sent.
-  kj::Promise<int> Call(control_request aCall);
+  /// Sends one call, without retries, unless its connection is ready only after `aSendBy`: a call
+  /// must not be sent after the time of its holder. Returns the HTTP status of its response; 0 when
+  /// no whole response arrived in time, so that the call may have been carried out; `kNotSent` when
+  /// it was not sent.
+  kj::Promise<int> Call(control_request aCall, instant aSendBy);
   static constexpr int kNotSent = -1;
 
 private:
--- a/packages/gateway/src/usage_driver.cpp
+++ b/packages/gateway/src/usage_driver.cpp
@@ -311,7 +311,9 @@
     return;
   }
   const auto number = window->mWindow;
-  mTasks.add(mApi.Call(mProtocolAdapter.UsageRequest(*window, mSettings.mTask.mSelf, *token))
+  mTasks.add(mApi
+               .Call(mProtocolAdapter.UsageRequest(*window, mSettings.mTask.mSelf, *token),
+                     task.CallsUntil())
                .then([this, number, term = mTerm, accounts = window->mCounts.size()](int aStatus) {
                  mCounters
                    .Get("skylarkwind_usage_reports_total",
--- a/packages/gateway/tests/platform_api_test.cpp
+++ b/packages/gateway/tests/platform_api_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(AnswerBeforeTheEndOfTheCallIsNone);
   CPPUNIT_TEST(WholeAnswerCounts);
   CPPUNIT_TEST(EndlessAnswerIsNone);
+  CPPUNIT_TEST(CallIsNotSentAfterItsTime);
   CPPUNIT_TEST_SUITE_END();
 
   /// A call whose platform the test plays.
@@ -25,7 +26,9 @@
   {
     explicit played_call(std::string aBody = "{}")
       : mApi("p:1", 0, mFixture.mPool, mFixture.mTimer, mFixture.mClock, mFixture.mCounters)
-      , mCalling(mApi.Call({ "POST", "/call", {}, std::move(aBody) })
+      , mCalling(mApi
+                   .Call({ "POST", "/call", {}, std::move(aBody) },
+                         mFixture.mClock.Now() + std::chrono::seconds{ 1 })
                    .then([this](int aStatus) { mStatus = aStatus; })
                    .eagerlyEvaluate(nullptr))
     {
@@ -64,6 +67,29 @@
     }
   }
 
+  /// Guards against a call that a daemon makes after its time as the holder of a task, because the
+  /// connection was ready late.
+  void CallIsNotSentAfterItsTime()
+  {
+    exchange_fixture fixture;
+    auto ready = kj::newPromiseAndFulfiller<void>();
+    fixture.mNetwork.mBeforeConnect = [&ready] { return kj::mv(ready.promise); };
+    platform_api api{ "p:1", 0, fixture.mPool, fixture.mTimer, fixture.mClock, fixture.mCounters };
+    std::optional<int> status;
+    auto calling = api
+                     .Call({ "POST", "/call", {}, "{}" },
+                           fixture.mClock.Now() + std::chrono::milliseconds{ 100 })
+                     .then([&status](int aStatus) { status = aStatus; })
+                     .eagerlyEvaluate(nullptr);
+    fixture.Advance(std::chrono::milliseconds{ 101 });
+    ready.fulfiller->fulfill();
+    fixture.Run();
+    CPPUNIT_ASSERT_EQUAL(platform_api::kNotSent, status.value_or(0));
+    for (auto& server : fixture.mServers) {
+      CPPUNIT_ASSERT_EQUAL(std::string{}, fixture.Read(*server));
+    }
+  }
+
   /// Guards against a call that counts as carried out though its answer broke off.
   void AnswerThatBreaksOffIsNone()
   {
