--- a/packages/gateway/include/skylarkwind/gateway_settings.h
+++ b/packages/gateway/include/skylarkwind/gateway_settings.h
@@ -41,7 +41,6 @@
   std::string mPlatformApiAddress; ///< ip:port of the platform's API; empty when there is none
   double mPlatformCallsPerS = 0;   ///< calls of that API that all daemons together may make
   std::chrono::milliseconds mUsageWindow{}; ///< length of the windows of usage; 0 when not reported
-  std::chrono::milliseconds mUsageDeadline{}; ///< from the end of a window until its report is due
   fleet_retry_budget_settings mRepeats;
   double mPrefillTokensPerMs = 50; ///< assumed for a prefill engine until measured
   double mPrefillShare = 0.5;      ///< share of a model service's engines that should prefill
--- a/packages/gateway/src/gateway_settings.cpp
+++ b/packages/gateway/src/gateway_settings.cpp
@@ -133,7 +133,6 @@
         kMaxRetries,
         [](double aValue, gateway_settings& aInto) { aInto.mPlatformCallsPerS = aValue; })) },
     { "usage_window_s", OrEmpty(Seconds(&gateway_settings::mUsageWindow)) },
-    { "usage_late_s", OrEmpty(Seconds(&gateway_settings::mUsageDeadline)) },
     { "shutdown_grace_s",
       Amount("seconds",
              kMaxSeconds,
--- a/packages/gateway/tests/gateway_settings_test.cpp
+++ b/packages/gateway/tests/gateway_settings_test.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(ChangesAreAppliedOrNeedRestart);
   CPPUNIT_TEST(ExemptPartsAreAppliedWhileRunning);
   CPPUNIT_TEST(UnknownLinkRateKeepsDefault);
+  CPPUNIT_TEST(EmptyPlatformSettingsTurnTheFeaturesOff);
+  CPPUNIT_TEST(PlatformSettingsAreParsed);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string ValidSettings()
@@ -32,6 +34,37 @@
     return problems == nullptr ? gateway_settings_problems{} : *problems;
   }
 
+  /// Guards against a daemon that does not start where the platform fills in nothing.
+  void EmptyPlatformSettingsTurnTheFeaturesOff()
+  {
+    const auto parsed = ParseGatewaySettings(ValidSettings() + "  platform_api_address: \"\"\n"
+                                                               "  platform_calls_per_s: \"\"\n"
+                                                               "  usage_window_s: \"\"\n",
+                                             "f.yaml");
+    const auto* settings = std::get_if<gateway_settings>(&parsed);
+    CPPUNIT_ASSERT(settings != nullptr);
+    CPPUNIT_ASSERT(settings->mPlatformApiAddress.empty());
+    CPPUNIT_ASSERT(settings->mUsageWindow == milliseconds{ 0 });
+  }
+
+  void PlatformSettingsAreParsed()
+  {
+    const auto parsed =
+      ParseGatewaySettings(ValidSettings() + "  platform_api_address: 10.0.0.3:5\n"
+                                             "  platform_calls_per_s: 50.0\n"
+                                             "  usage_window_s: 2.5\n",
+                           "f.yaml");
+    const auto* settings = std::get_if<gateway_settings>(&parsed);
+    CPPUNIT_ASSERT(settings != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "10.0.0.3:5" }, settings->mPlatformApiAddress);
+    CPPUNIT_ASSERT_EQUAL(50.0, settings->mPlatformCallsPerS);
+    CPPUNIT_ASSERT(settings->mUsageWindow == milliseconds{ 2'500 });
+    const auto problems =
+      ParseProblems(ValidSettings() + "  platform_api_address: somewhere\n  usage_window_s: x\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, problems.size());
+    CPPUNIT_ASSERT(problems.front().Text().find("or nothing") != std::string::npos);
+  }
+
   void ValidFileIsParsed()
   {
     const auto parsed = ParseGatewaySettings(ValidSettings(), "f.yaml");
