--- a/tests/sessions/gateway_restored_store_test.cpp
+++ b/tests/sessions/gateway_restored_store_test.cpp
@@ -82,6 +82,7 @@
       CPPUNIT_ASSERT_MESSAGE(round, AllApply(system, version, seconds{ 3 }));
       const auto registered = Registered(system);
       std::vector<std::size_t> logged;
+      logged.reserve(static_cast<std::size_t>(system.DaemonCount()));
       for (int i = 0; i < system.DaemonCount(); ++i) {
         logged.push_back(system.DaemonLog(i).size());
       }
