gateway_stream_end_test: wait past the line of a stream that waits

The test failed once (scripts/check without lint,, quiet machine): the caller had seen the end of its stream before the daemon's log had the line of it, and the line before, of a stream that waits for a place, was taken for the last one. The check that the last line says 'broken' is unchanged.

--- a/tests/sessions/gateway_stream_end_test.cpp
+++ b/tests/sessions/gateway_stream_end_test.cpp
@@ -76,7 +76,7 @@
       CPPUNIT_ASSERT_MESSAGE(seen, WaitUntil([&] {
                                outcomes = Outcomes(system, id);
                                return !outcomes.empty() && outcomes.back() != "repeat" &&
-                                      outcomes.back() != "retry";
+                                      outcomes.back() != "retry" && outcomes.back() != "waiting";
                              }));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
         seen + system.DaemonLog(), std::string{ "broken" }, outcomes.back());
