--- a/packages/core/include/skylarkwind/usage_counts.h
+++ b/packages/core/include/skylarkwind/usage_counts.h
@@ -23,6 +23,9 @@
 
 account_key AccountKey(std::string_view aName);
 
+/// Number of the window of this length that contains the time, counted from the start of 1970.
+std::uint64_t UsageWindowAt(wall_instant aTime, std::chrono::milliseconds aWindow);
+
 /// Number of requests of one account that began to run in one window. Counts only grow, so that
 /// the larger one of two counts by the same daemon is the newer one.
 struct usage_count
--- a/packages/core/src/account_index.cpp
+++ b/packages/core/src/account_index.cpp
@@ -1,6 +1,7 @@
 #include "skylarkwind/account_index.h"
 
 #include "skylarkwind/hash.h"
+#include "skylarkwind/visible_ascii.h"
 
 #include <algorithm>
 #include <unordered_set>
@@ -16,10 +17,7 @@
 bool
 IsUsableName(std::string_view aName)
 {
-  return !aName.empty() && aName.size() <= kMaxNameBytes &&
-         std::all_of(aName.begin(), aName.end(), [](char aCharacter) {
-           return aCharacter > ' ' && aCharacter < 0x7f;
-         });
+  return !aName.empty() && aName.size() <= kMaxNameBytes && IsVisibleAscii(aName);
 }
 
 } // namespace
--- a/packages/core/src/engine_count_planner.cpp
+++ b/packages/core/src/engine_count_planner.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <numeric>
 #include <utility>
 
--- a/packages/core/src/usage_counts.cpp
+++ b/packages/core/src/usage_counts.cpp
@@ -55,10 +55,16 @@
   return mSampledAt ? wall_instant{ SinceStart(aNow) + mOffset } : wall_instant{};
 }
 
+std::uint64_t
+UsageWindowAt(wall_instant aTime, std::chrono::milliseconds aWindow)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.time_since_epoch() / aWindow));
+}
+
 std::uint64_t
 usage_counter::WindowAt(wall_instant aTime) const
 {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.time_since_epoch() / mWindow));
+  return UsageWindowAt(aTime, mWindow);
 }
 
 wall_instant
--- a/packages/core/src/usage_reporter.cpp
+++ b/packages/core/src/usage_reporter.cpp
@@ -27,8 +27,9 @@
 constexpr unsigned int kUnansweredInOrder = 2;
 /// Latest window of a state that is plausible, in the year 5138 with windows of 1 s.
 constexpr std::uint64_t kMaxWindow = 100'000'000'000;
-/// Time from when a window should be fixed until the second daemon in the reporting order acts: it
-/// reads the record every 2.5 s. The third one waits another second.
+/// Time from when a window should be fixed until the second daemon in the reporting order acts. It
+/// reads the record each second, so that it has seen a write of the first one by then. The third
+/// one waits another second.
 constexpr std::chrono::milliseconds kOverdue{ 3'000 };
 constexpr std::chrono::milliseconds kOverduePerPlace{ 1'000 };
 constexpr int kOk = 200;
@@ -96,7 +97,7 @@
 std::uint64_t
 usage_reporter::WindowAt(wall_instant aTime) const
 {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, aTime.time_since_epoch() / mWindow));
+  return UsageWindowAt(aTime, mWindow);
 }
 
 bool
