--- a/review/rig.py
+++ b/review/rig.py
@@ -8,6 +8,7 @@
 import copy
 import json
 import os
+import random
 import re
 import shutil
 import socket
@@ -23,17 +24,17 @@
 
 
 def free_port():
-    """A port that is free for TCP and UDP."""
-    for _ in range(50):
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream:
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-                try:
-                    datagrams.bind(("127.0.0.1", port))
-                    return port
-                except OSError:
-                    continue
+    """A port that is free for TCP and UDP, outside the range from which connections get theirs."""
+    for _ in range(200):
+        port = random.randrange(20000, 32000)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
     raise RuntimeError("no free port")
 
 
