Review case 8: a part of an answer reaches its caller as a whole one

An answer without a length ends with its connection. When its engine crashes on the way and its system closes the connection in order, exchange::OnResponse takes what has arrived for the whole answer and gives it a length of its own.

--- a/review/engine.py
+++ b/review/engine.py
@@ -2,8 +2,9 @@
 
 It streams 40 events without a length or chunks and ends with the connection. A request with
 Last-Event-Id goes on after that event. Its prompt takes half a second, and the head is sent at
-once. An event is sent in two writes, or, with a PAUSE in seconds after each, in one. What the
-engine does is appended to FILE.
+once. An event is sent in two writes, or, with a PAUSE in seconds after each, in one. A request to a
+path under /l/ gets a plain answer without a length instead, in two parts with the PAUSE between
+them. What the engine does is appended to FILE.
 """
 
 import asyncio
@@ -51,11 +52,25 @@
         await asyncio.sleep(HALF_EVENT_S)
 
 
+async def answer(request, writer, name, file, pause_s):
+    log(file, "%s runs %s" % (name, request.id))
+    writer.write(("HTTP/1.1 200 OK\r\nX-Skylarkwind-Request-Id: %s\r\n"
+                  "X-Skylarkwind-Response-Signature: s.%s.%s\r\nConnection: close\r\n\r\n"
+                  "first part of %s, " % (request.id, name, request.id, request.id)).encode())
+    await writer.drain()
+    await asyncio.sleep(pause_s)
+    writer.write(("second part of %s\n" % request.id).encode())
+    await writer.drain()
+
+
 async def serve(reader, writer, name, file, pause_s):
     try:
         while True:
             line, headers = await read_head(reader)
             request = Request(line, headers, await read_body(reader, headers))
+            if request.id is not None and request.target.startswith("/l/"):
+                await answer(request, writer, name, file, pause_s)
+                break
             if request.id is not None:
                 await stream(request, writer, name, file, pause_s)
                 break
