Review case 10: a leaving server gets requests again after an older write of its entry

A heartbeat of a server that the store carries out seconds late puts the entry back to ready. The daemon does not compare the entries' counts, so that the server gets new requests until its next heartbeat, and loses those that it still runs when it ends.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # need no build. Fails when Python or a script cannot be used.
 set -euo pipefail
 cd "$(dirname "$0")"
-for script in rig.py engine.py [6-9]/case.py; do
+for script in rig.py engine.py [6-9]/case.py 10/case.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$script"
 done
