--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,7 +3,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 
 from rig import *
 
@@ -94,4 +95,6 @@
     return broken
 
 
-main(case, os.path.dirname(os.path.abspath(__file__)))
+if __name__ == "__main__":
+    # TROUBLE=0 leaves out the disruption.
+    main(case, os.environ.get("TROUBLE", "1") != "0", os.path.join(FOLDER, "record.txt"))
--- a/review/rig.py
+++ b/review/rig.py
@@ -405,8 +405,8 @@
 class Rig:
     """A small deployment. `run` starts it, calls the case and ends all that was started."""
 
-    def __init__(self, folder, daemons=1):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, daemons=1):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="skylarkwind-review-")
         self.store = None
         self.bounds = {
@@ -532,13 +532,12 @@
     return {"Name": name, "HealthCheck": "/health", "MaxConnections": 110}
 
 
-def main(case, folder, daemons=1):
+def main(case, trouble, record, daemons=1):
     """Runs a case: a coroutine that gets the rig and whether there is a disruption, and returns a
-    list of what broke the rule."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    list of what broke the rule. Writes what was seen to the file `record`."""
 
     async def run():
-        rig = Rig(folder, daemons)
+        rig = Rig(record, daemons)
         try:
             rig.store = Store(rig.record)
             await rig.store.start()
