Log the start and the write of server entries

A log line of an entry said only whether its server drains. A late write of the entry, a list and a change relayed by another daemon look the same in it. The line now has the server's start, the number of its write and the store's revision, so that a write that was executed late can be told from a new one.

--- a/packages/core/include/skylarkwind/forward_types.h
+++ b/packages/core/include/skylarkwind/forward_types.h
@@ -127,7 +127,9 @@
   bool mDraining = false;
   std::optional<engine_role> mRole; ///< model engines only
   std::uint64_t mStartedAt = 0;     ///< start of the process, Unix time in ms; 0 when unknown
-  bool mIsReclaimable = false;      ///< the platform may take it away at short notice
+  /// Number of this write of the entry, counted from the start of the process; 0 when unknown.
+  std::uint64_t mSequence = 0;
+  bool mIsReclaimable = false; ///< the platform may take it away at short notice
   /// Time that was left until it ends when the entry was written; empty when unknown.
   std::optional<std::chrono::milliseconds> mLeavesIn;
   bool operator==(const backend_server&) const = default;
--- a/packages/core/src/backend_directory.cpp
+++ b/packages/core/src/backend_directory.cpp
@@ -10,6 +10,14 @@
 /// deployment (600). When it is reached, records of servers no longer listed are discarded.
 constexpr std::size_t kMaxLeaving = 2'048;
 
+/// Whether the entries differ at most in the number of their write, which grows with each heartbeat.
+bool
+SameState(backend_server aEntry, const backend_server& aOther)
+{
+  aEntry.mSequence = aOther.mSequence;
+  return aEntry == aOther;
+}
+
 } // namespace
 
 backend_directory::backend_directory(directory_settings aSettings)
@@ -51,7 +59,8 @@
     }
   }
   auto& stored = mServers[aServer.mId];
-  if (stored == entry) {
+  if (SameState(entry, stored)) {
+    stored.mSequence = entry.mSequence;
     return;
   }
   stored = std::move(entry);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -402,7 +402,10 @@
     if (known == nullptr || known->mDraining != server->mDraining) {
       Log(log_level::Info,
           "servers",
-          "id=" + name + " draining=" + std::to_string(server->mDraining));
+          "id=" + name + " draining=" + std::to_string(server->mDraining) +
+            " started_at=" + std::to_string(server->mStartedAt) +
+            " sequence=" + std::to_string(server->mSequence) +
+            " revision=" + std::to_string(aChange.mObject.mRevision));
     }
     mDirectory.Upsert(*server);
   }
