Draining is final for a start of a server

Cause: the directory took the entry that arrived last for the newest. It remembered that a server leaves only if a response had said so; what an entry had said was replaced by the next entry, or forgotten with its removal.

Fix: the directory marks the start of a draining entry as leaving, as it does for a response. Any older entry of that start, by a watch, a list, another daemon or after a removal, then keeps the server draining; a later start ends it. All these ways end in backend_directory::Upsert. Entries without a start time are taken as they are.

The stand-ins' entries now have a start and a number of the write, as the platform's have; the soak lists a server that has drained as a later start.

--- a/packages/core/include/skylarkwind/backend_directory.h
+++ b/packages/core/include/skylarkwind/backend_directory.h
@@ -22,7 +22,9 @@
 };
 
 /// The backend servers listed by service discovery. A server that is draining or was removed gets
-/// no new requests from the moment this daemon learns of it.
+/// no new requests from the moment this daemon learns of it. Draining is final for a start of a
+/// server: an entry that says otherwise was written before, e.g. by a write that the store executed
+/// late, or comes from a store that was restored from a copy.
 class backend_directory
 {
 public:
@@ -31,8 +33,9 @@
   /// Replaces the list. After an outage, servers that are missing from it stay in use for the grace
   /// period, because the platform may not have processed their heartbeats yet.
   void Replace(std::span<const backend_server> aServers, bool aAfterOutage, instant aNow);
-  /// Adds or updates a server. The entry of a leaving server keeps it draining unless it belongs to
-  /// a later start.
+  /// Adds or updates a server. An entry keeps the server draining if an earlier one or a response
+  /// of the same or a later start said that it leaves. Entries without a start time are taken as
+  /// they are, since that of a server that has restarted looks the same.
   void Upsert(const backend_server& aServer);
   /// Removes a server, after an outage only at the end of its grace period. A server that is
   /// draining has no grace period.
@@ -60,10 +63,12 @@
   std::uint64_t Revision() const { return mRevision; }
 
 private:
+  void MarkLeaving(std::string_view aId, std::uint64_t aStartedAt);
+
   directory_settings mSettings;
   std::map<std::string, backend_server, std::less<>> mServers;
   std::map<std::string, instant, std::less<>> mGraceEnds; ///< end of the grace period, by id
-  /// Leaving servers by id, with the start time of the process that said so.
+  /// Servers that leave or have left, by id, with the latest start that is known to leave.
   std::map<std::string, std::uint64_t, std::less<>> mLeaving;
   std::uint64_t mRevision = 0;
 };
--- a/packages/core/src/backend_directory.cpp
+++ b/packages/core/src/backend_directory.cpp
@@ -10,7 +10,8 @@
 /// deployment (600). When it is reached, records of servers no longer listed are discarded.
 constexpr std::size_t kMaxLeaving = 2'048;
 
-/// Whether the entries differ at most in the number of their write, which grows with each heartbeat.
+/// Whether the entries differ at most in the number of their write, which grows with each
+/// heartbeat.
 bool
 SameState(backend_server aEntry, const backend_server& aOther)
 {
@@ -50,6 +51,9 @@
 backend_directory::Upsert(const backend_server& aServer)
 {
   mGraceEnds.erase(aServer.mId);
+  if (aServer.mDraining && aServer.mStartedAt != 0) {
+    MarkLeaving(aServer.mId, aServer.mStartedAt);
+  }
   auto entry = aServer;
   if (const auto leaving = mLeaving.find(aServer.mId); leaving != mLeaving.end()) {
     if (aServer.mStartedAt > leaving->second) {
@@ -68,7 +72,7 @@
 }
 
 void
-backend_directory::OnLeaving(std::string_view aId, std::uint64_t aStartedAt)
+backend_directory::MarkLeaving(std::string_view aId, std::uint64_t aStartedAt)
 {
   if (mLeaving.size() >= kMaxLeaving) {
     std::erase_if(mLeaving,
@@ -76,6 +80,12 @@
   }
   auto& marked = mLeaving[std::string{ aId }];
   marked = std::max(marked, aStartedAt);
+}
+
+void
+backend_directory::OnLeaving(std::string_view aId, std::uint64_t aStartedAt)
+{
+  MarkLeaving(aId, aStartedAt);
   if (const auto found = mServers.find(aId); found != mServers.end()) {
     Upsert(backend_server{ found->second });
   }
--- a/packages/core/tests/backend_directory_test.cpp
+++ b/packages/core/tests/backend_directory_test.cpp
@@ -20,6 +20,11 @@
   CPPUNIT_TEST(LeavingServerGetsNoNewRequests);
   CPPUNIT_TEST(OlderEntryDoesNotRestoreALeavingServer);
   CPPUNIT_TEST(LaterStartEndsTheLeavingState);
+  CPPUNIT_TEST(LateWriteDoesNotRestoreADrainingServer);
+  CPPUNIT_TEST(OlderListDoesNotRestoreADrainingServer);
+  CPPUNIT_TEST(RelistedEntryDoesNotRestoreADrainingServer);
+  CPPUNIT_TEST(LaterStartOfADrainingServerIsUsed);
+  CPPUNIT_TEST(ServerWithoutStartTimeIsUsedAgain);
   CPPUNIT_TEST_SUITE_END();
 
   instant mNow{ seconds{ 100 } };
@@ -81,6 +86,76 @@
     CPPUNIT_ASSERT(!directory.Find("a")->mDraining);
   }
 
+  static backend_server Started(std::uint64_t aStartedAt, std::uint64_t aSequence, bool aDraining)
+  {
+    auto server = Server("a", aDraining);
+    server.mStartedAt = aStartedAt;
+    server.mSequence = aSequence;
+    return server;
+  }
+
+  /// Whether server a may get new requests.
+  static bool IsUsed(const backend_directory& aDirectory)
+  {
+    const auto* server = aDirectory.Find("a");
+    return server != nullptr && !server->mDraining;
+  }
+
+  /// Guards against requests to a draining server after the store has executed an earlier write of
+  /// its entry late (review case 10).
+  void LateWriteDoesNotRestoreADrainingServer()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(7, 4, false));
+    directory.Upsert(Started(7, 6, true));
+    directory.Upsert(Started(7, 5, false));
+    CPPUNIT_ASSERT(!IsUsed(directory));
+  }
+
+  /// Guards against requests to a draining server whose entry is listed as of before, by a store
+  /// that was restored from a copy or by a daemon that is behind (review case 6).
+  void OlderListDoesNotRestoreADrainingServer()
+  {
+    auto directory = Directory();
+    directory.Replace(std::array{ Started(7, 6, true), Server("b") }, false, mNow);
+    directory.Replace(std::array{ Started(7, 4, false), Server("b") }, true, mNow);
+    CPPUNIT_ASSERT(!IsUsed(directory));
+  }
+
+  /// Guards against requests to a server that has drained and was removed, and whose entry an
+  /// earlier write or a restored store brings back.
+  void RelistedEntryDoesNotRestoreADrainingServer()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(7, 6, true));
+    directory.Remove("a", false, mNow);
+    directory.Upsert(Started(7, 5, false));
+    CPPUNIT_ASSERT(!IsUsed(directory));
+  }
+
+  /// Guards against the loss of a server that restarts under its id after it has drained, also when
+  /// a write of the earlier start arrives meanwhile.
+  void LaterStartOfADrainingServerIsUsed()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(7, 6, true));
+    directory.Upsert(Started(8, 1, false));
+    CPPUNIT_ASSERT(IsUsed(directory));
+    directory.Upsert(Started(7, 6, true));
+    directory.Upsert(Started(8, 2, false));
+    CPPUNIT_ASSERT(IsUsed(directory));
+  }
+
+  /// Guards against the loss of a server that restarts under its id where entries have no start
+  /// time.
+  void ServerWithoutStartTimeIsUsedAgain()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(0, 6, true));
+    directory.Upsert(Started(0, 1, false));
+    CPPUNIT_ASSERT(IsUsed(directory));
+  }
+
   void DrainingServerGetsNoNewRequests()
   {
     auto directory = Directory();
--- /dev/null
+++ b/tests/sessions/gateway_leaving_test.cpp
@@ -0,0 +1,127 @@
+#include "gateway_system.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace skylarkwind::sessions {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Servers that leave while the store shows older states of their entries.
+class gateway_leaving_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(gateway_leaving_test);
+  CPPUNIT_TEST(LateWriteBringsNoRequests);
+  CPPUNIT_TEST(RestoredStoreBringsNoRequests);
+  CPPUNIT_TEST(RestartedServerGetsRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+  static gateway_options Options()
+  {
+    gateway_options options;
+    options.mBackends = { { "s1", "plain" }, { "s2", "plain" }, { "s3", "plain" } };
+    options.mDaemons = 3;
+    options.mSeeds = true;
+    return options;
+  }
+
+  /// Whether a condition holds for each daemon at the same time, within a limit.
+  static bool WaitForAll(const gateway_system& aSystem, const std::function<bool(int)>& aCondition)
+  {
+    return WaitUntil(
+      [&] {
+        for (int i = 0; i < aSystem.DaemonCount(); ++i) {
+          if (!aCondition(i)) {
+            return false;
+          }
+        }
+        return true;
+      },
+      seconds{ 6 });
+  }
+
+  /// Sends requests to a daemon, all of which have to succeed, and counts those that reach s1.
+  static std::size_t RequestsAtS1(const gateway_system& aSystem, int aDaemon)
+  {
+    const auto before = aSystem.Arrivals("s1").size();
+    for (int i = 0; i < 12; ++i) {
+      const auto reply = Call("GET",
+                              aSystem.CallerUrl("/lookup/a", aDaemon),
+                              { "Host: a.example",
+                                "X-Skylarkwind-Request-Id: r" + std::to_string(i),
+                                "X-Skylarkwind-Deadline-Ms: 2000" });
+      CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+    }
+    return aSystem.Arrivals("s1").size() - before;
+  }
+
+  static bool NoneReachesS1(const gateway_system& aSystem)
+  {
+    return WaitForAll(aSystem, [&](int aDaemon) { return RequestsAtS1(aSystem, aDaemon) == 0; });
+  }
+
+  /// Removes s3 and waits until each daemon has seen that, and so everything that the store did
+  /// before.
+  static void AwaitChanges(gateway_system& aSystem)
+  {
+    aSystem.Unlist("s3");
+    CPPUNIT_ASSERT(WaitForAll(aSystem, [&](int aDaemon) {
+      const auto log = aSystem.DaemonLog(aDaemon);
+      return log.find("removed id=s3") != std::string::npos ||
+             log.find("listed count=2\n") != std::string::npos;
+    }));
+  }
+
+  /// Guards against requests to a leaving server after the store has executed an older write of its
+  /// entry late, at daemons that watch the store and at those that get changes from them (review
+  /// case 10).
+  void LateWriteBringsNoRequests()
+  {
+    gateway_system system{ Options() };
+    system.List("s1", "ready");
+    system.List("s1", "draining");
+    CPPUNIT_ASSERT(NoneReachesS1(system));
+    system.ListLate("s1", "ready");
+    AwaitChanges(system);
+    for (int i = 0; i < system.DaemonCount(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, RequestsAtS1(system, i));
+    }
+  }
+
+  /// Guards against requests to a leaving server after the store has come back from a copy in which
+  /// it is ready, until the server writes its entry again (review case 6).
+  void RestoredStoreBringsNoRequests()
+  {
+    gateway_system system{ Options() };
+    system.StoreFaults({ { "copy", nlohmann::json::object() } });
+    system.List("s1", "draining");
+    CPPUNIT_ASSERT(NoneReachesS1(system));
+    system.StoreFaults({ { "restore", true } });
+    CPPUNIT_ASSERT(WaitForAll(system, [&](int aDaemon) {
+      return system.DaemonLog(aDaemon).find("restored from a copy kind=servers") !=
+             std::string::npos;
+    }));
+    for (int i = 0; i < system.DaemonCount(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, RequestsAtS1(system, i));
+    }
+  }
+
+  /// Guards against a server that stays out of use after it has left and started again under its
+  /// id.
+  void RestartedServerGetsRequests()
+  {
+    gateway_system system{ Options() };
+    system.List("s1", "draining");
+    CPPUNIT_ASSERT(NoneReachesS1(system));
+    system.RestartBackend("s1");
+    system.List("s1", "ready");
+    CPPUNIT_ASSERT(
+      WaitForAll(system, [&](int aDaemon) { return RequestsAtS1(system, aDaemon) > 0; }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_leaving_test);
+
+} // namespace skylarkwind::sessions
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -69,6 +69,7 @@
   for (const auto& options : mOptions.mBackends) {
     backend_entry entry{ options, Loopback(), {}, {}, {}, options.mId, {} };
     entry.mProcess = StartBackend(entry);
+    NoteStart(entry);
     entry.mAddress = entry.mProcess->Address();
     if (mOptions.mRelays) {
       entry.mRelay = StartRelay(entry.mAddress);
@@ -164,18 +165,50 @@
 gateway_system::List(const std::string& aId,
                      const std::string& aState,
                      std::chrono::milliseconds aLimit)
+{
+  auto& entry = Find(aId);
+  return Put("servers", aId, EntryOf(entry, aState, ++entry.mWrites), aLimit);
+}
+
+void
+gateway_system::ListLate(const std::string& aId, const std::string& aState)
 {
   const auto& entry = Find(aId);
-  json spec{ { "Service", entry.mOptions.mService },
-             { "Address", entry.mAddress },
-             { "Zone", entry.mOptions.mDataCentre },
+  Put("servers", aId, EntryOf(entry, aState, entry.mWrites - 1));
+}
+
+void
+gateway_system::ListAsRestarted(const std::string& aId)
+{
+  NoteStart(Find(aId));
+  List(aId, "ready");
+}
+
+void
+gateway_system::NoteStart(backend_entry& aBackend)
+{
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  aBackend.mStartedAt = std::max(aBackend.mStartedAt + 1, static_cast<std::uint64_t>(now.count()));
+  aBackend.mWrites = 0;
+}
+
+json
+gateway_system::EntryOf(const backend_entry& aBackend,
+                        const std::string& aState,
+                        std::uint64_t aWrite)
+{
+  json spec{ { "Service", aBackend.mOptions.mService },
+             { "Address", aBackend.mAddress },
+             { "Zone", aBackend.mOptions.mDataCentre },
              { "Slots", 8 },
              { "State", aState },
-             { "Seq", 1 } };
-  if (!entry.mOptions.mService.starts_with("plain")) {
-    spec["Stage"] = entry.mOptions.mStage;
+             { "Seq", aWrite },
+             { "born", aBackend.mStartedAt } };
+  if (!aBackend.mOptions.mService.starts_with("plain")) {
+    spec["Stage"] = aBackend.mOptions.mStage;
   }
-  return Put("servers", aId, spec, aLimit);
+  return spec;
 }
 
 void
@@ -247,6 +280,7 @@
   entry.mProcess->Signal(SIGKILL);
   entry.mProcess = nullptr;
   entry.mProcess = StartBackend(entry);
+  NoteStart(entry);
 }
 
 std::string
@@ -260,6 +294,7 @@
   }
   entry.mOptions.mId = entry.mFirstId + '.' + std::to_string(++entry.mReplaced);
   entry.mProcess = StartBackend(entry);
+  NoteStart(entry);
   return entry.mOptions.mId;
 }
 
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -70,6 +70,10 @@
   bool List(const std::string& aId,
             const std::string& aState,
             std::chrono::milliseconds aLimit = std::chrono::seconds{ 30 });
+  /// The store executes a write late that the server sent before its last one.
+  void ListLate(const std::string& aId, const std::string& aState);
+  /// Lists a server as ready and as a later start of it, though its process is the same.
+  void ListAsRestarted(const std::string& aId);
   void Unlist(const std::string& aId);
   /// Writes an object as another writer of the store may do: its Spec is this text, valid or not.
   void PutRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec);
@@ -158,15 +162,23 @@
     std::string mListen;
     std::unique_ptr<child_process> mProcess;
     std::unique_ptr<child_process> mRelay;
-    std::string mAddress;  ///< as listed
-    std::string mFirstId;  ///< before it was replaced
-    std::string mListedId; ///< of the one that it replaces, until it is listed itself
-    int mReplaced = 0;     ///< how often
+    std::string mAddress;         ///< as listed
+    std::string mFirstId;         ///< before it was replaced
+    std::string mListedId;        ///< of the one that it replaces, until it is listed itself
+    int mReplaced = 0;            ///< how often
+    std::uint64_t mStartedAt = 0; ///< Unix time in ms
+    std::uint64_t mWrites = 0;    ///< of its entry, since that start
   };
 
   std::unique_ptr<child_process> StartBackend(const backend_entry& aBackend) const;
   std::string LogFile(const std::string& aId) const { return mDirectory + "/" + aId + ".log"; }
   backend_entry& Find(const std::string& aId);
+  /// Notes that a server starts now.
+  static void NoteStart(backend_entry& aBackend);
+  /// A server's entry as the server writes it.
+  static nlohmann::json EntryOf(const backend_entry& aBackend,
+                                const std::string& aState,
+                                std::uint64_t aWrite);
 
   const backend_entry& Find(const std::string& aId) const;
   http_reply Store(const std::string& aMethod,
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -289,7 +289,7 @@
         break;
       case fault_kind::DrainServer:
         mSystem.Unlist(ServerOf(aFault));
-        mSystem.List(ServerOf(aFault), "ready");
+        mSystem.ListAsRestarted(ServerOf(aFault));
         break;
       case fault_kind::DisturbStore:
         mSystem.DisturbStore(aFault.mTarget, RelayFault({}, false));
