An outdated entry of a server does not replace a newer one

The directory now compares the start of the server and the number of the write (unknown ones compare as not earlier). An outdated entry that differs from what is known is kept aside and used only if it is still listed after 5 s, more than the three heartbeat intervals after which the platform removes the entry of a silent server. So a server whose clock was set back, or whose newest write the store does not show because nothing but its number is new, is not lost. The last entry of a removed server is remembered for 60 s. What is known of an engine's caches and load is discarded only for an entry that is used.

The log and skylarkwind_outdated_server_entries_total tell of such entries.

--- a/packages/core/src/backend_directory.cpp
+++ b/packages/core/src/backend_directory.cpp
@@ -19,6 +19,17 @@
   return aEntry == aOther;
 }
 
+/// Whether a start time and a number of a write are known to be before others. Without start times
+/// a lower number may be that of a server that has restarted.
+bool
+IsEarlier(const backend_server& aEntry, std::uint64_t aStartedAt, std::uint64_t aSequence)
+{
+  if (aEntry.mStartedAt == 0 || aStartedAt == 0 || aEntry.mStartedAt > aStartedAt) {
+    return false;
+  }
+  return aEntry.mStartedAt < aStartedAt || (aEntry.mSequence != 0 && aEntry.mSequence < aSequence);
+}
+
 } // namespace
 
 backend_directory::backend_directory(directory_settings aSettings)
@@ -26,16 +37,18 @@
 {
 }
 
-void
+std::size_t
 backend_directory::Replace(std::span<const backend_server> aServers,
                            bool aAfterOutage,
                            instant aNow)
 {
   std::set<std::string, std::less<>> listed;
+  std::size_t notTaken = 0;
   for (const auto& server : aServers) {
     listed.insert(server.mId);
-    Upsert(server);
+    notTaken += Upsert(server, aNow) == entry_outcome::Taken ? 0 : 1;
   }
+  std::erase_if(mDeferred, [&](const auto& aEntry) { return !listed.contains(aEntry.first); });
   std::vector<std::string> missing;
   for (const auto& [id, server] : mServers) {
     if (!listed.contains(id)) {
@@ -45,29 +58,79 @@
   for (const auto& id : missing) {
     Remove(id, aAfterOutage, aNow);
   }
+  return notTaken;
 }
 
-void
-backend_directory::Upsert(const backend_server& aServer)
+entry_outcome
+backend_directory::Upsert(const backend_server& aServer, instant aNow)
 {
   mGraceEnds.erase(aServer.mId);
   if (aServer.mDraining && aServer.mStartedAt != 0) {
     MarkLeaving(aServer.mId, aServer.mStartedAt);
   }
-  auto entry = aServer;
-  if (const auto leaving = mLeaving.find(aServer.mId); leaving != mLeaving.end()) {
-    if (aServer.mStartedAt > leaving->second) {
-      mLeaving.erase(leaving);
-    } else {
-      entry.mDraining = true;
-    }
+  const auto entry = KeepDraining(aServer);
+  const auto listed = mServers.find(aServer.mId);
+  const bool isSame = listed != mServers.end() && SameState(entry, listed->second);
+  if (!isSame && IsOutdated(entry)) {
+    Defer(entry, aNow);
+    return entry_outcome::Deferred;
+  }
+  mDeferred.erase(aServer.mId);
+  Store(entry);
+  return entry.mDraining == aServer.mDraining ? entry_outcome::Taken : entry_outcome::KeptDraining;
+}
+
+backend_server
+backend_directory::KeepDraining(backend_server aEntry) const
+{
+  const auto leaving = mLeaving.find(aEntry.mId);
+  if (leaving != mLeaving.end() && aEntry.mStartedAt <= leaving->second) {
+    aEntry.mDraining = true;
+  }
+  return aEntry;
+}
+
+bool
+backend_directory::IsOutdated(const backend_server& aServer) const
+{
+  if (const auto listed = mServers.find(aServer.mId); listed != mServers.end()) {
+    return IsEarlier(aServer, listed->second.mStartedAt, listed->second.mSequence);
+  }
+  const auto removed = mRemoved.find(aServer.mId);
+  if (removed == mRemoved.end()) {
+    return false;
+  }
+  // The removal is newer than the last entry, so that the same write is outdated as well.
+  return IsEarlier(aServer, removed->second.mStartedAt, removed->second.mSequence + 1);
+}
+
+void
+backend_directory::Defer(const backend_server& aServer, instant aNow)
+{
+  const deferred_entry deferred{ aServer, aNow + mSettings.mOutdatedHold };
+  const auto [found, isNew] = mDeferred.try_emplace(aServer.mId, deferred);
+  // An entry that is listed again goes on to wait.
+  if (!isNew && !SameState(found->second.mEntry, aServer)) {
+    found->second = deferred;
+  }
+}
+
+void
+backend_directory::Store(const backend_server& aServer)
+{
+  mRemoved.erase(aServer.mId);
+  const auto [found, isNew] = mServers.try_emplace(aServer.mId, aServer);
+  auto& stored = found->second;
+  if (isNew) {
+    ++mRevision;
+    return;
   }
-  auto& stored = mServers[aServer.mId];
-  if (SameState(entry, stored)) {
-    stored.mSequence = entry.mSequence;
+  if (SameState(aServer, stored)) {
+    stored.mSequence = std::max(stored.mSequence, aServer.mSequence);
     return;
   }
-  stored = std::move(entry);
+  mOnReplaced(stored, aServer);
+  stored = aServer;
   ++mRevision;
 }
 
@@ -87,13 +150,16 @@
 {
   MarkLeaving(aId, aStartedAt);
   if (const auto found = mServers.find(aId); found != mServers.end()) {
-    Upsert(backend_server{ found->second });
+    Store(KeepDraining(found->second));
   }
 }
 
 void
 backend_directory::Remove(std::string_view aId, bool aAfterOutage, instant aNow)
 {
+  if (const auto deferred = mDeferred.find(aId); deferred != mDeferred.end()) {
+    mDeferred.erase(deferred);
+  }
   const auto found = mServers.find(aId);
   if (found == mServers.end()) {
     return;
@@ -105,6 +171,15 @@
   if (mGraceEnds.contains(aId)) {
     return;
   }
+  Erase(aId, aNow);
+}
+
+void
+backend_directory::Erase(std::string_view aId, instant aNow)
+{
+  const auto found = mServers.find(aId);
+  const auto& server = found->second;
+  mRemoved[found->first] = { server.mStartedAt, server.mSequence, aNow + mSettings.mRemovedMemory };
   mServers.erase(found);
   ++mRevision;
 }
@@ -117,10 +192,19 @@
       ++grace;
       continue;
     }
-    mServers.erase(grace->first);
+    Erase(grace->first, aNow);
     grace = mGraceEnds.erase(grace);
-    ++mRevision;
   }
+  for (auto deferred = mDeferred.begin(); deferred != mDeferred.end();) {
+    if (aNow < deferred->second.mUsedAt) {
+      ++deferred;
+      continue;
+    }
+    Store(KeepDraining(deferred->second.mEntry));
+    deferred = mDeferred.erase(deferred);
+  }
+  std::erase_if(mRemoved,
+                [aNow](const auto& aEntry) { return aNow >= aEntry.second.mForgottenAt; });
 }
 
 const backend_server*
--- a/packages/core/tests/backend_directory_test.cpp
+++ b/packages/core/tests/backend_directory_test.cpp
@@ -25,6 +25,13 @@
   CPPUNIT_TEST(RelistedEntryDoesNotRestoreADrainingServer);
   CPPUNIT_TEST(LaterStartOfADrainingServerIsUsed);
   CPPUNIT_TEST(ServerWithoutStartTimeIsUsedAgain);
+  CPPUNIT_TEST(EarlierWriteDoesNotReplaceANewerOne);
+  CPPUNIT_TEST(EarlierStartDoesNotReplaceALaterOne);
+  CPPUNIT_TEST(EarlierWriteDoesNotBringBackARemovedServer);
+  CPPUNIT_TEST(NewerWriteBringsBackARemovedServer);
+  CPPUNIT_TEST(OutdatedEntryThatStaysListedIsUsed);
+  CPPUNIT_TEST(OutdatedEntryThatIsReplacedIsNotUsed);
+  CPPUNIT_TEST(ReplacementsAreReported);
   CPPUNIT_TEST_SUITE_END();
 
   instant mNow{ seconds{ 100 } };
@@ -40,8 +47,8 @@
   static backend_directory Directory()
   {
     backend_directory directory{ { milliseconds{ 1'500 } } };
-    directory.Upsert(Server("a"));
-    directory.Upsert(Server("b"));
+    directory.Upsert(Server("a"), instant{});
+    directory.Upsert(Server("b"), instant{});
     return directory;
   }
 
@@ -61,15 +68,15 @@
     auto directory = Directory();
     auto server = Server("a");
     server.mStartedAt = 7;
-    directory.Upsert(server);
+    directory.Upsert(server, mNow);
     directory.OnLeaving("a", 7);
-    directory.Upsert(server);
+    directory.Upsert(server, mNow);
     CPPUNIT_ASSERT(directory.Find("a")->mDraining);
     directory.Replace(std::array{ server }, false, mNow);
     CPPUNIT_ASSERT(directory.Find("a")->mDraining);
     // An entry that expired and was restored still belongs to the same start.
     directory.Remove("a", false, mNow);
-    directory.Upsert(server);
+    directory.Upsert(server, mNow);
     CPPUNIT_ASSERT(directory.Find("a")->mDraining);
   }
 
@@ -79,7 +86,7 @@
     directory.OnLeaving("a", 7);
     auto server = Server("a");
     server.mStartedAt = 8;
-    directory.Upsert(server);
+    directory.Upsert(server, mNow);
     CPPUNIT_ASSERT(!directory.Find("a")->mDraining);
     // A response of the previous start may arrive late.
     directory.OnLeaving("a", 7);
@@ -106,9 +113,9 @@
   void LateWriteDoesNotRestoreADrainingServer()
   {
     auto directory = Directory();
-    directory.Upsert(Started(7, 4, false));
-    directory.Upsert(Started(7, 6, true));
-    directory.Upsert(Started(7, 5, false));
+    directory.Upsert(Started(7, 4, false), mNow);
+    directory.Upsert(Started(7, 6, true), mNow);
+    directory.Upsert(Started(7, 5, false), mNow);
     CPPUNIT_ASSERT(!IsUsed(directory));
   }
 
@@ -127,9 +134,9 @@
   void RelistedEntryDoesNotRestoreADrainingServer()
   {
     auto directory = Directory();
-    directory.Upsert(Started(7, 6, true));
+    directory.Upsert(Started(7, 6, true), mNow);
     directory.Remove("a", false, mNow);
-    directory.Upsert(Started(7, 5, false));
+    directory.Upsert(Started(7, 5, false), mNow);
     CPPUNIT_ASSERT(!IsUsed(directory));
   }
 
@@ -138,11 +145,11 @@
   void LaterStartOfADrainingServerIsUsed()
   {
     auto directory = Directory();
-    directory.Upsert(Started(7, 6, true));
-    directory.Upsert(Started(8, 1, false));
+    directory.Upsert(Started(7, 6, true), mNow);
+    directory.Upsert(Started(8, 1, false), mNow);
     CPPUNIT_ASSERT(IsUsed(directory));
-    directory.Upsert(Started(7, 6, true));
-    directory.Upsert(Started(8, 2, false));
+    directory.Upsert(Started(7, 6, true), mNow);
+    directory.Upsert(Started(8, 2, false), mNow);
     CPPUNIT_ASSERT(IsUsed(directory));
   }
 
@@ -151,15 +158,131 @@
   void ServerWithoutStartTimeIsUsedAgain()
   {
     auto directory = Directory();
-    directory.Upsert(Started(0, 6, true));
-    directory.Upsert(Started(0, 1, false));
+    directory.Upsert(Started(0, 6, true), mNow);
+    directory.Upsert(Started(0, 1, false), mNow);
     CPPUNIT_ASSERT(IsUsed(directory));
   }
 
+  static backend_server InRole(engine_role aRole, std::uint64_t aSequence)
+  {
+    auto server = Started(7, aSequence, false);
+    server.mRole = aRole;
+    return server;
+  }
+
+  /// Guards against prompts sent to an engine that has left the role in which an earlier write of
+  /// its entry shows it.
+  void EarlierWriteDoesNotReplaceANewerOne()
+  {
+    auto directory = Directory();
+    directory.Upsert(InRole(engine_role::Prefill, 4), mNow);
+    directory.Upsert(InRole(engine_role::Decode, 6), mNow);
+    CPPUNIT_ASSERT(directory.Upsert(InRole(engine_role::Prefill, 5), mNow) ==
+                   entry_outcome::Deferred);
+    CPPUNIT_ASSERT(directory.Find("a")->mRole == engine_role::Decode);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 1 },
+      directory.Replace(std::array{ InRole(engine_role::Prefill, 4), Server("b") }, false, mNow));
+    CPPUNIT_ASSERT(directory.Find("a")->mRole == engine_role::Decode);
+  }
+
+  /// Guards against requests to the address of a server's earlier start.
+  void EarlierStartDoesNotReplaceALaterOne()
+  {
+    auto directory = Directory();
+    auto before = Started(7, 90, false);
+    before.mAddress = "before";
+    auto after = Started(8, 1, false);
+    after.mAddress = "after";
+    directory.Upsert(before, mNow);
+    directory.Upsert(after, mNow);
+    directory.Upsert(before, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::string{ "after" }, directory.Find("a")->mAddress);
+  }
+
+  /// Guards against requests to a server that has left without draining, and whose entry is there
+  /// again as of before its removal.
+  void EarlierWriteDoesNotBringBackARemovedServer()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(7, 6, false), mNow);
+    directory.Remove("a", false, mNow);
+    directory.Upsert(Started(7, 5, false), mNow);
+    CPPUNIT_ASSERT(!IsUsed(directory));
+    directory.Replace(std::array{ Started(7, 6, false) }, false, mNow);
+    CPPUNIT_ASSERT(!IsUsed(directory));
+    directory.Remove("a", false, mNow);
+    directory.OnTick(mNow + seconds{ 6 });
+    CPPUNIT_ASSERT(!IsUsed(directory));
+  }
+
+  /// Guards against the loss of a server whose entry expired while it did not reach the store.
+  void NewerWriteBringsBackARemovedServer()
+  {
+    auto directory = Directory();
+    directory.Upsert(Started(7, 6, false), mNow);
+    directory.Remove("a", false, mNow);
+    directory.Upsert(Started(7, 9, false), mNow);
+    CPPUNIT_ASSERT(IsUsed(directory));
+  }
+
+  /// Guards against the loss of a server that has restarted with its clock set back, or whose
+  /// removal was lost when the store was restored from a copy.
+  void OutdatedEntryThatStaysListedIsUsed()
+  {
+    auto directory = Directory();
+    directory.Upsert(InRole(engine_role::Decode, 6), mNow);
+    directory.Upsert(InRole(engine_role::Prefill, 5), mNow);
+    directory.OnTick(mNow + milliseconds{ 4'900 });
+    CPPUNIT_ASSERT(directory.Find("a")->mRole == engine_role::Decode);
+    // That it is listed again does not start the time anew.
+    directory.Upsert(InRole(engine_role::Prefill, 5), mNow + milliseconds{ 4'900 });
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT(directory.Find("a")->mRole == engine_role::Prefill);
+    directory.Remove("a", false, mNow);
+    directory.Upsert(InRole(engine_role::Prefill, 5), mNow);
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT(IsUsed(directory));
+  }
+
+  /// Guards against an outdated entry that takes effect after the server has written again, or
+  /// after it has left.
+  void OutdatedEntryThatIsReplacedIsNotUsed()
+  {
+    auto directory = Directory();
+    directory.Upsert(InRole(engine_role::Decode, 6), mNow);
+    directory.Upsert(InRole(engine_role::Prefill, 5), mNow);
+    directory.Upsert(InRole(engine_role::Decode, 7), mNow);
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT(directory.Find("a")->mRole == engine_role::Decode);
+    directory.Upsert(InRole(engine_role::Prefill, 5), mNow);
+    directory.OnLeaving("a", 7);
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT(!IsUsed(directory));
+  }
+
+  /// Guards against what is known of an engine that is kept after it has restarted, or discarded
+  /// for an entry that is not used.
+  void ReplacementsAreReported()
+  {
+    auto directory = Directory();
+    int restarts = 0;
+    directory.SetOnReplaced([&](const backend_server& aBefore, const backend_server& aAfter) {
+      restarts += aBefore.mStartedAt != aAfter.mStartedAt ? 1 : 0;
+    });
+    directory.Upsert(Started(7, 1, false), mNow);
+    CPPUNIT_ASSERT_EQUAL(1, restarts);
+    directory.Upsert(Started(7, 2, true), mNow);
+    directory.Upsert(Started(6, 1, false), mNow);
+    CPPUNIT_ASSERT_EQUAL(1, restarts);
+    directory.OnTick(mNow + seconds{ 5 });
+    CPPUNIT_ASSERT_EQUAL(2, restarts);
+  }
+
   void DrainingServerGetsNoNewRequests()
   {
     auto directory = Directory();
-    directory.Upsert(Server("a", true));
+    directory.Upsert(Server("a", true), mNow);
     const auto usable = directory.Eligible("s");
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, usable.size());
     CPPUNIT_ASSERT_EQUAL(std::string{ "b" }, usable[0]->mId);
@@ -193,7 +316,7 @@
   void DrainingServerHasNoGracePeriod()
   {
     auto directory = Directory();
-    directory.Upsert(Server("a", true));
+    directory.Upsert(Server("a", true), mNow);
     directory.Remove("a", true, mNow);
     CPPUNIT_ASSERT(directory.Find("a") == nullptr);
   }
@@ -202,7 +325,7 @@
   {
     auto directory = Directory();
     directory.Remove("a", true, mNow);
-    directory.Upsert(Server("a"));
+    directory.Upsert(Server("a"), mNow);
     directory.OnTick(mNow + seconds{ 5 });
     CPPUNIT_ASSERT(directory.Find("a") != nullptr);
   }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -209,6 +209,9 @@
         [this] { mQuarantined.Notify(); })
   {
     mQuarantine.SetExempt(mSettings.mQuarantineExempt);
+    mDirectory.SetOnReplaced([this](const backend_server& aBefore, const backend_server& aAfter) {
+      OnServerReplaced(aBefore, aAfter);
+    });
   }
 
   ~kj_gateway() noexcept override = default;
@@ -372,11 +375,14 @@
         servers.push_back(*std::move(server));
       }
     }
-    for (const auto& server : servers) {
-      ApplyStateChange(server);
-    }
-    mDirectory.Replace(servers, aAfterOutage, mClock.Now());
+    const auto outdated = mDirectory.Replace(servers, aAfterOutage, mClock.Now());
     Log(log_level::Info, "servers", "listed count=" + std::to_string(servers.size()));
+    if (outdated > 0) {
+      Log(log_level::Info,
+          "servers",
+          "entries of the list are outdated count=" + std::to_string(outdated));
+      CountOutdated(outdated);
+    }
   }
 
   void OnServer(const object_change& aChange, bool aAfterOutage)
@@ -397,17 +403,27 @@
       mDirectory.Remove(name, false, now);
       return;
     }
-    ApplyStateChange(*server);
     const auto* known = mDirectory.Find(name);
-    if (known == nullptr || known->mDraining != server->mDraining) {
-      Log(log_level::Info,
-          "servers",
-          "id=" + name + " draining=" + std::to_string(server->mDraining) +
-            " started_at=" + std::to_string(server->mStartedAt) +
-            " sequence=" + std::to_string(server->mSequence) +
-            " revision=" + std::to_string(aChange.mObject.mRevision));
+    const bool isChange = known == nullptr || known->mDraining != server->mDraining;
+    const auto entry = "id=" + name + " draining=" + std::to_string(server->mDraining) +
+                       " started_at=" + std::to_string(server->mStartedAt) +
+                       " sequence=" + std::to_string(server->mSequence) +
+                       " revision=" + std::to_string(aChange.mObject.mRevision);
+    if (mDirectory.Upsert(*server, now) != entry_outcome::Taken) {
+      Log(log_level::Info, "servers", "entry is outdated " + entry);
+      CountOutdated(1);
+    } else if (isChange) {
+      Log(log_level::Info, "servers", entry);
     }
-    mDirectory.Upsert(*server);
+  }
+
+  void CountOutdated(std::size_t aEntries)
+  {
+    mCounters
+      .Get("skylarkwind_outdated_server_entries_total",
+           "Entries of servers that the store gave after newer ones, or that call a leaving server "
+           "ready.")
+      .Add(static_cast<std::int64_t>(aEntries));
   }
 
   void UpdateCapacity(const backend_server& aServer)
@@ -421,15 +437,14 @@
 
   /// Discards what is known of a server that restarted under its id, since its caches are lost. A
   /// server with a new role has completed its role change and is usable again.
-  void ApplyStateChange(const backend_server& aServer)
+  void OnServerReplaced(const backend_server& aBefore, const backend_server& aAfter)
   {
-    const auto* known = mDirectory.Find(aServer.mId);
-    if (known != nullptr && known->mRole != aServer.mRole) {
-      mLoadTracker.OnRoleChanged(aServer.mId, mClock.Now());
+    if (aBefore.mRole != aAfter.mRole) {
+      mLoadTracker.OnRoleChanged(aAfter.mId, mClock.Now());
     }
-    if (known != nullptr && known->mStartedAt != aServer.mStartedAt) {
-      mLoadTracker.Reset(aServer.mId);
-      mPrefixCacheIndex.RemoveEngine(aServer.mId);
+    if (aBefore.mStartedAt != aAfter.mStartedAt) {
+      mLoadTracker.Reset(aAfter.mId);
+      mPrefixCacheIndex.RemoveEngine(aAfter.mId);
     }
   }
 
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -269,7 +269,7 @@
     server.mDataCentre = "z";
     server.mSlots = 8;
     server.mRole = aRole;
-    mDirectory.Upsert(server);
+    mDirectory.Upsert(server, mClock.Now());
   }
 
   /// Runs everything that can run without time passing.
