--- a/tests/sessions/gateway_large_configuration_test.cpp
+++ b/tests/sessions/gateway_large_configuration_test.cpp
@@ -137,7 +137,11 @@
     for (int i = 0; i < system.DaemonCount(); ++i) {
       received += Metric(system, i, "skylarkwind_replication_age_ms_count{kind=\"config\"}");
     }
-    CPPUNIT_ASSERT(received >= 2);
+    std::string logs;
+    for (int i = 0; i < system.DaemonCount(); ++i) {
+      logs += "\ndaemon " + std::to_string(i) + "\n" + system.DaemonLog(i);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(received) + " states received" + logs, received >= 2);
   }
 };
 
