Leaving servers: sessions with daemons that get changes from others

With three daemons all of them watch the store, so that the sessions did not cover changes and lists that are relayed. Six daemons now, of which two get them from others.

--- a/tests/sessions/gateway_leaving_test.cpp
+++ b/tests/sessions/gateway_leaving_test.cpp
@@ -22,11 +22,31 @@
   {
     gateway_options options;
     options.mBackends = { { "s1", "plain" }, { "s2", "plain" }, { "s3", "plain" } };
-    options.mDaemons = 3;
+    // Four daemons watch the store, the others get changes from them.
+    options.mDaemons = 6;
     options.mSeeds = true;
     return options;
   }
 
+  /// Waits until two daemons get changes from others.
+  static void AwaitRelays(const gateway_system& aSystem)
+  {
+    CPPUNIT_ASSERT(WaitUntil(
+      [&] {
+        int relayed = 0;
+        for (int i = 0; i < aSystem.DaemonCount(); ++i) {
+          const auto log = aSystem.DaemonLog(i);
+          const auto relays = log.rfind("receiving changes from other daemons");
+          const auto watches = log.rfind("watching the store directly");
+          relayed +=
+            relays != std::string::npos && (watches == std::string::npos || relays > watches) ? 1
+                                                                                              : 0;
+        }
+        return relayed >= 2;
+      },
+      seconds{ 10 }));
+  }
+
   /// Whether a condition holds for each daemon at the same time, within a limit.
   static bool WaitForAll(const gateway_system& aSystem, const std::function<bool(int)>& aCondition)
   {
@@ -80,6 +100,7 @@
   void LateWriteBringsNoRequests()
   {
     gateway_system system{ Options() };
+    AwaitRelays(system);
     system.List("s1", "ready");
     system.List("s1", "draining");
     CPPUNIT_ASSERT(NoneReachesS1(system));
@@ -95,6 +116,7 @@
   void RestoredStoreBringsNoRequests()
   {
     gateway_system system{ Options() };
+    AwaitRelays(system);
     system.StoreFaults({ { "copy", nlohmann::json::object() } });
     system.List("s1", "draining");
     CPPUNIT_ASSERT(NoneReachesS1(system));
