backend_directory: decide in one place whether an entry is outdated

Upsert looked the listed server up and compared it before it asked IsOutdated, which looked it up again; the comparison is part of that decision. The gateway builds the text of an entry only when it logs it.

--- a/packages/core/include/skylarkwind/backend_directory.h
+++ b/packages/core/include/skylarkwind/backend_directory.h
@@ -107,7 +107,8 @@
   void MarkLeaving(std::string_view aId, std::uint64_t aStartedAt);
   /// The entry, draining if its start is known to leave.
   backend_server KeepDraining(backend_server aEntry) const;
-  /// Whether an entry was written before the one that is or was last known of its server.
+  /// Whether an entry was written before the one that is or was last known of its server, and does
+  /// not say the same.
   bool IsOutdated(const backend_server& aServer) const;
   /// Keeps an outdated entry aside until its hold is over.
   void Defer(const backend_server& aServer, instant aNow);
--- a/packages/core/src/backend_directory.cpp
+++ b/packages/core/src/backend_directory.cpp
@@ -69,9 +69,7 @@
     MarkLeaving(aServer.mId, aServer.mStartedAt);
   }
   const auto entry = KeepDraining(aServer);
-  const auto listed = mServers.find(aServer.mId);
-  const bool isSame = listed != mServers.end() && SameState(entry, listed->second);
-  if (!isSame && IsOutdated(entry)) {
+  if (IsOutdated(entry)) {
     Defer(entry, aNow);
     return entry_outcome::Deferred;
   }
@@ -94,7 +92,8 @@
 backend_directory::IsOutdated(const backend_server& aServer) const
 {
   if (const auto listed = mServers.find(aServer.mId); listed != mServers.end()) {
-    return IsEarlier(aServer, listed->second.mStartedAt, listed->second.mSequence);
+    const auto& known = listed->second;
+    return !SameState(aServer, known) && IsEarlier(aServer, known.mStartedAt, known.mSequence);
   }
   const auto removed = mRemoved.find(aServer.mId);
   if (removed == mRemoved.end()) {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -405,16 +405,18 @@
     }
     const auto* known = mDirectory.Find(name);
     const bool isChange = known == nullptr || known->mDraining != server->mDraining;
-    const auto entry = "id=" + name + " draining=" + std::to_string(server->mDraining) +
-                       " started_at=" + std::to_string(server->mStartedAt) +
-                       " sequence=" + std::to_string(server->mSequence) +
-                       " revision=" + std::to_string(aChange.mObject.mRevision);
-    if (mDirectory.Upsert(*server, now) != entry_outcome::Taken) {
-      Log(log_level::Info, "servers", "entry is outdated " + entry);
+    const bool isTaken = mDirectory.Upsert(*server, now) == entry_outcome::Taken;
+    if (!isTaken) {
       CountOutdated(1);
-    } else if (isChange) {
-      Log(log_level::Info, "servers", entry);
+    } else if (!isChange) {
+      return;
     }
+    Log(log_level::Info,
+        "servers",
+        (isTaken ? "id=" : "entry is outdated id=") + name + " draining=" +
+          std::to_string(server->mDraining) + " started_at=" + std::to_string(server->mStartedAt) +
+          " sequence=" + std::to_string(server->mSequence) +
+          " revision=" + std::to_string(aChange.mObject.mRevision));
   }
 
   void CountOutdated(std::size_t aEntries)
