Session tests: share the wait for all daemons, note starts where they happen

The wait for a condition at each daemon stood in two tests; it is a function of gateway_system now. StartBackend notes the start itself, so that no caller can forget it.

--- a/tests/sessions/gateway_leaving_test.cpp
+++ b/tests/sessions/gateway_leaving_test.cpp
@@ -2,11 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <functional>
-
 namespace skylarkwind::sessions {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// Servers that leave while the store shows older states of their entries.
@@ -18,6 +15,9 @@
   CPPUNIT_TEST(RestartedServerGetsRequests);
   CPPUNIT_TEST_SUITE_END();
 
+  /// For what all daemons have to see or do.
+  static constexpr seconds kLimit{ 6 };
+
   static gateway_options Options()
   {
     gateway_options options;
@@ -28,6 +28,15 @@
     return options;
   }
 
+  /// Whether a daemon has last decided to get changes from others.
+  static bool IsRelayedTo(const gateway_system& aSystem, int aDaemon)
+  {
+    const auto log = aSystem.DaemonLog(aDaemon);
+    const auto relays = log.rfind("receiving changes from other daemons");
+    const auto watches = log.rfind("watching the store directly");
+    return relays != std::string::npos && (watches == std::string::npos || relays > watches);
+  }
+
   /// Waits until two daemons get changes from others.
   static void AwaitRelays(const gateway_system& aSystem)
   {
@@ -35,33 +44,13 @@
       [&] {
         int relayed = 0;
         for (int i = 0; i < aSystem.DaemonCount(); ++i) {
-          const auto log = aSystem.DaemonLog(i);
-          const auto relays = log.rfind("receiving changes from other daemons");
-          const auto watches = log.rfind("watching the store directly");
-          relayed +=
-            relays != std::string::npos && (watches == std::string::npos || relays > watches) ? 1
-                                                                                              : 0;
+          relayed += IsRelayedTo(aSystem, i) ? 1 : 0;
         }
         return relayed >= 2;
       },
       seconds{ 10 }));
   }
 
-  /// Whether a condition holds for each daemon at the same time, within a limit.
-  static bool WaitForAll(const gateway_system& aSystem, const std::function<bool(int)>& aCondition)
-  {
-    return WaitUntil(
-      [&] {
-        for (int i = 0; i < aSystem.DaemonCount(); ++i) {
-          if (!aCondition(i)) {
-            return false;
-          }
-        }
-        return true;
-      },
-      seconds{ 6 });
-  }
-
   /// Sends requests to a daemon, all of which have to succeed, and counts those that reach s1.
   static std::size_t RequestsAtS1(const gateway_system& aSystem, int aDaemon)
   {
@@ -79,7 +68,8 @@
 
   static bool NoneReachesS1(const gateway_system& aSystem)
   {
-    return WaitForAll(aSystem, [&](int aDaemon) { return RequestsAtS1(aSystem, aDaemon) == 0; });
+    return aSystem.WaitForAllDaemons(
+      [&](int aDaemon) { return RequestsAtS1(aSystem, aDaemon) == 0; }, kLimit);
   }
 
   /// Removes s3 and waits until each daemon has seen that, and so everything that the store did
@@ -87,11 +77,13 @@
   static void AwaitChanges(gateway_system& aSystem)
   {
     aSystem.Unlist("s3");
-    CPPUNIT_ASSERT(WaitForAll(aSystem, [&](int aDaemon) {
-      const auto log = aSystem.DaemonLog(aDaemon);
-      return log.find("removed id=s3") != std::string::npos ||
-             log.find("listed count=2\n") != std::string::npos;
-    }));
+    CPPUNIT_ASSERT(aSystem.WaitForAllDaemons(
+      [&](int aDaemon) {
+        const auto log = aSystem.DaemonLog(aDaemon);
+        return log.find("removed id=s3") != std::string::npos ||
+               log.find("listed count=2\n") != std::string::npos;
+      },
+      kLimit));
   }
 
   /// Guards against requests to a leaving server after the store has executed an older write of its
@@ -121,10 +113,12 @@
     system.List("s1", "draining");
     CPPUNIT_ASSERT(NoneReachesS1(system));
     system.StoreFaults({ { "restore", true } });
-    CPPUNIT_ASSERT(WaitForAll(system, [&](int aDaemon) {
-      return system.DaemonLog(aDaemon).find("restored from a copy kind=servers") !=
-             std::string::npos;
-    }));
+    CPPUNIT_ASSERT(system.WaitForAllDaemons(
+      [&](int aDaemon) {
+        return system.DaemonLog(aDaemon).find("restored from a copy kind=servers") !=
+               std::string::npos;
+      },
+      kLimit));
     for (int i = 0; i < system.DaemonCount(); ++i) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, RequestsAtS1(system, i));
     }
@@ -139,8 +133,8 @@
     CPPUNIT_ASSERT(NoneReachesS1(system));
     system.RestartBackend("s1");
     system.List("s1", "ready");
-    CPPUNIT_ASSERT(
-      WaitForAll(system, [&](int aDaemon) { return RequestsAtS1(system, aDaemon) > 0; }));
+    CPPUNIT_ASSERT(system.WaitForAllDaemons(
+      [&](int aDaemon) { return RequestsAtS1(system, aDaemon) > 0; }, kLimit));
   }
 };
 
--- a/tests/sessions/gateway_restored_store_test.cpp
+++ b/tests/sessions/gateway_restored_store_test.cpp
@@ -32,15 +32,8 @@
   static bool AllApply(const gateway_system& aSystem, int aVersion, milliseconds aLimit)
   {
     const auto applied = "applied version=" + std::to_string(aVersion) + ' ';
-    return WaitUntil(
-      [&] {
-        for (int i = 0; i < aSystem.DaemonCount(); ++i) {
-          if (aSystem.DaemonLog(i).find(applied) == std::string::npos) {
-            return false;
-          }
-        }
-        return true;
-      },
+    return aSystem.WaitForAllDaemons(
+      [&](int aDaemon) { return aSystem.DaemonLog(aDaemon).find(applied) != std::string::npos; },
       aLimit);
   }
 
--- a/tests/sessions/gateway_system.cpp
+++ b/tests/sessions/gateway_system.cpp
@@ -68,8 +68,7 @@
   mStore = child_process::Start(Program("standin_store"));
   for (const auto& options : mOptions.mBackends) {
     backend_entry entry{ options, Loopback(), {}, {}, {}, options.mId, {} };
-    entry.mProcess = StartBackend(entry);
-    NoteStart(entry);
+    StartBackend(entry);
     entry.mAddress = entry.mProcess->Address();
     if (mOptions.mRelays) {
       entry.mRelay = StartRelay(entry.mAddress);
@@ -252,8 +251,8 @@
   Call("POST", Find(aBackend).mProcess->Url("/standin/mode"), {}, json{ { "mode", aMode } }.dump());
 }
 
-std::unique_ptr<child_process>
-gateway_system::StartBackend(const backend_entry& aBackend) const
+void
+gateway_system::StartBackend(backend_entry& aBackend) const
 {
   std::vector<std::string> arguments{
     "--id=" + aBackend.mOptions.mId,
@@ -270,7 +269,8 @@
   if (mOptions.mRelays || mOptions.mRecords) {
     arguments.push_back("--log_file=" + LogFile(aBackend.mFirstId));
   }
-  return child_process::Start(Program("standin_backend"), arguments);
+  aBackend.mProcess = child_process::Start(Program("standin_backend"), arguments);
+  NoteStart(aBackend);
 }
 
 void
@@ -279,8 +279,7 @@
   auto& entry = Find(aId);
   entry.mProcess->Signal(SIGKILL);
   entry.mProcess = nullptr;
-  entry.mProcess = StartBackend(entry);
-  NoteStart(entry);
+  StartBackend(entry);
 }
 
 std::string
@@ -293,8 +292,7 @@
     entry.mListedId = aId;
   }
   entry.mOptions.mId = entry.mFirstId + '.' + std::to_string(++entry.mReplaced);
-  entry.mProcess = StartBackend(entry);
-  NoteStart(entry);
+  StartBackend(entry);
   return entry.mOptions.mId;
 }
 
@@ -311,6 +309,22 @@
   return true;
 }
 
+bool
+gateway_system::WaitForAllDaemons(const std::function<bool(int)>& aCondition,
+                                  std::chrono::milliseconds aLimit) const
+{
+  return WaitUntil(
+    [&] {
+      for (int i = 0; i < DaemonCount(); ++i) {
+        if (!aCondition(i)) {
+          return false;
+        }
+      }
+      return true;
+    },
+    aLimit);
+}
+
 void
 gateway_system::RestartDaemon(int aIndex)
 {
--- a/tests/sessions/gateway_system.h
+++ b/tests/sessions/gateway_system.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -87,6 +88,10 @@
     return *mDaemons[static_cast<std::size_t>(aIndex)].mProcess;
   }
   int DaemonCount() const { return static_cast<int>(mDaemons.size()); }
+  /// Whether a condition on a daemon's index holds for each daemon at the same time, within a
+  /// limit.
+  bool WaitForAllDaemons(const std::function<bool(int)>& aCondition,
+                         std::chrono::milliseconds aLimit) const;
   /// The list of the stored objects of a kind, as the store answers it.
   std::string StoredText(const std::string& aKind) const;
   std::string CallerUrl(const std::string& aPath, int aIndex = 0) const;
@@ -170,7 +175,8 @@
     std::uint64_t mWrites = 0;    ///< of its entry, since that start
   };
 
-  std::unique_ptr<child_process> StartBackend(const backend_entry& aBackend) const;
+  /// Starts a server's process and notes when.
+  void StartBackend(backend_entry& aBackend) const;
   std::string LogFile(const std::string& aId) const { return mDirectory + "/" + aId + ".log"; }
   backend_entry& Find(const std::string& aId);
   /// Notes that a server starts now.
