Review: streams without a length end as complete when their engine is killed

An engine that is killed between two events of a stream that ends with its channel leaves an orderly close. The caller gets what was sent so far as a complete stream, although the route is resumable.

--- /dev/null
+++ b/review/lab_3.py
@@ -0,0 +1,707 @@
+"""Stand-ins for the review's third part: store, platform API, engines, links and callers.
+
+They follow the platform's pages. All run in one event loop; the daemons are processes of their own.
+"""
+import asyncio
+import json
+import os
+import re
+import signal
+import shutil
+import socket
+import sys
+import tempfile
+import time
+import urllib.parse
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+DAEMON = os.path.join(ROOT, "target", "bin", "skylarkwindd")
+TEMPLATE = os.path.join(ROOT, "deploy", "settings.yaml")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+class Record:
+    """Lines of record.txt, with seconds since the start."""
+
+    def __init__(self, path):
+        self.start = time.monotonic()
+        self.file = open(path, "w", encoding="utf-8")
+
+    def now(self):
+        return time.monotonic() - self.start
+
+    def __call__(self, text):
+        self.file.write(f"{self.now():9.3f} {text}\n")
+        self.file.flush()
+
+
+class Request:
+    def __init__(self, method, target, headers, body, connection):
+        self.method = method
+        self.target = target
+        self.path, _, query = target.partition("?")
+        self.query = dict(urllib.parse.parse_qsl(query))
+        self.headers = headers
+        self.body = body
+        self.connection = connection
+
+    def header(self, name):
+        return self.headers.get(name.lower(), "")
+
+
+class Connection:
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        self.closed = False
+
+    def raw(self, data):
+        if not self.closed and not self.writer.is_closing():
+            self.writer.write(data)
+
+    def send(self, status, body=b"", headers=()):
+        if isinstance(body, str):
+            body = body.encode()
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        self.raw(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    def begin_chunks(self, status, headers=()):
+        lines = [f"HTTP/1.1 {status} X", "Transfer-Encoding: chunked"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        self.raw(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def begin_undelimited(self, status, headers=()):
+        lines = [f"HTTP/1.1 {status} X", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        self.raw(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def chunk(self, data):
+        if isinstance(data, str):
+            data = data.encode()
+        self.raw(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_chunks(self):
+        self.raw(b"0\r\n\r\n")
+
+    def reset(self):
+        self.closed = True
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.writer.transport.abort()
+
+    def close(self):
+        self.closed = True
+        self.writer.close()
+
+
+async def read_head(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            if size == 0:
+                await reader.readuntil(b"\r\n")
+                return body
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+    return await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+class Server:
+    """An HTTP/1.1 server that handles one request at a time on each connection."""
+
+    def __init__(self, address="127.0.0.1"):
+        self.address = address
+        self.port = 0
+        self.server = None
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self._serve, self.address, port, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def at(self):
+        return f"{self.address}:{self.port}"
+
+    async def _serve(self, reader, writer):
+        connection = Connection(reader, writer)
+        try:
+            while not connection.closed:
+                line, headers = await read_head(reader)
+                method, target, _ = line.split(" ", 2)
+                body = await read_body(reader, headers)
+                await self.handle(Request(method, target, headers, body, connection))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            connection.closed = True
+            writer.close()
+
+    async def handle(self, request):
+        raise NotImplementedError
+
+
+class Store(Server):
+    """The platform's store of versioned objects."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 1
+        self.objects = {}  # (kind, name) -> object
+        self.history = []  # (revision, kind, object, removed)
+        self.changed = asyncio.Event()
+
+    def put(self, kind, name, spec):
+        known = self.objects.get((kind, name))
+        if known is not None and known["Spec"] == spec:
+            # A PUT that changes nothing neither increases the revision nor produces an event.
+            return known
+        self.revision += 1
+        made = {"Metadata": {"Name": name, "Revision": self.revision}, "Spec": spec}
+        self.objects[(kind, name)] = made
+        self._note(kind, made, False)
+        return made
+
+    def remove(self, kind, name):
+        known = self.objects.pop((kind, name))
+        self.revision += 1
+        known = {"Metadata": dict(known["Metadata"], Revision=self.revision), "Spec": known["Spec"]}
+        self._note(kind, known, True)
+        return known
+
+    def _note(self, kind, made, removed):
+        self.history.append((self.revision, kind, made, removed))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, request):
+        reply = request.connection.send
+        prefix = "/skylarkwind/objects/"
+        if not request.path.startswith(prefix):
+            reply(404, "{}")
+            return
+        kind, _, name = urllib.parse.unquote(request.path[len(prefix):]).partition("/")
+        if request.method == "GET" and "Watch" in request.query:
+            await self._watch(kind, request)
+            return
+        await asyncio.sleep(0.004)
+        if request.method == "GET" and not name:
+            items = [o for (k, n), o in sorted(self.objects.items())
+                     if k == kind and n > request.query.get("after", "")]
+            reply(200, json.dumps({"items": items[:500], "HasMore": len(items) > 500,
+                                   "At": self.revision}))
+            return
+        known = self.objects.get((kind, name))
+        if request.method == "GET":
+            reply(200 if known else 404, json.dumps(known or {}))
+            return
+        body = json.loads(request.body or b"{}")
+        meta = body.get("Metadata", {})
+        if request.method == "POST":
+            name = meta["Name"]
+            known = self.objects.get((kind, name))
+            if known:
+                reply(409, json.dumps(known))
+            else:
+                reply(200, json.dumps(self.put(kind, name, body.get("Spec"))))
+            return
+        expected = meta.get("Revision", int(request.query.get("Revision", "0")))
+        if known is None:
+            reply(404, "{}")
+        elif expected and expected != known["Metadata"]["Revision"]:
+            reply(409, json.dumps(known))
+        elif request.method == "DELETE":
+            reply(200, json.dumps(self.remove(kind, name)))
+        else:
+            reply(200, json.dumps(self.put(kind, name, body.get("Spec"))))
+
+    async def _watch(self, kind, request):
+        since = int(request.query["Watch"])
+        until = time.monotonic() + int(request.query.get("WaitMs", "0")) / 1000
+        while True:
+            changed = self.changed
+            events = [{"Object": made, "Removed": removed}
+                      for at, k, made, removed in self.history if k == kind and at > since]
+            left = until - time.monotonic()
+            if events or left <= 0:
+                request.connection.send(
+                    200, json.dumps({"events": events, "At": self.revision}))
+                return
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class PlatformApi(Server):
+    """Takes usage reports and orders for engines, and does not check fences."""
+
+    def __init__(self, record):
+        super().__init__()
+        self.record = record
+        self.calls = []  # (time, path, body, holder, token)
+        self.on_scale = None
+
+    async def handle(self, request):
+        body = json.loads(request.body)
+        holder = request.header("X-Skylarkwind-Lease-Holder")
+        token = int(request.header("X-Skylarkwind-Fencing-Token"))
+        self.calls.append((self.record.now(), request.path, body, holder, token))
+        self.record(f"platform: {request.path} holder={holder} token={token} {json.dumps(body)}")
+        if request.path == "/scale" and self.on_scale:
+            self.on_scale(body)
+        request.connection.send(200, "{}")
+
+
+class Engine(Server):
+    """A backend server. `behave(engine, request)` may answer in its place and return True."""
+
+    def __init__(self, record, store, name, service, zone, stage=None, slots=8, behave=None):
+        super().__init__()
+        self.record = record
+        self.store = store
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.stage = stage
+        self.slots = slots
+        self.behave = behave
+        self.born = int(time.time() * 1000)
+        self.writes = 0
+        self.orders = 0
+        self.handles = 0
+        self.running = 0
+        self.ran = []  # ids, in order
+        self.quiet = False
+        self.prefilling = asyncio.Lock()
+        self.events = 3  # of each stream
+        self.gap_s = 0.06
+        self.delimited = True  # streams come in chunks, or else end with their channel
+
+    def list(self, state="ready"):
+        if self.store is None:
+            return
+        self.writes += 1
+        spec = {"Service": self.service, "Address": self.at, "Zone": self.zone, "Version": 1,
+                "Slots": self.slots, "State": state, "ColdMs": 0, "Seq": self.writes,
+                "born": self.born}
+        if self.stage:
+            spec["Stage"] = self.stage
+        self.store.put("servers", self.name, spec)
+
+    def echo(self, request):
+        return [("X-Skylarkwind-Request-Id", request.header("X-Skylarkwind-Request-Id")),
+                ("X-Skylarkwind-Engine-Load", f"{self.running},0,{self.slots}")]
+
+    def signed(self, request):
+        return self.echo(request) + [("X-Skylarkwind-Response-Signature", "s." + self.name)]
+
+    async def handle(self, request):
+        connection = request.connection
+        expected = request.header("X-Skylarkwind-Expect-Instance")
+        if request.path == "/skylarkwind/report":
+            connection.send(200, json.dumps(
+                {"Stage": self.stage, "Models": [], "Busy": False, "Seq": self.orders,
+                 "Waiting": 0, "Running": self.running, "KvUsed": 0, "KvTotal": 400000,
+                 "KvHandles": 0, "born": self.born}))
+            return
+        if expected and expected != self.name:
+            connection.send(421, "", [("X-Skylarkwind-Instance-Id", self.name)])
+            return
+        if request.path == "/skylarkwind/order":
+            order = json.loads(request.body)
+            self.record(f"engine {self.name}: order {json.dumps(order)}")
+            if order.get("Expect", self.orders) != self.orders:
+                connection.send(409, "{}")
+                return
+            self.orders += 1
+            self.stage = order["Stage"]
+            connection.send(202, "{}")
+            self.list()
+            return
+        if request.path.startswith("/skylarkwind/kv-handle/"):
+            connection.send(200, "{}")
+            return
+        if self.behave and await self.behave(self, request):
+            return
+        await self.answer(request)
+
+    def note_run(self, request):
+        request_id = request.header("X-Skylarkwind-Request-Id")
+        self.ran.append(request_id)
+        if not self.quiet:
+            self.record(f"engine {self.name}: runs {request_id} {request.method} "
+                        f"{request.target} after={request.header('Last-Event-Id')}")
+
+    async def answer(self, request, delay=0.02):
+        counts = request.header("X-Skylarkwind-Token-Count")
+        if request.header("X-Skylarkwind-Stage") == "prefill":
+            self.handles += 1
+            async with self.prefilling:
+                await asyncio.sleep(int(counts.split(",")[0]) / 50_000)
+            request.connection.send(
+                200, json.dumps({"KvHandle": f"{self.name}-{self.handles}",
+                                 "Tokens": int(counts.split(",")[0]), "Version": 1}),
+                self.echo(request) + [("Content-Type", "application/json")])
+            return
+        self.running += 1
+        try:
+            if counts:
+                if self.stage == "decode" and not request.header("X-Skylarkwind-Kv-Source"):
+                    # Such an engine computes the prompt itself, at half the speed.
+                    async with self.prefilling:
+                        await asyncio.sleep(int(counts.split(",")[0]) / 25_000)
+                self.note_run(request)
+                await self.stream(request)
+            else:
+                self.note_run(request)
+                await asyncio.sleep(delay)
+                request.connection.send(
+                    200, f"answer of {self.name} to "
+                    f"{request.header('X-Skylarkwind-Request-Id')}", self.signed(request))
+        finally:
+            self.running -= 1
+
+    async def stream(self, request):
+        connection = request.connection
+        headers = self.signed(request) + [("Content-Type", "text/event-stream"),
+                                          ("X-Skylarkwind-Weight-Versions", "1")]
+        if self.delimited:
+            connection.begin_chunks(200, headers)
+        else:
+            connection.begin_undelimited(200, headers)
+        first = int(request.header("Last-Event-Id") or "0") + 1
+        for number in range(first, self.events + 1):
+            if connection.closed or connection.writer.is_closing():
+                return
+            piece = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.delimited:
+                connection.chunk(piece)
+            else:
+                connection.raw(piece)
+            await asyncio.sleep(self.gap_s)
+        if self.delimited:
+            connection.end_chunks()
+        else:
+            connection.close()
+
+
+class EngineProcess:
+    """An engine in a process of its own, which can be killed."""
+
+    def __init__(self, record, store, name, service, zone, stage, **options):
+        self.record = record
+        self.listed = Engine(record, store, name, service, zone, stage,
+                             options.pop("slots", 64))
+        self.options = options
+        self.process = None
+        self.reading = None
+
+    async def start(self):
+        arguments = {"name": self.listed.name, "service": self.listed.service,
+                     "zone": self.listed.zone, "stage": self.listed.stage,
+                     "slots": self.listed.slots}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, os.path.abspath(__file__), json.dumps([arguments, self.options]),
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE)
+        self.listed.port = int(await self.process.stdout.readline())
+        self.reading = asyncio.ensure_future(self._read())
+        self.listed.list()
+
+    async def _read(self):
+        async for line in self.process.stdout:
+            self.record(line.decode().rstrip())
+
+    async def kill(self):
+        self.record(f"engine {self.listed.name}: SIGKILL")
+        await self.end()
+
+    async def end(self):
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+async def run_engine(arguments, options):
+    engine = Engine(lambda text: print(text, flush=True), None, **arguments)
+    for name, value in options.items():
+        setattr(engine, name, value)
+    await engine.start()
+    print(engine.port, flush=True)
+    await asyncio.sleep(120)
+
+
+class Link:
+    """A TCP path between one machine and a service, which a partition can cut.
+
+    While it is cut, nothing passes either way and connections that are opened get no service. Bytes
+    that were on their way stay with their sender, which sends them again as TCP does: after 0.2 s,
+    and each time after twice the pause before. Those of a sender that has reset its connection are
+    lost. Connections that were opened during the cut are reset at its end.
+    """
+
+    def __init__(self, record, name, target):
+        self.record = record
+        self.name = name
+        self.target = target
+        self.port = 0
+        self.cut_now = False
+        self.healed = None
+        self.listener = None
+
+    async def start(self):
+        self.healed = asyncio.Event()
+        self.healed.set()
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.port = self.listener.sockets[0].getsockname()[1]
+
+    @property
+    def at(self):
+        return f"127.0.0.1:{self.port}"
+
+    def cut(self):
+        self.record(f"link {self.name}: cut")
+        self.cut_now = True
+        self.healed.clear()
+
+    def heal(self):
+        self.record(f"link {self.name}: healed")
+        self.cut_now = False
+        self.healed.set()
+
+    async def _serve(self, reader, writer):
+        if self.cut_now:
+            await self.healed.wait()
+            writer.transport.abort()
+            return
+        host, port = self.target.split(":")
+        try:
+            other_reader, other_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self._pass(reader, other_writer, "to"),
+                             self._pass(other_reader, writer, "from"))
+
+    async def _pass(self, reader, writer, direction):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.cut_now:
+                    sent = time.monotonic()
+                    if data:
+                        self.record(f"link {self.name}: holds {len(data)} bytes {direction} it")
+                    await self.healed.wait()
+                    await asyncio.sleep(self._until_retransmission(sent))
+                    if reader.exception():
+                        # The sender has reset the connection.
+                        writer.transport.abort()
+                        return
+                    if data:
+                        self.record(f"link {self.name}: delivers {len(data)} held bytes "
+                                    f"{direction} it")
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except (ConnectionError, OSError, RuntimeError):
+            writer.transport.abort()
+
+    @staticmethod
+    def _until_retransmission(sent):
+        pause = 0.2
+        due = sent + pause
+        while due < time.monotonic():
+            pause *= 2
+            due += pause
+        return due - time.monotonic()
+
+
+class Daemon:
+    """A process of the deploy file, with settings rendered from its template."""
+
+    def __init__(self, record, folder, name, zone, store, seeds, ip, api="", bounds=None):
+        self.record = record
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.front = f"{ip}:{free_port(ip)}"
+        self.ready = f"{ip}:{free_port(ip)}"
+        self.control = f"{ip}:{free_port(ip)}"
+        self.store = store
+        self.api = api
+        self.seeds = seeds
+        self.bounds = {"ConfigApplyMs": 2000, "DrainMs": 2000, "GraceS": 8, "LeaseMs": 3000,
+                       "ReportWindowS": 5, "RetryBudgetRatio": 0.2, "BudgetMinRetries": 56,
+                       "BudgetWindowS": 10}
+        self.bounds.update(bounds or {})
+        self.settings = os.path.join(folder, name + ".yaml")
+        self.log_path = os.path.join(folder, name + ".log")
+        self.process = None
+
+    def values(self):
+        return {"Node": self.name, "Zone": self.zone,
+                "Listen": {"Front": self.front, "Ready": self.ready, "Control": self.control},
+                "Provider": {"Address": self.store}, "Seeds": ",".join(self.seeds),
+                "Limits": {"CpuShare": 0.25, "LinkMbps": 1000.0}, "Bounds": self.bounds,
+                "Cloud": {"Address": self.api, "DutiesPerS": 50 if self.api else ""}}
+
+    async def start(self):
+        values = self.values()
+
+        def fill(match):
+            value = values
+            for part in match.group(1).split("."):
+                value = value[part]
+            return str(value)
+
+        with open(TEMPLATE, encoding="utf-8") as template:
+            text = re.sub(r"{{([A-Za-z.]+)}}", fill, template.read())
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write(text)
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                DAEMON, cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                env={"PATH": os.environ["PATH"], "HOME": os.environ.get("HOME", "/"),
+                     "SKYLARKWIND_SETTINGS": self.settings})
+        self.record(f"daemon {self.name}: started")
+
+    def signal(self, number):
+        self.record(f"daemon {self.name}: {signal.Signals(number).name}")
+        self.process.send_signal(number)
+
+    async def is_ready(self):
+        try:
+            host, port = self.ready.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /skylarkwind/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+            line, _ = await asyncio.wait_for(read_head(reader), 1)
+            writer.close()
+            return " 200 " in line + " "
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return False
+
+    async def wait_ready(self, limit=15):
+        until = time.monotonic() + limit
+        while time.monotonic() < until:
+            if await self.is_ready():
+                return
+            await asyncio.sleep(0.1)
+        raise CannotRun(f"{self.name} is not ready")
+
+    async def end(self):
+        if self.process is not None and self.process.returncode is None:
+            try:
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+            except ProcessLookupError:
+                pass
+            await self.process.wait()
+
+
+class CannotRun(Exception):
+    """The case could not be played."""
+
+
+def free_port(ip):
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+class Answer:
+    def __init__(self):
+        self.status = 0  # 0: the connection ended without a whole head
+        self.headers = {}
+        self.body = b""
+        self.whole = False
+
+
+async def ask(address, method, target, host, headers, body=b"", limit=10.0, connection=None):
+    """Sends a request and reads its whole answer; `connection` keeps a channel open."""
+    answer = Answer()
+    reader, writer = connection or await asyncio.open_connection(*split(address))
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    try:
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        await asyncio.wait_for(_read_answer(reader, answer), limit)
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.TimeoutError):
+        pass
+    if connection is None:
+        writer.close()
+    return answer
+
+
+async def _read_answer(reader, answer):
+    line, answer.headers = await read_head(reader)
+    status = int(line.split(" ")[1])
+    if answer.headers.get("transfer-encoding", "").lower() == "chunked":
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            if size == 0:
+                await reader.readuntil(b"\r\n")
+                break
+            answer.status = status
+            answer.body += await reader.readexactly(size)
+            await reader.readexactly(2)
+    else:
+        answer.status = status
+        answer.body = await reader.readexactly(int(answer.headers.get("content-length", "0")))
+    answer.status = status
+    answer.whole = True
+
+
+def split(address):
+    host, port = address.split(":")
+    return host, int(port)
+
+
+async def _bounded(case, record, temporary):
+    # Connections that are open at the end are cancelled, which is no error.
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    return await asyncio.wait_for(case(record, temporary), 110)
+
+
+def play(folder, case):
+    """Runs `case(record, temporary_folder)`, which returns the broken rules, and exits."""
+    record = Record(os.path.join(folder, "record.txt"))
+    temporary = tempfile.mkdtemp(prefix="skylarkwind-review-")
+    code = 2
+    try:
+        if not os.path.exists(DAEMON):
+            raise CannotRun("the build of the deploy file is missing")
+        broken = asyncio.run(_bounded(case, record, temporary))
+        for text in broken:
+            record("BROKEN " + text)
+        code = 1 if broken else 0
+        record("the rule was broken" if broken else "the rule held")
+    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        record(f"could not run: {error!r}")
+    finally:
+        keep = os.environ.get("KEEP_LOGS")
+        if keep:
+            shutil.copytree(temporary, keep, dirs_exist_ok=True)
+        shutil.rmtree(temporary, ignore_errors=True)
+    raise SystemExit(code)
+
+
+if __name__ == "__main__":
+    asyncio.run(run_engine(*json.loads(sys.argv[1])))
