--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -266,6 +266,10 @@
         request.connection.send(200, "{}")
 
 
+def plain_body(request_id):
+    return (f"record of {request_id} ".encode() * 60)[:800]
+
+
 class Engine(Server):
     """A backend server. `behave(engine, request)` may answer in its place and return True."""
 
@@ -368,13 +372,23 @@
                 await self.stream(request)
             else:
                 self.note_run(request)
-                await asyncio.sleep(delay)
-                request.connection.send(
-                    200, f"answer of {self.name} to "
-                    f"{request.header('X-Skylarkwind-Request-Id')}", self.signed(request))
+                await self.plain(request, delay)
         finally:
             self.running -= 1
 
+    async def plain(self, request, delay):
+        body = plain_body(request.header("X-Skylarkwind-Request-Id"))
+        await asyncio.sleep(delay)
+        if self.delimited:
+            request.connection.send(200, body, self.signed(request))
+            return
+        # The second half is written when the work on it is done.
+        request.connection.begin_undelimited(200, self.signed(request))
+        request.connection.raw(body[:len(body) // 2])
+        await asyncio.sleep(self.gap_s)
+        request.connection.raw(body[len(body) // 2:])
+        request.connection.close()
+
     async def stream(self, request):
         connection = request.connection
         headers = self.signed(request) + [("Content-Type", "text/event-stream"),
