Review: orders that are smuggled in the body of another request run

Requests with both a length and chunks, with a negative length or with a chunk size beyond 64 bits end early for the daemon, which reads the rest of their body as the next request of the channel.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,6 @@
-"""An engine is killed between two events of streams that end with their channel."""
+"""Callers send requests with false framing whose bodies hold another request."""
 import asyncio
 import os
-import re
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
@@ -9,84 +8,123 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 HOST = "ficu95.example"
-EVENTS = 20
-GAP_S = 0.1
-ROUNDS = 4
-STREAMS = 12
+ROUNDS = 5
+SOUND_PER_ROUND = 40
 
 CONFIGURATION = {
     "Version": 1,
-    "Routes": [{"Name": "query", "Host": HOST, "PathPrefix": "/query/", "Service": "model",
-                "Kind": "streaming", "Resumable": True, "TimeoutMs": 8000, "TargetLatencyMs": 300,
-                "TargetGapMs": 200, "MaxAttempts": 2, "Priority": 0, "Sticky": True}],
-    "Services": [{"Name": "model", "HealthCheck": "/health", "MaxConnections": 370,
-                  "Engine": {"Slots": 64, "KvTokens": 473698, "Stride": 6, "KvTokenBytes": 327680,
-                             "LinkMbps": 3200000, "HandleTtlS": 5, "RoleSwitchS": 3}}],
+    "Routes": [{"Name": "lookup", "Host": HOST, "PathPrefix": "/lookup/", "Service": "app",
+                "Kind": "idempotent", "TimeoutMs": 800, "TargetLatencyMs": 300, "MaxAttempts": 2,
+                "Priority": 2},
+               {"Name": "order", "Host": HOST, "PathPrefix": "/order/", "Service": "app",
+                "Kind": "non_idempotent", "TimeoutMs": 800, "TargetLatencyMs": 300,
+                "MaxAttempts": 1, "Priority": 2}],
+    "Services": [{"Name": "app", "HealthCheck": "/health", "MaxConnections": 110}],
     "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
                "IdleTimeoutMs": 15000},
 }
 
 
+def head(method, path, request_id):
+    return (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Skylarkwind-Request-Id: {request_id}\r\n"
+            "X-Skylarkwind-Deadline-Ms: 1500\r\n").encode()
+
+
+def inner_request(request_id):
+    """The text of an order, sent as a part of the body of another one."""
+    return head("POST", "/order/2", request_id) + b"Content-Length: 1\r\n\r\nx"
+
+
+def in_false_framing(outer_id, inner_id):
+    """Requests by what is wrong with them."""
+    outer = head("POST", "/order/1", outer_id)
+    inner = inner_request(inner_id)
+    return {
+        # RFC 9112, 6.1: the server has to close the connection after it has responded.
+        "length-and-chunks": outer + b"Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                     b"0\r\n\r\n" % (len(inner) + 5) + inner,
+        # The length is no number of bytes; modulo 2^64 it is 5.
+        "negative-length": outer + b"Content-Length: -18446744073709551611\r\n\r\nhello" + inner,
+        # The order is data of a chunk of 2^64 bytes, which no recipient can take.
+        "chunk-beyond-64-bits": outer + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+                                        b"10000000000000000\r\n" + inner,
+    }
+
+
+def in_sound_framing(outer_id, inner_id):
+    outer = head("POST", "/order/1", outer_id)
+    inner = inner_request(inner_id)
+    return {
+        "length": outer + b"Content-Length: %d\r\n\r\n" % len(inner) + inner,
+        "chunks": outer + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(inner) + inner +
+                  b"\r\n0\r\n\r\n",
+        "two-chunks": outer + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n%x\r\n" % len(inner)
+                      + inner + b"\r\n0\r\n\r\n",
+    }
+
+
 async def case(record, folder):
     store = lab.Store()
     await store.start()
-    numbers = iter(range(1_000))
-    zones = ["ga-a", "ga-b", "ga-c"]
+    ran = {}
 
-    async def start_engine(stage, zone):
-        engine = lab.EngineProcess(record, store, f"i-{next(numbers)}", "model", zone, stage,
-                                   events=EVENTS, gap_s=GAP_S, delimited=False)
-        await engine.start()
-        return engine
+    async def behave(engine, request):
+        request_id = request.header("X-Skylarkwind-Request-Id")
+        ran[request_id] = engine.name
+        await asyncio.sleep(0.02)
+        request.connection.send(200, f"answer to {request_id}", engine.signed(request))
 
-    engines = []
-    for stage in ("prefill",) * 4 + ("decode",) * 8:
-        engines.append(await start_engine(stage, zones[len(engines) % 3]))
+    engines = [lab.Engine(record, store, f"i-{n}", "app", f"ga-{zone}", 6, behave)
+               for n, zone in enumerate("abc", 1)]
+    for engine in engines:
+        await engine.start()
+        engine.list()
     store.put("config", "main", CONFIGURATION)
-    daemons = [lab.Daemon(record, folder, f"edge-{zone}-1", zone, store.at, [],
-                          f"127.0.0.{11 + index}") for index, zone in enumerate(zones)]
-    for daemon in daemons:
-        daemon.seeds = [other.control for other in daemons]
+    daemon = lab.Daemon(record, folder, "edge-ga-a-1", "ga-a", store.at, [], "127.0.0.11")
+    daemon.seeds = [daemon.control]
     broken = []
 
-    async def stream(daemon, request_id):
+    async def sound(number):
+        method, path = ("GET", "/lookup/1") if number % 2 else ("POST", "/order/1")
         answer = await lab.ask(
-            daemon.front, "POST", "/query/1", HOST,
-            [("X-Skylarkwind-Request-Id", request_id), ("X-Skylarkwind-Deadline-Ms", "8000"),
-             ("X-Skylarkwind-Model", "m"), ("X-Skylarkwind-Token-Count", "1460,120"),
-             ("X-Skylarkwind-Prefix-Hash", f"a1:350,{request_id}:1110")], b"x" * 1500, 10)
-        pieces = [int(number) for number in re.findall(rb"^id: (\d+)$", answer.body, re.M)]
-        record(f"caller: {request_id} status={answer.status} whole={answer.whole} "
-               f"pieces={pieces[:1]}..{pieces[-1:]}")
-        if answer.status == 200 and answer.whole and pieces != list(range(1, EVENTS + 1)):
-            broken.append(f"ORDER {request_id}: ends as complete with {len(pieces)} of "
-                          f"{EVENTS} pieces")
+            daemon.front, method, path, HOST,
+            [("X-Skylarkwind-Request-Id", f"r{number:04d}"),
+             ("X-Skylarkwind-Deadline-Ms", "1500")], b"x" * 100 if method == "POST" else b"", 4)
+        record(f"caller: r{number:04d} {method} {path} status={answer.status}")
+
+    async def hold_another(outer_id, inner_id, name, data):
+        """Sends one request; all that comes back on its channel is recorded."""
+        reader, writer = await asyncio.open_connection(*lab.split(daemon.front))
+        record(f"caller: {outer_id} POST /order/1 framing={name} body holds {inner_id}")
+        writer.write(data)
+        received = b""
+        try:
+            while True:
+                part = await asyncio.wait_for(reader.read(65536), 0.5)
+                if not part:
+                    break
+                received += part
+        except (asyncio.TimeoutError, ConnectionError):
+            pass
+        writer.close()
+        record(f"caller: {outer_id} got {received.count(b'HTTP/1.1 ')} answers: {received!r}")
+        if inner_id in ran:
+            broken.append(f"UNASKED {inner_id} ran at {ran[inner_id]}: it is a part of the body of "
+                          f"{outer_id} ({name})")
 
     try:
-        for daemon in daemons:
-            await daemon.start()
-        for daemon in daemons:
-            await daemon.wait_ready()
-        await asyncio.sleep(2)
+        await daemon.start()
+        await daemon.wait_ready()
+        numbers = iter(range(100_000))
+        framings = in_false_framing if lab.TROUBLE else in_sound_framing
         for turn in range(ROUNDS):
-            streams = [asyncio.ensure_future(
-                stream(daemons[number % 3], f"{turn}{number:03x}")) for number in range(STREAMS)]
-            await asyncio.sleep(1.05)
-            if lab.TROUBLE:
-                # One decode engine crashes; its entry goes after three heartbeats of silence.
-                engine = engines.pop(4)
-                await engine.kill()
-            await asyncio.gather(*streams)
-            if lab.TROUBLE:
-                await asyncio.sleep(1.6)
-                store.remove("servers", engine.listed.name)
-                engines.append(await start_engine("decode", engine.listed.zone))
-            await asyncio.sleep(1)
+            for name in framings("", ""):
+                outer_id, inner_id = f"outer-{turn}-{name}", f"inner-{turn}-{name}"
+                data = framings(outer_id, inner_id)[name]
+                await asyncio.gather(hold_another(outer_id, inner_id, name, data),
+                                     *(sound(next(numbers)) for _ in range(SOUND_PER_ROUND)))
     finally:
-        for daemon in daemons:
-            await daemon.end()
-        for engine in engines:
-            await engine.end()
+        await daemon.end()
     return broken
 
 
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the review's third part: store, platform API, engines, links and callers.
+"""Stand-ins for the review's third part: store, engines and callers.
 
 They follow the platform's pages. All run in one event loop; the daemons are processes of their own.
 """
@@ -6,10 +6,8 @@
 import json
 import os
 import re
-import signal
 import shutil
 import socket
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -17,6 +15,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 DAEMON = os.path.join(ROOT, "target", "bin", "skylarkwindd")
 TEMPLATE = os.path.join(ROOT, "deploy", "settings.yaml")
+# Those of the sheets, as far as the template of the settings uses them.
+BOUNDS = {"ConfigApplyMs": 2000, "DrainMs": 2000, "GraceS": 8, "LeaseMs": 3000, "ReportWindowS": "",
+          "RetryBudgetRatio": 0.2, "BudgetMinRetries": 56, "BudgetWindowS": 10}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -71,11 +72,6 @@
         lines += [f"{name}: {value}" for name, value in headers]
         self.raw(("\r\n".join(lines) + "\r\n\r\n").encode())
 
-    def begin_undelimited(self, status, headers=()):
-        lines = [f"HTTP/1.1 {status} X", "Connection: close"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        self.raw(("\r\n".join(lines) + "\r\n\r\n").encode())
-
     def chunk(self, data):
         if isinstance(data, str):
             data = data.encode()
@@ -84,13 +80,6 @@
     def end_chunks(self):
         self.raw(b"0\r\n\r\n")
 
-    def reset(self):
-        self.closed = True
-        sock = self.writer.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-        self.writer.transport.abort()
-
     def close(self):
         self.closed = True
         self.writer.close()
@@ -246,310 +235,44 @@
                 pass
 
 
-class PlatformApi(Server):
-    """Takes usage reports and orders for engines, and does not check fences."""
-
-    def __init__(self, record):
-        super().__init__()
-        self.record = record
-        self.calls = []  # (time, path, body, holder, token)
-        self.on_scale = None
-
-    async def handle(self, request):
-        body = json.loads(request.body)
-        holder = request.header("X-Skylarkwind-Lease-Holder")
-        token = int(request.header("X-Skylarkwind-Fencing-Token"))
-        self.calls.append((self.record.now(), request.path, body, holder, token))
-        self.record(f"platform: {request.path} holder={holder} token={token} {json.dumps(body)}")
-        if request.path == "/scale" and self.on_scale:
-            self.on_scale(body)
-        request.connection.send(200, "{}")
-
-
-def plain_body(request_id):
-    return (f"record of {request_id} ".encode() * 60)[:800]
-
-
 class Engine(Server):
-    """A backend server. `behave(engine, request)` may answer in its place and return True."""
+    """A backend server of a plain service; `behave(engine, request)` answers its requests."""
 
-    def __init__(self, record, store, name, service, zone, stage=None, slots=8, behave=None):
+    def __init__(self, record, store, name, service, zone, slots, behave):
         super().__init__()
         self.record = record
         self.store = store
         self.name = name
         self.service = service
         self.zone = zone
-        self.stage = stage
         self.slots = slots
         self.behave = behave
         self.born = int(time.time() * 1000)
-        self.writes = 0
-        self.orders = 0
-        self.handles = 0
-        self.running = 0
-        self.ran = []  # ids, in order
-        self.quiet = False
-        self.prefilling = asyncio.Lock()
-        self.events = 3  # of each stream
-        self.gap_s = 0.06
-        self.delimited = True  # streams come in chunks, or else end with their channel
-
-    def list(self, state="ready"):
-        if self.store is None:
-            return
-        self.writes += 1
-        spec = {"Service": self.service, "Address": self.at, "Zone": self.zone, "Version": 1,
-                "Slots": self.slots, "State": state, "ColdMs": 0, "Seq": self.writes,
-                "born": self.born}
-        if self.stage:
-            spec["Stage"] = self.stage
-        self.store.put("servers", self.name, spec)
-
-    def echo(self, request):
-        return [("X-Skylarkwind-Request-Id", request.header("X-Skylarkwind-Request-Id")),
-                ("X-Skylarkwind-Engine-Load", f"{self.running},0,{self.slots}")]
+
+    def list(self):
+        self.store.put("servers", self.name, {
+            "Service": self.service, "Address": self.at, "Zone": self.zone, "Version": 1,
+            "Slots": self.slots, "State": "ready", "ColdMs": 0, "Seq": 1, "born": self.born})
 
     def signed(self, request):
-        return self.echo(request) + [("X-Skylarkwind-Response-Signature", "s." + self.name)]
+        return [("X-Skylarkwind-Request-Id", request.header("X-Skylarkwind-Request-Id")),
+                ("X-Skylarkwind-Engine-Load", f"1,0,{self.slots}"),
+                ("X-Skylarkwind-Response-Signature", "s." + self.name)]
 
     async def handle(self, request):
-        connection = request.connection
         expected = request.header("X-Skylarkwind-Expect-Instance")
-        if request.path == "/skylarkwind/report":
-            connection.send(200, json.dumps(
-                {"Stage": self.stage, "Models": [], "Busy": False, "Seq": self.orders,
-                 "Waiting": 0, "Running": self.running, "KvUsed": 0, "KvTotal": 400000,
-                 "KvHandles": 0, "born": self.born}))
-            return
         if expected and expected != self.name:
-            connection.send(421, "", [("X-Skylarkwind-Instance-Id", self.name)])
-            return
-        if request.path == "/skylarkwind/order":
-            order = json.loads(request.body)
-            self.record(f"engine {self.name}: order {json.dumps(order)}")
-            if order.get("Expect", self.orders) != self.orders:
-                connection.send(409, "{}")
-                return
-            self.orders += 1
-            self.stage = order["Stage"]
-            connection.send(202, "{}")
-            self.list()
-            return
-        if request.path.startswith("/skylarkwind/kv-handle/"):
-            connection.send(200, "{}")
-            return
-        if self.behave and await self.behave(self, request):
+            request.connection.send(421, "", [("X-Skylarkwind-Instance-Id", self.name)])
             return
-        await self.answer(request)
-
-    def note_run(self, request):
         request_id = request.header("X-Skylarkwind-Request-Id")
-        self.ran.append(request_id)
-        if not self.quiet:
-            self.record(f"engine {self.name}: runs {request_id} {request.method} "
-                        f"{request.target} after={request.header('Last-Event-Id')}")
-
-    async def answer(self, request, delay=0.02):
-        counts = request.header("X-Skylarkwind-Token-Count")
-        if request.header("X-Skylarkwind-Stage") == "prefill":
-            self.handles += 1
-            async with self.prefilling:
-                await asyncio.sleep(int(counts.split(",")[0]) / 50_000)
-            request.connection.send(
-                200, json.dumps({"KvHandle": f"{self.name}-{self.handles}",
-                                 "Tokens": int(counts.split(",")[0]), "Version": 1}),
-                self.echo(request) + [("Content-Type", "application/json")])
-            return
-        self.running += 1
-        try:
-            if counts:
-                if self.stage == "decode" and not request.header("X-Skylarkwind-Kv-Source"):
-                    # Such an engine computes the prompt itself, at half the speed.
-                    async with self.prefilling:
-                        await asyncio.sleep(int(counts.split(",")[0]) / 25_000)
-                self.note_run(request)
-                await self.stream(request)
-            else:
-                self.note_run(request)
-                await self.plain(request, delay)
-        finally:
-            self.running -= 1
-
-    async def plain(self, request, delay):
-        body = plain_body(request.header("X-Skylarkwind-Request-Id"))
-        await asyncio.sleep(delay)
-        if self.delimited:
-            request.connection.send(200, body, self.signed(request))
-            return
-        # The second half is written when the work on it is done.
-        request.connection.begin_undelimited(200, self.signed(request))
-        request.connection.raw(body[:len(body) // 2])
-        await asyncio.sleep(self.gap_s)
-        request.connection.raw(body[len(body) // 2:])
-        request.connection.close()
-
-    async def stream(self, request):
-        connection = request.connection
-        headers = self.signed(request) + [("Content-Type", "text/event-stream"),
-                                          ("X-Skylarkwind-Weight-Versions", "1")]
-        if self.delimited:
-            connection.begin_chunks(200, headers)
-        else:
-            connection.begin_undelimited(200, headers)
-        first = int(request.header("Last-Event-Id") or "0") + 1
-        for number in range(first, self.events + 1):
-            if connection.closed or connection.writer.is_closing():
-                return
-            piece = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if self.delimited:
-                connection.chunk(piece)
-            else:
-                connection.raw(piece)
-            await asyncio.sleep(self.gap_s)
-        if self.delimited:
-            connection.end_chunks()
-        else:
-            connection.close()
-
-
-class EngineProcess:
-    """An engine in a process of its own, which can be killed."""
-
-    def __init__(self, record, store, name, service, zone, stage, **options):
-        self.record = record
-        self.listed = Engine(record, store, name, service, zone, stage,
-                             options.pop("slots", 64))
-        self.options = options
-        self.process = None
-        self.reading = None
-
-    async def start(self):
-        arguments = {"name": self.listed.name, "service": self.listed.service,
-                     "zone": self.listed.zone, "stage": self.listed.stage,
-                     "slots": self.listed.slots}
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, os.path.abspath(__file__), json.dumps([arguments, self.options]),
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE)
-        self.listed.port = int(await self.process.stdout.readline())
-        self.reading = asyncio.ensure_future(self._read())
-        self.listed.list()
-
-    async def _read(self):
-        async for line in self.process.stdout:
-            self.record(line.decode().rstrip())
-
-    async def kill(self):
-        self.record(f"engine {self.listed.name}: SIGKILL")
-        await self.end()
-
-    async def end(self):
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-
-
-async def run_engine(arguments, options):
-    engine = Engine(lambda text: print(text, flush=True), None, **arguments)
-    for name, value in options.items():
-        setattr(engine, name, value)
-    await engine.start()
-    print(engine.port, flush=True)
-    await asyncio.sleep(120)
-
-
-class Link:
-    """A TCP path between one machine and a service, which a partition can cut.
-
-    While it is cut, nothing passes either way and connections that are opened get no service. Bytes
-    that were on their way stay with their sender, which sends them again as TCP does: after 0.2 s,
-    and each time after twice the pause before. Those of a sender that has reset its connection are
-    lost. Connections that were opened during the cut are reset at its end.
-    """
-
-    def __init__(self, record, name, target):
-        self.record = record
-        self.name = name
-        self.target = target
-        self.port = 0
-        self.cut_now = False
-        self.healed = None
-        self.listener = None
-
-    async def start(self):
-        self.healed = asyncio.Event()
-        self.healed.set()
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
-        self.port = self.listener.sockets[0].getsockname()[1]
-
-    @property
-    def at(self):
-        return f"127.0.0.1:{self.port}"
-
-    def cut(self):
-        self.record(f"link {self.name}: cut")
-        self.cut_now = True
-        self.healed.clear()
-
-    def heal(self):
-        self.record(f"link {self.name}: healed")
-        self.cut_now = False
-        self.healed.set()
-
-    async def _serve(self, reader, writer):
-        if self.cut_now:
-            await self.healed.wait()
-            writer.transport.abort()
-            return
-        host, port = self.target.split(":")
-        try:
-            other_reader, other_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        await asyncio.gather(self._pass(reader, other_writer, "to"),
-                             self._pass(other_reader, writer, "from"))
-
-    async def _pass(self, reader, writer, direction):
-        try:
-            while True:
-                data = await reader.read(65536)
-                if self.cut_now:
-                    sent = time.monotonic()
-                    if data:
-                        self.record(f"link {self.name}: holds {len(data)} bytes {direction} it")
-                    await self.healed.wait()
-                    await asyncio.sleep(self._until_retransmission(sent))
-                    if reader.exception():
-                        # The sender has reset the connection.
-                        writer.transport.abort()
-                        return
-                    if data:
-                        self.record(f"link {self.name}: delivers {len(data)} held bytes "
-                                    f"{direction} it")
-                if not data:
-                    break
-                writer.write(data)
-                await writer.drain()
-            if writer.can_write_eof():
-                writer.write_eof()
-        except (ConnectionError, OSError, RuntimeError):
-            writer.transport.abort()
-
-    @staticmethod
-    def _until_retransmission(sent):
-        pause = 0.2
-        due = sent + pause
-        while due < time.monotonic():
-            pause *= 2
-            due += pause
-        return due - time.monotonic()
+        self.record(f"engine {self.name}: runs {request_id} {request.method} {request.target}")
+        await self.behave(self, request)
 
 
 class Daemon:
     """A process of the deploy file, with settings rendered from its template."""
 
-    def __init__(self, record, folder, name, zone, store, seeds, ip, api="", bounds=None):
+    def __init__(self, record, folder, name, zone, store, seeds, ip):
         self.record = record
         self.name = name
         self.zone = zone
@@ -558,12 +281,7 @@
         self.ready = f"{ip}:{free_port(ip)}"
         self.control = f"{ip}:{free_port(ip)}"
         self.store = store
-        self.api = api
         self.seeds = seeds
-        self.bounds = {"ConfigApplyMs": 2000, "DrainMs": 2000, "GraceS": 8, "LeaseMs": 3000,
-                       "ReportWindowS": 5, "RetryBudgetRatio": 0.2, "BudgetMinRetries": 56,
-                       "BudgetWindowS": 10}
-        self.bounds.update(bounds or {})
         self.settings = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         self.process = None
@@ -572,8 +290,8 @@
         return {"Node": self.name, "Zone": self.zone,
                 "Listen": {"Front": self.front, "Ready": self.ready, "Control": self.control},
                 "Provider": {"Address": self.store}, "Seeds": ",".join(self.seeds),
-                "Limits": {"CpuShare": 0.25, "LinkMbps": 1000.0}, "Bounds": self.bounds,
-                "Cloud": {"Address": self.api, "DutiesPerS": 50 if self.api else ""}}
+                "Limits": {"CpuShare": 0.25, "LinkMbps": 1000.0}, "Bounds": BOUNDS,
+                "Cloud": {"Address": "", "DutiesPerS": ""}}
 
     async def start(self):
         values = self.values()
@@ -595,10 +313,6 @@
                      "SKYLARKWIND_SETTINGS": self.settings})
         self.record(f"daemon {self.name}: started")
 
-    def signal(self, number):
-        self.record(f"daemon {self.name}: {signal.Signals(number).name}")
-        self.process.send_signal(number)
-
     async def is_ready(self):
         try:
             host, port = self.ready.split(":")
@@ -621,7 +335,6 @@
     async def end(self):
         if self.process is not None and self.process.returncode is None:
             try:
-                self.process.send_signal(signal.SIGCONT)
                 self.process.kill()
             except ProcessLookupError:
                 pass
@@ -716,6 +429,3 @@
         shutil.rmtree(temporary, ignore_errors=True)
     raise SystemExit(code)
 
-
-if __name__ == "__main__":
-    asyncio.run(run_engine(*json.loads(sys.argv[1])))
