--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -277,9 +277,7 @@
         self.name = name
         self.zone = zone
         self.ip = ip
-        self.front = f"{ip}:{free_port(ip)}"
-        self.ready = f"{ip}:{free_port(ip)}"
-        self.control = f"{ip}:{free_port(ip)}"
+        self.front, self.ready, self.control = (f"{ip}:{port}" for port in free_ports(ip, 3))
         self.store = store
         self.seeds = seeds
         self.settings = os.path.join(folder, name + ".yaml")
@@ -345,10 +343,14 @@
     """The case could not be played."""
 
 
-def free_port(ip):
-    with socket.socket() as probe:
+def free_ports(ip, count):
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 class Answer:
