Chunked bodies of callers: refuse line feeds in extensions and false trailers

Callers of a daemon with its own table could hide a line feed or a bare carriage return in the extension of a chunk, put blanks before a chunk's size, or send trailers that are no header lines. A recipient that takes these for ends of lines reads other chunks, and another next request.

The cause: request_reader cut a chunk's line at the first semicolon and trimmed it, and skipped trailers unread.

--- a/packages/front/src/answer_format.cpp
+++ b/packages/front/src/answer_format.cpp
@@ -2,6 +2,8 @@
 
 #include "caller_parse_p.h"
 
+#include "skylarkwind/http_syntax.h"
+
 #include <nlohmann/json.hpp>
 
 #include <pistache/http_defs.h>
--- a/packages/front/src/caller_parse.cpp
+++ b/packages/front/src/caller_parse.cpp
@@ -2,6 +2,7 @@
 
 #include "completion_parse_p.h"
 #include "skylarkwind/hash.h"
+#include "skylarkwind/http_syntax.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/front/src/request_reader.cpp
+++ b/packages/front/src/request_reader.cpp
@@ -1,7 +1,8 @@
 #include "request_reader_p.h"
 
+#include "skylarkwind/http_syntax.h"
+
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace skylarkwind {
@@ -11,26 +12,6 @@
 /// A chunk-size line holds 16 digits and rarely an extension.
 constexpr std::size_t kMaxChunkLineBytes = 256;
 
-char
-Lower(char aChar)
-{
-  return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
-}
-
-bool
-IsTokenChar(char aChar)
-{
-  const char lower = Lower(aChar);
-  return (lower >= 'a' && lower <= 'z') || (aChar >= '0' && aChar <= '9') ||
-         std::string_view{ "!#$%&'*+-.^_`|~" }.find(aChar) != std::string_view::npos;
-}
-
-bool
-IsToken(std::string_view aText)
-{
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), IsTokenChar);
-}
-
 bool
 IsTargetChar(char aChar)
 {
@@ -38,24 +19,6 @@
   return byte > 0x20 && byte != 0x7f;
 }
 
-bool
-IsValueChar(char aChar)
-{
-  const auto byte = static_cast<unsigned char>(aChar);
-  return (byte >= 0x20 && byte != 0x7f) || aChar == '\t';
-}
-
-std::string_view
-Trimmed(std::string_view aText)
-{
-  constexpr std::string_view kBlanks = " \t";
-  const auto first = aText.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
-}
-
 std::size_t
 CountHeaders(const header_list& aHeaders, std::string_view aName)
 {
@@ -75,7 +38,7 @@
     std::string_view rest = value;
     while (!rest.empty()) {
       const auto comma = std::min(rest.find(','), rest.size());
-      if (EqualIgnoringCase(Trimmed(rest.substr(0, comma)), aItem)) {
+      if (EqualIgnoringCase(TrimBlanks(rest.substr(0, comma)), aItem)) {
         return true;
       }
       rest.remove_prefix(std::min(comma + 1, rest.size()));
@@ -86,15 +49,6 @@
 
 } // namespace
 
-bool
-EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return std::equal(
-    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aOne, char aOther) {
-      return Lower(aOne) == Lower(aOther);
-    });
-}
-
 std::string_view
 HeaderValue(const header_list& aHeaders, std::string_view aName)
 {
@@ -255,8 +209,8 @@
   if (colon == std::string_view::npos || !IsToken(aLine.substr(0, colon))) {
     return Malformed("a header line has no valid name");
   }
-  const auto value = Trimmed(aLine.substr(colon + 1));
-  if (!std::all_of(value.begin(), value.end(), IsValueChar)) {
+  const auto value = TrimBlanks(aLine.substr(colon + 1));
+  if (!IsFieldValue(value)) {
     return Malformed("a header value has control characters");
   }
   mRequest.mHeaders.emplace_back(aLine.substr(0, colon), value);
@@ -284,7 +238,7 @@
     }
     mStep = step::ChunkSize;
   } else if (lengths > 0) {
-    if (!ParseContentLength(HeaderValue(headers, "Content-Length"))) {
+    if (!ReadContentLength(HeaderValue(headers, "Content-Length"))) {
       return false;
     }
     mStep = step::FixedBody;
@@ -297,16 +251,16 @@
 }
 
 bool
-request_reader::ParseContentLength(std::string_view aValue)
+request_reader::ReadContentLength(std::string_view aValue)
 {
-  const char* end = aValue.data() + aValue.size();
-  const auto [stop, error] = std::from_chars(aValue.data(), end, mRemaining);
-  if (error == std::errc::result_out_of_range) {
+  const auto length = ParseContentLength(aValue);
+  if (absl::IsOutOfRange(length.status())) {
     return Fail(413, "body_too_large", "the request body is too large");
   }
-  if (error != std::errc{} || stop != end) {
+  if (!length.ok()) {
     return Malformed("Content-Length is not a number");
   }
+  mRemaining = *length;
   if (mRemaining > mLimits.mBodyBytes) {
     return Fail(413, "body_too_large", "the request body is too large");
   }
@@ -356,15 +310,14 @@
   if (!TakeLine(line, kMaxChunkLineBytes)) {
     return false;
   }
-  const auto digits = Trimmed(std::string_view{ line }.substr(0, line.find(';')));
-  const char* end = digits.data() + digits.size();
-  const auto [stop, error] = std::from_chars(digits.data(), end, mRemaining, 16);
-  if (error == std::errc::result_out_of_range) {
+  const auto size = ParseChunkSize(line);
+  if (absl::IsOutOfRange(size.status())) {
     return Fail(413, "body_too_large", "the request body is too large");
   }
-  if (error != std::errc{} || stop != end) {
+  if (!size.ok()) {
     return Malformed("a chunk size is not a hexadecimal number");
   }
+  mRemaining = *size;
   if (mRemaining > mLimits.mBodyBytes - mRequest.mBody.size()) {
     return Fail(413, "body_too_large", "the request body is too large");
   }
@@ -410,8 +363,9 @@
   }
   if (line.empty()) {
     mStep = step::Ready;
+    return true;
   }
-  return true;
+  return ParseFieldLine(line) || Malformed("a trailer is not a name, a colon and a value");
 }
 
 } // namespace skylarkwind
--- a/packages/front/src/request_reader_p.h
+++ b/packages/front/src/request_reader_p.h
@@ -32,8 +32,6 @@
 /// First value of a header; names are compared without case. Empty when absent.
 std::string_view HeaderValue(const header_list& aHeaders, std::string_view aName);
 
-bool EqualIgnoringCase(std::string_view aLeft, std::string_view aRight);
-
 /// Incremental parser of HTTP/1.x requests on one connection. It is strict where a lenient parser
 /// and the load balancer in front could disagree on where a request ends: bare line feeds, folded
 /// headers, repeated Content-Length, and Content-Length with Transfer-Encoding are refused.
@@ -96,7 +94,7 @@
   bool ParseRequestLine(std::string_view aLine);
   bool ParseHeaderLine(std::string_view aLine);
   bool ParseFraming();
-  bool ParseContentLength(std::string_view aValue);
+  bool ReadContentLength(std::string_view aValue);
   bool ReadFixedBody();
   bool ReadChunkSize();
   bool ReadChunkData();
--- a/packages/net/src/http_transfer.cpp
+++ b/packages/net/src/http_transfer.cpp
@@ -1,6 +1,6 @@
 #include "http_transfer_p.h"
 
-#include <algorithm>
+#include "skylarkwind/http_syntax.h"
 
 namespace skylarkwind {
 
@@ -16,18 +16,6 @@
   return kj::systemPreciseMonotonicClock().now() + aDelay.count() * kj::MILLISECONDS;
 }
 
-bool
-EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
-{
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](unsigned char aOne, unsigned char aOther) {
-                      return std::tolower(aOne) == std::tolower(aOther);
-                    });
-}
-
 std::string_view
 Trimmed(std::string_view aText)
 {
