Requests end where RFC 9112 ends them, not where the HTTP library does

The cause: the daemon left it to libkj-http where a request ends. The library prefers chunks to a length, computes lengths and the sizes of chunks modulo 2^64, takes white space before a colon, bare line ends, chunks in HTTP/1.0 and empty transfer codings, and reads what follows as the next request.

message_framing finds the ends of messages by RFC 9112, and framed_stream lets the library read only what has one meaning. Anything else gets 400, 501 or 505 with the reason, and the connection ends. Valid requests that were refused or misread are served now: white space around lengths and codings, extensions of chunks, and trailers, which were answered with a 501 that belonged to no request.

--- a/packages/gateway/src/caller_listener.cpp
+++ b/packages/gateway/src/caller_listener.cpp
@@ -1,5 +1,7 @@
 #include "caller_listener_p.h"
 
+#include "caller_response_p.h"
+
 #include "skylarkwind/log.h"
 
 #include <kj/debug.h>
@@ -17,7 +19,8 @@
 /// Connections without a request are closed by `CloseIdle`, whose limits may change while a
 /// connection is open, and which finds a request that has arrived and not been read.
 constexpr auto kNoTimeout = 1 * kj::HOURS;
-/// The last line end of a chunked body may arrive after the response.
+/// The last line end of a chunked body may arrive after the response, and so may an empty line that
+/// some callers send after a body.
 constexpr std::uint64_t kLineEndBytes = 2;
 /// Time from the end of a response that announces the close of its connection to the close.
 constexpr std::chrono::milliseconds kAnnouncedCloseDelay{ 50 };
@@ -69,7 +72,7 @@
 }
 
 /// The whole response to a head that was not read to its end.
-kj::StringPtr
+std::string
 Rejection(head_error aError)
 {
   switch (aError) {
@@ -108,6 +111,7 @@
   connection(caller_listener& aOwner, kj::Own<kj::AsyncIoStream> aStream)
     : mOwner(aOwner)
     , mStream(kj::heap<monitored_stream>(kj::mv(aStream)))
+    , mFramed(*mStream, aOwner.mHeads, message_framing::OfRequests())
     , mServer(aOwner.mContext.mTimer, aOwner.mContext.mTable, *this, Settings())
     , mIdleSince(aOwner.mContext.mClock.Now())
     , mHeadSince(mIdleSince)
@@ -119,10 +123,9 @@
 
   void Start()
   {
-    mStream->ExpectHead(mOwner.mHeads);
     // The server gets a non-owning pointer, so that the stream outlives the server's use of it.
     auto serving =
-      mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ mStream.get(), kj::NullDisposer::instance });
+      mServer.listenHttp(kj::Own<kj::AsyncIoStream>{ &mFramed, kj::NullDisposer::instance });
     mServing = serving
                  .catch_([](kj::Exception&&) {
                    // The exchange has logged the reason; the connection is closed in any case.
@@ -163,7 +166,6 @@
     KJ_IF_MAYBE (value, aHeaders.get(kj::HttpHeaderId::HOST)) {
       host.assign(value->cStr(), value->size());
     }
-    mStream->HeadComplete();
     auto method = kj::str(aMethod);
     const bool tooLong = HeadBytes(method, aUrl, aHeaders) > mOwner.mMaxHeadBytes;
     auto request = context.mProtocolAdapter.ParseRequest({ method.cStr(), method.size() },
@@ -185,9 +187,6 @@
                             mReadAtEnd = mStream->ReadBytes();
                             mHeadSince.reset();
                             mHeadLimit = {};
-                            if (!mCloseAnnounced) {
-                              mStream->ExpectHead(mOwner.mHeads);
-                            }
                           }));
   }
 
@@ -254,22 +253,28 @@
     return mCloseAnnounced;
   }
 
-  /// Responds to a head that exceeded its allowance. The HTTP library has no request to respond to.
+  /// Responds to a head that exceeded its allowance or is not valid. The HTTP library has no
+  /// request to respond to.
   kj::Promise<void> RejectHead()
   {
-    const auto error = mStream->HeadError();
-    if (!error) {
-      return kj::READY_NOW;
+    if (const auto error = mStream->HeadError()) {
+      return WriteRejection(Rejection(*error),
+                            *error == head_error::TooLong ? "too_long" : "over_budget");
     }
+    if (const auto& error = mFramed.Error(); error && error->mInHead) {
+      return WriteRejection(RejectionOf(*error), "malformed detail=\"" + error->mReason + '"');
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> WriteRejection(std::string aResponse, std::string_view aReason)
+  {
     mStream->HeadComplete();
-    const auto response = Rejection(*error);
-    Log(log_level::Info,
-        "callers",
-        std::string{ "head rejected reason=" } +
-          (*error == head_error::TooLong ? "too_long" : "over_budget"));
+    Log(log_level::Info, "callers", "head rejected reason=" + std::string{ aReason });
+    auto response = kj::heap<std::string>(std::move(aResponse));
     auto writing = mOwner.mContext.mTimer.timeoutAfter(
-      ToKj(kSlowCallerLimit), mStream->write(response.begin(), response.size()));
-    return writing.catch_([](kj::Exception&& aError) {
+      ToKj(kSlowCallerLimit), mStream->write(response->data(), response->size()));
+    return writing.attach(kj::mv(response)).catch_([](kj::Exception&& aError) {
       Log(log_level::Debug, "callers", aError.getDescription().cStr());
     });
   }
@@ -352,8 +357,9 @@
 
   kj::Promise<void> handleApplicationError(kj::Exception aError, kj::Maybe<Response&>) override
   {
-    // `RejectHead` logs heads that exceed their allowance.
-    if (aError.getType() != kj::Exception::Type::DISCONNECTED && !mStream->HeadError()) {
+    // `RejectHead` logs heads that are rejected, the exchange bodies that are not valid.
+    if (aError.getType() != kj::Exception::Type::DISCONNECTED && !mStream->HeadError() &&
+        !mFramed.Error()) {
       Log(log_level::Error, "callers", aError.getDescription().cStr());
     }
     return kj::READY_NOW;
@@ -361,6 +367,7 @@
 
   caller_listener& mOwner;
   kj::Own<monitored_stream> mStream;
+  framed_stream mFramed;
   kj::HttpServer mServer;
   std::size_t mActiveRequests = 0;
   const exchange* mExchange = nullptr; ///< of the active request
--- a/packages/gateway/src/caller_listener_p.h
+++ b/packages/gateway/src/caller_listener_p.h
@@ -2,7 +2,7 @@
 
 #include "accept_loop_p.h"
 #include "exchange_p.h"
-#include "monitored_stream_p.h"
+#include "framed_stream_p.h"
 
 #include "skylarkwind/clock.h"
 
--- a/packages/gateway/src/caller_response.cpp
+++ b/packages/gateway/src/caller_response.cpp
@@ -6,10 +6,6 @@
 
 namespace skylarkwind {
 
-namespace {
-
-/// The reason phrase of a status line. That of a server is never forwarded, as it may contain any
-/// bytes.
 kj::StringPtr
 ReasonPhrase(unsigned int aStatus)
 {
@@ -33,18 +29,28 @@
       return "Payload Too Large";
     case 431:
       return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
       return "Service Unavailable";
     case 504:
       return "Gateway Timeout";
+    case 505:
+      return "HTTP Version Not Supported";
     default:
       return aStatus >= kFirstError ? "Error" : "Other";
   }
 }
 
-} // namespace
+std::string
+RejectionOf(const framing_error& aError)
+{
+  return "HTTP/1.1 " + std::to_string(aError.mStatus) + ' ' + ReasonPhrase(aError.mStatus).cStr() +
+         "\r\nConnection: close\r\nContent-Length: " + std::to_string(aError.mReason.size() + 1) +
+         "\r\n\r\n" + aError.mReason + '\n';
+}
 
 kj::HttpService::Response&
 caller_response::TakeUnsent()
--- a/packages/gateway/src/caller_response_p.h
+++ b/packages/gateway/src/caller_response_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "message_framing_p.h"
+
 #include "skylarkwind/backend_calls.h"
 
 #include <kj/async-io.h>
@@ -16,6 +18,14 @@
 /// request, and before its connection counts as idle.
 inline constexpr std::chrono::milliseconds kSlowCallerLimit{ 5'000 };
 
+/// The reason phrase of a status line. That of a server is never forwarded, as it may contain any
+/// bytes.
+kj::StringPtr ReasonPhrase(unsigned int aStatus);
+
+/// The whole response to a request whose head is not valid, which the HTTP library has not seen.
+/// The connection is to be closed after it.
+std::string RejectionOf(const framing_error& aError);
+
 /// The response to one request of a caller. Its head is sent once: either with a whole body, or
 /// before a stream of parts. A second head would reach the caller as part of the first response.
 class caller_response
--- a/packages/gateway/tests/exchange_fixture.h
+++ b/packages/gateway/tests/exchange_fixture.h
@@ -307,6 +307,15 @@
     Run();
   }
 
+  /// The same byte by byte: each is written when the other end has read the one before.
+  void WriteOneByOne(kj::AsyncIoStream& aStream, const std::string& aText)
+  {
+    auto text = kj::heap<std::string>(aText);
+    auto writing = WriteFrom(aStream, *text, 0).attach(kj::mv(text));
+    mTasks.add(kj::mv(writing));
+    Run();
+  }
+
   kj::EventLoop mLoop;
   kj::WaitScope mScope;
   kj::TimerImpl mTimer;
@@ -341,6 +350,18 @@
   kj::Promise<void> mAccepting = nullptr;
 
 private:
+  static kj::Promise<void> WriteFrom(kj::AsyncIoStream& aStream,
+                                     const std::string& aText,
+                                     std::size_t aAt)
+  {
+    if (aAt == aText.size()) {
+      return kj::READY_NOW;
+    }
+    return aStream.write(&aText[aAt], 1).then([&aStream, &aText, aAt] {
+      return WriteFrom(aStream, aText, aAt + 1);
+    });
+  }
+
   void taskFailed(kj::Exception&&) override
   {
     // A write to an end that the daemon has closed.
