Responses end where RFC 9112 ends them, not where the HTTP library does

Its connections read through framed_stream now, for servers, the store, the platform and other daemons. Extensions of chunks, trailers and white space around values no longer fail an answer; a connection whose trailers have not arrived is not reused. The pool's own checks of status lines and values are part of message_framing.

--- a/packages/gateway/include/skylarkwind/http_pool.h
+++ b/packages/gateway/include/skylarkwind/http_pool.h
@@ -21,6 +21,7 @@
 
 namespace skylarkwind {
 
+class framed_stream;
 class monitored_stream;
 
 /// Convert headers, strings and durations between the types of kj and those of this project.
@@ -77,6 +78,7 @@
 {
   std::string mAddress;
   kj::Own<monitored_stream> mStream;
+  kj::Own<framed_stream> mFramed; ///< what the client reads of the stream
   kj::Own<kj::HttpClient> mClient;
   instant mIdleSince{};
   instant mUsableUntil{};
--- a/packages/gateway/src/http_pool.cpp
+++ b/packages/gateway/src/http_pool.cpp
@@ -1,6 +1,6 @@
 #include "skylarkwind/http_pool.h"
 
-#include "monitored_stream_p.h"
+#include "framed_stream_p.h"
 
 #include "skylarkwind/hash.h"
 
@@ -92,56 +92,16 @@
   std::shared_ptr<const upload_progress> mUpload;
 };
 
-/// Whether the value has only characters that a field value may have (RFC 9110, 5.5). Bytes of
-/// other encodings than ASCII are allowed.
-bool
-IsFieldValue(kj::StringPtr aValue)
-{
-  constexpr kj::byte kDelete = 0x7f;
-  return std::all_of(aValue.begin(), aValue.end(), [](char aCharacter) {
-    const auto byte = static_cast<kj::byte>(aCharacter);
-    return (byte >= ' ' && byte != kDelete) || byte == '\t';
-  });
-}
-
-/// Whether the status line, of which these are the first bytes, has a status of three digits
-/// (RFC 9112, 4).
-bool
-HasStatusOfThreeDigits(std::string_view aHeadStart)
-{
-  constexpr std::string_view kBlanks = " \t";
-  constexpr std::size_t kDigits = 3;
-  const auto version = aHeadStart.find_first_of(kBlanks);
-  const auto status =
-    version == std::string_view::npos ? version : aHeadStart.find_first_not_of(kBlanks, version);
-  if (status == std::string_view::npos) {
-    return false;
-  }
-  const auto text = aHeadStart.substr(status);
-  return std::min(text.find_first_not_of("0123456789"), text.size()) == kDigits;
-}
-
-/// What no final response may have in its head; empty if there is nothing. The HTTP library takes
-/// any number for a status, also one that exceeds its 32 bits, and any character but a line end in
-/// a value.
+/// What no final response may have in its head; empty if there is nothing.
 std::string
-HeadProblem(const kj::HttpClient::Response& aResponse, std::string_view aHeadStart)
+HeadProblem(const kj::HttpClient::Response& aResponse)
 {
   constexpr kj::uint kMinFinalStatus = 200;
   constexpr kj::uint kMaxStatus = 599;
   if (aResponse.statusCode < kMinFinalStatus || aResponse.statusCode > kMaxStatus) {
     return "the response has the invalid status " + std::to_string(aResponse.statusCode);
   }
-  if (!HasStatusOfThreeDigits(aHeadStart)) {
-    return "the response has a status that is no number of three digits";
-  }
-  std::string problem;
-  aResponse.headers->forEach([&](kj::StringPtr aName, kj::StringPtr aValue) {
-    if (!IsFieldValue(aValue)) {
-      problem = "the response has an invalid value in the header " + ToStd(aName);
-    }
-  });
-  return problem;
+  return {};
 }
 
 http_failure
@@ -208,7 +168,9 @@
       auto connection = kj::heap<pooled_connection>();
       connection->mAddress = aAddress;
       connection->mStream = kj::heap<monitored_stream>(kj::mv(aStream));
-      connection->mClient = kj::newHttpClient(mTable, *connection->mStream);
+      connection->mFramed =
+        kj::heap<framed_stream>(*connection->mStream, mHeads, message_framing::OfResponses());
+      connection->mClient = kj::newHttpClient(mTable, *connection->mFramed);
       return connection;
     });
 }
@@ -285,9 +247,9 @@
   if (aCall.mOnSend) {
     aCall.mOnSend();
   }
-  answer->mConnection->mStream->ExpectHead(mHeads);
   kj::Maybe<kj::HttpClient::Request> sentRequest;
   auto sendError = kj::runCatchingExceptions([&] {
+    answer->mConnection->mFramed->ExpectResponse(method == kj::HttpMethod::HEAD);
     kj::Maybe<std::uint64_t> size = nullptr;
     if (!bodyless || !aCall.mBody.empty()) {
       size = aCall.mBody.size();
@@ -313,9 +275,7 @@
   return request.response.then(
     [answer = std::move(answer),
      method](kj::HttpClient::Response aResponse) mutable -> http_result {
-      answer->mConnection->mStream->HeadComplete();
-      if (auto problem = HeadProblem(aResponse, answer->mConnection->mStream->HeadStart());
-          !problem.empty()) {
+      if (auto problem = HeadProblem(aResponse); !problem.empty()) {
         return http_failure{ true, std::move(problem) };
       }
       answer->mStatus = static_cast<int>(aResponse.statusCode);
@@ -340,6 +300,7 @@
   aAnswer->mUpload = nullptr;
   auto connection = kj::mv(aAnswer->mConnection);
   if (aServerCloses || !uploaded || connection->mStream->Ended() ||
+      !connection->mFramed->ResponseComplete() ||
       connection->mCarriedIds.size() >= kMaxCarriedIds) {
     return;
   }
--- a/packages/gateway/src/monitored_stream.cpp
+++ b/packages/gateway/src/monitored_stream.cpp
@@ -29,7 +29,6 @@
 {
   HeadComplete();
   mHeadAllowance = &aAllowance;
-  mHeadStartBytes = 0;
 }
 
 void
@@ -43,20 +42,6 @@
   mChargedHeadBytes = 0;
 }
 
-void
-monitored_stream::KeepHeadStart(const kj::byte* aBytes, std::size_t aCount)
-{
-  for (std::size_t i = 0;
-       mHeadAllowance != nullptr && i < aCount && mHeadStartBytes < mHeadStart.size();
-       ++i) {
-    const auto character = static_cast<char>(aBytes[i]);
-    // The HTTP library skips line ends before a head.
-    if (mHeadStartBytes > 0 || (character != '\r' && character != '\n')) {
-      mHeadStart[mHeadStartBytes++] = character;
-    }
-  }
-}
-
 void
 monitored_stream::ChargeHead()
 {
@@ -162,7 +147,6 @@
 monitored_stream::ReadMore(kj::byte* aBuffer, size_t aFilled, size_t aMinBytes, size_t aMaxBytes)
 {
   const auto buffered = TakeBuffered(aBuffer + aFilled, aMaxBytes - aFilled);
-  KeepHeadStart(aBuffer + aFilled, buffered);
   mHeadBytes += buffered;
   aFilled += buffered;
   if (aFilled >= aMinBytes || mEnded) {
@@ -179,9 +163,8 @@
   return kj::evalNow([&] {
            return mInner->tryRead(aBuffer + aFilled, aMinBytes - aFilled, aMaxBytes - aFilled);
          })
-    .then([this, aBuffer, aFilled](size_t aBytes) {
+    .then([this, aFilled](size_t aBytes) {
       RecordInput(aBytes);
-      KeepHeadStart(aBuffer + aFilled, aBytes);
       mHeadBytes += aBytes;
       return aFilled + aBytes;
     })
--- a/packages/gateway/src/monitored_stream_p.h
+++ b/packages/gateway/src/monitored_stream_p.h
@@ -4,11 +4,9 @@
 
 #include <kj/async-io.h>
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace skylarkwind {
 
@@ -26,9 +24,6 @@
   /// exceeds the allowance, which must outlive the stream.
   void ExpectHead(head_allowance& aAllowance);
   void HeadComplete();
-  /// The first bytes of the head that was expected last, enough for the status of a response. The
-  /// HTTP library takes a status of any length and gives its value in 32 bits.
-  std::string_view HeadStart() const { return { mHeadStart.data(), mHeadStartBytes }; }
   /// Why a read of a head has failed, if one has.
   std::optional<head_error> HeadError() const { return mHeadError; }
   /// Resolves when the peer has closed the connection or the connection has failed. It reads ahead,
@@ -73,7 +68,6 @@
                                size_t aMinBytes,
                                size_t aMaxBytes);
   void RecordInput(size_t aBytes);
-  void KeepHeadStart(const kj::byte* aBytes, std::size_t aCount);
   /// Charges what has been read to the allowance of the head, if one is expected. Throws when that
   /// exceeds it. Called before a further read: only then it is known that all of it belongs to the
   /// head, as the read that brings the end of a head may bring much of the body, too.
@@ -95,8 +89,6 @@
   head_allowance* mHeadAllowance = nullptr; ///< while a head is expected
   std::size_t mHeadBytes = 0;               ///< read since the head is expected
   std::size_t mChargedHeadBytes = 0;
-  std::array<char, 24> mHeadStart{};
-  std::size_t mHeadStartBytes = 0;
   std::optional<head_error> mHeadError;
   std::uint64_t mReadBytes = 0;
   std::uint64_t mWrittenBytes = 0;
