--- a/packages/gateway/src/http_listener_p.h
+++ b/packages/gateway/src/http_listener_p.h
@@ -2,6 +2,8 @@
 
 #include "accept_loop_p.h"
 
+#include "skylarkwind/head_allowance.h"
+
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 
@@ -23,10 +25,12 @@
   kj::Promise<void> Accept(kj::ConnectionReceiver& aPort) { return mAcceptLoop.Run(aPort); }
 
 private:
+  kj::Promise<void> Serve(kj::Own<kj::AsyncIoStream> aStream);
   void taskFailed(kj::Exception&& aError) override;
 
   std::string mName;
   kj::HttpServer& mServer;
+  head_allowance mHeads;
   kj::TaskSet mConnections;
   accept_loop mAcceptLoop;
 };
--- a/packages/gateway/tests/http_listener_test.cpp
+++ b/packages/gateway/tests/http_listener_test.cpp
@@ -83,12 +83,42 @@
   kj::PromiseFulfillerPair<void> mRelease = kj::newPromiseAndFulfiller<void>();
 };
 
+/// Responds to each request with its path and its body.
+class echo final : public kj::HttpService
+{
+public:
+  explicit echo(const kj::HttpHeaderTable& aTable)
+    : mTable(aTable)
+  {
+  }
+  kj::Promise<void> request(kj::HttpMethod,
+                            kj::StringPtr aUrl,
+                            const kj::HttpHeaders&,
+                            kj::AsyncInputStream& aBody,
+                            Response& aResponse) override
+  {
+    auto url = kj::str(aUrl);
+    return aBody.readAllText().then([this, url = kj::mv(url), &aResponse](const kj::String& aText) {
+      auto text = kj::str(url, ' ', aText);
+      auto out = aResponse.send(200, "OK", kj::HttpHeaders{ mTable }, text.size());
+      auto& stream = *out;
+      auto writing = stream.write(text.begin(), text.size());
+      return writing.attach(kj::mv(out), kj::mv(text));
+    });
+  }
+
+private:
+  const kj::HttpHeaderTable& mTable;
+};
+
 } // namespace
 
 class http_listener_test : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(http_listener_test);
   CPPUNIT_TEST(ClientThatLeavesIsNoError);
+  CPPUNIT_TEST(RequestInTheBodyOfAnotherOneIsNotServed);
+  CPPUNIT_TEST(TrailersAreNotTheNextRequest);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against messages of the HTTP library on standard error, "unhandled exception in HTTP
@@ -113,6 +143,59 @@
     io.waitScope.poll();
     CPPUNIT_ASSERT_EQUAL(0, messages.mMessages);
   }
+
+  /// All that a client receives until its connection ends, after it has sent these bytes and closed
+  /// its half.
+  static std::string Exchange(const std::string& aBytes)
+  {
+    auto io = kj::setupAsyncIo();
+    const kj::HttpHeaderTable table;
+    echo service{ table };
+    kj::HttpServer server{ io.provider->getTimer(), table, service };
+    http_listener listener{ "peers", server, io.provider->getTimer() };
+    auto& network = io.provider->getNetwork();
+    auto port = network.parseAddress("127.0.0.1").wait(io.waitScope)->listen();
+    auto accepting = listener.Accept(*port).eagerlyEvaluate(nullptr);
+    auto client = network.parseAddress("127.0.0.1", port->getPort())
+                    .wait(io.waitScope)
+                    ->connect()
+                    .wait(io.waitScope);
+    client->write(aBytes.data(), aBytes.size()).wait(io.waitScope);
+    client->shutdownWrite();
+    return client->readAllText().wait(io.waitScope).cStr();
+  }
+
+  /// Guards against a request that another daemon did not send, as it is a part of a body.
+  void RequestInTheBodyOfAnotherOneIsNotServed()
+  {
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string begin = "POST /outer HTTP/1.1\r\nHost: a\r\n";
+    for (const auto* headers :
+         { "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+           "Content-Length: -18446744073709551616\r\n\r\n",
+           "Content-Length : 0\r\n\r\n" }) {
+      auto bytes = begin;
+      bytes += headers;
+      bytes += inner;
+      const auto received = Exchange(bytes);
+      CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 400 Bad Request\r\n"));
+      CPPUNIT_ASSERT_MESSAGE(received, received.find("/inner") == std::string::npos);
+    }
+    const auto received =
+      Exchange(begin + "Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n" + inner);
+    CPPUNIT_ASSERT_MESSAGE(received, received.find("/inner") == std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(received, received.find("HTTP/1.1 200") == std::string::npos);
+  }
+
+  void TrailersAreNotTheNextRequest()
+  {
+    const auto received =
+      Exchange("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "2;x=y\r\nhi\r\n0\r\nSum: 1\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(received, received.find("/a hi") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(received, received.ends_with("/b "));
+    CPPUNIT_ASSERT_MESSAGE(received, received.find("HTTP/1.1 5") == std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_listener_test);
